--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Everything is built from source with Go; see README.md.
+GO ?= go
+BIN := bin
+
+.PHONY: build demo test check generate docs fuzz clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/...
+
+demo: build
+	$(BIN)/zinccove-demo --bin $(BIN)
+
+test:
+	$(GO) test ./... ./standin/...
+
+# check runs all that CI runs.
+check:
+	bash .ci/run
+
+# generate makes the code from the proto files; the generators are pinned in
+# tools/go.mod.
+generate:
+	bash tools/generate
+
+docs:
+	$(GO) run ./cmd/zinccoved --example > docs/zinccoved.example.ini
+	$(GO) run ./cmd/zinccoved --metrics > docs/metrics.md
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cli/plan.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+)
+
+// printJSON prints v as one line.
+func (g *globals) printJSON(v any) error {
+	return json.NewEncoder(g.out).Encode(v)
+}
+
+func (g *globals) printPlan(p *zinccovev1.Plan) error {
+	if g.Output == "json" {
+		return g.printJSON(p)
+	}
+	fmt.Fprintf(g.out, "plan %s (%s) on version %d by %s, expires %s\n", p.Id, p.State, p.BaseVersion, p.Operator,
+		time.UnixMilli(p.ExpiresUnixMs).Format(time.RFC3339))
+	for _, d := range p.Differences {
+		fmt.Fprintln(g.out, "  "+d)
+	}
+	for _, c := range p.Consequences {
+		fmt.Fprintln(g.out, "  ! "+c)
+	}
+	if p.Version > 0 {
+		fmt.Fprintf(g.out, "in force as version %d\n", p.Version)
+	}
+	return nil
+}
+
+// planArg is the positional argument of commands on one plan.
+type planArg struct {
+	Positional struct {
+		ID string `positional-arg-name:"ID" required:"yes"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type planShow struct {
+	command
+	planArg
+}
+
+// Execute shows the plan.
+func (c *planShow) Execute([]string) error {
+	client, ctx, cancel, err := c.globals.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	resp, err := client.ShowPlan(ctx, &zinccovev1.ShowPlanRequest{PlanId: c.Positional.ID})
+	if err != nil {
+		return err
+	}
+	return c.globals.printPlan(resp.Plan)
+}
+
+type planConfirm struct {
+	command
+	planArg
+	Wait time.Duration `long:"wait" value-name:"TIME" description:"wait until in force on all reachable routers, at most this long"`
+}
+
+// confirmation is the JSON of a confirmed plan.
+type confirmation struct {
+	Version uint64 `json:"version"`
+	// Behind are the routers that do not have the version in force yet.
+	Behind []string `json:"behind,omitempty"`
+}
+
+// Execute confirms the plan.
+func (c *planConfirm) Execute([]string) error {
+	client, ctx, cancel, err := c.globals.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	resp, err := client.Confirm(ctx, &zinccovev1.ConfirmRequest{PlanId: c.Positional.ID})
+	if err != nil {
+		return err
+	}
+	done := confirmation{Version: resp.Version}
+	if c.Wait > 0 {
+		done.Behind, err = c.wait(resp.Version)
+		if err != nil {
+			return err
+		}
+	}
+	if c.globals.Output == "json" {
+		return c.globals.printJSON(done)
+	}
+	fmt.Fprintf(c.globals.out, "version %d is accepted\n", done.Version)
+	for _, host := range done.Behind {
+		fmt.Fprintf(c.globals.out, "  not yet in force on %s\n", host)
+	}
+	return nil
+}
+
+// waitPeriod is the time between looks at the status.
+const waitPeriod = 100 * time.Millisecond
+
+// wait returns the routers that do not have version in force after the
+// waiting time.
+func (c *planConfirm) wait(version uint64) ([]string, error) {
+	deadline := time.Now().Add(c.Wait)
+	for {
+		client, ctx, cancel, err := c.globals.client()
+		if err != nil {
+			return nil, err
+		}
+		resp, err := client.Status(ctx, new(zinccovev1.StatusRequest))
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		behind := behind(resp.Routers, version)
+		if len(behind) == 0 || time.Now().After(deadline) {
+			return behind, nil
+		}
+		time.Sleep(waitPeriod)
+	}
+}
+
+func behind(routers []*zinccovev1.RouterStatus, version uint64) []string {
+	var hosts []string
+	for _, r := range routers {
+		if r.ConfigVersion < version {
+			hosts = append(hosts, r.Host)
+		}
+	}
+	return hosts
+}
+
+type planDiscard struct {
+	command
+	planArg
+}
+
+// Execute discards the plan.
+func (c *planDiscard) Execute([]string) error {
+	client, ctx, cancel, err := c.globals.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	_, err = client.Discard(ctx, &zinccovev1.DiscardRequest{PlanId: c.Positional.ID})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.globals.out, "plan %s is discarded\n", c.Positional.ID)
+	return nil
+}
--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Difference is one object that differs between two versions.
+type Difference struct {
+	Object Object
+	// Text describes the difference in one line for operators.
+	Text string
+}
+
+// Diff lists the objects that differ from one version to another, by kind and
+// then by name.
+func Diff(from, to *Config) []Difference {
+	var ds []Difference
+	ds = append(ds, diffNamed(KindCustomer, from.Customers, to.Customers)...)
+	ds = append(ds, diffNamed(KindModel, from.Models, to.Models)...)
+	ds = append(ds, diffNamed(KindService, from.Services, to.Services)...)
+	ds = append(ds, diffNamed(KindTarget, from.Targets, to.Targets)...)
+	return append(ds, diffNamed(KindHost, from.Hosts, to.Hosts)...)
+}
+
+func diffNamed[T any, P named[T]](kind Kind, from, to []T) []Difference {
+	var ds []Difference
+	for i := range from {
+		name := P(&from[i]).objectName()
+		if _, kept := findNamed[T, P](to, name); !kept {
+			ds = append(ds, Difference{Object: Object{kind, name}, Text: fmt.Sprintf("- %s %s", Object{kind, name}, describe(&from[i]))})
+		}
+	}
+	for i := range to {
+		name := P(&to[i]).objectName()
+		text := describe(&to[i])
+		j, existed := findNamed[T, P](from, name)
+		if !existed {
+			ds = append(ds, Difference{Object: Object{kind, name}, Text: fmt.Sprintf("+ %s %s", Object{kind, name}, text)})
+			continue
+		}
+		if old := describe(&from[j]); old != text {
+			ds = append(ds, Difference{Object: Object{kind, name}, Text: fmt.Sprintf("~ %s %s -> %s", Object{kind, name}, old, text)})
+		}
+	}
+	return ds
+}
+
+func describe(obj any) string {
+	body, err := json.Marshal(obj)
+	if err != nil {
+		panic("config: all field types marshal: " + err.Error())
+	}
+	return string(body)
+}
--- /dev/null
+++ b/confsync/confsync.go
@@ -0,0 +1,121 @@
+// Package confsync brings the configuration in force on this router.
+//
+// The version in force never goes back: a configuration is adopted only if its
+// version is higher, whether it comes from the platform or from a peer. With
+// neither at hand there is none, and the router refuses requests.
+//
+// # Usage
+//
+//	s := confsync.New(confsync.Options{Store: store, FetchPeer: fetch, Adopt: dispatcher.Configure})
+//	err := s.Poll(ctx)                    // from the platform
+//	err = s.Learn(ctx, peer, version)     // a peer has a higher version
+//	snap := s.Current()                   // nil before the first
+package confsync
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/intent"
+)
+
+// Snapshot is a configuration in force with its encoded form.
+type Snapshot struct {
+	Config *config.Config
+	Body   []byte
+	Digest string
+	// customers finds a customer by the digest of an API key.
+	customers map[string]*config.Customer
+}
+
+// Customer returns the customer of an API key, or nil. The key is compared by
+// its digest, so the time taken tells nothing about other keys.
+func (s *Snapshot) Customer(key []byte) *config.Customer {
+	return s.customers[config.Digest(key)]
+}
+
+// Version returns the snapshot's version, 0 for none.
+func (s *Snapshot) Version() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
+// Options configure a syncer. All are required.
+type Options struct {
+	Store *intent.Store
+	// FetchPeer asks another router for the configuration it has in force.
+	FetchPeer func(ctx context.Context, control netip.AddrPort) (body []byte, digest string, err error)
+	// Adopt is called with each configuration that comes in force, in order.
+	Adopt func(*config.Config)
+}
+
+// Syncer holds the configuration in force. It is safe for concurrent use.
+type Syncer struct {
+	options Options
+	current atomic.Pointer[Snapshot]
+	// adopting makes adoptions follow one another.
+	adopting sync.Mutex
+}
+
+// New returns a syncer without a configuration.
+func New(o Options) *Syncer { return &Syncer{options: o} }
+
+// Current returns the configuration in force, nil if there is none yet.
+func (s *Syncer) Current() *Snapshot { return s.current.Load() }
+
+// Poll adopts the platform's configuration if its version is higher.
+func (s *Syncer) Poll(ctx context.Context) error {
+	head, err := s.options.Store.Head(ctx)
+	if err != nil || head.Version <= s.Current().Version() {
+		return err
+	}
+	body, err := s.options.Store.Body(ctx, head)
+	if err != nil {
+		return err
+	}
+	return s.adopt(body, head.Digest)
+}
+
+// Learn adopts the configuration of a peer that announced the given version,
+// unless that is not higher than the one in force.
+func (s *Syncer) Learn(ctx context.Context, control netip.AddrPort, version uint64) error {
+	if version <= s.Current().Version() {
+		return nil
+	}
+	body, digest, err := s.options.FetchPeer(ctx, control)
+	if err != nil {
+		return errs.Wrap(err, "fetch configuration", control.String())
+	}
+	return s.adopt(body, digest)
+}
+
+func (s *Syncer) adopt(body []byte, digest string) error {
+	cfg, err := config.Decode(body, digest)
+	if err != nil {
+		return errs.Wrap(err, "adopt configuration", "")
+	}
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	if cfg.Version <= s.Current().Version() {
+		return nil
+	}
+	s.current.Store(newSnapshot(cfg, body, digest))
+	s.options.Adopt(cfg)
+	return nil
+}
+
+func newSnapshot(cfg *config.Config, body []byte, digest string) *Snapshot {
+	s := &Snapshot{Config: cfg, Body: body, Digest: digest, customers: make(map[string]*config.Customer)}
+	for i := range cfg.Customers {
+		for _, d := range cfg.Customers[i].KeyDigests {
+			s.customers[d] = &cfg.Customers[i]
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,142 @@
+// Package control serves a router's control address: the intent API for
+// operators, calls between routers, metrics and health.
+//
+// # Usage
+//
+//	s, err := control.Listen(control.Options{Address: addr, Store: store, ...})
+//	defer s.Close()
+//
+// # Paths
+//
+// /zinccove.v1.IntentService/ and /zinccove.v1.PeerService/ are connect
+// services; see the proto files. /metrics is in Prometheus format. /healthz
+// answers 200 while the process runs. /readyz answers 200 while callers may be
+// sent here: there is a configuration and no planned stop.
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/zinccove/confsync"
+	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/errs"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
+	"zinccove.example/zinccove/intent"
+	"zinccove.example/zinccove/settings"
+)
+
+// Options configure a server. All are required.
+type Options struct {
+	Address   netip.AddrPort
+	FleetKey  string
+	Operators []settings.Operator
+	Store     *intent.Store
+	Syncer    *confsync.Syncer
+	// Levels returns the service levels of all pools.
+	Levels func() []dispatch.PoolLevels
+	// Status returns what is known of all routers.
+	Status func() []*zinccovev1.RouterStatus
+	// Confirmed is called after a plan was confirmed through this router.
+	Confirmed func()
+	// Ready reports whether callers may be sent here.
+	Ready func() bool
+	// WrongKey counts a call with a wrong key.
+	WrongKey func()
+	Metrics  http.Handler
+}
+
+// Server serves until Close.
+type Server struct {
+	options  Options
+	listener net.Listener
+	http     *http.Server
+	group    errgroup.Group
+}
+
+// Bounds of the control address.
+const (
+	maxMessage    = 4 << 20
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	stopTimeout   = 5 * time.Second
+)
+
+// Listen starts to serve. The port 0 picks a free port.
+func Listen(o Options) (*Server, error) {
+	l, err := net.Listen("tcp", o.Address.String())
+	if err != nil {
+		return nil, errs.Wrap(err, "listen for control", o.Address.String())
+	}
+	s := &Server{options: o, listener: l}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.group.Go(func() error { return s.http.Serve(l) })
+	return s, nil
+}
+
+// Address returns the address the server listens on.
+func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Close ends all calls, waiting a short time for those that run.
+func (s *Server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := s.http.Shutdown(ctx)
+	if serr := s.group.Wait(); !errors.Is(serr, http.ErrServerClosed) {
+		err = errors.Join(err, serr)
+	}
+	return errs.Wrap(err, "stop control server", "")
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxMessage)
+	operators := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateOperator))
+	routers := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateRouter))
+	mux.Handle(zinccovev1connect.NewIntentServiceHandler(&intentHandler{s}, limit, operators))
+	mux.Handle(zinccovev1connect.NewPeerServiceHandler(&peerHandler{s}, limit, routers))
+	mux.Handle("/metrics", s.options.Metrics)
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", s.ready)
+	return mux
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.options.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// peerHandler answers other routers.
+type peerHandler struct{ server *Server }
+
+// FetchConfig implements the PeerService.
+func (h *peerHandler) FetchConfig(context.Context, *zinccovev1.FetchConfigRequest) (*zinccovev1.FetchConfigResponse, error) {
+	snap := h.server.options.Syncer.Current()
+	if snap == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errNoConfig)
+	}
+	return &zinccovev1.FetchConfigResponse{Version: snap.Version(), Digest: snap.Digest, Body: snap.Body}, nil
+}
+
+// FetchService implements the PeerService.
+func (h *peerHandler) FetchService(context.Context, *zinccovev1.FetchServiceRequest) (*zinccovev1.FetchServiceResponse, error) {
+	resp := new(zinccovev1.FetchServiceResponse)
+	for _, p := range h.server.options.Levels() {
+		pool := &zinccovev1.PoolService{Pool: p.Pool}
+		for _, l := range p.Levels {
+			pool.Customers = append(pool.Customers, uint32(l.Customer))
+			pool.Levels = append(pool.Levels, l.Level)
+		}
+		resp.Pools = append(resp.Pools, pool)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/control/intent.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/config"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/intent"
+	"zinccove.example/zinccove/platform"
+)
+
+var errNoConfig = eris.New("no configuration is in force here")
+
+// intentHandler answers operators.
+type intentHandler struct{ server *Server }
+
+// maxAudit bounds the entries of one answer.
+const maxAudit = 1000
+
+// code maps the errors of package intent to connect's codes.
+func code(err error) connect.Code {
+	var (
+		invalid  *config.InvalidError
+		conflict *intent.ConflictError
+	)
+	switch {
+	case errors.As(err, &invalid):
+		return connect.CodeInvalidArgument
+	case errors.As(err, &conflict), eris.Is(err, intent.ErrContended):
+		return connect.CodeAborted
+	case eris.Is(err, intent.ErrNoPlan):
+		return connect.CodeNotFound
+	case eris.Is(err, intent.ErrNotProposed):
+		return connect.CodeFailedPrecondition
+	case eris.Is(err, platform.ErrUnavailable):
+		return connect.CodeUnavailable
+	default:
+		return connect.CodeUnknown
+	}
+}
+
+func failed(err error) error { return connect.NewError(code(err), err) }
+
+// Plan implements the IntentService.
+func (h *intentHandler) Plan(ctx context.Context, req *zinccovev1.PlanRequest) (*zinccovev1.PlanResponse, error) {
+	changes := make([]config.Change, len(req.ChangesJson))
+	for i, body := range req.ChangesJson {
+		ch, err := config.DecodeChange(body)
+		if err != nil {
+			return nil, failed(err)
+		}
+		changes[i] = ch
+	}
+	p, err := h.server.options.Store.Plan(ctx, operatorOf(ctx), changes)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return &zinccovev1.PlanResponse{Plan: encodePlan(p)}, nil
+}
+
+func encodePlan(p intent.Plan) *zinccovev1.Plan {
+	return &zinccovev1.Plan{
+		Id:            p.ID,
+		BaseVersion:   p.BaseVersion,
+		Differences:   p.Differences,
+		Consequences:  p.Consequences,
+		State:         string(p.State),
+		Operator:      p.Operator,
+		ExpiresUnixMs: p.Expires.UnixMilli(),
+		Version:       p.Version,
+	}
+}
+
+// Confirm implements the IntentService.
+func (h *intentHandler) Confirm(ctx context.Context, req *zinccovev1.ConfirmRequest) (*zinccovev1.ConfirmResponse, error) {
+	version, err := h.server.options.Store.Confirm(ctx, operatorOf(ctx), req.PlanId)
+	if err != nil {
+		return nil, failed(err)
+	}
+	h.server.options.Confirmed()
+	return &zinccovev1.ConfirmResponse{Version: version}, nil
+}
+
+// Discard implements the IntentService.
+func (h *intentHandler) Discard(ctx context.Context, req *zinccovev1.DiscardRequest) (*zinccovev1.DiscardResponse, error) {
+	if err := h.server.options.Store.Discard(ctx, req.PlanId); err != nil {
+		return nil, failed(err)
+	}
+	return new(zinccovev1.DiscardResponse), nil
+}
+
+// ShowPlan implements the IntentService.
+func (h *intentHandler) ShowPlan(ctx context.Context, req *zinccovev1.ShowPlanRequest) (*zinccovev1.ShowPlanResponse, error) {
+	p, err := h.server.options.Store.Show(ctx, req.PlanId)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return &zinccovev1.ShowPlanResponse{Plan: encodePlan(p)}, nil
+}
+
+// Status implements the IntentService.
+func (h *intentHandler) Status(context.Context, *zinccovev1.StatusRequest) (*zinccovev1.StatusResponse, error) {
+	return &zinccovev1.StatusResponse{Routers: h.server.options.Status()}, nil
+}
+
+// Audit implements the IntentService.
+func (h *intentHandler) Audit(ctx context.Context, req *zinccovev1.AuditRequest) (*zinccovev1.AuditResponse, error) {
+	audits, err := h.server.options.Store.Audits(ctx, max(min(int(req.Limit), maxAudit), 1))
+	if err != nil {
+		return nil, failed(err)
+	}
+	resp := new(zinccovev1.AuditResponse)
+	for _, a := range audits {
+		resp.Entries = append(resp.Entries, &zinccovev1.AuditEntry{
+			Version:     a.Version,
+			FromVersion: a.FromVersion,
+			Operator:    a.Operator,
+			PlanId:      a.Plan,
+			AtUnixMs:    a.At.UnixMilli(),
+			Differences: a.Differences,
+			Digest:      a.Digest,
+		})
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/daemon/loop.go
@@ -0,0 +1,356 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/exchange"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/member"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/platform"
+)
+
+// Periods and bounds of the control loop.
+const (
+	// tickPeriod is the time between recomputations of the windows.
+	tickPeriod = 50 * time.Millisecond
+	// failureTimeout is the silence after which a router is not reachable.
+	failureTimeout = 3 * time.Second
+	// forgetAfter is the silence after which a router is forgotten.
+	forgetAfter = time.Hour
+	// inbox holds what waits for the control loop.
+	inbox = 1024
+	// identifyEvery is the number of heartbeats from one that says who the
+	// sender is to the next.
+	identifyEvery = 8
+	// lateSequence is the number of heartbeats after which a run that is first
+	// heard has been going on for long.
+	lateSequence = 20
+	// maxEntries keeps a report inside a datagram.
+	maxEntries = 90
+)
+
+// received is a heartbeat and its size in bytes.
+type received struct {
+	heartbeat *zinccovev1.Heartbeat
+	size      int
+}
+
+// loop is the control loop. Its fields below the channels belong to its
+// goroutine.
+type loop struct {
+	daemon     *Daemon
+	heartbeats chan received
+	tasks      chan func(*loop)
+	// published is the status as of the last tick.
+	published atomic.Pointer[[]*zinccovev1.RouterStatus]
+
+	members     *member.Table
+	book        *exchange.Book
+	incarnation uint64
+	started     time.Time
+	sequence    uint64
+	nextBeat    time.Time
+	// inFlight is each router's requests at targets.
+	inFlight map[string]dispatch.InFlight
+	// learning is set while a configuration is fetched from a peer.
+	learning bool
+	// levelled is set once the levels of a peer were taken.
+	levelled bool
+}
+
+func newLoop(d *Daemon) *loop {
+	return &loop{
+		daemon:      d,
+		heartbeats:  make(chan received, inbox),
+		tasks:       make(chan func(*loop), inbox),
+		members:     member.New(member.Options{Self: d.settings.Host, Clock: d.clock, Timeout: failureTimeout}),
+		book:        exchange.New(exchange.Options{Repeats: 2, Rotate: 4, MaxEntries: maxEntries}),
+		incarnation: rand.Uint64(),
+		started:     d.clock.Now(),
+		inFlight:    make(map[string]dispatch.InFlight),
+	}
+}
+
+// receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
+// is dropped like a lost one.
+func (l *loop) receive(hb *zinccovev1.Heartbeat, size int) {
+	select {
+	case l.heartbeats <- received{hb, size}:
+	default:
+	}
+}
+
+// post has task run on the loop's goroutine; it is dropped if the inbox is
+// full, so tasks must be repeated by their nature.
+func (l *loop) post(task func(*loop)) {
+	select {
+	case l.tasks <- task:
+	default:
+	}
+}
+
+func (l *loop) run(ctx context.Context) error {
+	tick := l.daemon.clock.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-l.heartbeats:
+			l.hear(ctx, r)
+		case task := <-l.tasks:
+			task(l)
+		case <-tick.Chan():
+			l.tick(ctx)
+		}
+	}
+}
+
+// hear takes a heartbeat of another router.
+func (l *loop) hear(ctx context.Context, r received) {
+	m := l.daemon.metrics
+	m.Inc(metric.HeartbeatsReceived)
+	m.Add(metric.ControlBytesReceived, r.size)
+	host, news := l.members.Hear(r.heartbeat)
+	switch news {
+	case member.Ignored:
+		m.Inc(metric.HeartbeatsIgnored)
+		return
+	case member.Restarted:
+		_, known := l.inFlight[host.Name]
+		l.book.Restart(host.Name, !known && r.heartbeat.Sequence > lateSequence)
+		l.daemon.log.Info().Str("peer", host.Name).Msg("router heard")
+	}
+	l.daemon.dispatcher.Observe(l.book.Absorb(host.Name, r.heartbeat.Pools))
+	l.inFlight[host.Name] = inFlight(r.heartbeat)
+	l.learn(ctx, host)
+}
+
+func inFlight(hb *zinccovev1.Heartbeat) dispatch.InFlight {
+	at := make(dispatch.InFlight, len(hb.Targets))
+	for i := range min(len(hb.Targets), len(hb.InFlight)) {
+		at[hb.Targets[i]] = int(hb.InFlight[i])
+	}
+	return at
+}
+
+// learn fetches the configuration of a peer that has a higher version.
+func (l *loop) learn(ctx context.Context, h *member.Host) {
+	if l.learning || !h.Control.IsValid() || h.ConfigVersion <= l.daemon.syncer.Current().Version() {
+		return
+	}
+	l.learning = true
+	addr, version := h.Control, h.ConfigVersion
+	l.daemon.group.Go(func() error {
+		err := l.daemon.syncer.Learn(ctx, addr, version)
+		if err != nil {
+			l.daemon.metrics.Inc(metric.PeerErrors)
+		}
+		l.tasks <- func(l *loop) { l.learning = false }
+		return nil
+	})
+}
+
+// takeLevels takes the service levels of a peer once after the start.
+func (l *loop) takeLevels(ctx context.Context) {
+	if l.levelled || l.daemon.syncer.Current() == nil {
+		return
+	}
+	for _, h := range l.members.Hosts() {
+		if !h.Reachable || !h.Control.IsValid() {
+			continue
+		}
+		l.levelled = true
+		addr := h.Control
+		l.daemon.group.Go(func() error {
+			if l.daemon.fetchLevels(ctx, addr) != nil {
+				l.daemon.metrics.Inc(metric.PeerErrors)
+				l.tasks <- func(l *loop) { l.levelled = false }
+			}
+			return nil
+		})
+		return
+	}
+}
+
+func (l *loop) learnHosts(hosts []platform.Host) {
+	for _, h := range hosts {
+		l.members.Learn(member.Address{
+			Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: h.State == platform.HostLeaving,
+		})
+	}
+}
+
+// learnConfigured takes the hosts of the configuration in force.
+func (l *loop) learnConfigured() {
+	snap := l.daemon.syncer.Current()
+	if snap == nil {
+		return
+	}
+	for _, h := range snap.Config.Hosts {
+		l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: h.Leaving})
+	}
+}
+
+// tick does what is due.
+func (l *loop) tick(ctx context.Context) {
+	now := l.daemon.clock.Now()
+	l.expire(now)
+	l.daemon.dispatcher.Balance(l.book.Demands(), l.others())
+	l.takeLevels(ctx)
+	if !now.Before(l.nextBeat) {
+		l.learnConfigured()
+		l.nextBeat = now.Add(jittered(l.beat()))
+	}
+	l.publish(now)
+}
+
+func (l *loop) expire(now time.Time) {
+	for _, h := range l.members.Expire() {
+		l.book.Silence(h.Name)
+		l.inFlight[h.Name] = nil
+		l.daemon.metrics.Inc(metric.HostsLost)
+		l.daemon.log.Warn().Str("peer", h.Name).Msg("router not reachable")
+	}
+	for _, h := range l.members.Forget(now.Add(-forgetAfter)) {
+		l.book.Forget(h.Name)
+		delete(l.inFlight, h.Name)
+	}
+}
+
+// others returns the requests of the other routers at each target.
+func (l *loop) others() dispatch.InFlight {
+	sum := make(dispatch.InFlight)
+	for _, at := range l.inFlight {
+		for number, n := range at {
+			sum[number] += n
+		}
+	}
+	return sum
+}
+
+// beat sends a heartbeat to every router and returns the time to the next,
+// which keeps the bytes a second within the budget.
+func (l *loop) beat() time.Duration {
+	hb := l.heartbeat()
+	sent := 0
+	for _, to := range l.destinations() {
+		size, err := l.daemon.transport.Send(to, hb)
+		if err != nil {
+			l.daemon.metrics.Inc(metric.PeerErrors)
+			continue
+		}
+		sent += size
+		l.daemon.metrics.Inc(metric.HeartbeatsSent)
+	}
+	l.daemon.metrics.Add(metric.ControlBytesSent, sent)
+	budget := float64(l.daemon.settings.ControlBytesPerSecond) * budgetUsed
+	pace := time.Duration(float64(sent) / budget * float64(time.Second))
+	return max(l.daemon.settings.HeartbeatInterval, pace)
+}
+
+// budgetUsed is the part of the control budget that heartbeats may use; the
+// rest is for calls between routers.
+const budgetUsed = 0.9
+
+// destinations returns the addresses of all known routers and, while there are
+// none, the seeds.
+func (l *loop) destinations() []netip.AddrPort {
+	var to []netip.AddrPort
+	reachable := false
+	for _, h := range l.members.Hosts() {
+		if h.Peer.IsValid() {
+			to = append(to, h.Peer)
+		}
+		reachable = reachable || h.Reachable
+	}
+	if reachable {
+		return to
+	}
+	return append(to, l.daemon.settings.Seeds...)
+}
+
+func (l *loop) heartbeat() *zinccovev1.Heartbeat {
+	d := l.daemon
+	l.sequence++
+	d.dispatcher.Counters(l.book.SetLocal)
+	hb := &zinccovev1.Heartbeat{
+		Incarnation:   l.incarnation,
+		Sequence:      l.sequence,
+		ConfigVersion: d.syncer.Current().Version(),
+		Leaving:       d.stopping.Load(),
+		Pools:         l.book.Report(),
+	}
+	for number, n := range d.dispatcher.OwnInFlight() {
+		hb.Targets = append(hb.Targets, number)
+		hb.InFlight = append(hb.InFlight, uint32(n))
+	}
+	if l.sequence <= identifyEvery/2 || l.sequence%identifyEvery == 0 {
+		hb.Host = l.identity()
+	}
+	return hb
+}
+
+func (l *loop) identity() *zinccovev1.HostInfo {
+	d := l.daemon
+	return &zinccovev1.HostInfo{
+		Name:          d.settings.Host,
+		DataCentre:    d.settings.DataCentre,
+		Control:       d.control.Address().String(),
+		Peer:          d.transport.Address().String(),
+		StartedUnixMs: l.started.UnixMilli(),
+	}
+}
+
+// publish makes the status that operators read, and the gauges.
+func (l *loop) publish(now time.Time) {
+	d := l.daemon
+	own := &zinccovev1.RouterStatus{
+		Host: d.settings.Host, DataCentre: d.settings.DataCentre, ConfigVersion: d.syncer.Current().Version(),
+		Reachable: true, Leaving: d.stopping.Load(),
+	}
+	var queued, running, reachable int
+	for _, s := range d.dispatcher.Status() {
+		queued += s.Queued
+		running += s.Running
+		own.Pools = append(own.Pools, &zinccovev1.PoolStatus{
+			Name: s.Name, Queued: uint32(s.Queued), InFlight: uint32(s.Running), Slots: uint32(s.Slots),
+		})
+	}
+	all := []*zinccovev1.RouterStatus{own}
+	for _, h := range l.members.Hosts() {
+		if h.Reachable {
+			reachable++
+		}
+		all = append(all, hostStatus(h, now))
+	}
+	l.published.Store(&all)
+	d.metrics.Set(metric.RequestsQueued, float64(queued))
+	d.metrics.Set(metric.RequestsRunning, float64(running))
+	d.metrics.Set(metric.HostsReachable, float64(reachable))
+	d.metrics.Set(metric.HeartbeatsForged, float64(d.transport.Forged()))
+}
+
+func hostStatus(h *member.Host, now time.Time) *zinccovev1.RouterStatus {
+	s := &zinccovev1.RouterStatus{
+		Host: h.Name, DataCentre: h.DataCentre, ConfigVersion: h.ConfigVersion, Reachable: h.Reachable, Leaving: h.Leaving,
+	}
+	if !h.Heard.IsZero() {
+		s.SilentMs = now.Sub(h.Heard).Milliseconds()
+	}
+	return s
+}
+
+// statuses returns what is known of all routers as of the last tick.
+func (l *loop) statuses() []*zinccovev1.RouterStatus {
+	if p := l.published.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/settings"
+)
+
+// Version is the released version.
+const Version = "0.1.0"
+
+// Exit codes of zinccoved.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type commandLine struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file (INI)"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+	Example  bool   `long:"example" description:"print an annotated settings file and exit"`
+	Metrics  bool   `long:"metrics" description:"print the reference of all metrics and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the command line of zinccoved and returns the exit code: 0 after a
+// planned stop, 1 after a failure, 2 for a wrong command line or settings.
+func Main(args []string, out, errOut io.Writer) int {
+	var cl commandLine
+	p := flags.NewParser(&cl, flags.HelpFlag)
+	p.Name = "zinccoved"
+	rest, err := p.ParseArgs(args)
+	switch {
+	case flags.WroteHelp(err):
+		fmt.Fprintln(out, err)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(errOut, "zinccoved:", err)
+		return exitSettings
+	case len(rest) > 0:
+		fmt.Fprintf(errOut, "zinccoved: unexpected argument %q\n", rest[0])
+		return exitSettings
+	}
+	return cl.run(out, errOut)
+}
+
+func (cl *commandLine) run(out, errOut io.Writer) int {
+	switch {
+	case cl.Version:
+		fmt.Fprintln(out, "zinccoved", Version)
+		return exitOK
+	case cl.Example:
+		fmt.Fprint(out, settings.Reference())
+		return exitOK
+	case cl.Metrics:
+		fmt.Fprint(out, metric.Reference())
+		return exitOK
+	case cl.Settings == "":
+		fmt.Fprintln(errOut, "zinccoved: --settings FILE is required")
+		return exitSettings
+	}
+	s, err := settings.Load(cl.Settings)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitSettings
+	}
+	if cl.Check {
+		fmt.Fprintln(out, cl.Settings+": ok")
+		return exitOK
+	}
+	return serve(s, errOut)
+}
+
+// serve runs a router until a signal asks it to stop.
+func serve(s *settings.Settings, errOut io.Writer) int {
+	log := zerolog.New(errOut).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	d, err := Start(Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log})
+	if err != nil {
+		log.Error().Err(err).Msg("start failed")
+		return exitFailed
+	}
+	<-signals
+	if err := d.Close(); err != nil {
+		log.Error().Err(err).Msg("stop failed")
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,291 @@
+// Package dispatch queues the requests of one router and gives them slots at
+// targets.
+//
+// Each model and each service is a pool with a fair queue of its own. A
+// request gets a slot when it is first in the queue's order, the router's
+// window is not used up and a target has room. The window is this router's
+// part of the pool's slots, computed by package share from the demand of all
+// routers, plus the slots that nobody wants.
+//
+// # Usage
+//
+//	d := dispatch.New(dispatch.Options{Clock: clock, Queue: limits})
+//	d.Configure(cfg)                       // each accepted configuration
+//	ticket, err := d.Submit(req)           // *RefusedError when not queued
+//	select {
+//	case slot := <-ticket.Granted():
+//		slot.Charge(tokens)
+//		slot.Release(dispatch.Completed)
+//	case <-gone:
+//		ticket.Abandon()
+//	}
+//	d.Observe(observations)                // service of other routers
+//	d.Balance(demands, inFlight)           // demand of other routers
+//
+// # Limits
+//
+// Windows of different routers come from counters of different age. Until the
+// next exchange their sum may exceed the slots; the excess waits inside the
+// targets. Overcommit bounds it for each target and router.
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/exchange"
+	"zinccove.example/zinccove/fair"
+)
+
+// Options configure a dispatcher.
+type Options struct {
+	Clock clockwork.Clock
+	// Host and DataCentre are this router's.
+	Host       string
+	DataCentre string
+	Queue      fair.Limits
+	// Catchup is the lag in cost per unit of weight that doubles a customer's
+	// part of the slots.
+	Catchup float64
+	// Overcommit is the number of requests above its slots that this router
+	// may place at a target whose other slots other routers seem to use.
+	Overcommit int
+}
+
+// Request is what the dispatcher needs to know of a caller's request.
+type Request struct {
+	// Pool is the number of a model or service.
+	Pool     uint32
+	Customer fair.Customer
+	Class    fair.Class
+	// Hint is the cost that the caller expects; 0 when unknown. It only
+	// reserves, it is never charged.
+	Hint uint64
+	// Avoid is the number of a target that failed this request before; it is
+	// used only when no other has room. 0 avoids none.
+	Avoid uint32
+}
+
+// Cause says why a request was refused.
+type Cause string
+
+// The causes of refusals.
+const (
+	QueueFull   Cause = "queue_full"
+	NoTarget    Cause = "no_target"
+	UnknownPool Cause = "unknown_pool"
+)
+
+// RefusedError means that a request was not queued and did not run.
+type RefusedError struct {
+	Cause Cause
+	// RetryAfter is when room is expected.
+	RetryAfter time.Duration
+}
+
+// Error returns the cause and when to come back.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s, retry after %s", e.Cause, e.RetryAfter)
+}
+
+// Dispatcher holds the pools of one router. It is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+
+	mu    sync.RWMutex
+	pools map[uint32]*pool
+}
+
+// New returns a dispatcher without pools.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{options: o, pools: make(map[uint32]*pool)}
+}
+
+// Configure makes the pools, weights and targets those of a configuration.
+// Requests that wait in a pool that no longer exists are refused.
+func (d *Dispatcher) Configure(cfg *config.Config) {
+	wanted := wantedPools(cfg)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for number, p := range d.pools {
+		if _, kept := wanted[number]; !kept {
+			p.close()
+			delete(d.pools, number)
+		}
+	}
+	for number, want := range wanted {
+		p := d.pools[number]
+		if p == nil {
+			p = newPool(number, &d.options)
+			d.pools[number] = p
+		}
+		p.configure(cfg, want)
+	}
+}
+
+// poolConfig is what a configuration says of one pool.
+type poolConfig struct {
+	name    string
+	targets []config.Target
+}
+
+func wantedPools(cfg *config.Config) map[uint32]poolConfig {
+	numbers := make(map[string]uint32)
+	for i := range cfg.Models {
+		numbers[cfg.Models[i].Name] = cfg.Models[i].Number
+	}
+	for i := range cfg.Services {
+		numbers[cfg.Services[i].Name] = cfg.Services[i].Number
+	}
+	wanted := make(map[uint32]poolConfig)
+	for name, number := range numbers {
+		wanted[number] = poolConfig{name: name}
+	}
+	for i := range cfg.Targets {
+		t := cfg.Targets[i]
+		if !cfg.Eligible(&t) {
+			continue
+		}
+		number := numbers[t.Serves]
+		w := wanted[number]
+		w.targets = append(w.targets, t)
+		wanted[number] = w
+	}
+	return wanted
+}
+
+func (d *Dispatcher) pool(number uint32) *pool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.pools[number]
+}
+
+// all returns the pools by number.
+func (d *Dispatcher) all() []*pool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(d.pools), func(a, b *pool) int { return int(a.number) - int(b.number) })
+}
+
+// Submit queues a request. The error is a *RefusedError.
+func (d *Dispatcher) Submit(r Request) (*Ticket, error) {
+	p := d.pool(r.Pool)
+	if p == nil {
+		return nil, &RefusedError{Cause: UnknownPool, RetryAfter: time.Second}
+	}
+	return p.submit(r)
+}
+
+// Observe charges service that other routers delivered.
+func (d *Dispatcher) Observe(observed []exchange.Observation) {
+	for _, o := range observed {
+		if p := d.pool(o.Key.Pool); p != nil {
+			p.observe(o.Key.Customer, o.Cost)
+		}
+	}
+}
+
+// InFlight is the number of requests of other routers at each target.
+type InFlight map[uint32]int
+
+// Balance computes the router's windows anew from the demand of the other
+// routers and grants what they allow.
+func (d *Dispatcher) Balance(demands map[uint32][]exchange.Demand, others InFlight) {
+	for _, p := range d.all() {
+		p.balance(demands[p.number], others)
+	}
+}
+
+// Wake grants slots that became usable with time, such as those of targets
+// whose pause ended.
+func (d *Dispatcher) Wake() {
+	for _, p := range d.all() {
+		p.mu.Lock()
+		p.pump()
+		p.mu.Unlock()
+	}
+}
+
+// Counters calls yield with the counters of every customer of every pool.
+func (d *Dispatcher) Counters(yield func(exchange.Key, exchange.Counters)) {
+	for _, p := range d.all() {
+		p.counters(yield)
+	}
+}
+
+// OwnInFlight returns the number of this router's requests at each target
+// that has some.
+func (d *Dispatcher) OwnInFlight() InFlight {
+	own := make(InFlight)
+	for _, p := range d.all() {
+		p.mu.Lock()
+		for _, t := range p.targets {
+			if t.own > 0 {
+				own[t.config.Number] = t.own
+			}
+		}
+		p.mu.Unlock()
+	}
+	return own
+}
+
+// PoolLevels are the levels of all customers of a pool.
+type PoolLevels struct {
+	Pool   uint32
+	Levels []fair.Level
+}
+
+// Levels returns the levels of all pools.
+func (d *Dispatcher) Levels() []PoolLevels {
+	var levels []PoolLevels
+	for _, p := range d.all() {
+		p.mu.Lock()
+		levels = append(levels, PoolLevels{Pool: p.number, Levels: p.queue.Levels()})
+		p.mu.Unlock()
+	}
+	return levels
+}
+
+// Raise lifts the levels of a pool to at least the given ones.
+func (d *Dispatcher) Raise(l PoolLevels) {
+	p := d.pool(l.Pool)
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, level := range l.Levels {
+		p.queue.Raise(level)
+	}
+}
+
+// Status is the work of one pool at this router.
+type Status struct {
+	Name    string
+	Queued  int
+	Running int
+	// Slots is the number of slots at usable targets.
+	Slots int
+	// Window is the number of requests this router may have at targets.
+	Window int
+}
+
+// Status returns the work of all pools.
+func (d *Dispatcher) Status() []Status {
+	var all []Status
+	for _, p := range d.all() {
+		all = append(all, p.status())
+	}
+	return all
+}
+
+// Idle reports whether no request waits or runs.
+func (d *Dispatcher) Idle() bool {
+	return !slices.ContainsFunc(d.Status(), func(s Status) bool { return s.Queued > 0 || s.Running > 0 })
+}
--- /dev/null
+++ b/dispatch/split.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"zinccove.example/zinccove/fair"
+	"zinccove.example/zinccove/share"
+)
+
+// split gathers the demand of a pool for package share. Routers and customers
+// are ordered by name and number, so that all routers compute alike.
+type split struct {
+	pool      *pool
+	routers   map[string]int
+	customers map[fair.Customer]*share.Customer
+	parts     map[fair.Customer]map[string]int
+}
+
+func newSplit(p *pool) *split {
+	return &split{
+		pool:      p,
+		routers:   make(map[string]int),
+		customers: make(map[fair.Customer]*share.Customer),
+		parts:     make(map[fair.Customer]map[string]int),
+	}
+}
+
+func (s *split) add(host string, c fair.Customer, queued, running int) {
+	if queued+running == 0 {
+		return
+	}
+	cu := s.customers[c]
+	if cu == nil {
+		cu = &share.Customer{Weight: float64(s.pool.customer(c).weight), Level: s.pool.queue.Level(c)}
+		s.customers[c] = cu
+		s.parts[c] = make(map[string]int)
+	}
+	cu.Waiting = cu.Waiting || queued > 0
+	s.parts[c][host] += queued + running
+	s.routers[host] = 0
+}
+
+func (s *split) input() share.Input {
+	names := make([]string, 0, len(s.routers))
+	for name := range s.routers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		s.routers[name] = i
+	}
+	in := share.Input{Slots: s.pool.slots(), Routers: len(names), Catchup: s.pool.options.Catchup}
+	numbers := make([]fair.Customer, 0, len(s.customers))
+	for c := range s.customers {
+		numbers = append(numbers, c)
+	}
+	slices.Sort(numbers)
+	for _, c := range numbers {
+		cu := s.customers[c]
+		for host, n := range s.parts[c] {
+			cu.Demand = append(cu.Demand, share.Part{Router: s.routers[host], Requests: n})
+		}
+		slices.SortFunc(cu.Demand, func(a, b share.Part) int { return cmp.Compare(a.Router, b.Router) })
+		in.Customers = append(in.Customers, *cu)
+	}
+	return in
+}
--- /dev/null
+++ b/httpc/httpc.go
@@ -0,0 +1,66 @@
+// Package httpc makes HTTP clients that send each request exactly once.
+//
+// fasthttp's client repeats some requests by itself after a broken connection.
+// A router must decide that itself, so clients of this package never do: a
+// broken connection is returned as the error of that request.
+//
+// # Usage
+//
+//	c := httpc.New(addr, httpc.Limits{Conns: 64, Body: 1 << 20})
+//	defer c.CloseIdleConnections()
+//	err := c.DoDeadline(req, resp, deadline)
+package httpc
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits bound a client.
+type Limits struct {
+	// Conns is the number of connections at once.
+	Conns int
+	// Body is the largest answer in bytes; 0 means no bound. Streamed answers
+	// are not bounded by it.
+	Body int
+	// Stream makes the client hand over answers before they are complete.
+	Stream bool
+	// Idle is how long a connection without a request is kept.
+	Idle time.Duration
+}
+
+// dialTimeout bounds connecting to an address, which on a working network
+// takes milliseconds.
+const dialTimeout = time.Second
+
+// New returns a client for one address.
+func New(addr netip.AddrPort, l Limits) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                          addr.String(),
+		Dial:                          func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, dialTimeout) },
+		MaxConns:                      l.Conns,
+		MaxResponseBodySize:           l.Body,
+		StreamResponseBody:            l.Stream,
+		MaxIdleConnDuration:           l.Idle,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    neverRetry,
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// NotSent reports whether err proves that no byte of the request reached the
+// other side, because there was no connection to send it on.
+func NotSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op == "dial"
+	}
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
--- /dev/null
+++ b/ingress/chunk.go
@@ -0,0 +1,57 @@
+package ingress
+
+import (
+	"bufio"
+	"encoding/json"
+
+	"zinccove.example/zinccove/target"
+)
+
+// chunk is one event of a streamed answer, or a whole answer.
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []choice      `json:"choices"`
+	Usage   *target.Usage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int    `json:"index"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// chunk makes a chunk of text; end is the end mark if text is the last part.
+func (c *completion) chunk(text string, end *target.Event) *chunk {
+	ch := &chunk{ID: c.request.ID(), Object: "text_completion", Model: c.model.Name, Choices: []choice{{Text: text}}}
+	if end != nil {
+		ch.Choices[0].FinishReason = end.FinishReason
+		ch.Usage = &end.Usage
+	}
+	return ch
+}
+
+func encodeChunk(ch *chunk) []byte {
+	b, err := json.Marshal(ch)
+	if err != nil {
+		panic("ingress: all field types marshal: " + err.Error())
+	}
+	return b
+}
+
+func (c *completion) writeEvent(w *bufio.Writer, ev *target.Event) {
+	if ev.Kind == target.Token {
+		writeData(w, encodeChunk(c.chunk(ev.Text, nil)))
+		return
+	}
+	writeData(w, encodeChunk(c.chunk("", ev)))
+	writeData(w, []byte("[DONE]"))
+}
+
+// writeData writes a server-sent event. Errors show at the next flush.
+func writeData(w *bufio.Writer, data []byte) {
+	w.WriteString("data: ") //nolint:errcheck // sticky
+	w.Write(data)           //nolint:errcheck // sticky
+	w.WriteString("\n\n")   //nolint:errcheck // sticky
+}
--- /dev/null
+++ b/ingress/completion.go
@@ -0,0 +1,235 @@
+package ingress
+
+import (
+	"bufio"
+	"net"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/confsync"
+	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/target"
+)
+
+// bytesPerToken estimates input tokens before the engine has counted them. It
+// is high, so that the estimate is rarely above the count.
+const bytesPerToken = 8
+
+// completion is a request for a model.
+type completion struct {
+	*flow
+	model  *config.Model
+	body   *fastjson.Value
+	stream bool
+	// input is the number of input tokens charged so far.
+	input     int
+	delivered int
+	current   *target.Stream
+}
+
+// complete serves a request for a model. It ends the flow, or hands that over
+// to the writer of the streamed answer.
+func (s *Server) complete(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer) {
+	c, r := s.newCompletion(ctx, snap, customer)
+	if r != nil {
+		s.end(ctx, r)
+		s.accepted.Add(-1)
+		return
+	}
+	first, r := c.next()
+	if r != nil {
+		c.close()
+		s.end(ctx, r)
+		return
+	}
+	s.options.Metrics.Observe(metric.FirstToken, s.options.Clock.Since(c.accepted))
+	ctx.Response.Header.Set(headerRequestID, c.request.ID())
+	if !c.stream {
+		c.answerWhole(ctx, first)
+		c.close()
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer c.close()
+		c.answerStream(w, conn, first)
+	})
+}
+
+// newCompletion checks the body and starts the life cycle.
+func (s *Server) newCompletion(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer) (*completion, *Refusal) {
+	body, err := fastjson.ParseBytes(ctx.PostBody())
+	if err != nil || body.Type() != fastjson.TypeObject {
+		return nil, badField("body", "must be a JSON object")
+	}
+	name := string(body.GetStringBytes("model"))
+	model := snap.Config.Model(name)
+	if model == nil {
+		r := refuse(CodeUnknownModel, "there is no such model")
+		r.Field = "model"
+		return nil, r
+	}
+	prompt := body.Get("prompt")
+	if prompt == nil || prompt.Type() != fastjson.TypeString {
+		return nil, badField("prompt", "must be a string")
+	}
+	if v := body.Get("max_tokens"); v != nil && v.GetInt() < 1 {
+		return nil, badField("max_tokens", "must be a whole number, at least 1")
+	}
+	f, r := s.newFlow(ctx, customer, model.Number, true)
+	if r != nil {
+		return nil, r
+	}
+	f.submit.Hint = uint64(body.GetInt("max_tokens"))
+	return &completion{flow: f, model: model, body: body, stream: body.GetBool("stream")}, nil
+}
+
+func badField(field, message string) *Refusal {
+	r := refuse(CodeBadRequest, message)
+	r.Field = field
+	return r
+}
+
+// next returns the next event of the answer. It queues, sends and resumes as
+// needed; a refusal is final.
+func (c *completion) next() (target.Event, *Refusal) {
+	for {
+		if c.current == nil {
+			if r := c.start(); r != nil {
+				return target.Event{}, r
+			}
+			continue
+		}
+		ev, fail := c.current.Next()
+		if fail != nil {
+			c.drop()
+			if r := c.failed(fail); r != nil {
+				return target.Event{}, r
+			}
+			continue
+		}
+		c.account(ev)
+		return ev, nil
+	}
+}
+
+// start gets a slot and sends an attempt. Without a refusal the attempt is
+// current, or failed and may be repeated.
+func (c *completion) start() *Refusal {
+	if r := c.acquire(); r != nil {
+		return r
+	}
+	if c.delivered > 0 {
+		c.server.options.Metrics.Inc(metric.StreamsResumed)
+	}
+	a := c.attempt()
+	client := c.server.options.Clients.Get(c.slot.Target().Address)
+	s, fail := client.Stream(a, c.encode(), c.delivered)
+	if fail != nil {
+		return c.failed(fail)
+	}
+	c.current = s
+	c.chargeInput(len(c.body.GetStringBytes("prompt")) / bytesPerToken)
+	if !c.setStream(s, func() { client.Cancel(a.ID) }) {
+		s.Close()
+	}
+	return nil
+}
+
+// encode returns the body for the engine.
+func (c *completion) encode() []byte {
+	var arena fastjson.Arena
+	c.body.Set("stream", arena.NewTrue())
+	if c.delivered > 0 {
+		c.body.Set("resume_from", arena.NewNumberInt(c.delivered))
+	}
+	return c.body.MarshalTo(nil)
+}
+
+// drop ends the current attempt.
+func (c *completion) drop() {
+	c.setStream(nil, nil)
+	c.current.Close()
+	c.current = nil
+}
+
+// chargeInput charges input tokens up to a total of n.
+func (c *completion) chargeInput(n int) {
+	if n > c.input {
+		c.slot.Charge(uint64(n - c.input))
+		c.input = n
+	}
+}
+
+// account charges what an event delivered and ends the request at the last.
+func (c *completion) account(ev target.Event) {
+	c.request.Stream()
+	if ev.Kind == target.Token {
+		c.delivered++
+		c.slot.Charge(1)
+		c.server.options.Metrics.Inc(metric.TokensDelivered)
+		return
+	}
+	c.chargeInput(ev.Usage.PromptTokens)
+	c.drop()
+	c.release(dispatch.Completed)
+	c.request.Answer()
+}
+
+// answerWhole collects the answer into one JSON object.
+func (c *completion) answerWhole(ctx *fasthttp.RequestCtx, ev target.Event) {
+	var text strings.Builder
+	for ev.Kind == target.Token {
+		text.WriteString(ev.Text)
+		var r *Refusal
+		if ev, r = c.next(); r != nil {
+			c.server.end(ctx, r)
+			return
+		}
+	}
+	c.server.options.Metrics.Inc(metric.RequestsAnswered)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encodeChunk(c.chunk(text.String(), &ev)))
+}
+
+// answerStream writes each event as it comes. After a failure the stream ends
+// with an error event and without the end mark.
+func (c *completion) answerStream(w *bufio.Writer, conn net.Conn, ev target.Event) {
+	for {
+		c.writeEvent(w, &ev)
+		conn.SetWriteDeadline(c.server.options.Clock.Now().Add(writeTimeout)) //nolint:errcheck // the write fails then
+		if err := w.Flush(); err != nil {
+			c.abort()
+			return
+		}
+		if ev.Kind == target.Done {
+			c.server.options.Metrics.Inc(metric.RequestsAnswered)
+			return
+		}
+		var r *Refusal
+		if ev, r = c.next(); r != nil {
+			c.server.countRefusal(r)
+			writeData(w, r.body())
+			return
+		}
+	}
+}
+
+// abort ends a request whose caller does not take the answer.
+func (c *completion) abort() {
+	c.interrupt()
+	if c.current == nil {
+		return
+	}
+	c.drop()
+	c.release(dispatch.Cancelled)
+	if c.request.State() != request.Ended {
+		c.request.GiveUp(true)
+	}
+}
--- /dev/null
+++ b/ingress/flow.go
@@ -0,0 +1,185 @@
+package ingress
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/target"
+)
+
+// flow carries one request through queue and attempts. One goroutine uses it;
+// only interrupt may be called by others.
+type flow struct {
+	server   *Server
+	request  *request.Request
+	submit   dispatch.Request
+	accepted time.Time
+	deadline time.Time
+	slot     *dispatch.Slot
+	unwatch  func()
+
+	mu sync.Mutex
+	// ended is closed when the caller went away.
+	ended chan struct{}
+	gone  bool
+	// stream is the attempt that interrupt has to end.
+	stream *target.Stream
+	cancel func()
+}
+
+// watch ends the flow's waiting when the caller goes away.
+func (f *flow) watch(conn net.Conn) { f.unwatch = f.server.watcher.Watch(conn, f.interrupt) }
+
+func (f *flow) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone {
+		return
+	}
+	f.gone = true
+	close(f.ended)
+	f.server.options.Metrics.Inc(metric.CallersGone)
+	if f.stream != nil {
+		f.stream.Close()
+		f.server.group.Go(func() error { f.cancel(); return nil })
+	}
+}
+
+func (f *flow) callerGone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone
+}
+
+// setStream makes s the stream that interrupt ends. It reports false when the
+// caller is gone already.
+func (f *flow) setStream(s *target.Stream, cancel func()) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stream, f.cancel = s, cancel
+	return !f.gone
+}
+
+// acquire waits in the queue for a slot.
+func (f *flow) acquire() *Refusal {
+	f.request.Queue()
+	ticket, err := f.server.options.Dispatcher.Submit(f.submit)
+	if err != nil {
+		var refused *dispatch.RefusedError
+		eris.As(err, &refused)
+		return f.giveUp(queueRefusal(refused))
+	}
+	timeout := f.server.options.Clock.NewTimer(f.deadline.Sub(f.server.options.Clock.Now()))
+	defer timeout.Stop()
+	select {
+	case slot, ok := <-ticket.Granted():
+		if !ok {
+			return f.giveUp(retryLater(refuse(CodeNoTarget, "the model or service was removed")))
+		}
+		f.slot = slot
+		f.server.options.Metrics.Observe(metric.QueueWait, f.server.options.Clock.Since(f.accepted))
+		return nil
+	case <-timeout.Chan():
+		ticket.Abandon()
+		return f.giveUp(retryLater(refuse(CodeDeadline, "the deadline passed while the request waited")))
+	case <-f.ended:
+		ticket.Abandon()
+		return f.giveUp(refuse(CodeCallerGone, "the caller went away"))
+	}
+}
+
+func retryLater(r *Refusal) *Refusal {
+	r.RetryAfter = defaultRetry
+	return r
+}
+
+// attempt returns the next attempt for the slot.
+func (f *flow) attempt() target.Attempt {
+	f.server.options.Metrics.Inc(metric.Attempts)
+	if f.request.Attempts() > 0 {
+		f.server.options.Metrics.Inc(metric.Retries)
+	}
+	return target.Attempt{
+		Request:  f.request.ID(),
+		ID:       f.request.Dispatch(),
+		Priority: int64(f.slot.Level),
+		Deadline: f.deadline,
+	}
+}
+
+// release gives the slot back.
+func (f *flow) release(r dispatch.Result) {
+	if f.slot != nil {
+		f.slot.Release(r)
+		f.slot = nil
+	}
+}
+
+// giveUp ends the request with a refusal that tells its outcome.
+func (f *flow) giveUp(r *Refusal) *Refusal {
+	f.request.GiveUp(false)
+	return f.refused(r)
+}
+
+func (f *flow) refused(r *Refusal) *Refusal {
+	r.Outcome = f.request.Outcome()
+	r.RequestID = f.request.ID()
+	return r
+}
+
+// failed records a failed attempt. It returns nil if the request is to be
+// queued again, else what the caller is told.
+func (f *flow) failed(fail *target.Failure) *Refusal {
+	if fail.Kind == target.Crossed {
+		f.server.options.Metrics.Inc(metric.AttemptsCrossed)
+	}
+	f.submit.Avoid = f.slot.Target().Number
+	f.release(results[fail.Kind])
+	now := f.server.options.Clock.Now()
+	if f.callerGone() {
+		f.request.GiveUp(true)
+		return f.refused(refuse(CodeCallerGone, "the caller went away"))
+	}
+	if f.request.Fail(fail.Kind, now, f.server.retries.Take) == request.Retry {
+		return nil
+	}
+	if !now.Before(f.deadline) {
+		return f.refused(retryLater(refuse(CodeDeadline, "the deadline passed while the request ran")))
+	}
+	return f.refused(failureRefusal(fail))
+}
+
+// results tells the dispatcher how an attempt failed.
+var results = map[target.Kind]dispatch.Result{
+	target.NotSent:  dispatch.Failed,
+	target.Refused:  dispatch.Refused,
+	target.Broken:   dispatch.Failed,
+	target.Crossed:  dispatch.Failed,
+	target.Rejected: dispatch.Cancelled,
+}
+
+func failureRefusal(fail *target.Failure) *Refusal {
+	switch fail.Kind {
+	case target.Refused:
+		return retryLater(refuse(CodeTargetRefused, "every target refused the request"))
+	case target.Rejected:
+		return refuse(CodeRejected, "the target found the request wrong")
+	default:
+		return retryLater(refuse(CodeTargetFailed, "the target or the way to it failed"))
+	}
+}
+
+// close ends the flow. It is called once, when the answer has been handed over
+// or given up.
+func (f *flow) close() {
+	f.unwatch()
+	f.release(dispatch.Cancelled)
+	f.server.options.Metrics.Observe(metric.RequestTime, f.server.options.Clock.Since(f.accepted))
+	f.server.accepted.Add(-1)
+}
--- /dev/null
+++ b/ingress/refusal.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/request"
+)
+
+// Code names the cause of a refusal or failure in answers to callers.
+type Code string
+
+// The codes.
+const (
+	CodeWrongKey       Code = "wrong_key"
+	CodeUnknownPath    Code = "unknown_path"
+	CodeUnknownModel   Code = "unknown_model"
+	CodeUnknownService Code = "unknown_service"
+	CodeBadRequest     Code = "bad_request"
+	CodeTooLarge       Code = "too_large"
+	CodeNoConfig       Code = "no_configuration"
+	CodeQueueFull      Code = "queue_full"
+	CodeNoTarget       Code = "no_target"
+	CodeDeadline       Code = "deadline_exceeded"
+	CodeCallerGone     Code = "caller_gone"
+	CodeTargetRefused  Code = "target_refused"
+	CodeTargetFailed   Code = "target_failed"
+	CodeRejected       Code = "target_rejected"
+)
+
+var statuses = map[Code]int{
+	CodeWrongKey:       fasthttp.StatusUnauthorized,
+	CodeUnknownPath:    fasthttp.StatusNotFound,
+	CodeUnknownModel:   fasthttp.StatusNotFound,
+	CodeUnknownService: fasthttp.StatusNotFound,
+	CodeBadRequest:     fasthttp.StatusBadRequest,
+	CodeTooLarge:       fasthttp.StatusRequestEntityTooLarge,
+	CodeNoConfig:       fasthttp.StatusServiceUnavailable,
+	CodeQueueFull:      fasthttp.StatusTooManyRequests,
+	CodeNoTarget:       fasthttp.StatusServiceUnavailable,
+	CodeDeadline:       fasthttp.StatusGatewayTimeout,
+	CodeCallerGone:     statusCallerGone,
+	CodeTargetRefused:  fasthttp.StatusServiceUnavailable,
+	CodeTargetFailed:   fasthttp.StatusBadGateway,
+	CodeRejected:       fasthttp.StatusBadRequest,
+}
+
+// statusCallerGone is in no answer, because nobody reads it.
+const statusCallerGone = 499
+
+// Refusal is the error that a caller reads.
+type Refusal struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Field is the part of the request that is wrong, if one is.
+	Field string `json:"field,omitempty"`
+	// Outcome tells whether the request ran.
+	Outcome   request.Outcome `json:"outcome"`
+	RequestID string          `json:"request_id,omitempty"`
+	// RetryAfter is when to come back; 0 when that would not help.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+func refuse(c Code, message string) *Refusal {
+	return &Refusal{Code: c, Message: message, Outcome: request.NotRun}
+}
+
+// defaultRetry is when to come back from causes without an estimate.
+const defaultRetry = time.Second
+
+// queueRefusal tells a caller why its request was not queued.
+func queueRefusal(err *dispatch.RefusedError) *Refusal {
+	if err.Cause == dispatch.QueueFull {
+		r := refuse(CodeQueueFull, "too many requests of this customer wait already")
+		r.RetryAfter = err.RetryAfter
+		return r
+	}
+	r := refuse(CodeNoTarget, "no target serves this now")
+	r.RetryAfter = err.RetryAfter
+	return r
+}
+
+// refusalBody is the JSON of a refusal.
+type refusalBody struct {
+	Error *Refusal `json:"error"`
+}
+
+func (r *Refusal) body() []byte {
+	b, err := json.Marshal(refusalBody{r})
+	if err != nil {
+		panic("ingress: all field types marshal: " + err.Error())
+	}
+	return b
+}
+
+// write makes the refusal the answer.
+func (r *Refusal) write(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(statuses[r.Code])
+	ctx.SetContentType("application/json")
+	if r.RequestID != "" {
+		ctx.Response.Header.Set(headerRequestID, r.RequestID)
+	}
+	if r.RetryAfter > 0 {
+		seconds := math.Ceil(r.RetryAfter.Seconds())
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
+	ctx.SetBody(append(r.body(), '\n'))
+}
--- /dev/null
+++ b/intent/intent.go
@@ -0,0 +1,426 @@
+// Package intent turns operators' intents into plans and confirmed plans into
+// versions of the configuration.
+//
+// Everything lives in the platform's table: the head of the configuration, one
+// row for each plan and one audit row for each version. Bodies of versions are
+// objects named by their digest. A confirmation moves the head, marks the plan
+// and writes the audit row in one transaction, so none of them exists without
+// the others.
+//
+// # Usage
+//
+//	s := intent.New(intent.Options{Platform: client, Clock: clock})
+//	plan, err := s.Plan(ctx, "anna", changes)
+//	version, err := s.Confirm(ctx, "anna", plan.ID)
+//
+// # Races and lost answers
+//
+// A plan whose base is not the head any more is applied to the head if the
+// versions between changed other objects; otherwise it gets a *ConflictError
+// that names the other plan. Confirming is idempotent: whoever does not know
+// whether a confirmation took effect reads the plan's row, which Confirm does
+// by itself when the platform's answer is lost.
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/platform"
+)
+
+// State is where a plan stands.
+type State string
+
+// The states of a plan. Confirmed and discarded plans do not change again.
+const (
+	Proposed  State = "proposed"
+	Confirmed State = "confirmed"
+	Discarded State = "discarded"
+	Expired   State = "expired"
+)
+
+// Plan is a proposed change of the configuration.
+type Plan struct {
+	ID          string          `json:"id"`
+	Operator    string          `json:"operator"`
+	BaseVersion uint64          `json:"base_version"`
+	Changes     []config.Change `json:"changes"`
+	// Differences and Consequences are lines for operators, computed against
+	// the base version.
+	Differences  []string  `json:"differences"`
+	Consequences []string  `json:"consequences"`
+	State        State     `json:"state"`
+	Expires      time.Time `json:"expires"`
+	// Version is the version that a confirmed plan made.
+	Version uint64 `json:"version,omitempty"`
+}
+
+// Audit is the record of one accepted version.
+type Audit struct {
+	Version     uint64    `json:"version"`
+	FromVersion uint64    `json:"from_version"`
+	Operator    string    `json:"operator"`
+	Plan        string    `json:"plan"`
+	At          time.Time `json:"at"`
+	Differences []string  `json:"differences"`
+	// Objects are those that the version changed.
+	Objects []config.Object `json:"objects"`
+	Digest  string          `json:"digest"`
+}
+
+// Head names the configuration in force.
+type Head struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// Errors that callers match with errors.Is.
+var (
+	// ErrNoPlan means that there is no plan with the id.
+	ErrNoPlan = eris.New("no such plan")
+	// ErrNotProposed means that the plan was discarded or has expired.
+	ErrNotProposed = eris.New("plan is not open")
+	// ErrContended means that other confirmations kept winning.
+	ErrContended = eris.New("too many concurrent changes")
+)
+
+// ConflictError means that another plan changed the same object first.
+type ConflictError struct {
+	Object   config.Object
+	Plan     string
+	Operator string
+	Version  uint64
+}
+
+// Error names the object and the plan that changed it.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s was changed by plan %s of %s in version %d", e.Object, e.Plan, e.Operator, e.Version)
+}
+
+// Keys of the table.
+const (
+	headKey     = "config/head"
+	planPrefix  = "plan/"
+	auditPrefix = "audit/"
+)
+
+func auditKey(version uint64) string { return fmt.Sprintf("%s%020d", auditPrefix, version) }
+
+func objectName(digest string) string { return "config-" + digest }
+
+// planLifetime is how long a plan can be confirmed.
+const planLifetime = 24 * time.Hour
+
+// confirmTries bounds how often a confirmation meets another one.
+const confirmTries = 16
+
+// Options configure a store. All are required.
+type Options struct {
+	Platform *platform.Client
+	Clock    clockwork.Clock
+}
+
+// Store reads and writes plans, versions and audit rows. It keeps no state and
+// is safe for concurrent use, by several routers at once.
+type Store struct {
+	platform *platform.Client
+	clock    clockwork.Clock
+}
+
+// New returns a store.
+func New(o Options) *Store { return &Store{platform: o.Platform, clock: o.Clock} }
+
+// headRow is the head and the version of its row for checks.
+type headRow struct {
+	Head
+	row uint64
+}
+
+func (s *Store) head(ctx context.Context) (headRow, error) {
+	row, err := s.platform.Get(ctx, headKey)
+	if eris.Is(err, platform.ErrNotFound) {
+		return headRow{}, nil
+	}
+	if err != nil {
+		return headRow{}, err
+	}
+	h := headRow{row: row.Version}
+	err = json.Unmarshal(row.Value, &h.Head)
+	return h, errs.Wrap(err, "decode head", "")
+}
+
+// Head returns the version in force, 0 when there is none yet.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	h, err := s.head(ctx)
+	return h.Head, err
+}
+
+// Body returns the encoded configuration that a head names.
+func (s *Store) Body(ctx context.Context, h Head) ([]byte, error) {
+	return s.platform.Object(ctx, objectName(h.Digest))
+}
+
+func (s *Store) config(ctx context.Context, h Head) (*config.Config, error) {
+	if h.Version == 0 {
+		return new(config.Config), nil
+	}
+	body, err := s.Body(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := config.Decode(body, h.Digest)
+	return cfg, errs.Wrap(err, "decode configuration", "")
+}
+
+// Plan validates changes against the configuration in force and stores a plan.
+// The error is a *config.InvalidError or one of package platform.
+func (s *Store) Plan(ctx context.Context, operator string, changes []config.Change) (Plan, error) {
+	h, err := s.Head(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	cur, err := s.config(ctx, h)
+	if err != nil {
+		return Plan{}, err
+	}
+	next, err := cur.Apply(changes)
+	if err != nil {
+		return Plan{}, err
+	}
+	p := Plan{
+		ID:           uuid.NewString(),
+		Operator:     operator,
+		BaseVersion:  cur.Version,
+		Changes:      changes,
+		Differences:  texts(config.Diff(cur, next)),
+		Consequences: config.Consequences(cur, next),
+		State:        Proposed,
+		Expires:      s.clock.Now().Add(planLifetime),
+	}
+	return p, s.createPlan(ctx, p)
+}
+
+func texts(ds []config.Difference) []string {
+	lines := make([]string, len(ds))
+	for i, d := range ds {
+		lines[i] = d.Text
+	}
+	return lines
+}
+
+func objects(ds []config.Difference) []config.Object {
+	os := make([]config.Object, len(ds))
+	for i, d := range ds {
+		os[i] = d.Object
+	}
+	return os
+}
+
+// createPlan stores a new plan. If the answer is lost the row tells whether it
+// was stored; the id is the writer's own.
+func (s *Store) createPlan(ctx context.Context, p Plan) error {
+	key := planPrefix + p.ID
+	put, err := putJSON(key, p)
+	if err != nil {
+		return err
+	}
+	err = s.platform.Commit(ctx, platform.Txn{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{put}})
+	if eris.Is(err, platform.ErrUnknownOutcome) {
+		_, _, err = s.plan(ctx, p.ID)
+	}
+	return err
+}
+
+func putJSON(key string, v any) (platform.Put, error) {
+	value, err := json.Marshal(v)
+	return platform.Put{Key: key, Value: value}, errs.Wrap(err, "encode row "+key, "")
+}
+
+func (s *Store) plan(ctx context.Context, id string) (Plan, uint64, error) {
+	row, err := s.platform.Get(ctx, planPrefix+id)
+	if eris.Is(err, platform.ErrNotFound) {
+		return Plan{}, 0, ErrNoPlan
+	}
+	if err != nil {
+		return Plan{}, 0, err
+	}
+	var p Plan
+	if err := json.Unmarshal(row.Value, &p); err != nil {
+		return Plan{}, 0, errs.Wrap(err, "decode plan", "")
+	}
+	if p.State == Proposed && s.clock.Now().After(p.Expires) {
+		p.State = Expired
+	}
+	return p, row.Version, nil
+}
+
+// Show reads a plan.
+func (s *Store) Show(ctx context.Context, id string) (Plan, error) {
+	p, _, err := s.plan(ctx, id)
+	return p, err
+}
+
+// Discard ends a plan. Discarding a discarded plan is no error.
+func (s *Store) Discard(ctx context.Context, id string) error {
+	for range confirmTries {
+		p, row, err := s.plan(ctx, id)
+		if err != nil {
+			return err
+		}
+		if p.State == Discarded {
+			return nil
+		}
+		if p.State != Proposed {
+			return ErrNotProposed
+		}
+		p.State = Discarded
+		put, err := putJSON(planPrefix+id, p)
+		if err != nil {
+			return err
+		}
+		err = s.platform.Commit(ctx, platform.Txn{
+			Checks: []platform.Check{{Key: put.Key, Version: row}},
+			Puts:   []platform.Put{put},
+		})
+		if !undecided(err) {
+			return err
+		}
+	}
+	return ErrContended
+}
+
+// undecided reports whether a commit has to be looked at again: another write
+// came first, or the answer was lost.
+func undecided(err error) bool {
+	var conflict *platform.ConflictError
+	return eris.Is(err, platform.ErrUnknownOutcome) || eris.As(err, &conflict)
+}
+
+// Confirm puts a plan in force and returns the version it made. Confirming a
+// confirmed plan returns that version again. The error is ErrNoPlan,
+// ErrNotProposed, ErrContended, a *ConflictError, a *config.InvalidError or
+// one of package platform.
+func (s *Store) Confirm(ctx context.Context, operator, id string) (uint64, error) {
+	for range confirmTries {
+		p, row, err := s.plan(ctx, id)
+		switch {
+		case err != nil:
+			return 0, err
+		case p.State == Confirmed:
+			return p.Version, nil
+		case p.State != Proposed:
+			return 0, ErrNotProposed
+		}
+		err = s.confirm(ctx, operator, p, row)
+		if !undecided(err) && err != nil {
+			return 0, err
+		}
+	}
+	return 0, ErrContended
+}
+
+// confirm makes one try. The caller reads the plan to learn how it ended.
+func (s *Store) confirm(ctx context.Context, operator string, p Plan, planRow uint64) error {
+	h, err := s.head(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.checkOverlap(ctx, p, h.Version); err != nil {
+		return err
+	}
+	cur, err := s.config(ctx, h.Head)
+	if err != nil {
+		return err
+	}
+	next, err := cur.Apply(p.Changes)
+	if err != nil {
+		return err
+	}
+	body, digest := next.Encode()
+	if err := s.platform.PutObject(ctx, objectName(digest), body); err != nil {
+		return err
+	}
+	ds := config.Diff(cur, next)
+	p.State, p.Version = Confirmed, next.Version
+	return s.commit(ctx, commit{
+		head:    headRow{Head: Head{Version: next.Version, Digest: digest}, row: h.row},
+		plan:    p,
+		planRow: planRow,
+		audit: Audit{Version: next.Version, FromVersion: cur.Version, Operator: operator, Plan: p.ID,
+			At: s.clock.Now(), Differences: texts(ds), Objects: objects(ds), Digest: digest},
+	})
+}
+
+// commit is the transaction that puts a plan in force.
+type commit struct {
+	head    headRow
+	plan    Plan
+	planRow uint64
+	audit   Audit
+}
+
+func (s *Store) commit(ctx context.Context, c commit) error {
+	t := platform.Txn{Checks: []platform.Check{
+		{Key: headKey, Version: c.head.row},
+		{Key: planPrefix + c.plan.ID, Version: c.planRow},
+		{Key: auditKey(c.audit.Version)},
+	}}
+	rows := []struct {
+		key   string
+		value any
+	}{{headKey, c.head.Head}, {planPrefix + c.plan.ID, c.plan}, {auditKey(c.audit.Version), c.audit}}
+	for _, r := range rows {
+		put, err := putJSON(r.key, r.value)
+		if err != nil {
+			return err
+		}
+		t.Puts = append(t.Puts, put)
+	}
+	return s.platform.Commit(ctx, t)
+}
+
+// checkOverlap returns a *ConflictError if a version after the plan's base
+// changed an object that the plan changes.
+func (s *Store) checkOverlap(ctx context.Context, p Plan, head uint64) error {
+	for v := p.BaseVersion + 1; v <= head; v++ {
+		row, err := s.platform.Get(ctx, auditKey(v))
+		if err != nil {
+			return err
+		}
+		var a Audit
+		if err := json.Unmarshal(row.Value, &a); err != nil {
+			return errs.Wrap(err, "decode audit row", "")
+		}
+		for i := range p.Changes {
+			if o := p.Changes[i].Object(); slices.Contains(a.Objects, o) {
+				return &ConflictError{Object: o, Plan: a.Plan, Operator: a.Operator, Version: v}
+			}
+		}
+	}
+	return nil
+}
+
+// Audits returns up to limit accepted changes, newest first.
+func (s *Store) Audits(ctx context.Context, limit int) ([]Audit, error) {
+	rows, err := s.platform.List(ctx, auditPrefix, limit, true)
+	if err != nil {
+		return nil, err
+	}
+	audits := make([]Audit, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &audits[i]); err != nil {
+			return nil, errs.Wrap(err, "decode audit row", "")
+		}
+	}
+	return audits, nil
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,223 @@
+// Package member keeps the list of routers that this router knows.
+//
+// It joins three sources: the platform's list, which lags and may be away; the
+// configuration; and the heartbeats of the routers themselves. A host is
+// leaving as soon as one of them says so. A router that was silent for the
+// failure timeout is not reachable; a pause of this process does not count as
+// silence of the others.
+//
+// The package has no I/O. The control loop owns a Table.
+//
+// # Usage
+//
+//	t := member.New(member.Options{Self: "entry-1", Clock: clock, Timeout: 3 * time.Second})
+//	t.Learn(member.Address{...})                // platform, configuration, seeds
+//	host, news := t.Hear(hb)                    // each heartbeat
+//	gone := t.Expire()                          // each tick
+//	for _, h := range t.Hosts() { ... }
+//
+// # Limits
+//
+// The timeout trades detection against false alarms: a router that is paused
+// for longer than it is not reachable for the others until it is heard again.
+package member
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+)
+
+// Options configure a table.
+type Options struct {
+	// Self is the name of this host; it never becomes a member of its table.
+	Self  string
+	Clock clockwork.Clock
+	// Timeout is the silence after which a host is not reachable.
+	Timeout time.Duration
+}
+
+// Host is what is known of another router.
+type Host struct {
+	Name       string
+	DataCentre string
+	Peer       netip.AddrPort
+	Control    netip.AddrPort
+	// Incarnation is the run of the router that was heard last; 0 if none was.
+	Incarnation   uint64
+	Started       time.Time
+	Sequence      uint64
+	ConfigVersion uint64
+	Reachable     bool
+	Leaving       bool
+	// Heard is when the last heartbeat arrived.
+	Heard time.Time
+}
+
+// News is what a heartbeat said about its sender.
+type News int
+
+// The kinds of news.
+const (
+	// Ignored heartbeats are duplicates, late or of an unknown or replaced run.
+	Ignored News = iota
+	// Current heartbeats are of the run known so far.
+	Current
+	// Restarted heartbeats are the first of a new run.
+	Restarted
+)
+
+// Table is the list of routers. It is not safe for concurrent use.
+type Table struct {
+	options Options
+	hosts   map[string]*Host
+	runs    map[uint64]*Host
+	ticked  time.Time
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	return &Table{options: o, hosts: make(map[string]*Host), runs: make(map[uint64]*Host), ticked: o.Clock.Now()}
+}
+
+// Address is where a host can be reached, from the platform's list, the
+// configuration or settings.
+type Address struct {
+	Name       string
+	DataCentre string
+	Peer       netip.AddrPort
+	Leaving    bool
+}
+
+// Learn adds a host or updates its address. Once a host is known to be
+// leaving it stays so until a new run is heard.
+func (t *Table) Learn(a Address) {
+	if a.Name == t.options.Self {
+		return
+	}
+	h := t.hosts[a.Name]
+	if h == nil {
+		h = &Host{Name: a.Name, DataCentre: a.DataCentre, Peer: a.Peer}
+		t.hosts[a.Name] = h
+	}
+	if !h.Reachable {
+		h.Peer = a.Peer
+	}
+	h.Leaving = h.Leaving || a.Leaving
+}
+
+// Hear takes a heartbeat and returns its sender and what it says. Heartbeats
+// that do not say who the sender is are ignored until one does.
+func (t *Table) Hear(hb *zinccovev1.Heartbeat) (*Host, News) {
+	h := t.runs[hb.Incarnation]
+	news := Current
+	if h == nil {
+		h = t.admit(hb)
+		news = Restarted
+	}
+	if h == nil || news == Current && hb.Sequence <= h.Sequence {
+		return nil, Ignored
+	}
+	t.identify(h, hb.Host)
+	h.Sequence = hb.Sequence
+	h.ConfigVersion = max(h.ConfigVersion, hb.ConfigVersion)
+	h.Leaving = h.Leaving || hb.Leaving
+	h.Heard = t.options.Clock.Now()
+	h.Reachable = true
+	return h, news
+}
+
+// admit makes an unknown run the current one of its host, unless the host has
+// a later run that is still heard.
+func (t *Table) admit(hb *zinccovev1.Heartbeat) *Host {
+	if hb.Host == nil || hb.Host.Name == "" || hb.Host.Name == t.options.Self {
+		return nil
+	}
+	h := t.hosts[hb.Host.Name]
+	started := time.UnixMilli(hb.Host.StartedUnixMs)
+	if h == nil {
+		h = &Host{Name: hb.Host.Name}
+		t.hosts[h.Name] = h
+	}
+	if h.Incarnation != 0 && h.Reachable && started.Before(h.Started) {
+		return nil
+	}
+	delete(t.runs, h.Incarnation)
+	t.runs[hb.Incarnation] = h
+	h.Incarnation, h.Started = hb.Incarnation, started
+	h.Sequence, h.ConfigVersion, h.Leaving = 0, 0, false
+	return h
+}
+
+// identify takes the addresses from a heartbeat that carries them.
+func (t *Table) identify(h *Host, info *zinccovev1.HostInfo) {
+	if info == nil {
+		return
+	}
+	h.DataCentre = info.DataCentre
+	if a, err := netip.ParseAddrPort(info.Peer); err == nil {
+		h.Peer = a
+	}
+	if a, err := netip.ParseAddrPort(info.Control); err == nil {
+		h.Control = a
+	}
+}
+
+// Expire marks the hosts that were silent for too long and returns those it
+// marked. Call it on every tick: the time since the last call beyond half the
+// timeout was a pause of this process and is not held against the others.
+func (t *Table) Expire() []*Host {
+	now := t.options.Clock.Now()
+	pause := now.Sub(t.ticked)
+	t.ticked = now
+	if pause > t.options.Timeout/2 {
+		t.excuse(pause)
+		return nil
+	}
+	var gone []*Host
+	for _, h := range t.hosts {
+		if h.Reachable && now.Sub(h.Heard) > t.options.Timeout {
+			h.Reachable = false
+			gone = append(gone, h)
+		}
+	}
+	return gone
+}
+
+func (t *Table) excuse(pause time.Duration) {
+	for _, h := range t.hosts {
+		if h.Reachable {
+			h.Heard = h.Heard.Add(pause)
+		}
+	}
+}
+
+// Forget removes unreachable hosts that were last heard before the given time
+// and returns them, so that a fleet whose hosts are replaced daily does not
+// grow the table for ever. Hosts that are learned again come back.
+func (t *Table) Forget(before time.Time) []*Host {
+	var gone []*Host
+	for name, h := range t.hosts {
+		if !h.Reachable && h.Incarnation != 0 && h.Heard.Before(before) {
+			delete(t.hosts, name)
+			delete(t.runs, h.Incarnation)
+			gone = append(gone, h)
+		}
+	}
+	return gone
+}
+
+// Hosts returns all known hosts by name. The entries stay owned by the table.
+func (t *Table) Hosts() []*Host {
+	hosts := make([]*Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b *Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,110 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+)
+
+const timeout = 2 * time.Second
+
+func newTable() (*Table, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return New(Options{Self: "self", Clock: clock, Timeout: timeout}), clock
+}
+
+func beat(name string, run, sequence uint64, started int64) *zinccovev1.Heartbeat {
+	return &zinccovev1.Heartbeat{Incarnation: run, Sequence: sequence,
+		Host: &zinccovev1.HostInfo{Name: name, Peer: "127.0.0.1:7", StartedUnixMs: started}}
+}
+
+func TestHear(t *testing.T) {
+	anonymous := &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 9}
+	tests := []struct {
+		name  string
+		beats []*zinccovev1.Heartbeat
+		want  News
+	}{
+		{"first", []*zinccovev1.Heartbeat{beat("a", 1, 1, 10)}, Restarted},
+		{"next", []*zinccovev1.Heartbeat{beat("a", 1, 1, 10), beat("a", 1, 2, 10)}, Current},
+		{"duplicate", []*zinccovev1.Heartbeat{beat("a", 1, 2, 10), beat("a", 1, 2, 10)}, Ignored},
+		{"late", []*zinccovev1.Heartbeat{beat("a", 1, 3, 10), beat("a", 1, 2, 10)}, Ignored},
+		{"unknown run", []*zinccovev1.Heartbeat{anonymous}, Ignored},
+		{"known run without name", []*zinccovev1.Heartbeat{beat("a", 1, 1, 10), anonymous}, Current},
+		{"restart", []*zinccovev1.Heartbeat{beat("a", 1, 9, 10), beat("a", 2, 1, 20)}, Restarted},
+		{"replaced run", []*zinccovev1.Heartbeat{beat("a", 2, 1, 20), beat("a", 1, 9, 10)}, Ignored},
+		{"self", []*zinccovev1.Heartbeat{beat("self", 1, 1, 10)}, Ignored},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			table, _ := newTable()
+			var got News
+			for _, hb := range tc.beats {
+				_, got = table.Hear(hb)
+			}
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
+
+func TestRestartWithAnEarlierClockIsTakenAfterSilence(t *testing.T) {
+	table, clock := newTable()
+	table.Hear(beat("a", 2, 1, 20))
+	for range 5 {
+		clock.Advance(timeout / 4)
+		table.Expire()
+	}
+	_, news := table.Hear(beat("a", 1, 1, 10))
+	assert.Equal(t, news, Restarted)
+}
+
+func TestSilentHostExpires(t *testing.T) {
+	table, clock := newTable()
+	table.Hear(beat("a", 1, 1, 10))
+	var gone []*Host
+	for range 5 {
+		clock.Advance(timeout / 4)
+		gone = append(gone, table.Expire()...)
+	}
+	assert.Equal(t, len(gone), 1)
+	assert.Assert(t, !gone[0].Reachable)
+}
+
+func TestOwnPauseIsNotSilenceOfOthers(t *testing.T) {
+	table, clock := newTable()
+	table.Hear(beat("a", 1, 1, 10))
+	clock.Advance(time.Hour)
+	assert.Equal(t, len(table.Expire()), 0)
+	clock.Advance(timeout / 4)
+	assert.Equal(t, len(table.Expire()), 0)
+	assert.Assert(t, table.Hosts()[0].Reachable)
+}
+
+func TestEarliestLeavingWins(t *testing.T) {
+	table, _ := newTable()
+	table.Hear(beat("a", 1, 1, 10))
+	table.Learn(Address{Name: "a", Leaving: true})
+	table.Learn(Address{Name: "a"})
+	table.Hear(beat("a", 1, 2, 10))
+	assert.Assert(t, table.Hosts()[0].Leaving)
+	table.Hear(beat("a", 2, 1, 20))
+	assert.Assert(t, !table.Hosts()[0].Leaving)
+}
+
+func TestForgetRemovesOnlyLongSilent(t *testing.T) {
+	table, clock := newTable()
+	table.Learn(Address{Name: "never", Peer: netip.MustParseAddrPort("127.0.0.1:9")})
+	table.Hear(beat("a", 1, 1, 10))
+	for range 5 {
+		clock.Advance(timeout / 4)
+		table.Expire()
+	}
+	gone := table.Forget(clock.Now())
+	assert.Equal(t, len(gone), 1)
+	assert.Equal(t, len(table.Hosts()), 1)
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,102 @@
+// Package metric holds the counters, gauges and histograms of a router.
+//
+// All metrics stand in the tables of names.go with their documentation, from
+// which Reference makes the page for operators. Metrics are counted by tally
+// and served in Prometheus format.
+//
+// # Usage
+//
+//	m, err := metric.New()
+//	defer m.Close()
+//	m.Inc(metric.RequestsAnswered)
+//	m.Set(metric.ConfigVersion, 7)
+//	m.Observe(metric.QueueWait, wait)
+//	http.Handle("/metrics", m.Handler())
+package metric
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"zinccove.example/zinccove/errs"
+)
+
+// reportInterval is how often counts move from tally to the served page.
+const reportInterval = time.Second
+
+// Metrics counts for one router until Close. It is safe for concurrent use.
+type Metrics struct {
+	reporter   prometheus.Reporter
+	closer     io.Closer
+	counters   [counters]tally.Counter
+	gauges     [gauges]tally.Gauge
+	histograms [histograms]tally.Histogram
+}
+
+// New returns metrics that all stand at zero.
+func New() (*Metrics, error) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "zinccove",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	m := &Metrics{reporter: reporter, closer: closer}
+	for i := range counterTable {
+		m.counters[i] = scope.Counter(counterTable[i].name)
+		m.counters[i].Inc(0)
+	}
+	for i := range gaugeTable {
+		m.gauges[i] = scope.Gauge(gaugeTable[i].name)
+	}
+	for i := range histogramTable {
+		m.histograms[i] = scope.Histogram(histogramTable[i].name, buckets)
+	}
+	return m, nil
+}
+
+// buckets are the bounds of all histograms, 0.5 ms to about 4 minutes.
+var buckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 20)
+
+// Close reports the last counts and stops.
+func (m *Metrics) Close() error { return errs.Wrap(m.closer.Close(), "close metrics", "") }
+
+// Handler serves the metrics in Prometheus format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Inc adds one to a counter.
+func (m *Metrics) Inc(c Counter) { m.counters[c].Inc(1) }
+
+// Add adds n to a counter.
+func (m *Metrics) Add(c Counter, n int) { m.counters[c].Inc(int64(n)) }
+
+// Set sets a gauge.
+func (m *Metrics) Set(g Gauge, v float64) { m.gauges[g].Update(v) }
+
+// Observe adds a duration to a histogram.
+func (m *Metrics) Observe(h Histogram, d time.Duration) { m.histograms[h].RecordDuration(d) }
+
+// Reference returns the page that documents all metrics.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nServed in Prometheus format at `/metrics` of the control address. ")
+	b.WriteString("A counter marked *alarm* should not grow; the handbook says what to do.\n\n")
+	b.WriteString("| name | kind | meaning |\n| --- | --- | --- |\n")
+	for _, t := range []struct {
+		kind string
+		rows []info
+	}{{"counter", counterTable[:]}, {"gauge", gaugeTable[:]}, {"histogram (seconds)", histogramTable[:]}} {
+		for _, r := range t.rows {
+			fmt.Fprintf(&b, "| `zinccove_%s` | %s | %s |\n", r.name, t.kind, r.doc)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/metric/names.go
@@ -0,0 +1,100 @@
+package metric
+
+// info names and documents one metric.
+type info struct {
+	name string
+	doc  string
+}
+
+// Counter names a counter.
+type Counter int
+
+// The counters.
+const (
+	RequestsReceived Counter = iota
+	RequestsAnswered
+	RequestsNotRun
+	RequestsUnknown
+	RequestsRefused
+	WrongKeys
+	WrongOperatorKeys
+	CallersGone
+	Attempts
+	Retries
+	AttemptsCrossed
+	StreamsResumed
+	TokensDelivered
+	HeartbeatsSent
+	HeartbeatsReceived
+	HeartbeatsIgnored
+	ControlBytesSent
+	ControlBytesReceived
+	PlatformErrors
+	PeerErrors
+	ConfigAdopted
+	HostsLost
+	counters
+)
+
+var counterTable = [counters]info{
+	RequestsReceived:     {"requests_received", "Requests of callers that passed authentication."},
+	RequestsAnswered:     {"requests_answered", "Requests whose whole answer was handed over."},
+	RequestsNotRun:       {"requests_not_run", "Requests that ended with the outcome not_run, refusals included."},
+	RequestsUnknown:      {"requests_unknown", "*alarm* Requests that ended with the outcome unknown."},
+	RequestsRefused:      {"requests_refused", "Requests refused at once because a queue was full or no target was there."},
+	WrongKeys:            {"wrong_keys", "*alarm* Requests with an unknown API key."},
+	WrongOperatorKeys:    {"wrong_operator_keys", "*alarm* Calls of the intent API or between routers with a wrong key."},
+	CallersGone:          {"callers_gone", "Callers that went away before their answer was whole."},
+	Attempts:             {"attempts", "Attempts sent to targets."},
+	Retries:              {"retries", "Attempts after a failed one."},
+	AttemptsCrossed:      {"attempts_crossed", "*alarm* Answers of other attempts that were thrown away."},
+	StreamsResumed:       {"streams_resumed", "Streams continued at another target."},
+	TokensDelivered:      {"tokens_delivered", "Output tokens handed over to callers."},
+	HeartbeatsSent:       {"heartbeats_sent", "Heartbeats sent to other routers."},
+	HeartbeatsReceived:   {"heartbeats_received", "Authentic heartbeats received."},
+	HeartbeatsIgnored:    {"heartbeats_ignored", "Heartbeats that were late, repeated or of a replaced run."},
+	ControlBytesSent:     {"control_bytes_sent", "Bytes of heartbeats sent, IP and UDP headers included."},
+	ControlBytesReceived: {"control_bytes_received", "Bytes of heartbeats received, IP and UDP headers included."},
+	PlatformErrors:       {"platform_errors", "*alarm* Requests to the platform that failed."},
+	PeerErrors:           {"peer_errors", "Calls and heartbeats to other routers that failed."},
+	ConfigAdopted:        {"config_adopted", "Versions of the configuration that came in force here."},
+	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
+}
+
+// Gauge names a gauge.
+type Gauge int
+
+// The gauges.
+const (
+	ConfigVersion Gauge = iota
+	HostsReachable
+	RequestsQueued
+	RequestsRunning
+	HeartbeatsForged
+	gauges
+)
+
+var gaugeTable = [gauges]info{
+	ConfigVersion:    {"config_version", "Version of the configuration in force here."},
+	HostsReachable:   {"hosts_reachable", "Other routers that are reachable."},
+	RequestsQueued:   {"requests_queued", "Requests waiting here."},
+	RequestsRunning:  {"requests_running", "Requests of this router at targets."},
+	HeartbeatsForged: {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
+}
+
+// Histogram names a histogram of durations.
+type Histogram int
+
+// The histograms.
+const (
+	QueueWait Histogram = iota
+	FirstToken
+	RequestTime
+	histograms
+)
+
+var histogramTable = [histograms]info{
+	QueueWait:   {"queue_wait", "Time from acceptance to the slot."},
+	FirstToken:  {"first_token", "Time from acceptance to the first output token."},
+	RequestTime: {"request_time", "Time from acceptance to the end of the request."},
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,208 @@
+// Package peer carries heartbeats between routers as authenticated datagrams.
+//
+// A datagram is a 16-byte HMAC-SHA256 prefix, keyed with the fleet key, and an
+// encoded Heartbeat. Datagrams with a wrong prefix are counted and dropped.
+// Loss, reordering and duplication are left to the receiver, which knows the
+// sequence numbers. Encryption is not provided: the messages hold numbers of
+// customers and counters, no keys and no contents.
+//
+// # Usage
+//
+//	t, err := peer.Listen(peer.Options{
+//		Address: addr,
+//		Key:     key,
+//		Receive: func(hb *zinccovev1.Heartbeat, size int) { loop.Post(hb) },
+//	})
+//	defer t.Close()
+//	size, err := t.Send(to, hb)
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"zinccove.example/zinccove/errs"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+)
+
+const (
+	tagSize = 16
+	// HeaderSize is the IPv4 and UDP header of a datagram in bytes; it counts
+	// against the control budget.
+	HeaderSize = 28
+	// MaxSize is the largest datagram sent, in bytes; it crosses common
+	// networks in one piece.
+	MaxSize = 1400
+)
+
+// ErrTooLarge means that a heartbeat does not fit a datagram.
+var ErrTooLarge = eris.New("heartbeat exceeds a datagram")
+
+// Options configure a transport. All fields are required.
+type Options struct {
+	Address netip.AddrPort
+	// Key authenticates messages in both directions.
+	Key []byte
+	// Receive is called on the event loop with each authentic heartbeat and
+	// its size on the wire in bytes. It must not block.
+	Receive func(hb *zinccovev1.Heartbeat, size int)
+}
+
+// Transport sends and receives heartbeats until Close.
+type Transport struct {
+	gnet.BuiltinEventEngine
+
+	options Options
+	engine  gnet.Engine
+	booted  chan struct{}
+	socket  *net.UDPConn
+	group   errgroup.Group
+	forged  atomic.Uint64
+}
+
+// stopTimeout bounds the stop of the event loop, which has nothing to flush.
+const stopTimeout = 5 * time.Second
+
+// Listen opens the datagram socket. The port 0 picks a free port.
+func Listen(o Options) (*Transport, error) {
+	t := &Transport{options: o, booted: make(chan struct{})}
+	failed := make(chan error, 1)
+	t.group.Go(func() error {
+		err := gnet.Run(t, "udp://"+o.Address.String(), gnet.WithNumEventLoop(1), gnet.WithLogLevel(logging.FatalLevel))
+		failed <- err
+		return err
+	})
+	select {
+	case err := <-failed:
+		return nil, errs.Wrap(err, "listen for peers", o.Address.String())
+	case <-t.booted:
+	}
+	if err := t.openSocket(); err != nil {
+		return nil, errs.Wrap(err, "open socket for peers", o.Address.String())
+	}
+	return t, nil
+}
+
+// OnBoot is called by gnet when the socket is open.
+func (t *Transport) OnBoot(e gnet.Engine) gnet.Action {
+	t.engine = e
+	close(t.booted)
+	return gnet.None
+}
+
+// openSocket makes a second handle of the listening socket, so that heartbeats
+// leave from the address they are expected from.
+func (t *Transport) openSocket() error {
+	fd, err := t.engine.Dup()
+	if err != nil {
+		return err
+	}
+	f := os.NewFile(uintptr(fd), "peer")
+	conn, err := net.FilePacketConn(f)
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	t.socket = conn.(*net.UDPConn)
+	return nil
+}
+
+// OnTraffic is called by gnet with each datagram.
+func (t *Transport) OnTraffic(c gnet.Conn) gnet.Action {
+	datagram, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	hb, err := Open(t.options.Key, datagram)
+	if err != nil {
+		t.forged.Add(1)
+		return gnet.None
+	}
+	t.options.Receive(hb, len(datagram)+HeaderSize)
+	return gnet.None
+}
+
+// Address returns the address the transport listens on.
+func (t *Transport) Address() netip.AddrPort {
+	return t.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Forged returns the number of datagrams that were not authentic.
+func (t *Transport) Forged() uint64 { return t.forged.Load() }
+
+// Send sends a heartbeat and returns its size on the wire in bytes, headers
+// included. It does not wait for the receiver.
+func (t *Transport) Send(to netip.AddrPort, hb *zinccovev1.Heartbeat) (int, error) {
+	datagram, err := Seal(t.options.Key, hb)
+	if err != nil {
+		return 0, errs.Wrap(err, "encode heartbeat", to.String())
+	}
+	_, err = t.socket.WriteToUDPAddrPort(datagram, to)
+	return len(datagram) + HeaderSize, errs.Wrap(err, "send heartbeat", to.String())
+}
+
+// Close stops receiving and waits for the event loop.
+func (t *Transport) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := t.engine.Stop(ctx)
+	if werr := t.group.Wait(); err == nil {
+		err = werr
+	}
+	if cerr := t.socket.Close(); err == nil {
+		err = cerr
+	}
+	return errs.Wrap(err, "stop listening for peers", "")
+}
+
+// Seal encodes a heartbeat as an authenticated datagram.
+func Seal(key []byte, hb *zinccovev1.Heartbeat) ([]byte, error) {
+	datagram := make([]byte, tagSize, MaxSize)
+	datagram, err := proto.MarshalOptions{}.MarshalAppend(datagram, hb)
+	if err != nil {
+		return nil, err
+	}
+	if len(datagram) > MaxSize {
+		return nil, ErrTooLarge
+	}
+	copy(datagram, tag(key, datagram[tagSize:]))
+	return datagram, nil
+}
+
+// errForged means that a datagram was not made with the fleet key.
+var errForged = eris.New("datagram is not authentic")
+
+// Open checks and decodes a datagram.
+func Open(key, datagram []byte) (*zinccovev1.Heartbeat, error) {
+	if len(datagram) < tagSize || len(datagram) > MaxSize {
+		return nil, errForged
+	}
+	if !hmac.Equal(datagram[:tagSize], tag(key, datagram[tagSize:])) {
+		return nil, errForged
+	}
+	hb := new(zinccovev1.Heartbeat)
+	if err := proto.Unmarshal(datagram[tagSize:], hb); err != nil {
+		return nil, err
+	}
+	return hb, nil
+}
+
+func tag(key, body []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(body)
+	return mac.Sum(nil)[:tagSize]
+}
--- /dev/null
+++ b/request/request_test.go
@@ -0,0 +1,104 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"zinccove.example/zinccove/target"
+)
+
+var (
+	start    = time.Unix(1000, 0)
+	deadline = start.Add(time.Minute)
+)
+
+func always() bool { return true }
+func never() bool  { return false }
+
+func TestFail(t *testing.T) {
+	tests := []struct {
+		name       string
+		kind       target.Kind
+		repeatable bool
+		now        time.Time
+		budget     func() bool
+		want       Decision
+		outcome    Outcome
+	}{
+		{"not sent, once", target.NotSent, false, start, always, Retry, NotRun},
+		{"refused, once", target.Refused, false, start, always, Retry, NotRun},
+		{"broken, once", target.Broken, false, start, always, End, Unknown},
+		{"crossed, once", target.Crossed, false, start, always, End, Unknown},
+		{"broken, repeatable", target.Broken, true, start, always, Retry, Unknown},
+		{"crossed, repeatable", target.Crossed, true, start, always, Retry, Unknown},
+		{"rejected", target.Rejected, true, start, always, End, Unknown},
+		{"deadline passed", target.NotSent, true, deadline, always, End, NotRun},
+		{"budget spent", target.Refused, true, start, never, End, NotRun},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := New(Options{ID: "r", Repeatable: tc.repeatable, Deadline: deadline, MaxAttempts: 3})
+			r.Queue()
+			r.Dispatch()
+			assert.Equal(t, r.Fail(tc.kind, tc.now, tc.budget), tc.want)
+			assert.Equal(t, r.Outcome(), tc.outcome)
+		})
+	}
+}
+
+func TestAttemptsAreBoundedAndDistinct(t *testing.T) {
+	r := New(Options{ID: "r", Repeatable: true, Deadline: deadline, MaxAttempts: 2})
+	r.Queue()
+	assert.Equal(t, r.Dispatch(), "r-1")
+	assert.Equal(t, r.Fail(target.Broken, start, always), Retry)
+	r.Queue()
+	assert.Equal(t, r.Dispatch(), "r-2")
+	assert.Equal(t, r.Fail(target.Broken, start, always), End)
+}
+
+// TestNotRunMeansNotRun runs random histories of attempts and checks that no
+// caller is told that its request did not run when an attempt may have.
+func TestNotRunMeansNotRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		r := New(Options{ID: "r", Repeatable: repeatable, Deadline: deadline, MaxAttempts: 5})
+		mayHaveRun := 0
+		for r.State() != Ended {
+			r.Queue()
+			r.Dispatch()
+			if rapid.Bool().Draw(t, "answered") {
+				mayHaveRun++
+				r.Stream()
+				r.Answer()
+				break
+			}
+			kind := target.Kind(rapid.IntRange(0, int(target.Rejected)).Draw(t, "kind"))
+			if kind != target.NotSent && kind != target.Refused {
+				mayHaveRun++
+			}
+			budget := rapid.Bool().Draw(t, "budget")
+			r.Fail(kind, start, func() bool { return budget })
+		}
+		if r.Outcome() == NotRun && mayHaveRun > 0 {
+			t.Fatalf("told not run after %d attempts that may have run", mayHaveRun)
+		}
+		if !repeatable && mayHaveRun > 1 {
+			t.Fatalf("%d attempts of a request that runs once", mayHaveRun)
+		}
+	})
+}
+
+func TestBudgetKeepsItsRatio(t *testing.T) {
+	b := NewBudget(0.1, 2)
+	taken := 0
+	for range 100 {
+		b.Earn()
+		if b.Take() {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 11)
+}
--- /dev/null
+++ b/settings/keys.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+)
+
+// key is one key of the settings file.
+type key struct {
+	section  string
+	name     string
+	def      string
+	required bool
+	// hidden values are not repeated in errors.
+	hidden bool
+	// allowed describes the values that set accepts.
+	allowed string
+	doc     string
+	set     func(*Settings, string) error
+}
+
+var errNotAllowed = eris.New("value not allowed")
+
+// table is every key but those of operators, in the order of the reference.
+var table = []key{
+	text("host", "name", "Name of this host, unique in the fleet.", func(s *Settings) *string { return &s.Host }),
+	text("host", "data-centre", "Data centre of this host.", func(s *Settings) *string { return &s.DataCentre }),
+
+	address("listen", "caller", "", "Address for callers (HTTP).", func(s *Settings) *netip.AddrPort { return &s.ListenCaller }),
+	address("listen", "control", "", "Address for operators, peers' calls, metrics and health (HTTP).", func(s *Settings) *netip.AddrPort { return &s.ListenControl }),
+	address("listen", "peer", "", "Address for peers' datagrams (UDP).", func(s *Settings) *netip.AddrPort { return &s.ListenPeer }),
+
+	secret("fleet", "key", "Secret shared by all routers; it authenticates their messages.", func(s *Settings) *string { return &s.FleetKey }),
+	addresses("fleet", "seeds", "Datagram addresses of some other routers, separated by commas. Needed only while the platform cannot be reached.", func(s *Settings) *[]netip.AddrPort { return &s.Seeds }),
+	number("fleet", "control-bytes-per-second", 3000, 500, 1<<20, "Most bytes a second sent to peers, headers included; heartbeats slow down to keep it.", func(s *Settings) *int { return &s.ControlBytesPerSecond }),
+	duration("fleet", "heartbeat-interval", 250*time.Millisecond, 50*time.Millisecond, 10*time.Second, "Shortest time between heartbeats.", func(s *Settings) *time.Duration { return &s.HeartbeatInterval }),
+
+	address("platform", "address", "", "Address of the platform's table, object store and host list (HTTP).", func(s *Settings) *netip.AddrPort { return &s.PlatformAddress }),
+	duration("platform", "timeout", 2*time.Second, 50*time.Millisecond, time.Minute, "Longest time for one request to the platform.", func(s *Settings) *time.Duration { return &s.PlatformTimeout }),
+	number("platform", "reads-per-second", 20, 1, 2000, "Most reads a second from this router.", func(s *Settings) *int { return &s.ReadsPerSecond }),
+	number("platform", "writes-per-second", 20, 1, 500, "Most writes a second from this router.", func(s *Settings) *int { return &s.WritesPerSecond }),
+	duration("platform", "poll-interval", time.Second, 100*time.Millisecond, time.Minute, "Time between looks at the head of the configuration.", func(s *Settings) *time.Duration { return &s.PollInterval }),
+
+	number("limits", "body-bytes", 1<<20, 1<<10, 64<<20, "Largest body of a caller's request.", func(s *Settings) *int { return &s.MaxBodyBytes }),
+	number("limits", "header-bytes", 16<<10, 1<<10, 1<<20, "Largest header of a caller's request.", func(s *Settings) *int { return &s.MaxHeaderBytes }),
+	number("limits", "connections", 20000, 10, 1<<20, "Most connections of callers at once.", func(s *Settings) *int { return &s.MaxConnections }),
+	number("limits", "queue-per-customer", 256, 1, 1<<20, "Most requests of one customer that wait for one model or service at this router.", func(s *Settings) *int { return &s.QueueLimit }),
+	duration("limits", "request-timeout", 10*time.Minute, 100*time.Millisecond, 24*time.Hour, "Longest time of a request; callers can ask for less.", func(s *Settings) *time.Duration { return &s.RequestTimeout }),
+	duration("limits", "stop-delay", 2*time.Second, 0, time.Minute, "Time that a planned stop gives the balancer to see that this router is not ready.", func(s *Settings) *time.Duration { return &s.StopDelay }),
+	duration("limits", "stop-timeout", 15*time.Minute, time.Second, 24*time.Hour, "Longest time that a planned stop waits for accepted requests.", func(s *Settings) *time.Duration { return &s.StopTimeout }),
+
+	number("fair", "debt", 50000, 100, math.MaxInt32, "Most service (tokens, or milliseconds for services) per unit of weight that a waiting customer can be ahead of the least served one.", func(s *Settings) *int { return &s.DebtLimit }),
+
+	level("log", "level", "Least level of log lines.", func(s *Settings) *zerolog.Level { return &s.LogLevel }),
+}
+
+func text(section, name, doc string, field func(*Settings) *string) key {
+	set := func(s *Settings, v string) error {
+		if len(v) > 64 || strings.ContainsAny(v, " \t/") {
+			return errNotAllowed
+		}
+		*field(s) = v
+		return nil
+	}
+	return key{section: section, name: name, required: true, allowed: "1 to 64 bytes without spaces or slashes", doc: doc, set: set}
+}
+
+// minSecret is the fewest bytes of a secret.
+const minSecret = 16
+
+func secret(section, name, doc string, field func(*Settings) *string) key {
+	set := func(s *Settings, v string) error {
+		if len(v) < minSecret {
+			return errNotAllowed
+		}
+		*field(s) = v
+		return nil
+	}
+	return key{section: section, name: name, required: true, hidden: true, allowed: fmt.Sprintf("at least %d bytes", minSecret), doc: doc, set: set}
+}
+
+func address(section, name, def, doc string, field func(*Settings) *netip.AddrPort) key {
+	set := func(s *Settings, v string) error {
+		a, err := netip.ParseAddrPort(v)
+		*field(s) = a
+		return err
+	}
+	return key{section: section, name: name, def: def, required: true, allowed: "IP address and port, such as 127.0.0.1:8080", doc: doc, set: set}
+}
+
+func addresses(section, name, doc string, field func(*Settings) *[]netip.AddrPort) key {
+	set := func(s *Settings, v string) error {
+		for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ',' || r == ' ' }) {
+			a, err := netip.ParseAddrPort(part)
+			if err != nil {
+				return err
+			}
+			*field(s) = append(*field(s), a)
+		}
+		return nil
+	}
+	return key{section: section, name: name, allowed: "IP addresses with ports, separated by commas", doc: doc, set: set}
+}
+
+func number(section, name string, def, least, most int, doc string, field func(*Settings) *int) key {
+	set := func(s *Settings, v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < least || n > most {
+			return errNotAllowed
+		}
+		*field(s) = n
+		return nil
+	}
+	return key{section: section, name: name, def: strconv.Itoa(def), allowed: fmt.Sprintf("%d to %d", least, most), doc: doc, set: set}
+}
+
+func duration(section, name string, def, least, most time.Duration, doc string, field func(*Settings) *time.Duration) key {
+	set := func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < least || d > most {
+			return errNotAllowed
+		}
+		*field(s) = d
+		return nil
+	}
+	return key{section: section, name: name, def: def.String(), allowed: fmt.Sprintf("%s to %s", least, most), doc: doc, set: set}
+}
+
+func level(section, name, doc string, field func(*Settings) *zerolog.Level) key {
+	set := func(s *Settings, v string) error {
+		l, err := zerolog.ParseLevel(v)
+		if err != nil || v == "" {
+			return errNotAllowed
+		}
+		*field(s) = l
+		return nil
+	}
+	return key{section: section, name: name, def: "info", allowed: "debug, info, warn or error", doc: doc, set: set}
+}
+
+func keysOf(section string) map[string]*key {
+	keys := make(map[string]*key)
+	for i := range table {
+		if table[i].section == section {
+			keys[table[i].name] = &table[i]
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,140 @@
+// Package share splits the slots of a pool among the routers that want them.
+//
+// Every router computes the split for itself from the same exchanged counters,
+// so no message is needed for it. Customers get slots in proportion to their
+// weights, none more than it can use; a customer whose level lags gets more
+// until it has caught up. The slots of a customer go to the routers where its
+// requests are. Routers that have seen different counters may compute splits
+// whose sum exceeds the slots for one exchange period; the excess then waits
+// inside the targets.
+//
+// The package has no I/O, clock, randomness or state.
+//
+// # Usage
+//
+//	slots, spare := share.Allocate(share.Input{Slots: 72, Routers: 9, Customers: cs, Catchup: 4000})
+//	window := slots[self] + spare
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Input is what a split is computed from.
+type Input struct {
+	// Slots is the number of requests that the pool's targets run at once.
+	Slots int
+	// Routers is the number of routers that want slots.
+	Routers   int
+	Customers []Customer
+	// Catchup is the lag, in cost per unit of weight, that doubles the part of
+	// a customer; 0 gives lagging customers no more.
+	Catchup float64
+}
+
+// Customer is the demand of one customer.
+type Customer struct {
+	Weight float64
+	// Level is the service received per unit of weight.
+	Level float64
+	// Waiting customers have requests queued, so their lag counts.
+	Waiting bool
+	// Demand is the number of requests queued and running by router.
+	Demand []Part
+}
+
+// Part is the demand of one customer at one router.
+type Part struct {
+	Router   int
+	Requests int
+}
+
+// maxBoost bounds how much more than its weight a lagging customer gets.
+const maxBoost = 8
+
+func (c *Customer) requests() int {
+	n := 0
+	for _, p := range c.Demand {
+		n += p.Requests
+	}
+	return n
+}
+
+// Allocate returns the slots of each router and the slots that no router
+// wants. Their sum is in.Slots.
+func Allocate(in Input) (slots []int, spare int) {
+	parts := fill(in)
+	exact := make([]float64, in.Routers)
+	sum := 0.0
+	for i := range in.Customers {
+		c := &in.Customers[i]
+		total := float64(c.requests())
+		for _, p := range c.Demand {
+			exact[p.Router] += parts[i] * float64(p.Requests) / total
+		}
+		sum += parts[i]
+	}
+	granted := min(int(math.Round(sum)), in.Slots)
+	return round(exact, granted), in.Slots - granted
+}
+
+// fill returns the slots of each customer: in proportion to weights, at most
+// the demand, until slots or demand run out.
+func fill(in Input) []float64 {
+	parts := make([]float64, len(in.Customers))
+	weights := boosted(in)
+	order := make([]int, len(in.Customers))
+	weightLeft := 0.0
+	for i := range order {
+		order[i] = i
+		weightLeft += weights[i]
+	}
+	need := func(i int) float64 { return float64(in.Customers[i].requests()) / weights[i] }
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(need(a), need(b)) })
+	left := float64(in.Slots)
+	for _, i := range order {
+		parts[i] = min(float64(in.Customers[i].requests()), left*weights[i]/weightLeft)
+		left -= parts[i]
+		weightLeft -= weights[i]
+	}
+	return parts
+}
+
+// boosted returns the weights with the lag of waiting customers counted in.
+func boosted(in Input) []float64 {
+	most := math.Inf(-1)
+	for i := range in.Customers {
+		if c := &in.Customers[i]; c.Waiting {
+			most = max(most, c.Level)
+		}
+	}
+	weights := make([]float64, len(in.Customers))
+	for i := range in.Customers {
+		c := &in.Customers[i]
+		weights[i] = c.Weight
+		if c.Waiting && in.Catchup > 0 {
+			weights[i] *= min(1+(most-c.Level)/in.Catchup, maxBoost)
+		}
+	}
+	return weights
+}
+
+// round turns exact parts into whole ones whose sum is total, by largest
+// remainder; ties go to the lower index.
+func round(exact []float64, total int) []int {
+	whole := make([]int, len(exact))
+	order := make([]int, len(exact))
+	for i, x := range exact {
+		whole[i] = int(x)
+		total -= whole[i]
+		order[i] = i
+	}
+	rest := func(i int) float64 { return exact[i] - float64(whole[i]) }
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rest(b), rest(a)) })
+	for _, i := range order[:min(max(total, 0), len(order))] {
+		whole[i]++
+	}
+	return whole
+}
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,96 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// at is a customer of weight w that waits, with requests at one router.
+func at(router, requests int, w, level float64) Customer {
+	return Customer{Weight: w, Level: level, Waiting: true, Demand: []Part{{Router: router, Requests: requests}}}
+}
+
+func TestAllocate(t *testing.T) {
+	tests := []struct {
+		name  string
+		in    Input
+		want  []int
+		spare int
+	}{
+		{"nobody", Input{Slots: 8, Routers: 2}, []int{0, 0}, 8},
+		{"little demand", Input{Slots: 8, Routers: 2, Customers: []Customer{at(0, 2, 1, 0)}}, []int{2, 0}, 6},
+		{"equal parts", Input{Slots: 8, Routers: 2, Customers: []Customer{at(0, 50, 1, 0), at(1, 50, 1, 0)}}, []int{4, 4}, 0},
+		{"weights", Input{Slots: 8, Routers: 2, Customers: []Customer{at(0, 50, 3, 0), at(1, 50, 1, 0)}}, []int{6, 2}, 0},
+		{"a flood takes no more", Input{Slots: 8, Routers: 2, Customers: []Customer{at(0, 5000, 1, 0), at(1, 50, 1, 0)}}, []int{4, 4}, 0},
+		{"unused part goes on", Input{Slots: 8, Routers: 2, Customers: []Customer{at(0, 50, 1, 0), at(1, 1, 1, 0)}}, []int{7, 1}, 0},
+		{"spread customer", Input{Slots: 8, Routers: 2, Customers: []Customer{
+			{Weight: 1, Demand: []Part{{0, 30}, {1, 10}}}}}, []int{6, 2}, 0},
+		{"lag", Input{Slots: 9, Routers: 2, Catchup: 100, Customers: []Customer{at(0, 50, 1, 100), at(1, 50, 1, 0)}}, []int{3, 6}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got, spare := Allocate(tc.in)
+			assert.DeepEqual(t, got, tc.want)
+			assert.Equal(t, spare, tc.spare)
+		})
+	}
+}
+
+// TestAllocateKeepsEverySlot checks on random demand that no slot is lost or
+// given twice and that slots are spare only when all demand is met.
+func TestAllocateKeepsEverySlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{
+			Slots:   rapid.IntRange(1, 100).Draw(t, "slots"),
+			Routers: rapid.IntRange(1, 9).Draw(t, "routers"),
+			Catchup: rapid.Float64Range(0, 1000).Draw(t, "catchup"),
+		}
+		demand := 0
+		for range rapid.IntRange(0, 20).Draw(t, "customers") {
+			c := Customer{
+				Weight:  rapid.Float64Range(1, 10).Draw(t, "weight"),
+				Level:   rapid.Float64Range(0, 1e6).Draw(t, "level"),
+				Waiting: rapid.Bool().Draw(t, "waiting"),
+			}
+			for r := range in.Routers {
+				n := rapid.IntRange(0, 20).Draw(t, "requests")
+				if n > 0 {
+					c.Demand = append(c.Demand, Part{Router: r, Requests: n})
+					demand += n
+				}
+			}
+			if len(c.Demand) > 0 {
+				in.Customers = append(in.Customers, c)
+			}
+		}
+		slots, spare := Allocate(in)
+		sum := spare
+		for _, n := range slots {
+			sum += n
+		}
+		if sum != in.Slots {
+			t.Fatalf("%v and %d spare are not %d slots", slots, spare, in.Slots)
+		}
+		if want := max(in.Slots-demand, 0); spare != want {
+			t.Fatalf("%d spare, want %d", spare, want)
+		}
+	})
+}
+
+func BenchmarkAllocate(b *testing.B) {
+	for _, customers := range []int{16, 60, 600} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			in := Input{Slots: 72, Routers: 9, Catchup: 4000}
+			for i := range customers {
+				in.Customers = append(in.Customers, at(i%in.Routers, i%13+1, float64(i%3+1), float64(i)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Allocate(in)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,245 @@
+// Package fleet starts routers and stand-ins as processes on loopback, for
+// demonstrations, proofs and experiments.
+//
+// # Usage
+//
+//	f, err := fleet.New(binDir)
+//	defer f.Close()
+//	err = f.StartPlatform()
+//	engine, err := f.StartEngine("e1", "--slots", "8")
+//	router, err := f.StartRouter("r1", "dc1")
+//
+// All ports are free ones that the programs pick themselves. Everything that
+// a Fleet started ends with Close, and with the process that holds it.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"zinccove.example/standin/fault"
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/platform"
+)
+
+// The operator and the secrets of every fleet; they guard nothing.
+const (
+	Operator    = "anna"
+	OperatorKey = "example"
+	fleetKey    = "secret-of-a-loopback-fleet"
+)
+
+// Fleet is a set of processes.
+type Fleet struct {
+	Platform *Process
+	// PlatformAddress is where the platform stand-in listens.
+	PlatformAddress netip.AddrPort
+	Routers         []*Router
+	// Settings are lines appended to the sections of every router's settings,
+	// by section.
+	Settings map[string]string
+
+	bin   string
+	dir   string
+	procs []*Process
+}
+
+// New returns a fleet that runs the programs in the directory bin.
+func New(bin string) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "zinccove-fleet-")
+	return &Fleet{bin: bin, dir: dir}, err
+}
+
+// Close ends all processes, routers first.
+func (f *Fleet) Close() {
+	for _, r := range f.Routers {
+		r.Close()
+	}
+	for _, p := range f.procs {
+		p.Close()
+	}
+	os.RemoveAll(f.dir)
+}
+
+// startStandin starts a stand-in and returns the address that it prints.
+func (f *Fleet) startStandin(name, kind string, args ...string) (*Process, netip.AddrPort, error) {
+	p, err := start(name, filepath.Join(f.bin, "zinccove-standin"), append([]string{kind}, args...)...)
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	f.procs = append(f.procs, p)
+	line, err := p.awaitLine(func(string) bool { return true })
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	addr, err := netip.ParseAddrPort(line)
+	return p, addr, err
+}
+
+// StartPlatform starts the platform.
+func (f *Fleet) StartPlatform(args ...string) error {
+	var err error
+	f.Platform, f.PlatformAddress, err = f.startStandin("platform", "platform", args...)
+	return err
+}
+
+// Target is an engine or a service.
+type Target struct {
+	*Process
+	Address netip.AddrPort
+}
+
+// StartEngine starts an engine; args are its flags.
+func (f *Fleet) StartEngine(name string, args ...string) (*Target, error) {
+	p, addr, err := f.startStandin(name, "engine", args...)
+	return &Target{p, addr}, err
+}
+
+// StartService starts a plain service; args are its flags.
+func (f *Fleet) StartService(name string, args ...string) (*Target, error) {
+	p, addr, err := f.startStandin(name, "service", args...)
+	return &Target{p, addr}, err
+}
+
+// SetFaults replaces the faults of a stand-in.
+func SetFaults(addr netip.AddrPort, faults ...fault.Fault) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	return put(addr, "/faults", body)
+}
+
+func put(addr netip.AddrPort, path string, body []byte) error {
+	req, err := http.NewRequest(http.MethodPut, "http://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("PUT %s: status %d", path, resp.StatusCode)
+	}
+	return nil
+}
+
+// GetJSON reads a JSON page of a stand-in or a router.
+func GetJSON(addr netip.AddrPort, path string, into any) error {
+	resp, err := http.Get("http://" + addr.String() + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// ListHost puts a host into the platform's list.
+func (f *Fleet) ListHost(h platform.Host) error {
+	body, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	return put(f.PlatformAddress, "/hosts", body)
+}
+
+// Router is a running zinccoved.
+type Router struct {
+	*Process
+	DataCentre string
+	Caller     netip.AddrPort
+	Control    netip.AddrPort
+	Peer       netip.AddrPort
+
+	fleet *Fleet
+}
+
+// StartRouter starts a router on free ports and puts it into the platform's
+// list of hosts.
+func (f *Fleet) StartRouter(name, dataCentre string) (*Router, error) {
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	r := &Router{DataCentre: dataCentre, Caller: free, Control: free, Peer: free, fleet: f}
+	if err := r.start(name); err != nil {
+		return nil, err
+	}
+	f.Routers = append(f.Routers, r)
+	return r, f.ListHost(platform.Host{Name: name, DataCentre: dataCentre, Peer: r.Peer, State: platform.HostLive})
+}
+
+// Restart starts the router again, after it ended, at its addresses.
+func (r *Router) Restart() error { return r.start(r.Name) }
+
+func (r *Router) start(name string) error {
+	file := filepath.Join(r.fleet.dir, name+".ini")
+	if err := os.WriteFile(file, []byte(r.settings(name)), 0o600); err != nil {
+		return err
+	}
+	p, err := start(name, filepath.Join(r.fleet.bin, "zinccoved"), "--settings", file)
+	if err != nil {
+		return err
+	}
+	line, err := p.awaitLine(func(line string) bool { return strings.Contains(line, `"started"`) })
+	if err != nil {
+		return err
+	}
+	r.Process = p
+	return r.parseStarted(line)
+}
+
+func (r *Router) parseStarted(line string) error {
+	var started struct{ Caller, Control, Peer netip.AddrPort }
+	if err := json.Unmarshal([]byte(line), &started); err != nil {
+		return err
+	}
+	r.Caller, r.Control, r.Peer = started.Caller, started.Control, started.Peer
+	return nil
+}
+
+func (r *Router) settings(name string) string {
+	sections := []struct{ name, keys string }{
+		{"host", "name = " + name + "\ndata-centre = " + r.DataCentre},
+		{"listen", fmt.Sprintf("caller = %s\ncontrol = %s\npeer = %s", r.Caller, r.Control, r.Peer)},
+		{"fleet", "key = " + fleetKey},
+		{"platform", "address = " + r.fleet.PlatformAddress.String()},
+		{"limits", "stop-delay = 200ms"},
+		{"log", ""},
+		{"operator." + Operator, "key-sha256 = " + config.Digest([]byte(OperatorKey)) + "\nroles = read, plan, confirm"},
+	}
+	var b strings.Builder
+	for _, s := range sections {
+		fmt.Fprintf(&b, "[%s]\n%s\n%s\n", s.name, s.keys, r.fleet.Settings[s.name])
+	}
+	return b.String()
+}
+
+// AwaitReady waits until every running router is ready for callers.
+func (f *Fleet) AwaitReady(timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for _, r := range f.Routers {
+		for !r.Ended() && !r.ready() {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready\n%s", r.Name, r.Output())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (r *Router) ready() bool {
+	resp, err := http.Get("http://" + r.Control.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/standin/run/run.go
@@ -0,0 +1,122 @@
+// Package run is the command line of zinccove-standin.
+//
+// # Usage
+//
+//	zinccove-standin platform --listen 127.0.0.1:0
+//	zinccove-standin engine --listen 127.0.0.1:0 --slots 8
+//	zinccove-standin service --listen 127.0.0.1:0 --workers 4
+//
+// The first line on standard output is the address it listens on. It ends on
+// SIGINT or SIGTERM.
+package run
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/standin/engine"
+	"zinccove.example/standin/service"
+	"zinccove.example/standin/store"
+)
+
+type listenOptions struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+	out    io.Writer
+}
+
+type platformCommand struct {
+	listenOptions
+	HostLag    time.Duration `long:"host-lag" default:"1s" description:"lag of the list of hosts"`
+	WeightRate float64       `long:"weight-rate" default:"10" description:"requests a second of the weight store"`
+}
+
+type engineCommand struct {
+	listenOptions
+	Slots        int           `long:"slots" default:"8" description:"requests run at once"`
+	TokenTime    time.Duration `long:"token-time" default:"5ms" description:"time of one output token"`
+	InputPerStep int           `long:"input-per-step" default:"256" description:"input tokens computed in the time of one output token"`
+	LoadLag      time.Duration `long:"load-lag" default:"250ms" description:"lag of the load report"`
+}
+
+type serviceCommand struct {
+	listenOptions
+	Workers  int           `long:"workers" default:"4" description:"calls run at once"`
+	CallTime time.Duration `long:"call-time" default:"20ms" description:"time of one call"`
+}
+
+// Execute runs the stand-in until a signal.
+func (c *platformCommand) Execute([]string) error {
+	s := store.New(store.Options{HostLag: c.HostLag, WeightRate: c.WeightRate})
+	return c.serve(s.Handle)
+}
+
+// Execute runs the stand-in until a signal.
+func (c *engineCommand) Execute([]string) error {
+	e := engine.New(engine.Options{Slots: c.Slots, TokenTime: c.TokenTime, InputPerStep: c.InputPerStep, LoadLag: c.LoadLag})
+	return errors.Join(c.serve(e.Handle), e.Close())
+}
+
+// Execute runs the stand-in until a signal.
+func (c *serviceCommand) Execute([]string) error {
+	s := service.New(service.Options{Workers: c.Workers, CallTime: c.CallTime})
+	return c.serve(s.Handle)
+}
+
+// maxBody is the largest request body in bytes.
+const maxBody = 16 << 20
+
+func (l *listenOptions) serve(handle fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return err
+	}
+	srv := &fasthttp.Server{Handler: handle, MaxRequestBodySize: maxBody, IdleTimeout: time.Minute, CloseOnShutdown: true}
+	var g errgroup.Group
+	g.Go(func() error { return srv.Serve(ln) })
+	fmt.Fprintln(l.out, ln.Addr())
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	return ln.Close()
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	p := flags.NewNamedParser("zinccove-standin", flags.HelpFlag)
+	l := listenOptions{out: out}
+	commands := []struct {
+		name, text string
+		data       any
+	}{
+		{"platform", "Run the platform stand-in", &platformCommand{listenOptions: l}},
+		{"engine", "Run a model engine stand-in", &engineCommand{listenOptions: l}},
+		{"service", "Run a plain service stand-in", &serviceCommand{listenOptions: l}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.text, "", c.data); err != nil {
+			fmt.Fprintln(errOut, err)
+			return 1
+		}
+	}
+	_, err := p.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(out, err)
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "zinccove-standin:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,201 @@
+// Package target sends single attempts to engines and services.
+//
+// An attempt is sent once. Its failure says what is known of it at the target:
+// nothing arrived, the target refused it, or it may have run. An answer that
+// names another attempt is never handed over; its connection is closed.
+//
+// # Usage
+//
+//	clients := target.NewClients()
+//	defer clients.Close()
+//	s, err := clients.Get(addr).Stream(attempt) // *Failure
+//	defer s.Close()
+//	for {
+//		ev, err := s.Next()                 // *Failure when the stream breaks
+//		if err != nil || ev.Kind == target.Done {
+//			break
+//		}
+//	}
+//
+// # Protocol of engines
+//
+// POST /v1/completions with the headers X-Request-Id, X-Attempt-Id and
+// X-Priority (lowest first) answers server-sent events. Each carries the
+// attempt's id and either the index and text of a token or the usage; the
+// stream is whole only with its end mark [DONE]. "resume_from" in the body is
+// the number of tokens already delivered. POST /v1/cancel?attempt=ID ends one.
+// 429 and 503 mean that the attempt was refused and did not run.
+package target
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/httpc"
+)
+
+// Headers that identify an attempt.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderAttempt  = "X-Attempt-Id"
+	HeaderPriority = "X-Priority"
+)
+
+// Kind is what is known of a failed attempt.
+type Kind int
+
+// The kinds of failure.
+const (
+	// NotSent: no byte reached the target.
+	NotSent Kind = iota
+	// Refused: the target said that it does not run the attempt.
+	Refused
+	// Broken: the attempt was sent and no whole answer came back.
+	Broken
+	// Crossed: the answer was that of another attempt.
+	Crossed
+	// Rejected: the target found the request itself wrong.
+	Rejected
+)
+
+// Failure is the error of an attempt.
+type Failure struct {
+	Kind Kind
+	// Status is the target's HTTP status, 0 if there was none.
+	Status int
+	// Err carries step and peer.
+	Err error
+}
+
+// Error returns the step, the peer and the cause.
+func (f *Failure) Error() string { return f.Err.Error() }
+
+// Unwrap returns the wrapped error.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Attempt is one try of one request at one target.
+type Attempt struct {
+	Request  string
+	ID       string
+	Priority int64
+	Deadline time.Time
+}
+
+// Bounds of a client.
+const (
+	maxConns = 4096 + 64
+	// idle is shorter than targets keep connections, so that requests are
+	// rarely sent on a connection that the target is closing.
+	idle = 5 * time.Second
+	// cancelTimeout bounds telling an engine that an attempt is not wanted.
+	cancelTimeout = time.Second
+)
+
+// Clients holds a client for each target address.
+type Clients struct {
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*Client
+}
+
+// NewClients returns an empty set.
+func NewClients() *Clients { return &Clients{clients: make(map[netip.AddrPort]*Client)} }
+
+// Get returns the client of an address.
+func (cs *Clients) Get(addr netip.AddrPort) *Client {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c := cs.clients[addr]
+	if c == nil {
+		c = &Client{peer: addr.String(), http: httpc.New(addr, httpc.Limits{Conns: maxConns, Stream: true, Idle: idle})}
+		cs.clients[addr] = c
+	}
+	return c
+}
+
+// Close drops all idle connections.
+func (cs *Clients) Close() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for _, c := range cs.clients {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// Client sends attempts to one target. It is safe for concurrent use.
+type Client struct {
+	peer string
+	http *fasthttp.HostClient
+}
+
+func (c *Client) fail(k Kind, status int, err error, step string) *Failure {
+	return &Failure{Kind: k, Status: status, Err: errs.Wrap(err, step, c.peer)}
+}
+
+// prepare sets what all attempts have in common.
+func (c *Client) prepare(req *fasthttp.Request, a Attempt) {
+	req.URI().SetScheme("http")
+	req.URI().SetHost(c.peer)
+	req.Header.Set(HeaderRequest, a.Request)
+	req.Header.Set(HeaderAttempt, a.ID)
+}
+
+// send sends a prepared request and checks who the answer is for.
+func (c *Client) send(req *fasthttp.Request, resp *fasthttp.Response, a Attempt, step string) *Failure {
+	if err := c.http.DoDeadline(req, resp, a.Deadline); err != nil {
+		if httpc.NotSent(err) {
+			return c.fail(NotSent, 0, err, step)
+		}
+		return c.fail(Broken, 0, err, step)
+	}
+	status := resp.StatusCode()
+	if status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable {
+		return c.fail(Refused, status, fmt.Errorf("status %d", status), step)
+	}
+	if status < fasthttp.StatusBadRequest && string(resp.Header.Peek(HeaderAttempt)) != a.ID {
+		resp.SetConnectionClose()
+		return c.fail(Crossed, status, errOtherAttempt, step)
+	}
+	return nil
+}
+
+// maxAnswer is the largest answer of a service in bytes.
+const maxAnswer = 16 << 20
+
+// Call sends an attempt to a service and returns the whole body of the answer;
+// resp has its status and headers. The caller has set method, path, headers
+// and body of req.
+func (c *Client) Call(req *fasthttp.Request, resp *fasthttp.Response, a Attempt) ([]byte, *Failure) {
+	const step = "call service"
+	c.prepare(req, a)
+	f := c.send(req, resp, a, step)
+	defer resp.CloseBodyStream() //nolint:errcheck // the outcome is known before
+	if f != nil {
+		return nil, f
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errTooLarge
+	}
+	if err != nil {
+		return nil, c.fail(Broken, resp.StatusCode(), err, step)
+	}
+	return body, nil
+}
+
+// Cancel tells an engine that an attempt is not wanted any more. The engine
+// also notices the closed connection, so a lost cancel costs only time.
+func (c *Client) Cancel(attempt string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.peer + "/v1/cancel")
+	req.URI().QueryArgs().Set("attempt", attempt)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	_ = c.http.DoTimeout(req, resp, cancelTimeout)
+}
