--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,7 +26,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/jessevdk/go-flags"
-	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/control"
@@ -58,8 +57,6 @@
 // command is what all commands share.
 type command struct{ globals *globals }
 
-var errVersion = eris.New("version printed")
-
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	g := &globals{out: out}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -191,8 +191,9 @@
 	return time.Duration(float64(period) * (1 - jitter/2 + jitter*rand.Float64()))
 }
 
-// hostListPeriod is the time between looks at the platform's list of hosts.
-const hostListPeriod = 2 * time.Second
+// hostListPeriod is the time between looks at the platform's list of hosts
+// once another router was heard; before that, each poll looks at it.
+const hostListPeriod = 5 * time.Second
 
 // poll looks at the platform until ctx ends.
 func (d *Daemon) poll(ctx context.Context) error {
@@ -200,7 +201,7 @@
 	down := false
 	for {
 		err := d.syncer.Poll(ctx)
-		if err == nil && d.clock.Since(hostsRead) >= hostListPeriod {
+		if err == nil && (d.loop.alone() || d.clock.Since(hostsRead) >= hostListPeriod) {
 			var hosts []platform.Host
 			if hosts, err = d.platform.Hosts(ctx); err == nil {
 				hostsRead = d.clock.Now()
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -354,3 +354,13 @@
 	}
 	return nil
 }
+
+// alone reports whether no other router is reachable.
+func (l *loop) alone() bool {
+	for _, r := range l.statuses() {
+		if r.Reachable && r.Host != l.daemon.settings.Host {
+			return false
+		}
+	}
+	return true
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -14,7 +14,7 @@
 )
 
 // call serves a call of a plain service; rest is NAME/PATH.
-func (s *Server) call(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer, rest string) {
+func (s *Server) call(ctx *fasthttp.RequestCtx, body []byte, snap *confsync.Snapshot, customer *config.Customer, rest string) {
 	name, path, _ := strings.Cut(rest, "/")
 	path = "/" + path
 	service := snap.Config.Service(name)
@@ -32,7 +32,7 @@
 	}
 	s.accepted.Add(1) // for the flow
 	defer f.close()
-	if r := f.call(ctx, path); r != nil {
+	if r := f.call(ctx, body, path); r != nil {
 		s.end(ctx, r)
 		return
 	}
@@ -40,12 +40,12 @@
 }
 
 // call sends the call until it is answered or given up.
-func (f *flow) call(ctx *fasthttp.RequestCtx, path string) *Refusal {
+func (f *flow) call(ctx *fasthttp.RequestCtx, body []byte, path string) *Refusal {
 	for {
 		if r := f.acquire(); r != nil {
 			return r
 		}
-		fail := f.try(ctx, path)
+		fail := f.try(ctx, body, path)
 		if fail == nil {
 			return nil
 		}
@@ -63,7 +63,7 @@
 }
 
 // try makes one attempt and, if it is answered, makes that the answer.
-func (f *flow) try(ctx *fasthttp.RequestCtx, path string) *target.Failure {
+func (f *flow) try(ctx *fasthttp.RequestCtx, body []byte, path string) *target.Failure {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -73,11 +73,11 @@
 	}
 	req.URI().SetPath(path)
 	req.URI().SetQueryStringBytes(ctx.URI().QueryString())
-	req.SetBodyRaw(ctx.PostBody())
+	req.SetBodyRaw(body)
 
 	started := f.server.options.Clock.Now()
 	a := f.attempt()
-	body, fail := f.server.options.Clients.Get(f.slot.Target().Address).Call(req, resp, a)
+	answer, fail := f.server.options.Clients.Get(f.slot.Target().Address).Call(req, resp, a)
 	f.slot.Charge(max(uint64(f.server.options.Clock.Since(started)/time.Millisecond), 1))
 	if fail != nil {
 		return fail
@@ -85,7 +85,7 @@
 	f.request.Stream()
 	f.release(dispatch.Completed)
 	f.request.Answer()
-	f.copyAnswer(ctx, resp, body)
+	f.copyAnswer(ctx, resp, answer)
 	return nil
 }
 
--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -34,8 +34,8 @@
 
 // complete serves a request for a model. It ends the flow, or hands that over
 // to the writer of the streamed answer.
-func (s *Server) complete(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer) {
-	c, r := s.newCompletion(ctx, snap, customer)
+func (s *Server) complete(ctx *fasthttp.RequestCtx, body []byte, snap *confsync.Snapshot, customer *config.Customer) {
+	c, r := s.newCompletion(ctx, body, snap, customer)
 	if r != nil {
 		s.end(ctx, r)
 		s.accepted.Add(-1)
@@ -63,8 +63,8 @@
 }
 
 // newCompletion checks the body and starts the life cycle.
-func (s *Server) newCompletion(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer) (*completion, *Refusal) {
-	body, err := fastjson.ParseBytes(ctx.PostBody())
+func (s *Server) newCompletion(ctx *fasthttp.RequestCtx, raw []byte, snap *confsync.Snapshot, customer *config.Customer) (*completion, *Refusal) {
+	body, err := fastjson.ParseBytes(raw)
 	if err != nil || body.Type() != fastjson.TypeObject {
 		return nil, badField("body", "must be a JSON object")
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -123,6 +124,7 @@
 		Concurrency:           o.Limits.Connections,
 		ReadBufferSize:        o.Limits.HeaderBytes,
 		MaxRequestBodySize:    o.Limits.BodyBytes,
+		StreamRequestBody:     true,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
@@ -188,10 +190,6 @@
 func badHTTP(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case eris.Is(err, fasthttp.ErrBodyTooLarge):
-		r := refuse(CodeTooLarge, "the body exceeds the limit")
-		r.Field = "body"
-		r.write(ctx)
 	case eris.As(err, &small):
 		r := refuse(CodeTooLarge, "the header exceeds the limit")
 		r.Field = "header"
@@ -226,19 +224,49 @@
 		return
 	}
 	s.options.Metrics.Inc(metric.RequestsReceived)
+	body, r := s.readBody(ctx)
+	if r != nil {
+		s.end(ctx, r)
+		ctx.SetConnectionClose()
+		return
+	}
 	s.accepted.Add(1)
-	s.route(ctx, snap, customer)
+	s.route(ctx, body, snap, customer)
+}
+
+// discardFactor is how many times the largest body is read and thrown away,
+// so that a caller who sends too much can read the answer.
+const discardFactor = 16
+
+// readBody returns the whole body, or a refusal if it exceeds the limit.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) ([]byte, *Refusal) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return ctx.PostBody(), nil
+	}
+	limit := s.options.Limits.BodyBytes
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return nil, badField("body", "could not be read")
+	}
+	if len(body) <= limit {
+		return body, nil
+	}
+	io.CopyN(io.Discard, stream, int64(limit)*discardFactor) //nolint:errcheck // the request is refused anyway
+	r := refuse(CodeTooLarge, "the body exceeds the limit")
+	r.Field = "body"
+	return nil, r
 }
 
 // route serves an authenticated request. Whoever ends the request calls
 // s.accepted.Done.
-func (s *Server) route(ctx *fasthttp.RequestCtx, snap *confsync.Snapshot, customer *config.Customer) {
+func (s *Server) route(ctx *fasthttp.RequestCtx, body []byte, snap *confsync.Snapshot, customer *config.Customer) {
 	path := string(ctx.Path())
 	switch {
 	case path == pathCompletions && ctx.IsPost():
-		s.complete(ctx, snap, customer)
+		s.complete(ctx, body, snap, customer)
 	case strings.HasPrefix(path, pathServices):
-		s.call(ctx, snap, customer, path[len(pathServices):])
+		s.call(ctx, body, snap, customer, path[len(pathServices):])
 		s.accepted.Add(-1)
 	default:
 		s.end(ctx, refuse(CodeUnknownPath, "use POST "+pathCompletions+" or "+pathServices+"NAME/PATH"))
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -98,7 +98,7 @@
 		}
 		fmt.Fprintf(out, "   %s in %s serves callers at http://%s\n", r.Name, dc, r.Caller)
 	}
-	return nil
+	return f.AwaitMembers(10 * time.Second)
 }
 
 func declare(f *fleet.Fleet, out io.Writer) error {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -17,10 +17,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -221,13 +223,31 @@
 	return b.String()
 }
 
+// Running returns the routers that have not ended.
+func (f *Fleet) Running() []*Router {
+	return slices.DeleteFunc(slices.Clone(f.Routers), func(r *Router) bool { return r.Ended() })
+}
+
 // AwaitReady waits until every running router is ready for callers.
 func (f *Fleet) AwaitReady(timeout time.Duration) error {
+	return f.await(timeout, "is not ready", (*Router).ready)
+}
+
+// AwaitMembers waits until every running router hears all the others.
+func (f *Fleet) AwaitMembers(timeout time.Duration) error {
+	want := fmt.Sprintf("zinccove_hosts_reachable %d\n", len(f.Running())-1)
+	return f.await(timeout, "does not hear all others", func(r *Router) bool {
+		page, err := r.Metrics()
+		return err == nil && strings.Contains(page, want)
+	})
+}
+
+func (f *Fleet) await(timeout time.Duration, problem string, done func(*Router) bool) error {
 	deadline := time.Now().Add(timeout)
-	for _, r := range f.Routers {
-		for !r.Ended() && !r.ready() {
+	for _, r := range f.Running() {
+		for !done(r) {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready\n%s", r.Name, r.Output())
+				return fmt.Errorf("%s %s\n%s", r.Name, problem, r.Output())
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -235,6 +255,17 @@
 	return nil
 }
 
+// Metrics returns the router's metrics page.
+func (r *Router) Metrics() (string, error) {
+	resp, err := http.Get("http://" + r.Control.String() + "/metrics")
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
 func (r *Router) ready() bool {
 	resp, err := http.Get("http://" + r.Control.String() + "/readyz")
 	if err != nil {
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -105,12 +105,17 @@
 	p.group.Wait()                //nolint:errcheck // a killed process has no more to say
 }
 
-// Stop makes the planned stop and returns the exit code. A process that does
-// not end in time is killed, which is an error.
+// Stop makes the planned stop and returns the exit code.
 func (p *Process) Stop() (int, error) {
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return 0, fmt.Errorf("stop %s: %w", p.Name, err)
 	}
+	return p.AwaitEnd()
+}
+
+// AwaitEnd waits for a process that was asked to end and returns its exit
+// code. A process that does not end in time is killed, which is an error.
+func (p *Process) AwaitEnd() (int, error) {
 	select {
 	case <-p.ended:
 	case <-time.After(stopTimeout):
--- a/target/stream.go
+++ b/target/stream.go
@@ -55,7 +55,7 @@
 	lines   *bufio.Reader
 	// next is the index of the token expected next.
 	next int
-	end Event
+	end  Event
 	// done is set once the end mark was read.
 	done atomic.Bool
 
