--- a/cli/cli.go
+++ b/cli/cli.go
@@ -122,6 +122,7 @@
 			{name: "discard", text: "End a plan that will not be confirmed", data: &planDiscard{command: c}},
 		}},
 		{name: "status", text: "Show all routers and the versions in force", data: &statusCommand{command: c}},
+		{name: "load", text: "Send the load of an experiment file to a fleet on loopback and measure it", data: &loadCommand{command: c}},
 		{name: "audit", text: "List accepted changes, newest first", data: &auditCommand{command: c}},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	"zinccove.example/zinccove/fair"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
+	"zinccove.example/zinccove/httpc"
 	"zinccove.example/zinccove/ingress"
 	"zinccove.example/zinccove/intent"
 	"zinccove.example/zinccove/metric"
@@ -41,11 +43,19 @@
 	"zinccove.example/zinccove/target"
 )
 
-// Options configure a daemon. All are required.
+// Options configure a daemon. The first three are required; the others are
+// seams for proofs and experiments.
 type Options struct {
 	Settings *settings.Settings
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
+
+	// Dial connects to targets, routers and the platform.
+	Dial httpc.Dial
+	// Reachable tells which addresses heartbeats get to.
+	Reachable func(netip.AddrPort) bool
+	// Tune changes the dispatcher's options.
+	Tune func(*dispatch.Options)
 }
 
 // Tuning that operators have no reason to change.
@@ -58,6 +68,8 @@
 	overcommit = 2
 	// peerTimeout bounds a call to another router.
 	peerTimeout = 2 * time.Second
+	// peerIdle is how long a connection to another router is kept unused.
+	peerIdle = 10 * time.Second
 )
 
 // Daemon is a running router.
@@ -75,6 +87,7 @@
 	ingress    *ingress.Server
 	loop       *loop
 	peers      *http.Client
+	reachable  func(netip.AddrPort) bool
 
 	group    errgroup.Group
 	stop     context.CancelFunc
@@ -91,21 +104,19 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s,
-		clock:    o.Clock,
-		log:      o.Log,
-		metrics:  metrics,
-		clients:  target.NewClients(),
-		peers:    &http.Client{Timeout: peerTimeout},
-		syncNow:  make(chan struct{}, 1),
+		settings:  s,
+		clock:     o.Clock,
+		log:       o.Log,
+		reachable: o.Reachable,
+		metrics:   metrics,
+		clients:   target.NewClients(o.Dial),
+		peers:     &http.Client{Timeout: peerTimeout, Transport: peerTransport(o.Dial)},
+		syncNow:   make(chan struct{}, 1),
 		platform: platform.New(platform.Options{
-			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout,
+			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: o.Dial,
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
-		dispatcher: dispatch.New(dispatch.Options{
-			Clock: o.Clock, Host: s.Host, DataCentre: s.DataCentre, Catchup: catchup, Overcommit: overcommit,
-			Queue: fair.Limits{PerCustomer: s.QueueLimit, Debt: float64(s.DebtLimit)},
-		}),
+		dispatcher: dispatch.New(dispatchOptions(o)),
 	}
 	store := intent.New(intent.Options{Platform: d.platform, Clock: o.Clock})
 	d.syncer = confsync.New(confsync.Options{Store: store, FetchPeer: d.fetchConfig, Adopt: d.adopt})
@@ -113,12 +124,33 @@
 	return d, d.start(store)
 }
 
+func dispatchOptions(o Options) dispatch.Options {
+	s := o.Settings
+	d := dispatch.Options{
+		Clock: o.Clock, Host: s.Host, DataCentre: s.DataCentre, Catchup: catchup, Overcommit: overcommit,
+		Queue: fair.Limits{PerCustomer: s.QueueLimit, Debt: float64(s.DebtLimit)},
+	}
+	if o.Tune != nil {
+		o.Tune(&d)
+	}
+	return d
+}
+
+// peerTransport carries calls to other routers.
+func peerTransport(dial httpc.Dial) *http.Transport {
+	t := &http.Transport{IdleConnTimeout: peerIdle}
+	if dial != nil {
+		t.DialContext = func(_ context.Context, _, addr string) (net.Conn, error) { return dial(addr, peerTimeout) }
+	}
+	return t
+}
+
 // start opens the addresses in an order in which nothing is asked of a part
 // that is not there yet.
 func (d *Daemon) start(store *intent.Store) error {
 	var err error
 	s := d.settings
-	d.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Key: []byte(s.FleetKey), Receive: d.loop.receive})
+	d.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: d.clock, Key: []byte(s.FleetKey), Receive: d.loop.receive, Reachable: d.reachable})
 	if err != nil {
 		return err
 	}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -58,6 +58,8 @@
 	nextBeat    time.Time
 	// inFlight is each router's requests at targets.
 	inFlight map[string]dispatch.InFlight
+	// spent is the time spent by this loop.
+	spent time.Duration
 	// learning is set while a configuration is fetched from a peer.
 	learning bool
 	// levelled is set once the levels of a peer were taken.
@@ -103,15 +105,22 @@
 		case <-ctx.Done():
 			return nil
 		case r := <-l.heartbeats:
-			l.hear(ctx, r)
+			l.spend(func() { l.hear(ctx, r) })
 		case task := <-l.tasks:
-			task(l)
+			l.spend(func() { task(l) })
 		case <-tick.Chan():
-			l.tick(ctx)
+			l.spend(func() { l.tick(ctx) })
 		}
 	}
 }
 
+// spend does work and adds its time to what control costs.
+func (l *loop) spend(work func()) {
+	started := l.daemon.clock.Now()
+	work()
+	l.spent += l.daemon.clock.Since(started)
+}
+
 // hear takes a heartbeat of another router.
 func (l *loop) hear(ctx context.Context, r received) {
 	m := l.daemon.metrics
@@ -334,6 +343,7 @@
 	d.metrics.Set(metric.RequestsQueued, float64(queued))
 	d.metrics.Set(metric.RequestsRunning, float64(running))
 	d.metrics.Set(metric.HostsReachable, float64(reachable))
+	d.metrics.Set(metric.ControlCPUSeconds, (l.spent + d.transport.Spent()).Seconds())
 	d.metrics.Set(metric.HeartbeatsForged, float64(d.transport.Forged()))
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/exchange"
 	"zinccove.example/zinccove/fair"
+	"zinccove.example/zinccove/share"
 )
 
 // Options configure a dispatcher.
@@ -56,6 +57,22 @@
 	// Overcommit is the number of requests above its slots that this router
 	// may place at a target whose other slots other routers seem to use.
 	Overcommit int
+	// Window returns the number of requests that the router may have at the
+	// targets of a pool; self is its index in the input, -1 if it wants none.
+	// The default is ComputedWindow. Experiments replace it.
+	Window func(in share.Input, self int) int
+	// Isolated makes the dispatcher ignore all other routers, which is the
+	// baseline of experiments.
+	Isolated bool
+}
+
+// ComputedWindow is the router's part of the slots and all that nobody wants.
+func ComputedWindow(in share.Input, self int) int {
+	slots, spare := share.Allocate(in)
+	if self >= 0 {
+		spare += slots[self]
+	}
+	return max(spare, minWindow)
 }
 
 // Request is what the dispatcher needs to know of a caller's request.
@@ -104,6 +121,9 @@
 
 // New returns a dispatcher without pools.
 func New(o Options) *Dispatcher {
+	if o.Window == nil {
+		o.Window = ComputedWindow
+	}
 	return &Dispatcher{options: o, pools: make(map[uint32]*pool)}
 }
 
@@ -184,6 +204,9 @@
 
 // Observe charges service that other routers delivered.
 func (d *Dispatcher) Observe(observed []exchange.Observation) {
+	if d.options.Isolated {
+		return
+	}
 	for _, o := range observed {
 		if p := d.pool(o.Key.Pool); p != nil {
 			p.observe(o.Key.Customer, o.Cost)
@@ -197,6 +220,9 @@
 // Balance computes the router's windows anew from the demand of the other
 // routers and grants what they allow.
 func (d *Dispatcher) Balance(demands map[uint32][]exchange.Demand, others InFlight) {
+	if d.options.Isolated {
+		demands, others = nil, nil
+	}
 	for _, p := range d.all() {
 		p.balance(demands[p.number], others)
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -7,7 +7,6 @@
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/exchange"
 	"zinccove.example/zinccove/fair"
-	"zinccove.example/zinccove/share"
 )
 
 // pool is the queue and the targets of one model or service.
@@ -310,12 +309,11 @@
 	for c, cu := range p.customers {
 		b.add(p.options.Host, c, p.queue.WaitingOf(c), cu.running)
 	}
-	slots, spare := share.Allocate(b.input())
-	own := spare
+	in := b.input()
 	if i, wants := b.routers[p.options.Host]; wants {
-		own += slots[i]
+		return p.options.Window(in, i)
 	}
-	return max(own, minWindow)
+	return p.options.Window(in, -1)
 }
 
 // slots returns the slots of usable targets.
--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -29,19 +29,29 @@
 	Body int
 	// Stream makes the client hand over answers before they are complete.
 	Stream bool
+	// Dial connects to an address; the default is plain TCP.
+	Dial Dial
 	// Idle is how long a connection without a request is kept.
 	Idle time.Duration
 }
 
+// Dial connects to an address within a timeout. Proofs replace it to cut
+// networks.
+type Dial func(addr string, timeout time.Duration) (net.Conn, error)
+
 // dialTimeout bounds connecting to an address, which on a working network
 // takes milliseconds.
 const dialTimeout = time.Second
 
 // New returns a client for one address.
 func New(addr netip.AddrPort, l Limits) *fasthttp.HostClient {
+	dial := l.Dial
+	if dial == nil {
+		dial = fasthttp.DialTimeout
+	}
 	return &fasthttp.HostClient{
 		Addr:                          addr.String(),
-		Dial:                          func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, dialTimeout) },
+		Dial:                          func(a string) (net.Conn, error) { return dial(a, dialTimeout) },
 		MaxConns:                      l.Conns,
 		MaxResponseBodySize:           l.Body,
 		StreamResponseBody:            l.Stream,
--- /dev/null
+++ b/load/record.go
@@ -0,0 +1,168 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// result is how a request ended.
+type result int
+
+const (
+	resultAnswered result = iota
+	resultRefused
+	resultBroken
+	resultCancelled
+	results
+)
+
+// course is a request under way.
+type course struct {
+	spec  requestSpec
+	sent  time.Time
+	last  time.Time
+	first bool
+}
+
+// Histograms count in microseconds up to ten minutes.
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(d.Microseconds(), histogramMax)) //nolint:errcheck // inside the bounds
+}
+
+// customerRecord is what one customer got.
+type customerRecord struct {
+	service  float64
+	waiting  map[*course]struct{}
+	results  [results]int
+	wait     *hdrhistogram.Histogram
+	between  *hdrhistogram.Histogram
+	lastGain time.Time
+	// longestPause is the longest time without service while backlogged.
+	longestPause time.Duration
+	largestCost  int
+}
+
+// recorder collects what requests get. It is safe for concurrent use.
+type recorder struct {
+	experiment *Experiment
+	started    time.Time
+
+	mu        sync.Mutex
+	customers []customerRecord
+	series    []point
+	busy      busyRecord
+	control   []controlRecord
+}
+
+// point is the state of all customers at one time.
+type point struct {
+	at         time.Duration
+	service    []float64
+	backlogged []bool
+}
+
+func newRecorder(e *Experiment, started time.Time) *recorder {
+	r := &recorder{experiment: e, started: started, customers: make([]customerRecord, len(e.Customers))}
+	for i := range r.customers {
+		r.customers[i] = customerRecord{waiting: make(map[*course]struct{}), wait: newHistogram(), between: newHistogram()}
+	}
+	return r
+}
+
+func (r *recorder) warm(now time.Time) bool { return now.Sub(r.started) >= r.experiment.WarmUp }
+
+func (r *recorder) begin(spec requestSpec, now time.Time) *course {
+	c := &course{spec: spec, sent: now}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.customers[spec.customer].waiting[c] = struct{}{}
+	return c
+}
+
+// token records an output token; the first one also brings the input tokens.
+func (r *recorder) token(c *course, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cu := &r.customers[c.spec.customer]
+	weight := r.experiment.Customers[c.spec.customer].Weight
+	cu.service += 1 / weight
+	cu.lastGain = now
+	if c.first {
+		if r.warm(now) {
+			record(cu.between, now.Sub(c.last))
+		}
+		c.last = now
+		return
+	}
+	c.first, c.last = true, now
+	cu.service += float64(c.spec.input) / weight
+	delete(cu.waiting, c)
+	if r.warm(now) {
+		record(cu.wait, now.Sub(c.sent))
+	}
+}
+
+func (r *recorder) end(c *course, how result, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cu := &r.customers[c.spec.customer]
+	delete(cu.waiting, c)
+	if !r.warm(now) {
+		return
+	}
+	cu.results[how]++
+	if how == resultAnswered {
+		cu.largestCost = max(cu.largestCost, c.spec.input+c.spec.output)
+	}
+}
+
+// backlogAge is how long a request must have waited to count as backlog.
+const backlogAge = 50 * time.Millisecond
+
+// take records the state of all customers and reports whether work waits.
+func (r *recorder) take(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := point{at: now.Sub(r.started), service: make([]float64, len(r.customers)), backlogged: make([]bool, len(r.customers))}
+	waits := false
+	for i := range r.customers {
+		cu := &r.customers[i]
+		p.service[i] = cu.service
+		p.backlogged[i] = cu.backlogged(now)
+		waits = waits || p.backlogged[i]
+		cu.notePause(p.backlogged[i], r.warm(now), now)
+	}
+	if r.warm(now) {
+		r.series = append(r.series, p)
+	}
+	return waits
+}
+
+func (cu *customerRecord) backlogged(now time.Time) bool {
+	for c := range cu.waiting {
+		if now.Sub(c.sent) > backlogAge {
+			return true
+		}
+	}
+	return false
+}
+
+// notePause keeps the longest time without service while backlogged.
+func (cu *customerRecord) notePause(backlogged, warm bool, now time.Time) {
+	if !backlogged || !warm || cu.lastGain.IsZero() {
+		cu.lastGain = now
+		return
+	}
+	cu.longestPause = max(cu.longestPause, now.Sub(cu.lastGain))
+}
--- /dev/null
+++ b/load/sample.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// samplePeriod is the time between points of the series.
+const samplePeriod = 50 * time.Millisecond
+
+// engineCounts are the totals that an engine stand-in reports.
+type engineCounts struct {
+	Steps     uint64 `json:"steps"`
+	BusySlots uint64 `json:"busy_slots"`
+	Waiting   int    `json:"waiting"`
+}
+
+// busyRecord sums the use of slots over samples at whose both ends work
+// waited.
+type busyRecord struct {
+	busy, offered float64
+	mostInside    int
+	waits         bool
+	last          []engineCounts
+}
+
+// sample records points until the experiment ends.
+func (r *runner) sample(ctx context.Context) error {
+	r.recorder.controlStart(r.readControls())
+	tick := r.clock.NewTicker(samplePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.recorder.controlEnd(r.readControls(), r.clock.Now())
+			return nil
+		case <-tick.Chan():
+			waits := r.recorder.take(r.clock.Now())
+			r.recorder.noteBusy(r.readEngines(), waits, r.clock.Now())
+		}
+	}
+}
+
+func (r *runner) readEngines() []engineCounts {
+	counts := make([]engineCounts, len(r.experiment.Engines))
+	var g errgroup.Group
+	for i, addr := range r.experiment.Engines {
+		g.Go(func() error { return r.getJSON(addr, "/counts", &counts[i]) })
+	}
+	if g.Wait() != nil {
+		return nil
+	}
+	return counts
+}
+
+func (r *runner) getJSON(addr netip.AddrPort, path string, into any) error {
+	resp, err := r.http.Get("http://" + addr.String() + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func (r *recorder) noteBusy(now []engineCounts, waits bool, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := &r.busy
+	if b.waits && waits && r.warm(at) && len(b.last) == len(now) {
+		for i := range now {
+			b.busy += float64(now[i].BusySlots - b.last[i].BusySlots)
+			b.offered += float64(now[i].Steps-b.last[i].Steps) * float64(r.experiment.Slots)
+			b.mostInside = max(b.mostInside, now[i].Waiting)
+		}
+	}
+	b.waits, b.last = waits, now
+}
+
+// controlRecord is what a router spent on control, from its metrics.
+type controlRecord struct {
+	sent, received, cpu float64
+	at                  time.Time
+}
+
+// controlNames are the metrics behind a controlRecord.
+const (
+	nameSent     = "zinccove_control_bytes_sent"
+	nameReceived = "zinccove_control_bytes_received"
+	nameCPU      = "zinccove_control_cpu_seconds"
+)
+
+func (r *runner) readControls() []controlRecord {
+	records := make([]controlRecord, len(r.experiment.Controls))
+	for i, addr := range r.experiment.Controls {
+		values, err := r.metrics(addr)
+		if err != nil {
+			continue
+		}
+		records[i] = controlRecord{sent: values[nameSent], received: values[nameReceived], cpu: values[nameCPU], at: r.clock.Now()}
+	}
+	return records
+}
+
+// metrics reads the plain counters and gauges of a router.
+func (r *runner) metrics(addr netip.AddrPort) (map[string]float64, error) {
+	resp, err := r.http.Get("http://" + addr.String() + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("metrics of %s: status %d", addr, resp.StatusCode)
+	}
+	return parseMetrics(resp)
+}
+
+func parseMetrics(resp *http.Response) (map[string]float64, error) {
+	values := make(map[string]float64)
+	lines := newLines(resp.Body)
+	for lines.Scan() {
+		name, text, ok := strings.Cut(lines.Text(), " ")
+		if !ok || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(text, 64); err == nil {
+			values[name] = v
+		}
+	}
+	return values, lines.Err()
+}
+
+func (r *recorder) controlStart(records []controlRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.control = records
+}
+
+// controlEnd turns the records into spending a second. Routers that were
+// restarted meanwhile are left out.
+func (r *recorder) controlEnd(records []controlRecord, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rates []controlRecord
+	for i := range records {
+		from, to := r.control[i], records[i]
+		seconds := to.at.Sub(from.at).Seconds()
+		if from.at.IsZero() || to.at.IsZero() || to.sent < from.sent {
+			continue
+		}
+		rates = append(rates, controlRecord{
+			sent: (to.sent - from.sent) / seconds, received: (to.received - from.received) / seconds, cpu: (to.cpu - from.cpu) / seconds,
+		})
+	}
+	r.control = rates
+}
--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// body is the JSON of a request. OutputTokens tells stand-ins the true length
+// of the answer; real engines ignore it.
+type body struct {
+	Model        string `json:"model"`
+	Prompt       string `json:"prompt"`
+	MaxTokens    int    `json:"max_tokens"`
+	OutputTokens int    `json:"output_tokens"`
+	Stream       bool   `json:"stream"`
+}
+
+// hintTokens is the max_tokens of every request: callers do not know what
+// their requests cost.
+const hintTokens = 4096
+
+// errorRetry is the pause after an answer that names none.
+const errorRetry = 200 * time.Millisecond
+
+// send sends one request and records its course. It returns the pause that
+// the fleet asked for, 0 after an answer.
+func (r *runner) send(ctx context.Context, spec requestSpec) time.Duration {
+	c := &r.experiment.Customers[spec.customer]
+	if c.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
+		defer cancel()
+	}
+	req, err := r.newRequest(ctx, c, spec)
+	if err != nil {
+		return errorRetry
+	}
+	course := r.recorder.begin(spec, r.clock.Now())
+	resp, err := r.http.Do(req)
+	if err != nil {
+		r.recorder.end(course, resultOf(ctx, resultBroken), r.clock.Now())
+		return errorRetry
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.recorder.end(course, resultRefused, r.clock.Now())
+		return retryAfter(resp)
+	}
+	r.recorder.end(course, resultOf(ctx, r.read(resp, course)), r.clock.Now())
+	return 0
+}
+
+// resultOf is the result of a request that may have been cut short by the end
+// of the experiment or by its own timeout.
+func resultOf(ctx context.Context, result result) result {
+	if result == resultBroken && ctx.Err() != nil {
+		return resultCancelled
+	}
+	return result
+}
+
+func (r *runner) newRequest(ctx context.Context, c *Customer, spec requestSpec) (*http.Request, error) {
+	prompt := fmt.Sprintf("%s %d%s", c.Name, spec.number, strings.Repeat(" word", max(spec.input-2, 0)))
+	b, err := json.Marshal(body{Model: c.Model, Prompt: prompt, MaxTokens: hintTokens, OutputTokens: spec.output, Stream: true})
+	if err != nil {
+		return nil, err
+	}
+	url := "http://" + r.experiment.Callers[spec.router].String() + "/v1/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.Urgent {
+		req.Header.Set("X-Request-Class", "urgent")
+	}
+	return req, nil
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds < 1 {
+		return errorRetry
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// read counts the tokens of a streamed answer.
+func (r *runner) read(resp *http.Response, c *course) result {
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		line := lines.Bytes()
+		switch {
+		case bytes.HasPrefix(line, []byte("data: [DONE]")):
+			return resultAnswered
+		case bytes.HasPrefix(line, []byte("data: {\"error\"")):
+			return resultBroken
+		case bytes.HasPrefix(line, []byte("data: ")) && !bytes.Contains(line, []byte(`"usage"`)):
+			r.recorder.token(c, r.clock.Now())
+		}
+	}
+	return resultBroken
+}
--- a/metric/names.go
+++ b/metric/names.go
@@ -71,15 +71,17 @@
 	RequestsQueued
 	RequestsRunning
 	HeartbeatsForged
+	ControlCPUSeconds
 	gauges
 )
 
 var gaugeTable = [gauges]info{
-	ConfigVersion:    {"config_version", "Version of the configuration in force here."},
-	HostsReachable:   {"hosts_reachable", "Other routers that are reachable."},
-	RequestsQueued:   {"requests_queued", "Requests waiting here."},
-	RequestsRunning:  {"requests_running", "Requests of this router at targets."},
-	HeartbeatsForged: {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
+	ConfigVersion:     {"config_version", "Version of the configuration in force here."},
+	HostsReachable:    {"hosts_reachable", "Other routers that are reachable."},
+	RequestsQueued:    {"requests_queued", "Requests waiting here."},
+	RequestsRunning:   {"requests_running", "Requests of this router at targets."},
+	ControlCPUSeconds: {"control_cpu_seconds", "Time spent in the control loop and on heartbeats since the start; processor time is at most this."},
+	HeartbeatsForged:  {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
 }
 
 // Histogram names a histogram of durations.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/rotisserie/eris"
@@ -50,14 +51,18 @@
 // ErrTooLarge means that a heartbeat does not fit a datagram.
 var ErrTooLarge = eris.New("heartbeat exceeds a datagram")
 
-// Options configure a transport. All fields are required.
+// Options configure a transport. All fields but Reachable are required.
 type Options struct {
 	Address netip.AddrPort
+	Clock   clockwork.Clock
 	// Key authenticates messages in both directions.
 	Key []byte
 	// Receive is called on the event loop with each authentic heartbeat and
 	// its size on the wire in bytes. It must not block.
 	Receive func(hb *zinccovev1.Heartbeat, size int)
+	// Reachable tells which addresses heartbeats get to; nil is all. Proofs use
+	// it to cut networks.
+	Reachable func(netip.AddrPort) bool
 }
 
 // Transport sends and receives heartbeats until Close.
@@ -70,6 +75,7 @@
 	socket  *net.UDPConn
 	group   errgroup.Group
 	forged  atomic.Uint64
+	spent   atomic.Int64
 }
 
 // stopTimeout bounds the stop of the event loop, which has nothing to flush.
@@ -123,6 +129,8 @@
 
 // OnTraffic is called by gnet with each datagram.
 func (t *Transport) OnTraffic(c gnet.Conn) gnet.Action {
+	started := t.options.Clock.Now()
+	defer func() { t.spent.Add(int64(t.options.Clock.Since(started))) }()
 	datagram, err := c.Next(-1)
 	if err != nil {
 		return gnet.None
@@ -141,6 +149,9 @@
 	return t.socket.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
+// Spent returns the time spent on received datagrams.
+func (t *Transport) Spent() time.Duration { return time.Duration(t.spent.Load()) }
+
 // Forged returns the number of datagrams that were not authentic.
 func (t *Transport) Forged() uint64 { return t.forged.Load() }
 
@@ -151,7 +162,9 @@
 	if err != nil {
 		return 0, errs.Wrap(err, "encode heartbeat", to.String())
 	}
-	_, err = t.socket.WriteToUDPAddrPort(datagram, to)
+	if t.options.Reachable == nil || t.options.Reachable(to) {
+		_, err = t.socket.WriteToUDPAddrPort(datagram, to)
+	}
 	return len(datagram) + HeaderSize, errs.Wrap(err, "send heartbeat", to.String())
 }
 
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -109,17 +109,17 @@
 	o.Model(modelName, modelVersion)
 	o.Service(serviceName, "POST:/entries")
 	for i, dc := range dataCentres {
-		t, err := f.StartEngine(fmt.Sprintf("engine-%d", i+1), "--slots", fmt.Sprint(slots), "--token-time", "5ms")
+		t, err := f.StartEngine(fmt.Sprintf("engine-%d", i+1), dc, "--slots", fmt.Sprint(slots), "--token-time", "5ms")
 		if err != nil {
 			return err
 		}
-		o.Engine(t, modelName, modelVersion, dc, slots)
+		o.Engine(t, modelName, modelVersion, slots)
 	}
-	t, err := f.StartService("archive-1")
+	t, err := f.StartService("archive-1", dataCentres[0])
 	if err != nil {
 		return err
 	}
-	o.Instance(t, serviceName, dataCentres[0], 4)
+	o.Instance(t, serviceName, 4)
 	text, err := f.Apply(f.Routers[0], f.Routers[1], o.String())
 	fmt.Fprint(out, indent(text))
 	if err != nil {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -59,6 +59,8 @@
 	BusySlots uint64 `json:"busy_slots"`
 	Tokens    uint64 `json:"tokens"`
 	Ended     uint64 `json:"ended"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
 }
 
 // Run is one attempt the engine accepted.
@@ -145,7 +147,8 @@
 		e.writeLoad(ctx)
 	case "/counts":
 		e.writeLocked(ctx, func() any {
-			return Counts{Steps: e.batch.steps, BusySlots: e.batch.busy, Tokens: e.batch.tokens, Ended: e.batch.ended}
+			return Counts{Steps: e.batch.steps, BusySlots: e.batch.busy, Tokens: e.batch.tokens, Ended: e.batch.ended,
+				Running: len(e.batch.running), Waiting: len(e.batch.waiting)}
 		})
 	case "/runs":
 		e.writeLocked(ctx, func() any { return e.runs })
--- /dev/null
+++ b/standin/fleet/cut.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/netip"
+)
+
+// Cut cuts a data centre off from all others and from the platform. The
+// routers must be test routers.
+func (f *Fleet) Cut(dataCentre string) error {
+	for _, r := range f.Running() {
+		inside := r.DataCentre == dataCentre
+		blocked := f.addresses(func(dc string) bool { return (dc == dataCentre) != inside })
+		if inside {
+			blocked = append(blocked, f.PlatformAddress)
+		}
+		if err := r.cut(blocked); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Heal ends all cuts.
+func (f *Fleet) Heal() error {
+	for _, r := range f.Running() {
+		if err := r.cut([]netip.AddrPort{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addresses returns all addresses in data centres for which want is true.
+func (f *Fleet) addresses(want func(dataCentre string) bool) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, r := range f.Routers {
+		if want(r.DataCentre) {
+			addrs = append(addrs, r.Peer, r.Control)
+		}
+	}
+	for _, t := range f.targets {
+		if want(t.DataCentre) {
+			addrs = append(addrs, t.Address)
+		}
+	}
+	return addrs
+}
+
+func (r *Router) cut(addrs []netip.AddrPort) error {
+	body, err := json.Marshal(addrs)
+	if err != nil {
+		return err
+	}
+	return put(r.faults, "/cut", body)
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -48,15 +48,27 @@
 	// by section.
 	Settings map[string]string
 
-	bin   string
-	dir   string
-	procs []*Process
+	// RouterProgram runs as router: zinccoved, or zinccove-testrouter, whose
+	// network can be cut. RouterArgs are its flags.
+	RouterProgram string
+	RouterArgs    []string
+
+	bin     string
+	dir     string
+	procs   []*Process
+	targets []*Target
 }
 
+// The programs that a fleet can run as router.
+const (
+	ShippedRouter = "zinccoved"
+	TestRouter    = "zinccove-testrouter"
+)
+
 // New returns a fleet that runs the programs in the directory bin.
 func New(bin string) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "zinccove-fleet-")
-	return &Fleet{bin: bin, dir: dir}, err
+	return &Fleet{bin: bin, dir: dir, RouterProgram: ShippedRouter}, err
 }
 
 // Close ends all processes, routers first.
@@ -95,19 +107,25 @@
 // Target is an engine or a service.
 type Target struct {
 	*Process
-	Address netip.AddrPort
+	Address    netip.AddrPort
+	DataCentre string
 }
 
 // StartEngine starts an engine; args are its flags.
-func (f *Fleet) StartEngine(name string, args ...string) (*Target, error) {
-	p, addr, err := f.startStandin(name, "engine", args...)
-	return &Target{p, addr}, err
+func (f *Fleet) StartEngine(name, dataCentre string, args ...string) (*Target, error) {
+	return f.startTarget(name, "engine", dataCentre, args)
 }
 
 // StartService starts a plain service; args are its flags.
-func (f *Fleet) StartService(name string, args ...string) (*Target, error) {
-	p, addr, err := f.startStandin(name, "service", args...)
-	return &Target{p, addr}, err
+func (f *Fleet) StartService(name, dataCentre string, args ...string) (*Target, error) {
+	return f.startTarget(name, "service", dataCentre, args)
+}
+
+func (f *Fleet) startTarget(name, kind, dataCentre string, args []string) (*Target, error) {
+	p, addr, err := f.startStandin(name, kind, args...)
+	t := &Target{Process: p, Address: addr, DataCentre: dataCentre}
+	f.targets = append(f.targets, t)
+	return t, err
 }
 
 // SetFaults replaces the faults of a stand-in.
@@ -161,8 +179,9 @@
 	Caller     netip.AddrPort
 	Control    netip.AddrPort
 	Peer       netip.AddrPort
-
-	fleet *Fleet
+	// faults is where a test router's network is cut.
+	faults netip.AddrPort
+	fleet  *Fleet
 }
 
 // StartRouter starts a router on free ports and puts it into the platform's
@@ -185,18 +204,34 @@
 	if err := os.WriteFile(file, []byte(r.settings(name)), 0o600); err != nil {
 		return err
 	}
-	p, err := start(name, filepath.Join(r.fleet.bin, "zinccoved"), "--settings", file)
+	p, err := start(name, filepath.Join(r.fleet.bin, r.fleet.RouterProgram), append([]string{"--settings", file}, r.fleet.RouterArgs...)...)
 	if err != nil {
 		return err
 	}
+	r.Process = p
+	if r.fleet.RouterProgram == TestRouter {
+		if err := r.awaitFaults(); err != nil {
+			return err
+		}
+	}
 	line, err := p.awaitLine(func(line string) bool { return strings.Contains(line, `"started"`) })
 	if err != nil {
 		return err
 	}
-	r.Process = p
 	return r.parseStarted(line)
 }
 
+func (r *Router) awaitFaults() error {
+	line, err := r.awaitLine(func(line string) bool { return strings.Contains(line, `"message":"faults"`) })
+	if err != nil {
+		return err
+	}
+	var faults struct{ Faults netip.AddrPort }
+	err = json.Unmarshal([]byte(line), &faults)
+	r.faults = faults.Faults
+	return err
+}
+
 func (r *Router) parseStarted(line string) error {
 	var started struct{ Caller, Control, Peer netip.AddrPort }
 	if err := json.Unmarshal([]byte(line), &started); err != nil {
--- a/standin/fleet/objects.go
+++ b/standin/fleet/objects.go
@@ -32,13 +32,13 @@
 }
 
 // Engine declares a target of a model.
-func (o *Objects) Engine(t *Target, model, version, dataCentre string, slots int) {
+func (o *Objects) Engine(t *Target, model, version string, slots int) {
 	fmt.Fprintf(&o.b, "[target.%s]\nserves = %s\nmodel-version = %s\naddress = %s\ndata-centre = %s\nslots = %d\n",
-		t.Name, model, version, t.Address, dataCentre, slots)
+		t.Name, model, version, t.Address, t.DataCentre, slots)
 }
 
 // Instance declares a target of a service.
-func (o *Objects) Instance(t *Target, service, dataCentre string, slots int) {
+func (o *Objects) Instance(t *Target, service string, slots int) {
 	fmt.Fprintf(&o.b, "[target.%s]\nserves = %s\naddress = %s\ndata-centre = %s\nslots = %d\n",
-		t.Name, service, t.Address, dataCentre, slots)
+		t.Name, service, t.Address, t.DataCentre, slots)
 }
--- a/target/target.go
+++ b/target/target.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	clients := target.NewClients()
+//	clients := target.NewClients(nil)
 //	defer clients.Close()
 //	s, err := clients.Get(addr).Stream(attempt) // *Failure
 //	defer s.Close()
@@ -99,12 +99,17 @@
 
 // Clients holds a client for each target address.
 type Clients struct {
+	dial httpc.Dial
+
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*Client
 }
 
-// NewClients returns an empty set.
-func NewClients() *Clients { return &Clients{clients: make(map[netip.AddrPort]*Client)} }
+// NewClients returns an empty set. Dial is passed to package httpc; nil is
+// plain TCP.
+func NewClients(dial httpc.Dial) *Clients {
+	return &Clients{dial: dial, clients: make(map[netip.AddrPort]*Client)}
+}
 
 // Get returns the client of an address.
 func (cs *Clients) Get(addr netip.AddrPort) *Client {
@@ -112,7 +117,7 @@
 	defer cs.mu.Unlock()
 	c := cs.clients[addr]
 	if c == nil {
-		c = &Client{peer: addr.String(), http: httpc.New(addr, httpc.Limits{Conns: maxConns, Stream: true, Idle: idle})}
+		c = &Client{peer: addr.String(), http: httpc.New(addr, httpc.Limits{Conns: maxConns, Stream: true, Idle: idle, Dial: cs.dial})}
 		cs.clients[addr] = c
 	}
 	return c
