Compute windows from announced demand and place slots by quota

Cause of the gap and of the idle slots under computed windows, found with the course of service over time (now in the JSON report): (1) a router counted its own demand at once but that of others only after an exchange, so after an idle time every router took all 72 slots and several hundred requests waited inside the engines for seconds; (2) all routers chose the target that seemed emptiest by counters of the same age, so they met there.

Change: a router computes its part from what it announced itself; of spare slots it takes an equal part at once; slots are placed on targets by the same computation everywhere (share.Place); heartbeats go out early, within the byte budget, while requests wait for a larger window.

--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -55,7 +55,10 @@
 	incarnation uint64
 	started     time.Time
 	sequence    uint64
-	nextBeat    time.Time
+	lastBeat    time.Time
+	// credit is what heartbeats may cost now, in bytes.
+	credit   float64
+	credited time.Time
 	// inFlight is each router's requests at targets.
 	inFlight map[string]dispatch.InFlight
 	// spent is the time spent by this loop.
@@ -211,12 +214,9 @@
 func (l *loop) tick(ctx context.Context) {
 	now := l.daemon.clock.Now()
 	l.expire(now)
-	l.daemon.dispatcher.Balance(l.book.Demands(), l.others())
+	l.daemon.dispatcher.Balance(l.view())
 	l.takeLevels(ctx)
-	if !now.Before(l.nextBeat) {
-		l.learnConfigured()
-		l.nextBeat = now.Add(jittered(l.beat()))
-	}
+	l.beatIfDue(now)
 	l.publish(now)
 }
 
@@ -233,6 +233,19 @@
 	}
 }
 
+func (l *loop) view() dispatch.View {
+	v := dispatch.View{
+		Demands: l.book.Demands(l.daemon.settings.Host), InFlight: l.others(), DataCentres: make(map[string]string), Routers: 1,
+	}
+	for _, h := range l.members.Hosts() {
+		v.DataCentres[h.Name] = h.DataCentre
+		if h.Reachable {
+			v.Routers++
+		}
+	}
+	return v
+}
+
 // others returns the requests of the other routers at each target.
 func (l *loop) others() dispatch.InFlight {
 	sum := make(dispatch.InFlight)
@@ -244,9 +257,32 @@
 	return sum
 }
 
-// beat sends a heartbeat to every router and returns the time to the next,
-// which keeps the bytes a second within the budget.
-func (l *loop) beat() time.Duration {
+// beatIfDue sends a heartbeat when one is due, or early when requests wait
+// for a larger window, as far as the control budget allows.
+func (l *loop) beatIfDue(now time.Time) {
+	budget := float64(l.daemon.settings.ControlBytesPerSecond) * budgetUsed
+	since := now.Sub(l.lastBeat)
+	l.credit = min(l.credit+budget*now.Sub(l.credited).Seconds(), budget)
+	l.credited = now
+	due := since >= l.daemon.settings.HeartbeatInterval || since >= shortestBeat && l.daemon.dispatcher.Pressed()
+	if !due || l.credit <= 0 {
+		return
+	}
+	l.lastBeat = now
+	l.learnConfigured()
+	l.credit -= float64(l.beat())
+}
+
+const (
+	// budgetUsed is the part of the control budget that heartbeats may use; the
+	// rest is for calls between routers.
+	budgetUsed = 0.9
+	// shortestBeat is the shortest time between heartbeats.
+	shortestBeat = 100 * time.Millisecond
+)
+
+// beat sends a heartbeat to every router and returns its cost in bytes.
+func (l *loop) beat() int {
 	hb := l.heartbeat()
 	sent := 0
 	for _, to := range l.destinations() {
@@ -259,15 +295,9 @@
 		l.daemon.metrics.Inc(metric.HeartbeatsSent)
 	}
 	l.daemon.metrics.Add(metric.ControlBytesSent, sent)
-	budget := float64(l.daemon.settings.ControlBytesPerSecond) * budgetUsed
-	pace := time.Duration(float64(sent) / budget * float64(time.Second))
-	return max(l.daemon.settings.HeartbeatInterval, pace)
+	return sent
 }
 
-// budgetUsed is the part of the control budget that heartbeats may use; the
-// rest is for calls between routers.
-const budgetUsed = 0.9
-
 // destinations returns the addresses of all known routers and, while there are
 // none, the seeds.
 func (l *loop) destinations() []netip.AddrPort {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 //		ticket.Abandon()
 //	}
 //	d.Observe(observations)                // service of other routers
-//	d.Balance(demands, inFlight)           // demand of other routers
+//	d.Balance(view)                        // demand of other routers
 //
 // # Limits
 //
@@ -57,24 +57,14 @@
 	// Overcommit is the number of requests above its slots that this router
 	// may place at a target whose other slots other routers seem to use.
 	Overcommit int
-	// Window returns the number of requests that the router may have at the
-	// targets of a pool; self is its index in the input, -1 if it wants none.
-	// The default is ComputedWindow. Experiments replace it.
-	Window func(in share.Input, self int) int
+	// Split returns the slots of each router and the spare ones. The default is
+	// share.Allocate. Experiments replace it.
+	Split func(in share.Input) (slots []int, spare int)
 	// Isolated makes the dispatcher ignore all other routers, which is the
 	// baseline of experiments.
 	Isolated bool
 }
 
-// ComputedWindow is the router's part of the slots and all that nobody wants.
-func ComputedWindow(in share.Input, self int) int {
-	slots, spare := share.Allocate(in)
-	if self >= 0 {
-		spare += slots[self]
-	}
-	return max(spare, minWindow)
-}
-
 // Request is what the dispatcher needs to know of a caller's request.
 type Request struct {
 	// Pool is the number of a model or service.
@@ -121,8 +111,8 @@
 
 // New returns a dispatcher without pools.
 func New(o Options) *Dispatcher {
-	if o.Window == nil {
-		o.Window = ComputedWindow
+	if o.Split == nil {
+		o.Split = share.Allocate
 	}
 	return &Dispatcher{options: o, pools: make(map[uint32]*pool)}
 }
@@ -217,14 +207,27 @@
 // InFlight is the number of requests of other routers at each target.
 type InFlight map[uint32]int
 
-// Balance computes the router's windows anew from the demand of the other
+// View is what the routers told each other.
+type View struct {
+	// Demands are the queued and running requests by pool that the routers
+	// announced, this one included.
+	Demands map[uint32][]exchange.Demand
+	// Routers is the number of routers that are alive, this one included.
+	Routers int
+	// InFlight are their requests at each target.
+	InFlight InFlight
+	// DataCentres are those of the routers by name.
+	DataCentres map[string]string
+}
+
+// Balance computes the router's windows anew from what is known of the other
 // routers and grants what they allow.
-func (d *Dispatcher) Balance(demands map[uint32][]exchange.Demand, others InFlight) {
+func (d *Dispatcher) Balance(v View) {
 	if d.options.Isolated {
-		demands, others = nil, nil
+		v = View{}
 	}
 	for _, p := range d.all() {
-		p.balance(demands[p.number], others)
+		p.balance(&v)
 	}
 }
 
@@ -311,6 +314,11 @@
 	return all
 }
 
+// Pressed reports whether requests wait for a larger window.
+func (d *Dispatcher) Pressed() bool {
+	return slices.ContainsFunc(d.Status(), func(s Status) bool { return s.Queued > 0 && s.Running >= s.Window })
+}
+
 // Idle reports whether no request waits or runs.
 func (d *Dispatcher) Idle() bool {
 	return !slices.ContainsFunc(d.Status(), func(s Status) bool { return s.Queued > 0 || s.Running > 0 })
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -64,7 +64,7 @@
 		p.customer(fair.Customer(c.Number)).weight = c.Weight
 		p.queue.SetWeight(fair.Customer(c.Number), c.Weight)
 	}
-	p.window = max(p.window, p.slots())
+	p.window = max(p.window, minWindow)
 	p.pump()
 }
 
@@ -199,8 +199,9 @@
 	return float64(r.Hint)
 }
 
-// choose returns the usable target with the most room, those of this data
-// centre first. It returns nil when every target is full.
+// choose returns the target for the next request: one at which this router
+// has not used its quota, else the usable one with the most room. It returns
+// nil when every target is full.
 func (p *pool) choose(avoid uint32, now time.Time) *target {
 	var best *target
 	for _, t := range p.targets {
@@ -218,6 +219,9 @@
 	if ta, ba := t.config.Number == avoid, than.config.Number == avoid; ta != ba {
 		return ba
 	}
+	if tq, bq := t.quota-t.own, than.quota-than.own; (tq > 0 || bq > 0) && tq != bq {
+		return tq > bq
+	}
 	if tr, br := t.room() > 0, than.room() > 0; tr != br {
 		return tr
 	}
@@ -269,16 +273,16 @@
 	return old + smoothing*(sample-old)
 }
 
-// balance takes the demand of the other routers.
-func (p *pool) balance(demand []exchange.Demand, others InFlight) {
+// balance takes what is known of the other routers.
+func (p *pool) balance(v *View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.targets {
-		t.others = others[t.config.Number]
+		t.others = v.InFlight[t.config.Number]
 	}
-	p.setRemote(demand)
+	p.setRemote(v.Demands[p.number])
 	p.queue.BoundDebt()
-	p.window = p.computeWindow(demand)
+	p.setWindow(v)
 	p.pump()
 }
 
@@ -300,20 +304,37 @@
 	p.remote = waiting
 }
 
-// computeWindow returns this router's part of the slots and the spare ones.
-func (p *pool) computeWindow(demand []exchange.Demand) int {
+// setWindow computes this router's part of the slots and its quota at each
+// target. All demand, its own too, is what the routers announced, so that all
+// compute from the same. Of the spare slots it may use an equal part at once;
+// more once the others have heard of its demand.
+func (p *pool) setWindow(v *View) {
 	b := newSplit(p)
-	for _, d := range demand {
+	for _, d := range v.Demands[p.number] {
 		b.add(d.Host, d.Customer, int(d.Queued), int(d.Running))
 	}
-	for c, cu := range p.customers {
-		b.add(p.options.Host, c, p.queue.WaitingOf(c), cu.running)
+	slots, spare := p.options.Split(b.input())
+	routers := max(v.Routers, 1)
+	p.window = max((spare+routers-1)/routers, minWindow)
+	p.setQuotas(nil)
+	self, wants := b.routers[p.options.Host]
+	if wants && len(slots) > 0 {
+		p.window = max((spare+routers-1)/routers+slots[self], minWindow)
+		p.setQuotas(b.place(v.DataCentres, slots, self))
 	}
-	in := b.input()
-	if i, wants := b.routers[p.options.Host]; wants {
-		return p.options.Window(in, i)
+}
+
+// setQuotas sets the quota of each usable target, in order; nil is none.
+func (p *pool) setQuotas(quotas []int) {
+	now := p.options.Clock.Now()
+	i := 0
+	for _, t := range p.targets {
+		t.quota = 0
+		if t.usable(now) && i < len(quotas) {
+			t.quota = quotas[i]
+			i++
+		}
 	}
-	return p.options.Window(in, -1)
 }
 
 // slots returns the slots of usable targets.
--- a/dispatch/split.go
+++ b/dispatch/split.go
@@ -66,3 +66,20 @@
 	}
 	return in
 }
+
+// place returns this router's quota at each usable target.
+func (s *split) place(dataCentres map[string]string, slots []int, self int) []int {
+	now := s.pool.options.Clock.Now()
+	var targets []share.Target
+	for _, t := range s.pool.targets {
+		if t.usable(now) {
+			targets = append(targets, share.Target{Slots: int(t.config.Slots), DataCentre: t.config.DataCentre})
+		}
+	}
+	centres := make([]string, len(s.routers))
+	for host, i := range s.routers {
+		centres[i] = dataCentres[host]
+	}
+	centres[self] = s.pool.options.DataCentre
+	return share.Place(targets, centres, slots, self)
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -22,6 +22,8 @@
 	// own and others are the requests of this and of all other routers there.
 	own    int
 	others int
+	// quota is the number of its slots that are this router's part.
+	quota int
 
 	failures  int
 	pause     time.Duration
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -223,18 +223,24 @@
 // Forget removes all that is known of a host.
 func (b *Book) Forget(host string) { delete(b.remotes, host) }
 
-// Demands returns what the other routers want of each pool, ordered by host
-// and customer so that every router computes alike.
-func (b *Book) Demands() map[uint32][]Demand {
+// Demands returns what the routers announced that they want of each pool, this
+// one under the name self, ordered by host and customer so that every router
+// computes alike.
+func (b *Book) Demands(self string) map[uint32][]Demand {
 	demands := make(map[uint32][]Demand)
+	add := func(host string, k Key, c Counters) {
+		if c.Queued > 0 || c.Running > 0 {
+			demands[k.Pool] = append(demands[k.Pool], Demand{Host: host, Customer: k.Customer, Queued: c.Queued, Running: c.Running})
+		}
+	}
 	for host, r := range b.remotes {
 		for k, c := range r.entries {
-			if c.Queued == 0 && c.Running == 0 {
-				continue
-			}
-			demands[k.Pool] = append(demands[k.Pool], Demand{Host: host, Customer: k.Customer, Queued: c.Queued, Running: c.Running})
+			add(host, k, c)
 		}
 	}
+	for k, e := range b.local {
+		add(self, k, e.counters)
+	}
 	for _, ds := range demands {
 		slices.SortFunc(ds, func(x, y Demand) int {
 			return cmp.Or(cmp.Compare(x.Host, y.Host), cmp.Compare(x.Customer, y.Customer))
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -32,7 +32,7 @@
 	assert.Equal(t, total(b.Absorb("a", first)), uint64(0))
 	a.SetLocal(k, Counters{Served: 25, Running: 1})
 	assert.Equal(t, total(b.Absorb("a", a.Report())), uint64(15))
-	assert.DeepEqual(t, b.Demands()[1], []Demand{{Host: "a", Customer: 2, Running: 1}})
+	assert.DeepEqual(t, b.Demands("self")[1], []Demand{{Host: "a", Customer: 2, Running: 1}})
 }
 
 func TestLateRunIsObservedFromItsFirstReportOn(t *testing.T) {
@@ -52,9 +52,9 @@
 	report := a.Report()
 	b.Absorb("a", report)
 	b.Silence("a")
-	assert.Equal(t, len(b.Demands()), 0)
+	assert.Equal(t, len(b.Demands("self")), 0)
 	assert.Equal(t, total(b.Absorb("a", report)), uint64(0))
-	assert.Equal(t, len(b.Demands()), 1)
+	assert.Equal(t, len(b.Demands("self")), 1)
 }
 
 func TestMalformedReportIsIgnored(t *testing.T) {
--- a/load/report.go
+++ b/load/report.go
@@ -30,6 +30,16 @@
 	TokensPerSec float64          `json:"tokens_per_second"`
 	Control      ControlReport    `json:"control"`
 	Customers    []CustomerReport `json:"customers"`
+	// Series is the course of the service, for plots.
+	Series []SeriesPoint `json:"series"`
+}
+
+// SeriesPoint is the service per unit of weight of all customers at a time.
+type SeriesPoint struct {
+	AtMS    float64   `json:"at_ms"`
+	Service []float64 `json:"service_per_weight"`
+	// Backlogged tells which customers had work waiting.
+	Backlogged []bool `json:"backlogged"`
 }
 
 // ControlReport is the largest spending of a router on control a second.
@@ -54,6 +64,9 @@
 	LongestPause float64 `json:"longest_pause_ms"`
 }
 
+// seriesStep is the number of recorded points for each reported one.
+const seriesStep = 5
+
 func newLines(r io.Reader) *bufio.Scanner { return bufio.NewScanner(r) }
 
 func (r *recorder) report() *Report {
@@ -77,6 +90,10 @@
 		rep.BusyShare = r.busy.busy / r.busy.offered
 	}
 	rep.MostInside = r.busy.mostInside
+	for i := 0; i < len(r.series); i += seriesStep {
+		p := &r.series[i]
+		rep.Series = append(rep.Series, SeriesPoint{AtMS: milliseconds(p.at), Service: p.service, Backlogged: p.backlogged})
+	}
 	for _, c := range r.control {
 		rep.Control.SentBytes = max(rep.Control.SentBytes, c.sent)
 		rep.Control.ReceivedBytes = max(rep.Control.ReceivedBytes, c.received)
--- a/share/share.go
+++ b/share/share.go
@@ -138,3 +138,66 @@
 	}
 	return whole
 }
+
+// Target is a target with its slots.
+type Target struct {
+	Slots      int
+	DataCentre string
+}
+
+// Place returns how many of its slots the router self takes at each target.
+// Data centres are those of the routers; want is the slots of each router, of
+// which the sum must not exceed the targets' slots. Routers take slots of
+// their own data centre first, one target after the other, so that every
+// router places alike and no slot is taken twice.
+func Place(targets []Target, dataCentres []string, want []int, self int) []int {
+	p := placement{free: make([]int, len(targets)), left: slices.Clone(want), own: make([]int, len(targets)), self: self}
+	for i := range targets {
+		p.free[i] = targets[i].Slots
+	}
+	byCentre := make(map[string][]int)
+	var all []int
+	for i := range targets {
+		byCentre[targets[i].DataCentre] = append(byCentre[targets[i].DataCentre], i)
+		all = append(all, i)
+	}
+	cursors := make(map[string]*int)
+	for r, dc := range dataCentres {
+		if cursors[dc] == nil {
+			cursors[dc] = new(int)
+		}
+		p.take(r, byCentre[dc], cursors[dc])
+	}
+	rest := 0
+	for r := range dataCentres {
+		p.take(r, all, &rest)
+	}
+	return p.own
+}
+
+// placement is the state of Place.
+type placement struct {
+	free []int
+	left []int
+	own  []int
+	self int
+}
+
+// take gives router r slots of the candidates in turn, going on at cursor.
+func (p *placement) take(r int, candidates []int, cursor *int) {
+	full := 0
+	for p.left[r] > 0 && full < len(candidates) {
+		t := candidates[*cursor%len(candidates)]
+		*cursor++
+		if p.free[t] == 0 {
+			full++
+			continue
+		}
+		full = 0
+		p.free[t]--
+		p.left[r]--
+		if r == p.self {
+			p.own[t]++
+		}
+	}
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -94,3 +94,62 @@
 		})
 	}
 }
+
+func TestPlace(t *testing.T) {
+	targets := []Target{{2, "x"}, {2, "x"}, {2, "y"}}
+	centres := []string{"x", "x", "y"}
+	tests := []struct {
+		name string
+		want []int
+		out  [][]int
+	}{
+		{"own data centre first", []int{2, 2, 2}, [][]int{{1, 1, 0}, {1, 1, 0}, {0, 0, 2}}},
+		{"rest elsewhere", []int{0, 0, 5}, [][]int{{0, 0, 0}, {0, 0, 0}, {2, 1, 2}}},
+		{"nothing", []int{0, 0, 0}, [][]int{{0, 0, 0}, {0, 0, 0}, {0, 0, 0}}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			for self, want := range tc.out {
+				assert.DeepEqual(t, Place(targets, centres, tc.want, self), want)
+			}
+		})
+	}
+}
+
+// TestPlaceTakesNoSlotTwice checks on random wishes that the routers together
+// take no more than each target's slots and get all they want.
+func TestPlaceTakesNoSlotTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var targets []Target
+		total := 0
+		for range rapid.IntRange(1, 8).Draw(t, "targets") {
+			n := rapid.IntRange(1, 9).Draw(t, "slots")
+			targets = append(targets, Target{Slots: n, DataCentre: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "centre")})
+			total += n
+		}
+		var centres []string
+		var want []int
+		for range rapid.IntRange(1, 6).Draw(t, "routers") {
+			n := rapid.IntRange(0, total).Draw(t, "want")
+			total -= n
+			want = append(want, n)
+			centres = append(centres, rapid.SampledFrom([]string{"x", "y", "w"}).Draw(t, "centre"))
+		}
+		taken := make([]int, len(targets))
+		for self := range want {
+			sum := 0
+			for i, n := range Place(targets, centres, want, self) {
+				taken[i] += n
+				sum += n
+			}
+			if sum != want[self] {
+				t.Fatalf("router %d got %d of %d", self, sum, want[self])
+			}
+		}
+		for i, n := range taken {
+			if n > targets[i].Slots {
+				t.Fatalf("target %d has %d slots, %d are taken", i, targets[i].Slots, n)
+			}
+		}
+	})
+}
--- a/standin/testrouter/testrouter.go
+++ b/standin/testrouter/testrouter.go
@@ -48,19 +48,18 @@
 	// knowledge of others.
 	"independent": func(o *dispatch.Options, routers int) {
 		o.Isolated = true
-		o.Window = staticWindow(routers)
+		o.Split = static(routers)
 	},
 	// counters: the same with the service of other routers counted.
-	"counters": func(o *dispatch.Options, routers int) { o.Window = staticWindow(routers) },
+	"counters": func(o *dispatch.Options, routers int) { o.Split = static(routers) },
 	// optimistic: counters are exchanged and every router fills what seems
 	// free; the engines' priorities order what meets there.
-	"optimistic": func(o *dispatch.Options, _ int) {
-		o.Window = func(in share.Input, _ int) int { return in.Slots }
-	},
+	"optimistic": func(o *dispatch.Options, _ int) { o.Split = static(1) },
 }
 
-func staticWindow(routers int) func(share.Input, int) int {
-	return func(in share.Input, _ int) int { return max(in.Slots/routers, 1) }
+// static gives every router an equal part of the slots, wanted or not.
+func static(routers int) func(share.Input) ([]int, int) {
+	return func(in share.Input) ([]int, int) { return nil, max(in.Slots/routers, 1) }
 }
 
 // Main runs the command line and returns the exit code.
