Charge input by a learnt estimate; reserve less for hints

Cause: input tokens beyond a fixed eighth of the bytes were charged only at the end of a request, and a hint of 4096 tokens kept a customer from its second slot until its first request had ended.

Change: bytes per token are learnt from the engines' counts; a hint reserves at most 256.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -191,12 +191,17 @@
 	t.granted <- s
 }
 
+// maxHint bounds what a caller's hint reserves: callers ask for far more
+// tokens than they take, and a large reservation keeps a customer from its
+// second slot.
+const maxHint = 256
+
 // estimate is the cost that a request is expected to have.
 func (p *pool) estimate(cu *customer, r Request) float64 {
 	if cu.cost > 0 {
 		return cu.cost
 	}
-	return float64(r.Hint)
+	return float64(min(r.Hint, maxHint))
 }
 
 // choose returns the target for the next request: one at which this router
--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -16,10 +16,6 @@
 	"zinccove.example/zinccove/target"
 )
 
-// bytesPerToken estimates input tokens before the engine has counted them. It
-// is high, so that the estimate is rarely above the count.
-const bytesPerToken = 8
-
 // completion is a request for a model.
 type completion struct {
 	*flow
@@ -135,7 +131,7 @@
 		return c.failed(fail)
 	}
 	c.current = s
-	c.chargeInput(len(c.body.GetStringBytes("prompt")) / bytesPerToken)
+	c.chargeInput(c.server.input.tokens(c.model.Number, c.promptBytes()))
 	if !c.setStream(s, func() { client.Cancel(a.ID) }) {
 		s.Close()
 	}
@@ -159,6 +155,8 @@
 	c.current = nil
 }
 
+func (c *completion) promptBytes() int { return len(c.body.GetStringBytes("prompt")) }
+
 // chargeInput charges input tokens up to a total of n.
 func (c *completion) chargeInput(n int) {
 	if n > c.input {
@@ -177,6 +175,7 @@
 		return
 	}
 	c.chargeInput(ev.Usage.PromptTokens)
+	c.server.input.learn(c.model.Number, c.promptBytes(), ev.Usage.PromptTokens)
 	c.drop()
 	c.release(dispatch.Completed)
 	c.request.Answer()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -87,6 +87,7 @@
 	http     *fasthttp.Server
 	watcher  *hangup.Watcher
 	retries  *request.Budget
+	input    inputEstimate
 	group    errgroup.Group
 	stopping atomic.Bool
 	// accepted is the number of requests that are not answered yet.
