Claim calls that may not be repeated; prove the request path by a fault matrix

Cause: a call with the same Idempotency-Key through two routers ran twice (the matrix without claims fails in its first cell: "told answered: but it ran 2 times", every call).

Routers keep one request above their part at the targets while nothing is spare.

Not proved: three faults at once; frozen callers.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/claim"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/confsync"
 	"zinccove.example/zinccove/control"
@@ -82,6 +83,7 @@
 	syncer     *confsync.Syncer
 	dispatcher *dispatch.Dispatcher
 	clients    *target.Clients
+	claims     *claim.Store
 	transport  *peer.Transport
 	control    *control.Server
 	ingress    *ingress.Server
@@ -118,7 +120,8 @@
 		}),
 		dispatcher: dispatch.New(dispatchOptions(o)),
 	}
-	store := intent.New(intent.Options{Platform: d.platform, Clock: o.Clock})
+	d.claims = claim.New(claim.Options{Table: d.platform.Table(), Clock: o.Clock})
+	store := intent.New(intent.Options{Table: d.platform.Table(), Clock: o.Clock})
 	d.syncer = confsync.New(confsync.Options{Store: store, FetchPeer: d.fetchConfig, Adopt: d.adopt})
 	d.loop = newLoop(d)
 	return d, d.start(store)
@@ -163,7 +166,7 @@
 		return err
 	}
 	d.ingress, err = ingress.Listen(ingress.Options{
-		Address: s.ListenCaller, Clock: d.clock, Syncer: d.syncer, Dispatcher: d.dispatcher,
+		Address: s.ListenCaller, Clock: d.clock, Syncer: d.syncer, Dispatcher: d.dispatcher, Claims: d.claims,
 		Clients: d.clients, Metrics: d.metrics, NewID: uuid.NewString,
 		Limits: ingress.Limits{BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
 			Timeout: s.RequestTimeout, StopTimeout: s.StopTimeout},
@@ -189,6 +192,7 @@
 	err := d.ingress.Close()
 	d.stop()
 	err = errors.Join(err, d.group.Wait(), d.control.Close(), d.transport.Close(), d.metrics.Close())
+	d.claims.Close()
 	d.clients.Close()
 	d.platform.Close()
 	d.peers.CloseIdleConnections()
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -44,6 +44,11 @@
 // minWindow lets every router start one request without knowing of others.
 const minWindow = 1
 
+// lookAhead is the number of requests above its part that a router keeps at
+// the targets while there are no spare slots, so that a slot that becomes free
+// finds the next request inside the target.
+const lookAhead = 1
+
 func newPool(number uint32, o *Options) *pool {
 	return &pool{
 		number:    number,
@@ -325,6 +330,9 @@
 	self, wants := b.routers[p.options.Host]
 	if wants && len(slots) > 0 {
 		p.window = max((spare+routers-1)/routers+slots[self], minWindow)
+		if spare == 0 {
+			p.window += lookAhead
+		}
 		p.setQuotas(b.place(v.DataCentres, slots, self))
 	}
 }
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -32,7 +32,12 @@
 	}
 	s.accepted.Add(1) // for the flow
 	defer f.close()
-	if r := f.call(ctx, body, path); r != nil {
+	if key := ctx.Request.Header.Peek(headerKey); once && len(key) > 0 {
+		r = f.callOnce(ctx, body, path, string(key))
+	} else {
+		r = f.call(ctx, body, path)
+	}
+	if r != nil {
 		s.end(ctx, r)
 		return
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -16,6 +16,12 @@
 // shorter deadline. X-Request-Class: urgent puts a request first among those
 // of its own customer. Every answer carries X-Request-Id.
 //
+// A call that may not be repeated runs at most once in the whole fleet if it
+// carries an Idempotency-Key, whichever routers receive it and however often:
+// a second call with the key gets the answer of the first (X-Replayed: true),
+// or learns that its outcome is not known. Without a key this router sends it
+// at most once.
+//
 // An answer that is an error is {"error": {...}} with a code, a message, the
 // field that is wrong, and the outcome: not_run or unknown. Retry-After tells
 // when coming back may help.
@@ -36,6 +42,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/claim"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/confsync"
 	"zinccove.example/zinccove/dispatch"
@@ -52,6 +59,8 @@
 	headerRequestID = "X-Request-Id"
 	headerTimeout   = "X-Timeout-Ms"
 	headerClass     = "X-Request-Class"
+	headerKey       = "Idempotency-Key"
+	headerReplayed  = "X-Replayed"
 	classUrgent     = "urgent"
 )
 
@@ -74,6 +83,7 @@
 	Limits     Limits
 	Syncer     *confsync.Syncer
 	Dispatcher *dispatch.Dispatcher
+	Claims     *claim.Store
 	Clients    *target.Clients
 	Metrics    *metric.Metrics
 	// NewID returns an id that no other request of the fleet has.
--- /dev/null
+++ b/ingress/once.go
@@ -0,0 +1,114 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/claim"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/request"
+)
+
+const (
+	// maxKeyBytes bounds an Idempotency-Key.
+	maxKeyBytes = 256
+	// settleTimeout bounds recording how a claimed call ended.
+	settleTimeout = 5 * time.Second
+	// storeRetry is when to come back while the store is away.
+	storeRetry = 5 * time.Second
+)
+
+// callOnce claims the key of a call that may not be repeated, and sends the
+// call only if the claim is held.
+func (f *flow) callOnce(ctx *fasthttp.RequestCtx, body []byte, path, text string) *Refusal {
+	if len(text) > maxKeyBytes {
+		r := f.giveUp(badField(headerKey, "is too long"))
+		return r
+	}
+	m := f.server.options.Metrics
+	key := claim.Key{Customer: uint32(f.submit.Customer), Text: text}
+	held, earlier, err := f.claim(key)
+	switch {
+	case err != nil:
+		m.Inc(metric.ClaimsRefused)
+		r := refuse(CodeStoreDown, "the store that keeps this call from running twice is not available")
+		r.RetryAfter = storeRetry
+		return f.giveUp(r)
+	case earlier != nil:
+		m.Inc(metric.ClaimsDuplicate)
+		return f.replay(ctx, earlier)
+	}
+	m.Inc(metric.ClaimsHeld)
+	f.request.Claim()
+	r := f.call(ctx, body, path)
+	f.settle(ctx, held, r)
+	return r
+}
+
+func (f *flow) claim(key claim.Key) (*claim.Held, *claim.Record, error) {
+	c, cancel := context.WithDeadline(context.Background(), f.deadline)
+	defer cancel()
+	return f.server.options.Claims.Claim(c, key, f.request.ID())
+}
+
+// replay tells a duplicate what became of the first call with its key.
+func (f *flow) replay(ctx *fasthttp.RequestCtx, earlier *claim.Record) *Refusal {
+	if earlier.State != claim.Answered || earlier.BodyLost {
+		f.request.GiveUp(false)
+		r := refuse(CodeDuplicate, duplicateText(earlier))
+		if earlier.State == claim.Running {
+			r.RetryAfter = defaultRetry
+		}
+		r.Outcome, r.RequestID = request.Unknown, earlier.Request
+		return r
+	}
+	f.request.GiveUp(false)
+	ctx.SetStatusCode(earlier.Status)
+	ctx.SetContentType(earlier.ContentType)
+	ctx.Response.Header.Set(headerRequestID, earlier.Request)
+	ctx.Response.Header.Set(headerReplayed, "true")
+	ctx.SetBody(earlier.Body)
+	return nil
+}
+
+func duplicateText(earlier *claim.Record) string {
+	switch earlier.State {
+	case claim.Answered:
+		return "an earlier call with this key was answered; its answer was too large to keep"
+	case claim.Running:
+		return "an earlier call with this key is running, or its router was lost"
+	default:
+		return "an earlier call with this key may have run"
+	}
+}
+
+// settle records how the claimed call ended. A call that did not run gives its
+// key back before the caller is told, so that the caller can use it again at
+// once; other ends are recorded while the caller gets its answer.
+func (f *flow) settle(ctx *fasthttp.RequestCtx, held *claim.Held, r *Refusal) {
+	rec := claim.Record{State: claim.Answered, Status: ctx.Response.StatusCode(),
+		ContentType: string(ctx.Response.Header.ContentType()), Body: append([]byte(nil), ctx.Response.Body()...)}
+	if r != nil {
+		rec = claim.Record{State: claim.Unknown}
+	}
+	if r != nil && r.Outcome == request.NotRun {
+		f.server.settle(held, claim.Record{State: claim.NotRun})
+		return
+	}
+	f.server.accepted.Add(1)
+	f.server.group.Go(func() error {
+		defer f.server.accepted.Add(-1)
+		f.server.settle(held, rec)
+		return nil
+	})
+}
+
+func (s *Server) settle(held *claim.Held, rec claim.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := s.options.Claims.Settle(ctx, held, rec); err != nil {
+		s.options.Metrics.Inc(metric.PlatformErrors)
+	}
+}
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -31,6 +31,8 @@
 	CodeTargetRefused  Code = "target_refused"
 	CodeTargetFailed   Code = "target_failed"
 	CodeRejected       Code = "target_rejected"
+	CodeStoreDown      Code = "store_unavailable"
+	CodeDuplicate      Code = "duplicate"
 )
 
 var statuses = map[Code]int{
@@ -48,6 +50,8 @@
 	CodeTargetRefused:  fasthttp.StatusServiceUnavailable,
 	CodeTargetFailed:   fasthttp.StatusBadGateway,
 	CodeRejected:       fasthttp.StatusBadRequest,
+	CodeStoreDown:      fasthttp.StatusServiceUnavailable,
+	CodeDuplicate:      fasthttp.StatusConflict,
 }
 
 // statusCallerGone is in no answer, because nobody reads it.
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	s := intent.New(intent.Options{Platform: client, Clock: clock})
+//	s := intent.New(intent.Options{Table: client.Table(), Clock: clock})
 //	plan, err := s.Plan(ctx, "anna", changes)
 //	version, err := s.Confirm(ctx, "anna", plan.ID)
 //
@@ -126,19 +126,19 @@
 
 // Options configure a store. All are required.
 type Options struct {
-	Platform *platform.Client
-	Clock    clockwork.Clock
+	Table platform.Table
+	Clock clockwork.Clock
 }
 
 // Store reads and writes plans, versions and audit rows. It keeps no state and
 // is safe for concurrent use, by several routers at once.
 type Store struct {
-	platform *platform.Client
-	clock    clockwork.Clock
+	table platform.Table
+	clock clockwork.Clock
 }
 
 // New returns a store.
-func New(o Options) *Store { return &Store{platform: o.Platform, clock: o.Clock} }
+func New(o Options) *Store { return &Store{table: o.Table, clock: o.Clock} }
 
 // headRow is the head and the version of its row for checks.
 type headRow struct {
@@ -147,7 +147,7 @@
 }
 
 func (s *Store) head(ctx context.Context) (headRow, error) {
-	row, err := s.platform.Get(ctx, headKey)
+	row, err := s.table.Get(ctx, headKey)
 	if eris.Is(err, platform.ErrNotFound) {
 		return headRow{}, nil
 	}
@@ -167,7 +167,7 @@
 
 // Body returns the encoded configuration that a head names.
 func (s *Store) Body(ctx context.Context, h Head) ([]byte, error) {
-	return s.platform.Object(ctx, objectName(h.Digest))
+	return s.table.Object(ctx, objectName(h.Digest))
 }
 
 func (s *Store) config(ctx context.Context, h Head) (*config.Config, error) {
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	err = s.platform.Commit(ctx, platform.Txn{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{put}})
+	err = s.table.Commit(ctx, platform.Txn{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{put}})
 	if eris.Is(err, platform.ErrUnknownOutcome) {
 		_, _, err = s.plan(ctx, p.ID)
 	}
@@ -247,7 +247,7 @@
 }
 
 func (s *Store) plan(ctx context.Context, id string) (Plan, uint64, error) {
-	row, err := s.platform.Get(ctx, planPrefix+id)
+	row, err := s.table.Get(ctx, planPrefix+id)
 	if eris.Is(err, platform.ErrNotFound) {
 		return Plan{}, 0, ErrNoPlan
 	}
@@ -288,7 +288,7 @@
 		if err != nil {
 			return err
 		}
-		err = s.platform.Commit(ctx, platform.Txn{
+		err = s.table.Commit(ctx, platform.Txn{
 			Checks: []platform.Check{{Key: put.Key, Version: row}},
 			Puts:   []platform.Put{put},
 		})
@@ -347,7 +347,7 @@
 		return err
 	}
 	body, digest := next.Encode()
-	if err := s.platform.PutObject(ctx, objectName(digest), body); err != nil {
+	if err := s.table.PutObject(ctx, objectName(digest), body); err != nil {
 		return err
 	}
 	ds := config.Diff(cur, next)
@@ -386,14 +386,14 @@
 		}
 		t.Puts = append(t.Puts, put)
 	}
-	return s.platform.Commit(ctx, t)
+	return s.table.Commit(ctx, t)
 }
 
 // checkOverlap returns a *ConflictError if a version after the plan's base
 // changed an object that the plan changes.
 func (s *Store) checkOverlap(ctx context.Context, p Plan, head uint64) error {
 	for v := p.BaseVersion + 1; v <= head; v++ {
-		row, err := s.platform.Get(ctx, auditKey(v))
+		row, err := s.table.Get(ctx, auditKey(v))
 		if err != nil {
 			return err
 		}
@@ -412,7 +412,7 @@
 
 // Audits returns up to limit accepted changes, newest first.
 func (s *Store) Audits(ctx context.Context, limit int) ([]Audit, error) {
-	rows, err := s.platform.List(ctx, auditPrefix, limit, true)
+	rows, err := s.table.List(ctx, auditPrefix, limit, true)
 	if err != nil {
 		return nil, err
 	}
--- a/metric/names.go
+++ b/metric/names.go
@@ -23,6 +23,9 @@
 	Retries
 	AttemptsCrossed
 	StreamsResumed
+	ClaimsHeld
+	ClaimsRefused
+	ClaimsDuplicate
 	TokensDelivered
 	HeartbeatsSent
 	HeartbeatsReceived
@@ -49,6 +52,9 @@
 	Retries:              {"retries", "Attempts after a failed one."},
 	AttemptsCrossed:      {"attempts_crossed", "*alarm* Answers of other attempts that were thrown away."},
 	StreamsResumed:       {"streams_resumed", "Streams continued at another target."},
+	ClaimsHeld:           {"claims_held", "Calls that may not be repeated whose key was claimed here."},
+	ClaimsRefused:        {"claims_refused", "Calls refused because their key could not be claimed; they did not run."},
+	ClaimsDuplicate:      {"claims_duplicate", "Calls whose key an earlier call had claimed."},
 	TokensDelivered:      {"tokens_delivered", "Output tokens handed over to callers."},
 	HeartbeatsSent:       {"heartbeats_sent", "Heartbeats sent to other routers."},
 	HeartbeatsReceived:   {"heartbeats_received", "Authentic heartbeats received."},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -109,6 +109,10 @@
 	*Process
 	Address    netip.AddrPort
 	DataCentre string
+
+	fleet *Fleet
+	kind  string
+	args  []string
 }
 
 // StartEngine starts an engine; args are its flags.
@@ -123,11 +127,19 @@
 
 func (f *Fleet) startTarget(name, kind, dataCentre string, args []string) (*Target, error) {
 	p, addr, err := f.startStandin(name, kind, args...)
-	t := &Target{Process: p, Address: addr, DataCentre: dataCentre}
+	t := &Target{Process: p, Address: addr, DataCentre: dataCentre, fleet: f, kind: kind, args: args}
 	f.targets = append(f.targets, t)
 	return t, err
 }
 
+// Restart starts the target again, after it ended, at its address.
+func (t *Target) Restart() error {
+	args := append([]string{"--listen", t.Address.String()}, t.args...)
+	p, _, err := t.fleet.startStandin(t.Name, t.kind, args...)
+	t.Process = p
+	return err
+}
+
 // SetFaults replaces the faults of a stand-in.
 func SetFaults(addr netip.AddrPort, faults ...fault.Fault) error {
 	body, err := json.Marshal(faults)
--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -49,6 +49,8 @@
 	service = "archive"
 	slots   = 4
 	wait    = 15 * time.Second
+	// callTime lets faults of processes meet calls under way.
+	callTime = "150ms"
 )
 
 // site is a fleet with targets and customers.
@@ -61,9 +63,15 @@
 // newSite starts routers, each in a data centre of its own with an engine and
 // a service, and declares the customers a, b and c.
 func newSite(t *testing.T, routers int, engineArgs ...string) *site {
+	t.Helper()
+	return newSiteOf(t, fleet.ShippedRouter, routers, engineArgs...)
+}
+
+func newSiteOf(t *testing.T, program string, routers int, engineArgs ...string) *site {
 	t.Helper()
 	f, err := fleet.New(bin)
 	assert.NilError(t, err)
+	f.RouterProgram = program
 	t.Cleanup(func() {
 		f.Close()
 		for _, r := range f.Routers {
@@ -86,7 +94,7 @@
 		assert.NilError(t, err)
 		o.Engine(e, model, version, slots)
 		s.Engines = append(s.Engines, e)
-		sv, err := f.StartService(fmt.Sprintf("s%d", i+1), dc)
+		sv, err := f.StartService(fmt.Sprintf("s%d", i+1), dc, "--call-time", callTime)
 		assert.NilError(t, err)
 		o.Instance(sv, service, slots)
 		s.Services = append(s.Services, sv)
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -1,9 +1,9 @@
 // Package service is a stand-in for a plain HTTP service with a fixed number
 // of workers.
 //
-// POST calls have an effect, which is counted by request id; other calls have
-// none. GET /effects tells the counts, so that a proof can compare what ran
-// with what callers were told.
+// POST calls have an effect, which is counted by their body; other calls have
+// none. GET /effects tells the counts, so that a proof that gives each call a
+// body of its own can compare what ran with what callers were told.
 //
 // # Usage
 //
@@ -84,10 +84,9 @@
 	}
 	s.workers <- struct{}{}
 	time.Sleep(s.options.CallTime)
-	request := string(ctx.Request.Header.Peek("X-Request-Id"))
 	if ctx.IsPost() {
 		s.mu.Lock()
-		s.effects[request]++
+		s.effects[string(ctx.PostBody())]++
 		s.mu.Unlock()
 	}
 	<-s.workers
