--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -125,6 +125,11 @@
 	return f.startTarget(name, "service", dataCentre, args)
 }
 
+// StartPassthrough starts a bare pass-through to a target.
+func (f *Fleet) StartPassthrough(name string, to netip.AddrPort) (*Target, error) {
+	return f.startTarget(name, "passthrough", "", []string{"--to", to.String()})
+}
+
 func (f *Fleet) startTarget(name, kind, dataCentre string, args []string) (*Target, error) {
 	p, addr, err := f.startStandin(name, kind, args...)
 	t := &Target{Process: p, Address: addr, DataCentre: dataCentre, fleet: f, kind: kind, args: args}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -146,3 +146,6 @@
 		p.Kill()
 	}
 }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/engine"
+	"zinccove.example/standin/passthrough"
 	"zinccove.example/standin/service"
 	"zinccove.example/standin/store"
 )
@@ -54,6 +55,16 @@
 	CallTime time.Duration `long:"call-time" default:"20ms" description:"time of one call"`
 }
 
+type passthroughCommand struct {
+	listenOptions
+	To string `long:"to" required:"yes" description:"address of the target"`
+}
+
+// Execute runs the pass-through until a signal.
+func (c *passthroughCommand) Execute([]string) error {
+	return c.serve(passthrough.New(c.To).Handle)
+}
+
 // Execute runs the stand-in until a signal.
 func (c *platformCommand) Execute([]string) error {
 	s := store.New(store.Options{HostLag: c.HostLag, WeightRate: c.WeightRate})
@@ -101,6 +112,7 @@
 	}{
 		{"platform", "Run the platform stand-in", &platformCommand{listenOptions: l}},
 		{"engine", "Run a model engine stand-in", &engineCommand{listenOptions: l}},
+		{"passthrough", "Run a bare pass-through to one target", &passthroughCommand{listenOptions: l}},
 		{"service", "Run a plain service stand-in", &serviceCommand{listenOptions: l}},
 	}
 	for _, c := range commands {
