--- a/standin/fleet/cut.go
+++ b/standin/fleet/cut.go
@@ -47,6 +47,9 @@
 	return addrs
 }
 
+// CutFrom cuts a test router off from the given addresses only.
+func (r *Router) CutFrom(addrs ...netip.AddrPort) error { return r.cut(addrs) }
+
 func (r *Router) cut(addrs []netip.AddrPort) error {
 	body, err := json.Marshal(addrs)
 	if err != nil {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -198,6 +198,7 @@
 	Peer       netip.AddrPort
 	// faults is where a test router's network is cut.
 	faults netip.AddrPort
+	seeds  []netip.AddrPort
 	fleet  *Fleet
 }
 
@@ -213,8 +214,12 @@
 	return r, f.ListHost(platform.Host{Name: name, DataCentre: dataCentre, Peer: r.Peer, State: platform.HostLive})
 }
 
-// Restart starts the router again, after it ended, at its addresses.
-func (r *Router) Restart() error { return r.start(r.Name) }
+// Restart starts the router again, after it ended, at its addresses, with the
+// given seeds.
+func (r *Router) Restart(seeds ...netip.AddrPort) error {
+	r.seeds = seeds
+	return r.start(r.Name)
+}
 
 func (r *Router) start(name string) error {
 	file := filepath.Join(r.fleet.dir, name+".ini")
@@ -262,7 +267,7 @@
 	sections := []struct{ name, keys string }{
 		{"host", "name = " + name + "\ndata-centre = " + r.DataCentre},
 		{"listen", fmt.Sprintf("caller = %s\ncontrol = %s\npeer = %s", r.Caller, r.Control, r.Peer)},
-		{"fleet", "key = " + fleetKey},
+		{"fleet", "key = " + fleetKey + "\nseeds = " + join(r.seeds)},
 		{"platform", "address = " + r.fleet.PlatformAddress.String()},
 		{"limits", "stop-delay = 200ms"},
 		{"log", ""},
@@ -275,6 +280,14 @@
 	return b.String()
 }
 
+func join(addrs []netip.AddrPort) string {
+	texts := make([]string, len(addrs))
+	for i, a := range addrs {
+		texts[i] = a.String()
+	}
+	return strings.Join(texts, ", ")
+}
+
 // Running returns the routers that have not ended.
 func (f *Fleet) Running() []*Router {
 	return slices.DeleteFunc(slices.Clone(f.Routers), func(r *Router) bool { return r.Ended() })
