Give orders to engines under a lease with fencing numbers

Change: package lease (a row of the table, no clock compared between hosts, a new number for each holder) and package order (orders set a state and are repeated until it is what is wanted; the lease is checked right before each). Requests name the version they are for, and an engine that has another one loaded refuses them, so a roll loses none. Three routers of a data centre at most ask for the lease, once a second, and only where targets take orders.

Not proved: the exposed window of targets that do not check is stated (one period plus the time to load) and met in the unit test, not measured with processes.

--- a/cli/apply.go
+++ b/cli/apply.go
@@ -64,7 +64,8 @@
 		addr, err := parseAddress("address", s.text("address"))
 		s.fail(err)
 		return config.Put(config.Target{Name: s.name, Serves: s.text("serves"), ModelVersion: s.text("model-version"),
-			Address: addr, DataCentre: s.text("data-centre"), Slots: s.number("slots"), Leaving: s.bool("leaving")})
+			Address: addr, DataCentre: s.text("data-centre"), Slots: s.number("slots"),
+			TakesOrders: s.bool("takes-orders"), Leaving: s.bool("leaving")})
 	},
 	config.KindHost: func(s *section) config.Change {
 		addr, err := parseAddress("peer", s.text("peer"))
--- a/cli/put.go
+++ b/cli/put.go
@@ -99,6 +99,7 @@
 	Address      string `long:"address" required:"yes" description:"IP address and port"`
 	DataCentre   string `long:"data-centre" required:"yes" description:"data centre"`
 	Slots        uint32 `long:"slots" required:"yes" description:"requests run at once"`
+	TakesOrders  bool   `long:"takes-orders" description:"the target loads the version it is ordered to"`
 	Leaving      bool   `long:"leaving" description:"the target receives no new requests"`
 }
 
@@ -109,7 +110,7 @@
 		return err
 	}
 	return c.plan(config.Put(config.Target{Name: c.name(), Serves: c.Serves, ModelVersion: c.ModelVersion,
-		Address: addr, DataCentre: c.DataCentre, Slots: c.Slots, Leaving: c.Leaving}))
+		Address: addr, DataCentre: c.DataCentre, Slots: c.Slots, TakesOrders: c.TakesOrders, Leaving: c.Leaving}))
 }
 
 func parseAddress(field, text string) (netip.AddrPort, error) {
--- a/config/config.go
+++ b/config/config.go
@@ -93,12 +93,15 @@
 	Number uint32 `json:"number,omitempty"`
 	// Serves is the name of a model or of a service.
 	Serves string `json:"serves"`
-	// ModelVersion is the version a target of a model has loaded.
+	// ModelVersion is the version a target of a model has loaded or, if it takes
+	// orders, is to load.
 	ModelVersion string         `json:"model_version,omitempty"`
 	Address      netip.AddrPort `json:"address"`
 	DataCentre   string         `json:"data_centre"`
 	// Slots is the number of requests the target runs at once, 1 to 4096.
 	Slots uint32 `json:"slots"`
+	// TakesOrders says that the target loads the version it is ordered to.
+	TakesOrders bool `json:"takes_orders,omitempty"`
 	// Leaving targets receive no new requests.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -45,6 +45,7 @@
 		{"call rule", Put(Service{Name: "x", Once: []CallRule{{Method: "POST", PathPrefix: "no"}}}), "once"},
 		{"serves", with(func(x *Target) { x.Serves = "none" }), "serves"},
 		{"target version", with(func(x *Target) { x.ModelVersion = "" }), "model_version"},
+		{"orders to a service", with(func(x *Target) { x.Serves, x.ModelVersion, x.TakesOrders = "s", "", true }), "takes_orders"},
 		{"address", with(func(x *Target) { x.Address = netip.AddrPort{} }), "address"},
 		{"data centre", with(func(x *Target) { x.DataCentre = "" }), "data_centre"},
 		{"slots", with(func(x *Target) { x.Slots = 0 }), "slots"},
--- a/config/validate.go
+++ b/config/validate.go
@@ -144,6 +144,8 @@
 		return &InvalidError{Object: o, Field: "model_version", Reason: "must be set for a target of a model"}
 	case isService && t.ModelVersion != "":
 		return &InvalidError{Object: o, Field: "model_version", Reason: "must be empty for a target of a service"}
+	case isService && t.TakesOrders:
+		return &InvalidError{Object: o, Field: "takes_orders", Reason: "must not be set for a target of a service"}
 	case !t.Address.IsValid() || t.Address.Port() == 0:
 		return &InvalidError{Object: o, Field: "address", Reason: "must be an IP address and a port"}
 	case t.DataCentre == "":
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,6 +89,7 @@
 	ingress    *ingress.Server
 	loop       *loop
 	peers      *http.Client
+	dial       httpc.Dial
 	reachable  func(netip.AddrPort) bool
 
 	group    errgroup.Group
@@ -110,6 +111,7 @@
 		clock:     o.Clock,
 		log:       o.Log,
 		reachable: o.Reachable,
+		dial:      o.Dial,
 		metrics:   metrics,
 		clients:   target.NewClients(o.Dial),
 		peers:     &http.Client{Timeout: peerTimeout, Transport: peerTransport(o.Dial)},
@@ -178,6 +180,7 @@
 	d.stop = cancel
 	d.group.Go(func() error { return d.loop.run(ctx) })
 	d.group.Go(func() error { return d.poll(ctx) })
+	d.group.Go(func() error { return d.giveOrders(ctx) })
 	d.log.Info().Stringer("caller", d.ingress.Address()).Stringer("control", d.control.Address()).
 		Stringer("peer", d.transport.Address()).Msg("started")
 	return nil
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -133,10 +133,11 @@
 		f.server.options.Metrics.Inc(metric.Retries)
 	}
 	return target.Attempt{
-		Request:  f.request.ID(),
-		ID:       f.request.Dispatch(),
-		Priority: int64(f.slot.Level),
-		Deadline: f.deadline,
+		Request:      f.request.ID(),
+		ID:           f.request.Dispatch(),
+		Priority:     int64(f.slot.Level),
+		ModelVersion: f.slot.Target().ModelVersion,
+		Deadline:     f.deadline,
 	}
 }
 
--- a/metric/names.go
+++ b/metric/names.go
@@ -26,6 +26,9 @@
 	ClaimsHeld
 	ClaimsRefused
 	ClaimsDuplicate
+	OrdersGiven
+	OrdersFenced
+	OrdersFailed
 	TokensDelivered
 	HeartbeatsSent
 	HeartbeatsReceived
@@ -55,6 +58,9 @@
 	ClaimsHeld:           {"claims_held", "Calls that may not be repeated whose key was claimed here."},
 	ClaimsRefused:        {"claims_refused", "Calls refused because their key could not be claimed; they did not run."},
 	ClaimsDuplicate:      {"claims_duplicate", "Calls whose key an earlier call had claimed."},
+	OrdersGiven:          {"orders_given", "Orders given to targets."},
+	OrdersFenced:         {"orders_fenced", "Orders that a target refused because a later holder of the lease had given some."},
+	OrdersFailed:         {"orders_failed", "*alarm* Targets that take orders and could not be asked or ordered."},
 	TokensDelivered:      {"tokens_delivered", "Output tokens handed over to callers."},
 	HeartbeatsSent:       {"heartbeats_sent", "Heartbeats sent to other routers."},
 	HeartbeatsReceived:   {"heartbeats_received", "Authentic heartbeats received."},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -32,6 +32,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/fault"
+	"zinccove.example/zinccove/target"
 )
 
 // Options configure an engine.
@@ -42,6 +43,13 @@
 	TokenTime time.Duration
 	// InputPerStep is the number of input tokens computed in one step.
 	InputPerStep int
+	// Version is the model version loaded at the start; an engine without one
+	// serves every version and takes no orders.
+	Version string
+	// CheckFence makes the engine refuse orders with an old fencing number.
+	CheckFence bool
+	// LoadTime is the time to load a version, in which nothing is accepted.
+	LoadTime time.Duration
 	// LoadLag is how old the reported load is at most.
 	LoadLag time.Duration
 }
@@ -81,6 +89,7 @@
 	batch    batch
 	jobs     map[string]*job
 	runs     []Run
+	orders   orders
 	load     Load
 	reported time.Time
 }
@@ -96,7 +105,7 @@
 	o.Slots = cmp.Or(o.Slots, 8)
 	o.TokenTime = cmp.Or(o.TokenTime, 5*time.Millisecond)
 	o.InputPerStep = cmp.Or(o.InputPerStep, 256)
-	e := &Engine{options: o, stop: make(chan struct{}), jobs: make(map[string]*job), batch: batch{slots: o.Slots}}
+	e := &Engine{options: o, stop: make(chan struct{}), jobs: make(map[string]*job), batch: batch{slots: o.Slots}, orders: orders{version: o.Version}}
 	e.group.Go(e.run)
 	return e
 }
@@ -143,6 +152,12 @@
 		e.complete(ctx)
 	case "/v1/cancel":
 		e.cancelNamed(string(ctx.QueryArgs().Peek("attempt")))
+	case "/v1/state":
+		e.writeLocked(ctx, func() any { return e.orders.state(time.Now()) })
+	case "/v1/orders":
+		e.order(ctx)
+	case "/orders":
+		e.writeLocked(ctx, func() any { return e.orders.taken })
 	case "/load":
 		e.writeLoad(ctx)
 	case "/counts":
@@ -197,6 +212,10 @@
 	if fault.Before(ctx, f) {
 		return
 	}
+	if !e.serves(string(ctx.Request.Header.Peek(target.HeaderVersion))) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	j, err := e.newJob(ctx)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -40,6 +40,9 @@
 // policies in the order of reports.
 var policies = []string{"independent", "counters", "optimistic", "computed"}
 
+// configScenario measures changes of configuration instead of requests.
+const configScenario = "config"
+
 // Main runs the experiments and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var o options
@@ -65,8 +68,14 @@
 }
 
 func (o *options) run(out io.Writer) error {
-	names := choose(o.Scenario, slices.Sorted(maps.Keys(scenarios)))
+	names := choose(o.Scenario, append(slices.Sorted(maps.Keys(scenarios)), configScenario))
 	for _, name := range names {
+		if name == configScenario {
+			if err := o.measureInForce(out); err != nil {
+				return err
+			}
+			continue
+		}
 		sc, known := scenarios[name]
 		if !known {
 			return fmt.Errorf("unknown scenario %q", name)
--- a/standin/fleet/objects.go
+++ b/standin/fleet/objects.go
@@ -37,6 +37,12 @@
 		t.Name, model, version, t.Address, t.DataCentre, slots)
 }
 
+// OrderedEngine declares a target of a model that takes orders.
+func (o *Objects) OrderedEngine(t *Target, model, version string, slots int) {
+	o.Engine(t, model, version, slots)
+	o.b.WriteString("takes-orders = true\n")
+}
+
 // Instance declares a target of a service.
 func (o *Objects) Instance(t *Target, service string, slots int) {
 	fmt.Fprintf(&o.b, "[target.%s]\nserves = %s\naddress = %s\ndata-centre = %s\nslots = %d\n",
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -46,6 +46,9 @@
 	Slots        int           `long:"slots" default:"8" description:"requests run at once"`
 	TokenTime    time.Duration `long:"token-time" default:"5ms" description:"time of one output token"`
 	InputPerStep int           `long:"input-per-step" default:"256" description:"input tokens computed in the time of one output token"`
+	Version      string        `long:"version" description:"model version loaded at the start; the engine then takes orders"`
+	CheckFence   bool          `long:"check-fence" description:"refuse orders with an old fencing number"`
+	LoadTime     time.Duration `long:"load-time" default:"300ms" description:"time to load a version"`
 	LoadLag      time.Duration `long:"load-lag" default:"250ms" description:"lag of the load report"`
 }
 
@@ -73,7 +76,8 @@
 
 // Execute runs the stand-in until a signal.
 func (c *engineCommand) Execute([]string) error {
-	e := engine.New(engine.Options{Slots: c.Slots, TokenTime: c.TokenTime, InputPerStep: c.InputPerStep, LoadLag: c.LoadLag})
+	e := engine.New(engine.Options{Slots: c.Slots, TokenTime: c.TokenTime, InputPerStep: c.InputPerStep, LoadLag: c.LoadLag,
+		Version: c.Version, CheckFence: c.CheckFence, LoadTime: c.LoadTime})
 	return errors.Join(c.serve(e.Handle), e.Close())
 }
 
--- a/target/target.go
+++ b/target/target.go
@@ -19,8 +19,8 @@
 //
 // # Protocol of engines
 //
-// POST /v1/completions with the headers X-Request-Id, X-Attempt-Id and
-// X-Priority (lowest first) answers server-sent events. Each carries the
+// POST /v1/completions with the headers X-Request-Id, X-Attempt-Id, X-Priority
+// (lowest first) and X-Model-Version answers server-sent events. Each carries the
 // attempt's id and either the index and text of a token or the usage; the
 // stream is whole only with its end mark [DONE]. "resume_from" in the body is
 // the number of tokens already delivered. POST /v1/cancel?attempt=ID ends one.
@@ -44,6 +44,9 @@
 	HeaderRequest  = "X-Request-Id"
 	HeaderAttempt  = "X-Attempt-Id"
 	HeaderPriority = "X-Priority"
+	// HeaderVersion is the version of the model that the attempt is for. An
+	// engine that has another one loaded refuses the attempt.
+	HeaderVersion = "X-Model-Version"
 )
 
 // Kind is what is known of a failed attempt.
@@ -83,7 +86,9 @@
 	Request  string
 	ID       string
 	Priority int64
-	Deadline time.Time
+	// ModelVersion is the version of the model, empty for services.
+	ModelVersion string
+	Deadline     time.Time
 }
 
 // Bounds of a client.
@@ -154,6 +159,9 @@
 	req.URI().SetHost(c.peer)
 	req.Header.Set(HeaderRequest, a.Request)
 	req.Header.Set(HeaderAttempt, a.ID)
+	if a.ModelVersion != "" {
+		req.Header.Set(HeaderVersion, a.ModelVersion)
+	}
 }
 
 // send sends a prepared request and checks who the answer is for.
