Follow changes of configuration step by step; forgive debts beyond four requests

Cause 2, from the course of service in the cut scenario: after healing, a customer that was served well on one side got nothing for 5.9 s, because the debt bound (50,000 tokens) was far above what requests cost.

Change: routers follow at most eight versions by their changes from the audit rows, checked against the head's digest. Debts are bounded by four requests of the largest recent cost.

--- a/confsync/confsync.go
+++ b/confsync/confsync.go
@@ -75,11 +75,16 @@
 	if err != nil || head.Version <= s.Current().Version() {
 		return err
 	}
-	body, err := s.options.Store.Body(ctx, head)
+	var from *config.Config
+	if cur := s.Current(); cur != nil {
+		from = cur.Config
+	}
+	cfg, err := s.options.Store.Follow(ctx, from, head)
 	if err != nil {
 		return err
 	}
-	return s.adopt(body, head.Digest)
+	s.adopt(cfg)
+	return nil
 }
 
 // Learn adopts the configuration of a peer that announced the given version,
@@ -92,25 +97,27 @@
 	if err != nil {
 		return errs.Wrap(err, "fetch configuration", control.String())
 	}
-	return s.adopt(body, digest)
-}
-
-func (s *Syncer) adopt(body []byte, digest string) error {
 	cfg, err := config.Decode(body, digest)
 	if err != nil {
-		return errs.Wrap(err, "adopt configuration", "")
+		return errs.Wrap(err, "decode configuration", control.String())
 	}
+	s.adopt(cfg)
+	return nil
+}
+
+// adopt brings a configuration in force unless there is one as new already.
+func (s *Syncer) adopt(cfg *config.Config) {
 	s.adopting.Lock()
 	defer s.adopting.Unlock()
 	if cfg.Version <= s.Current().Version() {
-		return nil
+		return
 	}
-	s.current.Store(newSnapshot(cfg, body, digest))
+	s.current.Store(newSnapshot(cfg))
 	s.options.Adopt(cfg)
-	return nil
 }
 
-func newSnapshot(cfg *config.Config, body []byte, digest string) *Snapshot {
+func newSnapshot(cfg *config.Config) *Snapshot {
+	body, digest := cfg.Encode()
 	s := &Snapshot{Config: cfg, Body: body, Digest: digest, customers: make(map[string]*config.Customer)}
 	for i := range cfg.Customers {
 		for _, d := range cfg.Customers[i].KeyDigests {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -133,7 +133,7 @@
 	s := o.Settings
 	d := dispatch.Options{
 		Clock: o.Clock, Host: s.Host, DataCentre: s.DataCentre, Catchup: catchup, Overcommit: overcommit,
-		Queue: fair.Limits{PerCustomer: s.QueueLimit, Debt: float64(s.DebtLimit)},
+		Queue: fair.Limits{PerCustomer: s.QueueLimit}, DebtRequests: s.DebtRequests,
 	}
 	if o.Tune != nil {
 		o.Tune(&d)
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -19,8 +19,12 @@
 const (
 	// tickPeriod is the time between recomputations of the windows.
 	tickPeriod = 50 * time.Millisecond
-	// failureTimeout is the silence after which a router is not reachable.
+	// failureTimeout is the shortest silence after which a router is not
+	// reachable.
 	failureTimeout = 3 * time.Second
+	// missedBeats is the number of own periods of heartbeats that a silence must
+	// last; all routers of a fleet have about the same period.
+	missedBeats = 4
 	// forgetAfter is the silence after which a router is forgotten.
 	forgetAfter = time.Hour
 	// inbox holds what waits for the control loop.
@@ -56,6 +60,7 @@
 	started     time.Time
 	sequence    uint64
 	lastBeat    time.Time
+	nextBalance time.Time
 	// credit is what heartbeats may cost now, in bytes.
 	credit   float64
 	credited time.Time
@@ -214,12 +219,26 @@
 func (l *loop) tick(ctx context.Context) {
 	now := l.daemon.clock.Now()
 	l.expire(now)
-	l.daemon.dispatcher.Balance(l.view())
+	l.balance(now)
 	l.takeLevels(ctx)
 	l.beatIfDue(now)
 	l.publish(now)
 }
 
+// balance computes the windows anew. Large fleets take longer, so the next
+// time is put off until it costs no more than its share of a core.
+func (l *loop) balance(now time.Time) {
+	if now.Before(l.nextBalance) {
+		return
+	}
+	l.daemon.dispatcher.Balance(l.view())
+	took := l.daemon.clock.Since(now)
+	l.nextBalance = now.Add(time.Duration(float64(took) / balanceShare))
+}
+
+// balanceShare is the most of a core that computing windows may take.
+const balanceShare = 0.02
+
 func (l *loop) expire(now time.Time) {
 	for _, h := range l.members.Expire() {
 		l.book.Silence(h.Name)
@@ -268,6 +287,9 @@
 	if !due || l.credit <= 0 {
 		return
 	}
+	if !l.lastBeat.IsZero() {
+		l.members.SetTimeout(max(failureTimeout, missedBeats*since))
+	}
 	l.lastBeat = now
 	l.learnConfigured()
 	l.credit -= float64(l.beat())
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,9 @@
 	Host       string
 	DataCentre string
 	Queue      fair.Limits
+	// DebtRequests is the most that a waiting customer's level may exceed the
+	// lowest one, in requests of the largest recent cost.
+	DebtRequests int
 	// Catchup is the lag in cost per unit of weight that doubles a customer's
 	// part of the slots.
 	Catchup float64
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -23,6 +23,8 @@
 	// window is the number of requests this router may have at targets.
 	window  int
 	running int
+	// largest is the largest cost of a recent request.
+	largest float64
 	// hold is the mean time that a request keeps its slot.
 	hold time.Duration
 	// remote are the customers that other routers have requests waiting for.
@@ -268,6 +270,7 @@
 	p.queue.Reserve(s.request.Customer, -s.reserved)
 	if r == Completed {
 		cu.cost = mean(cu.cost, float64(s.cost))
+		p.largest = max(p.largest*largestKept, float64(s.cost))
 		p.hold = time.Duration(mean(float64(p.hold), float64(now.Sub(s.started))))
 	}
 	s.target.give(r, now)
@@ -291,11 +294,24 @@
 		t.others = v.InFlight[t.config.Number]
 	}
 	p.setRemote(v.Demands[p.number])
-	p.queue.BoundDebt()
+	p.queue.BoundDebt(p.debt())
 	p.setWindow(v)
 	p.pump()
 }
 
+const (
+	// largestKept is the part of the largest cost that is kept with each
+	// request that ends; it halves in about 700 requests.
+	largestKept = 0.999
+	// leastDebt is the bound until a request has ended.
+	leastDebt = 1000
+)
+
+// debt is the most that a waiting customer may be ahead.
+func (p *pool) debt() float64 {
+	return max(float64(p.options.DebtRequests)*p.largest, leastDebt)
+}
+
 func (p *pool) setRemote(demand []exchange.Demand) {
 	waiting := make(map[fair.Customer]bool)
 	for _, d := range demand {
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	q := fair.New[*Request](fair.Limits{PerCustomer: 256, Debt: 50_000})
+//	q := fair.New[*Request](fair.Limits{PerCustomer: 256})
 //	q.SetWeight(customer, 3)
 //	err := q.Push(customer, fair.Normal, req) // *FullError when over the bound
 //	grant, ok := q.Next()                     // lowest level first
@@ -25,9 +25,9 @@
 // backlogged customer, so idle time earns no credit. A customer counts as
 // backlogged while any router has a request of it waiting.
 //
-// The level of a backlogged customer is at most Debt above the lowest one.
-// Counters that jump when a partition heals would otherwise starve whoever was
-// served well on the other side.
+// BoundDebt keeps the levels of backlogged customers within a bound of the
+// lowest one. Counters that jump when a partition heals would otherwise starve
+// whoever was served well on the other side.
 //
 // # Limits
 //
@@ -55,9 +55,6 @@
 type Limits struct {
 	// PerCustomer is the number of requests of one customer that may wait.
 	PerCustomer int
-	// Debt is the most that the level of a backlogged customer may exceed the
-	// lowest one, in cost per unit of weight; 0 means no bound.
-	Debt float64
 }
 
 // FullError reports that a customer's queue is at its bound.
@@ -240,14 +237,15 @@
 	return a.key(localHeap), true
 }
 
-// BoundDebt lowers every backlogged customer to at most the debt limit above
-// the lowest one. Call it after merging the counters of other routers.
-func (q *Queue[T]) BoundDebt() {
+// BoundDebt lowers every backlogged customer to at most limit, in cost per unit
+// of weight, above the lowest one. Call it after merging the counters of other
+// routers.
+func (q *Queue[T]) BoundDebt(limit float64) {
 	least := q.fleet.min()
-	if least == nil || q.limits.Debt <= 0 {
+	if least == nil {
 		return
 	}
-	bound := least.level + q.limits.Debt
+	bound := least.level + limit
 	for _, a := range q.accounts {
 		if a.pos[fleetHeap] != absent && a.level > bound {
 			a.level = bound
--- a/fair/fair_test.go
+++ b/fair/fair_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-var testLimits = Limits{PerCustomer: 1 << 20, Debt: 0}
+var testLimits = Limits{PerCustomer: 1 << 20}
 
 func push(t testing.TB, q *Queue[int], c Customer, class Class, item int) {
 	t.Helper()
@@ -92,11 +92,11 @@
 }
 
 func TestBoundDebtLimitsAJump(t *testing.T) {
-	q := New[int](Limits{PerCustomer: 10, Debt: 100})
+	q := New[int](Limits{PerCustomer: 10})
 	push(t, q, 1, Normal, 1)
 	push(t, q, 2, Normal, 1)
 	q.Observe(2, 100_000)
-	q.BoundDebt()
+	q.BoundDebt(100)
 	assert.Equal(t, q.Level(2), 100.0)
 }
 
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -75,6 +75,8 @@
 	Differences []string  `json:"differences"`
 	// Objects are those that the version changed.
 	Objects []config.Object `json:"objects"`
+	// Changes make the version from the one before it.
+	Changes []config.Change `json:"changes"`
 	Digest  string          `json:"digest"`
 }
 
@@ -165,6 +167,44 @@
 	return h.Head, err
 }
 
+// maxSteps bounds the versions that Follow goes through; more are fetched
+// whole.
+const maxSteps = 8
+
+// Follow returns the configuration that a head names, made from an earlier one
+// by the changes between, which are far smaller than the whole. It returns the
+// whole when there are too many versions between, or none to start from.
+func (s *Store) Follow(ctx context.Context, from *config.Config, h Head) (*config.Config, error) {
+	if from == nil || h.Version > from.Version+maxSteps {
+		return s.config(ctx, h)
+	}
+	cfg := from
+	for v := from.Version + 1; v <= h.Version; v++ {
+		a, err := s.audit(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		if cfg, err = cfg.Apply(a.Changes); err != nil {
+			return nil, errs.Wrap(err, "follow changes", "")
+		}
+	}
+	if _, digest := cfg.Encode(); digest != h.Digest {
+		return s.config(ctx, h)
+	}
+	return cfg, nil
+}
+
+// audit reads the record of a version.
+func (s *Store) audit(ctx context.Context, version uint64) (Audit, error) {
+	var a Audit
+	row, err := s.table.Get(ctx, auditKey(version))
+	if err != nil {
+		return a, err
+	}
+	err = json.Unmarshal(row.Value, &a)
+	return a, errs.Wrap(err, "decode audit row", "")
+}
+
 // Body returns the encoded configuration that a head names.
 func (s *Store) Body(ctx context.Context, h Head) ([]byte, error) {
 	return s.table.Object(ctx, objectName(h.Digest))
@@ -357,7 +397,7 @@
 		plan:    p,
 		planRow: planRow,
 		audit: Audit{Version: next.Version, FromVersion: cur.Version, Operator: operator, Plan: p.ID,
-			At: s.clock.Now(), Differences: texts(ds), Objects: objects(ds), Digest: digest},
+			At: s.clock.Now(), Differences: texts(ds), Objects: objects(ds), Changes: p.Changes, Digest: digest},
 	})
 }
 
@@ -393,14 +433,10 @@
 // changed an object that the plan changes.
 func (s *Store) checkOverlap(ctx context.Context, p Plan, head uint64) error {
 	for v := p.BaseVersion + 1; v <= head; v++ {
-		row, err := s.table.Get(ctx, auditKey(v))
+		a, err := s.audit(ctx, v)
 		if err != nil {
 			return err
 		}
-		var a Audit
-		if err := json.Unmarshal(row.Value, &a); err != nil {
-			return errs.Wrap(err, "decode audit row", "")
-		}
 		for i := range p.Changes {
 			if o := p.Changes[i].Object(); slices.Contains(a.Objects, o) {
 				return &ConflictError{Object: o, Plan: a.Plan, Operator: a.Operator, Version: v}
--- a/member/member.go
+++ b/member/member.go
@@ -212,6 +212,10 @@
 	return gone
 }
 
+// SetTimeout changes the silence after which a host is not reachable. Heartbeats
+// come less often in large fleets.
+func (t *Table) SetTimeout(d time.Duration) { t.options.Timeout = d }
+
 // Hosts returns all known hosts by name. The entries stay owned by the table.
 func (t *Table) Hosts() []*Host {
 	hosts := make([]*Host, 0, len(t.hosts))
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -56,7 +55,7 @@
 	duration("limits", "stop-delay", 2*time.Second, 0, time.Minute, "Time that a planned stop gives the balancer to see that this router is not ready.", func(s *Settings) *time.Duration { return &s.StopDelay }),
 	duration("limits", "stop-timeout", 15*time.Minute, time.Second, 24*time.Hour, "Longest time that a planned stop waits for accepted requests.", func(s *Settings) *time.Duration { return &s.StopTimeout }),
 
-	number("fair", "debt", 50000, 100, math.MaxInt32, "Most service (tokens, or milliseconds for services) per unit of weight that a waiting customer can be ahead of the least served one.", func(s *Settings) *int { return &s.DebtLimit }),
+	number("fair", "debt-requests", 4, 2, 1000, "Most that a waiting customer can be ahead of the least served one, in requests of the largest recent cost. What it got beyond that, as in a partition, is forgiven.", func(s *Settings) *int { return &s.DebtRequests }),
 
 	level("log", "level", "Least level of log lines.", func(s *Settings) *zerolog.Level { return &s.LogLevel }),
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,7 +56,7 @@
 	StopDelay   time.Duration
 	StopTimeout time.Duration
 
-	DebtLimit int
+	DebtRequests int
 
 	LogLevel zerolog.Level
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -320,6 +321,28 @@
 	return nil
 }
 
+// Names of metrics that measurements read.
+const (
+	MetricSent       = "zinccove_control_bytes_sent"
+	MetricControlCPU = "zinccove_control_cpu_seconds"
+)
+
+// MetricValues returns the router's plain counters and gauges by name.
+func (r *Router) MetricValues() (map[string]float64, error) {
+	page, err := r.Metrics()
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string]float64)
+	for line := range strings.Lines(page) {
+		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseFloat(text, 64); err == nil {
+			values[name] = v
+		}
+	}
+	return values, nil
+}
+
 // Metrics returns the router's metrics page.
 func (r *Router) Metrics() (string, error) {
 	resp, err := http.Get("http://" + r.Control.String() + "/metrics")
--- a/standin/overhead/loop.go
+++ b/standin/overhead/loop.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/procfs"
 )
 
 // measurement is the result of a loop.
@@ -36,7 +37,7 @@
 func closedLoop(w way, connections int, duration time.Duration, rate float64) (*measurement, error) {
 	client := &fasthttp.HostClient{Addr: w.addr.String(), MaxConns: connections}
 	defer client.CloseIdleConnections()
-	before, err := cpuTime(w.pid)
+	before, err := procfs.CPUTime(w.pid)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +60,7 @@
 	}
 	m.elapsed = time.Since(started)
 	m.requests = m.latencies.TotalCount()
-	after, err := cpuTime(w.pid)
+	after, err := procfs.CPUTime(w.pid)
 	m.cpu = after - before
 	return m, err
 }
--- a/standin/overhead/streams.go
+++ b/standin/overhead/streams.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/procfs"
 )
 
 // concurrentStreams run at once in the measurement of streams; at 50 tokens a
@@ -22,7 +23,7 @@
 
 // streams measures the router's processor time for each token.
 func (o *options) streams(b *bench, out io.Writer) error {
-	before, err := cpuTime(b.router.PID())
+	before, err := procfs.CPUTime(b.router.PID())
 	if err != nil {
 		return err
 	}
@@ -32,7 +33,7 @@
 		return err
 	}
 	elapsed := time.Since(started)
-	after, err := cpuTime(b.router.PID())
+	after, err := procfs.CPUTime(b.router.PID())
 	if err != nil {
 		return err
 	}
@@ -44,7 +45,7 @@
 
 // idle measures the router's memory with many streams that deliver nothing.
 func (o *options) idle(b *bench, out io.Writer) error {
-	empty, err := memory(b.router.PID())
+	empty, err := procfs.Memory(b.router.PID())
 	if err != nil {
 		return err
 	}
@@ -56,7 +57,7 @@
 	most := 0
 	end := time.Now().Add(o.Duration + o.Duration)
 	for time.Now().Before(end) {
-		now, err := memory(b.router.PID())
+		now, err := procfs.Memory(b.router.PID())
 		if err != nil {
 			return fmt.Errorf("%w\n%s", err, b.router.Output())
 		}
--- a/standin/overhead/procfs.go
+++ b/standin/procfs/procfs.go
@@ -1,4 +1,10 @@
-package overhead
+// Package procfs reads what processes use from the kernel.
+//
+// # Usage
+//
+//	used, err := procfs.CPUTime(pid)
+//	bytes, err := procfs.Memory(pid)
+package procfs
 
 import (
 	"fmt"
@@ -11,8 +17,8 @@
 // ticksPerSecond is the kernel's unit of processor time in procfs.
 const ticksPerSecond = 100
 
-// cpuTime returns the processor time that a process has used.
-func cpuTime(pid int) (time.Duration, error) {
+// CPUTime returns the processor time that a process has used.
+func CPUTime(pid int) (time.Duration, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, err
@@ -31,8 +37,8 @@
 	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
 }
 
-// memory returns the resident memory of a process in bytes.
-func memory(pid int) (int, error) {
+// Memory returns the resident memory of a process in bytes.
+func Memory(pid int) (int, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
