Take targets out that the platform's list says are leaving

Cause: the list of hosts named routers only for the dispatcher; a target's host that the platform took away went on receiving work.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -232,7 +232,7 @@
 
 // hostListPeriod is the time between looks at the platform's list of hosts
 // once another router was heard; before that, each poll looks at it.
-const hostListPeriod = 5 * time.Second
+const hostListPeriod = 2 * time.Second
 
 // poll looks at the platform until ctx ends.
 func (d *Daemon) poll(ctx context.Context) error {
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -196,12 +196,19 @@
 	}
 }
 
+// learnHosts takes the platform's list, which names routers and may name the
+// hosts of targets by the targets' names.
 func (l *loop) learnHosts(hosts []platform.Host) {
+	leaving := make(map[string]bool)
 	for _, h := range hosts {
-		l.members.Learn(member.Address{
-			Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: h.State == platform.HostLeaving,
-		})
+		if h.State == platform.HostLeaving {
+			leaving[h.Name] = true
+		}
+		if h.Peer.IsValid() {
+			l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: leaving[h.Name]})
+		}
 	}
+	l.daemon.dispatcher.SetLeaving(leaving)
 }
 
 // learnConfigured takes the hosts of the configuration in force.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,6 +110,8 @@
 
 	mu    sync.RWMutex
 	pools map[uint32]*pool
+	// leaving are the names of targets that the platform says are leaving.
+	leaving map[string]bool
 }
 
 // New returns a dispatcher without pools.
@@ -139,6 +141,18 @@
 			d.pools[number] = p
 		}
 		p.configure(cfg, want)
+		p.setLeaving(d.leaving)
+	}
+}
+
+// SetLeaving tells which targets the platform takes away. They receive no new
+// requests; a target of another name does not exist or stays.
+func (d *Dispatcher) SetLeaving(names map[string]bool) {
+	d.mu.Lock()
+	d.leaving = names
+	d.mu.Unlock()
+	for _, p := range d.all() {
+		p.setLeaving(names)
 	}
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+func TestTargetTakenAwayByThePlatformGetsNothingNew(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.SetLeaving(map[string]bool{"t1": true, "r9": true})
+	f.balance()
+	assert.Equal(t, granted(f.submit(t, 1)).Target().Name, "t2")
+	f.Configure(f.cfg)
+	f.balance()
+	for _, status := range f.Status() {
+		assert.Equal(t, status.Slots, 1)
+	}
+	f.SetLeaving(nil)
+	assert.Equal(t, granted(f.submit(t, 1)).Target().Name, "t1")
+}
+
 func TestFailingTargetIsLeftAloneAndProbed(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	for range failuresToOpen {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -94,6 +94,15 @@
 	}
 }
 
+func (p *pool) setLeaving(names map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		t.leaving = names[t.config.Name]
+	}
+	p.pump()
+}
+
 func (p *pool) customer(c fair.Customer) *customer {
 	cu := p.customers[c]
 	if cu == nil {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -25,6 +25,9 @@
 	// quota is the number of its slots that are this router's part.
 	quota int
 
+	// leaving is set while the platform takes the target away.
+	leaving bool
+
 	failures  int
 	pause     time.Duration
 	openUntil time.Time
@@ -34,6 +37,8 @@
 // usable reports whether requests may be sent to the target now.
 func (t *target) usable(now time.Time) bool {
 	switch {
+	case t.leaving:
+		return false
 	case t.pause == 0:
 		return true
 	case now.Before(t.openUntil):
