--- a/cli/cli.go
+++ b/cli/cli.go
@@ -121,6 +121,8 @@
 			{name: "confirm", text: "Put a plan in force", data: &planConfirm{command: c}},
 			{name: "discard", text: "End a plan that will not be confirmed", data: &planDiscard{command: c}},
 		}},
+		{name: "diff", text: "Compare two versions", data: &diffCommand{command: c}},
+		{name: "rollback", text: "Plan to bring an earlier version's objects back, as a new version", data: &rollbackCommand{command: c}},
 		{name: "status", text: "Show all routers and the versions in force", data: &statusCommand{command: c}},
 		{name: "load", text: "Send the load of an experiment file to a fleet on loopback and measure it", data: &loadCommand{command: c}},
 		{name: "audit", text: "List accepted changes, newest first", data: &auditCommand{command: c}},
@@ -145,14 +147,8 @@
 	if g.Router == "" || g.Operator == "" || g.Key == "" {
 		return nil, nil, nil, usageError{"--router, --operator and --key are required, or their environment variables"}
 	}
-	authorize := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set("Authorization", control.Credential(g.Operator, g.Key))
-			return next(ctx, req)
-		}
-	})
 	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
-	c := zinccovev1connect.NewIntentServiceClient(http.DefaultClient, "http://"+g.Router, connect.WithInterceptors(authorize))
+	c := zinccovev1connect.NewIntentServiceClient(http.DefaultClient, "http://"+g.Router, control.Authorize(g.Operator, g.Key))
 	return c, ctx, cancel, nil
 }
 
--- a/cli/put.go
+++ b/cli/put.go
@@ -21,11 +21,6 @@
 
 // plan asks for a plan of changes and prints it.
 func (c *command) plan(changes ...config.Change) error {
-	client, ctx, cancel, err := c.globals.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := new(zinccovev1.PlanRequest)
 	for i := range changes {
 		body, err := json.Marshal(&changes[i])
@@ -34,6 +29,15 @@
 		}
 		req.ChangesJson = append(req.ChangesJson, body)
 	}
+	return c.requestPlan(req)
+}
+
+func (c *command) requestPlan(req *zinccovev1.PlanRequest) error {
+	client, ctx, cancel, err := c.globals.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
 	resp, err := client.Plan(ctx, req)
 	if err != nil {
 		return err
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -83,6 +83,20 @@
 	assert.Equal(t, c.Customers[0].Number, kept)
 }
 
+func TestChangesToBringAVersionBack(t *testing.T) {
+	old := base(t)
+	now, err := old.Apply([]Change{
+		Put(Customer{Name: "school", Weight: 9}),
+		Put(Customer{Name: "new", Weight: 1}),
+		Remove(KindTarget, "e2"),
+	})
+	assert.NilError(t, err)
+	back, err := now.Apply(ChangesTo(now, old))
+	assert.NilError(t, err)
+	assert.Equal(t, back.Version, now.Version+1)
+	assert.Equal(t, len(Diff(back, old)), 1, "only the number of the target that was removed differs")
+}
+
 func TestConsequencesWarn(t *testing.T) {
 	tests := []struct {
 		name string
--- a/config/diff.go
+++ b/config/diff.go
@@ -53,3 +53,36 @@
 	}
 	return string(body)
 }
+
+// ChangesTo returns the changes that give from the objects of to.
+func ChangesTo(from, to *Config) []Change {
+	var chs []Change
+	for _, d := range Diff(from, to) {
+		chs = append(chs, changeTo(to, d.Object))
+	}
+	return chs
+}
+
+// changeTo returns the change that makes an object what it is in c, which may
+// be nothing.
+func changeTo(c *Config, o Object) Change {
+	switch o.Kind {
+	case KindCustomer:
+		return putOrRemove(c.Customers, o)
+	case KindModel:
+		return putOrRemove(c.Models, o)
+	case KindService:
+		return putOrRemove(c.Services, o)
+	case KindTarget:
+		return putOrRemove(c.Targets, o)
+	default:
+		return putOrRemove(c.Hosts, o)
+	}
+}
+
+func putOrRemove[T Customer | Model | Service | Target | Host, P named[T]](list []T, o Object) Change {
+	if i, found := findNamed[T, P](list, o.Name); found {
+		return Put(list[i])
+	}
+	return Remove(o.Kind, o.Name)
+}
--- a/control/auth.go
+++ b/control/auth.go
@@ -23,19 +23,32 @@
 	zinccovev1connect.IntentServiceShowPlanProcedure: settings.RoleRead,
 	zinccovev1connect.IntentServiceStatusProcedure:   settings.RoleRead,
 	zinccovev1connect.IntentServiceAuditProcedure:    settings.RoleRead,
+	zinccovev1connect.IntentServiceDiffProcedure:     settings.RoleRead,
 }
 
 const bearer = "Bearer "
 
-// Credential returns the Authorization header of an operator or, with an
+// credential returns the Authorization header of an operator or, with an
 // empty name, of a router that knows the fleet key.
-func Credential(name, key string) string {
+func credential(name, key string) string {
 	if name == "" {
 		return bearer + key
 	}
 	return bearer + name + ":" + key
 }
 
+// Authorize returns the option of a connect client that sends the credential
+// of an operator or, with an empty name, of a router.
+func Authorize(name, key string) connect.ClientOption {
+	add := func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", credential(name, key))
+			return next(ctx, req)
+		}
+	}
+	return connect.WithInterceptors(connect.UnaryInterceptorFunc(add))
+}
+
 var (
 	errWrongKey = eris.New("unknown name or wrong key")
 	errNoRole   = eris.New("the operator's roles do not allow this call")
@@ -82,7 +95,7 @@
 
 // authenticateRouter checks the fleet key before each call between routers.
 func (s *Server) authenticateRouter(next connect.UnaryFunc) connect.UnaryFunc {
-	want := []byte(Credential("", s.options.FleetKey))
+	want := []byte(credential("", s.options.FleetKey))
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 		if subtle.ConstantTimeCompare([]byte(req.Header().Get("Authorization")), want) != 1 {
 			s.options.WrongKey()
--- a/control/intent.go
+++ b/control/intent.go
@@ -32,7 +32,7 @@
 		return connect.CodeInvalidArgument
 	case errors.As(err, &conflict), eris.Is(err, intent.ErrContended):
 		return connect.CodeAborted
-	case eris.Is(err, intent.ErrNoPlan):
+	case eris.Is(err, intent.ErrNoPlan), eris.Is(err, platform.ErrNotFound):
 		return connect.CodeNotFound
 	case eris.Is(err, intent.ErrNotProposed):
 		return connect.CodeFailedPrecondition
@@ -47,19 +47,47 @@
 
 // Plan implements the IntentService.
 func (h *intentHandler) Plan(ctx context.Context, req *zinccovev1.PlanRequest) (*zinccovev1.PlanResponse, error) {
+	p, err := h.plan(ctx, req)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return &zinccovev1.PlanResponse{Plan: encodePlan(p)}, nil
+}
+
+func (h *intentHandler) plan(ctx context.Context, req *zinccovev1.PlanRequest) (intent.Plan, error) {
+	store := h.server.options.Store
+	if req.RollbackTo > 0 {
+		if len(req.ChangesJson) > 0 {
+			return intent.Plan{}, &config.InvalidError{Field: "changes", Reason: "must be empty in a rollback"}
+		}
+		return store.Rollback(ctx, operatorOf(ctx), req.RollbackTo)
+	}
 	changes := make([]config.Change, len(req.ChangesJson))
 	for i, body := range req.ChangesJson {
 		ch, err := config.DecodeChange(body)
 		if err != nil {
-			return nil, failed(err)
+			return intent.Plan{}, err
 		}
 		changes[i] = ch
 	}
-	p, err := h.server.options.Store.Plan(ctx, operatorOf(ctx), changes)
+	return store.Plan(ctx, operatorOf(ctx), changes)
+}
+
+// Diff implements the IntentService.
+func (h *intentHandler) Diff(ctx context.Context, req *zinccovev1.DiffRequest) (*zinccovev1.DiffResponse, error) {
+	from, err := h.server.options.Store.Version(ctx, req.From)
 	if err != nil {
 		return nil, failed(err)
 	}
-	return &zinccovev1.PlanResponse{Plan: encodePlan(p)}, nil
+	to, err := h.server.options.Store.Version(ctx, req.To)
+	if err != nil {
+		return nil, failed(err)
+	}
+	resp := new(zinccovev1.DiffResponse)
+	for _, d := range config.Diff(from, to) {
+		resp.Differences = append(resp.Differences, d.Text)
+	}
+	return resp, nil
 }
 
 func encodePlan(p intent.Plan) *zinccovev1.Plan {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -171,7 +170,7 @@
 		Address: s.ListenCaller, Clock: d.clock, Syncer: d.syncer, Dispatcher: d.dispatcher, Claims: d.claims,
 		Clients: d.clients, Metrics: d.metrics, NewID: uuid.NewString,
 		Limits: ingress.Limits{BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
-			Timeout: s.RequestTimeout, StopTimeout: s.StopTimeout},
+			Timeout: s.RequestTimeout, Write: s.WriteTimeout, StopTimeout: s.StopTimeout},
 	})
 	if err != nil {
 		return err
@@ -274,13 +273,7 @@
 
 // peerClient returns a client for calls to the router at a control address.
 func (d *Daemon) peerClient(addr netip.AddrPort) zinccovev1connect.PeerServiceClient {
-	authorize := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set("Authorization", control.Credential("", d.settings.FleetKey))
-			return next(ctx, req)
-		}
-	})
-	return zinccovev1connect.NewPeerServiceClient(d.peers, "http://"+addr.String(), connect.WithInterceptors(authorize))
+	return zinccovev1connect.NewPeerServiceClient(d.peers, "http://"+addr.String(), control.Authorize("", d.settings.FleetKey))
 }
 
 func (d *Daemon) fetchConfig(ctx context.Context, addr netip.AddrPort) ([]byte, string, error) {
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +38,9 @@
 	// lateSequence is the number of heartbeats after which a run that is first
 	// heard has been going on for long.
 	lateSequence = 20
-	// maxEntries keeps a report inside a datagram.
+	// maxEntries and maxTargets keep a heartbeat inside a datagram.
 	maxEntries = 90
+	maxTargets = 60
 )
 
 // received is a heartbeat and its size in bytes.
@@ -355,16 +359,26 @@
 		Leaving:       d.stopping.Load(),
 		Pools:         l.book.Report(),
 	}
-	for number, n := range d.dispatcher.OwnInFlight() {
-		hb.Targets = append(hb.Targets, number)
-		hb.InFlight = append(hb.InFlight, uint32(n))
-	}
+	hb.Targets, hb.InFlight = busiest(d.dispatcher.OwnInFlight())
 	if l.sequence <= identifyEvery/2 || l.sequence%identifyEvery == 0 {
 		hb.Host = l.identity()
 	}
 	return hb
 }
 
+// busiest returns the targets with the most requests, at most maxTargets, so
+// that a heartbeat fits a datagram.
+func busiest(at dispatch.InFlight) (targets, inFlight []uint32) {
+	targets = slices.SortedFunc(maps.Keys(at), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(at[b], at[a]), cmp.Compare(a, b))
+	})
+	targets = targets[:min(len(targets), maxTargets)]
+	for _, number := range targets {
+		inFlight = append(inFlight, uint32(at[number]))
+	}
+	return targets, inFlight
+}
+
 func (l *loop) identity() *zinccovev1.HostInfo {
 	d := l.daemon
 	return &zinccovev1.HostInfo{
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -248,16 +248,6 @@
 	}
 }
 
-// Wake grants slots that became usable with time, such as those of targets
-// whose pause ended.
-func (d *Dispatcher) Wake() {
-	for _, p := range d.all() {
-		p.mu.Lock()
-		p.pump()
-		p.mu.Unlock()
-	}
-}
-
 // Counters calls yield with the counters of every customer of every pool.
 func (d *Dispatcher) Counters(yield func(exchange.Key, exchange.Counters)) {
 	for _, p := range d.all() {
--- /dev/null
+++ b/dispatch/fleet_test.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/exchange"
+	"zinccove.example/zinccove/fair"
+)
+
+// Size of the fleet under test. Each step is a token of every running request.
+const (
+	fleetRouters  = 6
+	fleetTargets  = 4
+	fleetSlots    = 6
+	fleetPeriod   = 20 // steps between exchanges
+	fleetSteps    = 3000
+	fleetLargest  = 120
+	fleetInput    = 20
+	fleetCustomer = 8
+)
+
+// fakeRouter is a dispatcher and its side of the exchange.
+type fakeRouter struct {
+	*Dispatcher
+	name string
+	book *exchange.Book
+}
+
+// fakeRequest runs at a target: it takes its input at once and a token a step.
+type fakeRequest struct {
+	slot     *Slot
+	customer fair.Customer
+	left     int
+	started  bool
+}
+
+// fakeWaiting is a request that waits at its router.
+type fakeWaiting struct {
+	ticket  *Ticket
+	request fakeRequest
+}
+
+// fakeFleet drives routers and targets without I/O.
+type fakeFleet struct {
+	rng     *rand.Rand
+	clock   *clockwork.FakeClock
+	cfg     *config.Config
+	routers []*fakeRouter
+	// inside are the requests at each target, in the order of their priority.
+	inside  map[uint32][]*fakeRequest
+	waiting []fakeWaiting
+	service map[fair.Customer]float64
+	// homes are the routers of each customer, in the order of the configuration.
+	homes [][]int
+	cut   bool
+
+	busy, offered, mostWaiting int
+}
+
+func newFakeFleet(t *testing.T, seed uint64) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{
+		rng: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewFakeClock(), inside: make(map[uint32][]*fakeRequest),
+		service: make(map[fair.Customer]float64),
+	}
+	changes := []config.Change{config.Put(config.Model{Name: "m", ModelVersion: "v1"})}
+	for i := range fleetCustomer {
+		changes = append(changes, config.Put(config.Customer{Name: fmt.Sprintf("c%d", i), Weight: uint32(1 + i%3)}))
+	}
+	for i := range fleetTargets {
+		changes = append(changes, config.Put(config.Target{Name: fmt.Sprintf("t%d", i), Serves: "m", ModelVersion: "v1",
+			DataCentre: fmt.Sprintf("dc%d", i%2), Slots: fleetSlots, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))}))
+	}
+	var err error
+	f.cfg, err = new(config.Config).Apply(changes)
+	assert.NilError(t, err)
+	for i := range fleetRouters {
+		r := &fakeRouter{name: fmt.Sprintf("r%d", i), book: exchange.New(exchange.Options{Repeats: 2, Rotate: 2, MaxEntries: 50})}
+		r.Dispatcher = New(Options{Clock: f.clock, Host: r.name, DataCentre: f.centre(i), Catchup: 500, Overcommit: 2,
+			DebtRequests: 4, Queue: fair.Limits{PerCustomer: 1000}})
+		r.Configure(f.cfg)
+		f.routers = append(f.routers, r)
+	}
+	for _, r := range f.routers {
+		for _, other := range f.routers {
+			r.book.Restart(other.name, false)
+		}
+	}
+	for i := range f.cfg.Customers {
+		f.homes = append(f.homes, []int{i % fleetRouters, (i * 2) % fleetRouters})
+	}
+	return f
+}
+
+func (f *fakeFleet) centre(router int) string { return fmt.Sprintf("dc%d", router%2) }
+
+// connected reports whether two routers hear each other.
+func (f *fakeFleet) connected(a, b int) bool { return !f.cut || f.centre(a) == f.centre(b) }
+
+// keep gives every customer work that waits at each of its routers.
+func (f *fakeFleet) keep(t *testing.T) {
+	for i, homes := range f.homes {
+		c := f.customer(i)
+		for _, home := range homes {
+			r := f.routers[home]
+			for r.pools[f.cfg.Models[0].Number].queue.WaitingOf(c) < 3 {
+				ticket, err := r.Submit(Request{Pool: f.cfg.Models[0].Number, Customer: c})
+				assert.NilError(t, err)
+				f.waiting = append(f.waiting, fakeWaiting{ticket, fakeRequest{customer: c, left: 1 + f.rng.IntN(fleetLargest-fleetInput)}})
+			}
+		}
+	}
+}
+
+// dispatch moves granted requests to their targets.
+func (f *fakeFleet) dispatch() {
+	f.waiting = slices.DeleteFunc(f.waiting, func(w fakeWaiting) bool {
+		s := granted(w.ticket)
+		if s == nil {
+			return false
+		}
+		w.request.slot = s
+		number := s.Target().Number
+		f.inside[number] = append(f.inside[number], &w.request)
+		return true
+	})
+}
+
+// customer returns the number of the customer at an index.
+func (f *fakeFleet) customer(i int) fair.Customer { return fair.Customer(f.cfg.Customers[i].Number) }
+
+// run moves every target by one step.
+func (f *fakeFleet) run() {
+	for _, target := range f.cfg.Targets {
+		reqs := f.inside[target.Number]
+		running := min(len(reqs), int(target.Slots))
+		f.busy += running
+		f.offered += int(target.Slots)
+		f.mostWaiting = max(f.mostWaiting, len(reqs)-running)
+		var kept []*fakeRequest
+		for i, req := range reqs {
+			if i >= running || f.token(req) {
+				kept = append(kept, req)
+			}
+		}
+		f.inside[target.Number] = kept
+	}
+}
+
+// token delivers a token of a request and reports whether it goes on.
+func (f *fakeFleet) token(req *fakeRequest) bool {
+	cost := uint64(1)
+	if !req.started {
+		req.started = true
+		cost += fleetInput
+	}
+	req.slot.Charge(cost)
+	f.service[req.customer] += float64(cost) / f.weight(req.customer)
+	req.left--
+	if req.left > 0 {
+		return true
+	}
+	req.slot.Release(Completed)
+	return false
+}
+
+func (f *fakeFleet) weight(c fair.Customer) float64 {
+	for i := range f.cfg.Customers {
+		if f.cfg.Customers[i].Number == uint32(c) {
+			return float64(f.cfg.Customers[i].Weight)
+		}
+	}
+	return 1
+}
+
+// exchange has every router tell the others.
+func (f *fakeFleet) exchange() {
+	inFlight := make([]InFlight, len(f.routers))
+	for i, from := range f.routers {
+		from.Counters(from.book.SetLocal)
+		report := from.book.Report()
+		inFlight[i] = from.OwnInFlight()
+		for k, to := range f.routers {
+			if k == i {
+				continue
+			}
+			if !f.connected(i, k) {
+				to.book.Silence(from.name)
+				continue
+			}
+			to.Observe(to.book.Absorb(from.name, report))
+		}
+	}
+	for i, r := range f.routers {
+		v := View{Demands: r.book.Demands(r.name), InFlight: make(InFlight), DataCentres: make(map[string]string)}
+		for k, other := range f.routers {
+			v.DataCentres[other.name] = f.centre(k)
+			if !f.connected(i, k) {
+				continue
+			}
+			v.Routers++
+			for number, n := range inFlight[k] {
+				if k != i {
+					v.InFlight[number] += n
+				}
+			}
+		}
+		r.Balance(v)
+	}
+}
+
+// drive runs steps and returns the largest change of the difference between
+// two customers' service per unit of weight.
+func (f *fakeFleet) drive(t *testing.T, steps int) float64 {
+	low, high := map[[2]int]float64{}, map[[2]int]float64{}
+	worst := 0.0
+	for step := range steps {
+		f.keep(t)
+		if step%fleetPeriod == 0 {
+			f.exchange()
+		}
+		f.dispatch()
+		f.run()
+		f.clock.Advance(10 * time.Millisecond)
+		for a := range f.homes {
+			for b := range f.homes {
+				pair := [2]int{a, b}
+				d := f.service[f.customer(a)] - f.service[f.customer(b)]
+				if step == 0 {
+					low[pair], high[pair] = d, d
+				}
+				low[pair], high[pair] = min(low[pair], d), max(high[pair], d)
+				worst = max(worst, high[pair]-low[pair])
+			}
+		}
+	}
+	return worst
+}
+
+// TestGapOverRoutersStaysBounded drives a fleet whose customers are spread
+// unevenly, and checks that the difference in service stays inside a bound that
+// does not grow with time, and that slots do not idle.
+func TestGapOverRoutersStaysBounded(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFakeFleet(t, seed)
+		f.drive(t, fleetSteps/3)
+		f.busy, f.offered, f.mostWaiting = 0, 0, 0
+		short := f.drive(t, fleetSteps)
+		long := f.drive(t, 3*fleetSteps)
+		period := float64(fleetPeriod * fleetTargets * fleetSlots)
+		bound := 2*fleetLargest + period
+		t.Logf("seed %d: gap %.0f in %d steps, %.0f in %d, bound %.0f; busy %.3f; at most %d wait inside a target",
+			seed, short, fleetSteps, long, 3*fleetSteps, bound, float64(f.busy)/float64(f.offered), f.mostWaiting)
+		assert.Assert(t, short <= bound && long <= bound)
+		assert.Assert(t, float64(f.busy)/float64(f.offered) >= 0.95)
+		assert.Assert(t, f.mostWaiting <= fleetRouters)
+	}
+}
+
+// TestCutFleetServesBothSidesAndHeals cuts the fleet in two, heals it, and
+// checks that both sides went on and that the difference is inside the bound
+// again soon.
+func TestCutFleetServesBothSidesAndHeals(t *testing.T) {
+	f := newFakeFleet(t, 1)
+	f.drive(t, 1000)
+	f.cut = true
+	before := f.total()
+	f.drive(t, 1000)
+	rate := (f.total() - before) / 1000
+	assert.Assert(t, rate > 0.9*fleetTargets*fleetSlots, "%.1f tokens a step", rate)
+	f.cut = false
+	f.drive(t, 500) // 5 s of steps
+	bound := 2*fleetLargest + float64(fleetPeriod*fleetTargets*fleetSlots)
+	gap := f.drive(t, 2000)
+	t.Logf("gap %.0f after healing, bound %.0f", gap, bound)
+	assert.Assert(t, gap <= bound)
+}
+
+// total is the service of all customers in tokens.
+func (f *fakeFleet) total() float64 {
+	sum := 0.0
+	for c, s := range f.service {
+		sum += s * f.weight(c)
+	}
+	return math.Round(sum)
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,15 +68,28 @@
 	defer p.mu.Unlock()
 	p.name = want.name
 	p.setTargets(want.targets)
-	for i := range cfg.Customers {
-		c := &cfg.Customers[i]
-		p.customer(fair.Customer(c.Number)).weight = c.Weight
-		p.queue.SetWeight(fair.Customer(c.Number), c.Weight)
-	}
+	p.setCustomers(cfg.Customers)
 	p.window = max(p.window, minWindow)
 	p.pump()
 }
 
+// setCustomers sets the weights and forgets customers that were removed, once
+// they have no work left here.
+func (p *pool) setCustomers(customers []config.Customer) {
+	declared := make(map[fair.Customer]bool, len(customers))
+	for i := range customers {
+		c := fair.Customer(customers[i].Number)
+		declared[c] = true
+		p.customer(c).weight = customers[i].Weight
+		p.queue.SetWeight(c, customers[i].Weight)
+	}
+	for c, cu := range p.customers {
+		if !declared[c] && cu.running == 0 && p.queue.Forget(c) {
+			delete(p.customers, c)
+		}
+	}
+}
+
 // setTargets keeps the state of targets that stay. Requests at targets that
 // go end there; their slots are released into the old entry.
 func (p *pool) setTargets(targets []config.Target) {
@@ -333,7 +348,7 @@
 			p.queue.SetRemoteBacklog(c, false)
 		}
 	}
-	for c := range waiting {
+	for _, c := range slices.Sorted(maps.Keys(waiting)) {
 		p.queue.SetRemoteBacklog(c, true)
 	}
 	p.remote = waiting
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -195,6 +195,20 @@
 	q.update(a)
 }
 
+// Forget removes a customer that has nothing waiting or running here and
+// reports whether it did.
+func (q *Queue[T]) Forget(c Customer) bool {
+	a := q.accounts[c]
+	if a == nil {
+		return true
+	}
+	if a.waiting() > 0 || a.remote || a.reserved > 0 {
+		return false
+	}
+	delete(q.accounts, c)
+	return true
+}
+
 // Level returns a customer's service per unit of weight.
 func (q *Queue[T]) Level(c Customer) float64 { return q.account(c).level }
 
--- a/fair/fair_test.go
+++ b/fair/fair_test.go
@@ -91,6 +91,18 @@
 	assert.Equal(t, g.Item, 1)
 }
 
+func TestForgetKeepsCustomersWithWork(t *testing.T) {
+	q := New[int](testLimits)
+	push(t, q, 1, Normal, 1)
+	assert.Assert(t, !q.Forget(1))
+	q.Next()
+	q.Reserve(1, 5)
+	assert.Assert(t, !q.Forget(1))
+	q.Reserve(1, -5)
+	assert.Assert(t, q.Forget(1))
+	assert.Assert(t, q.Forget(7))
+}
+
 func TestBoundDebtLimitsAJump(t *testing.T) {
 	q := New[int](Limits{PerCustomer: 10})
 	push(t, q, 1, Normal, 1)
--- a/gen/zinccove/v1/zinccovev1connect/intent.connect.go
+++ b/gen/zinccove/v1/zinccovev1connect/intent.connect.go
@@ -47,6 +47,8 @@
 	IntentServiceStatusProcedure = "/zinccove.v1.IntentService/Status"
 	// IntentServiceAuditProcedure is the fully-qualified name of the IntentService's Audit RPC.
 	IntentServiceAuditProcedure = "/zinccove.v1.IntentService/Audit"
+	// IntentServiceDiffProcedure is the fully-qualified name of the IntentService's Diff RPC.
+	IntentServiceDiffProcedure = "/zinccove.v1.IntentService/Diff"
 )
 
 // IntentServiceClient is a client for the zinccove.v1.IntentService service.
@@ -64,6 +66,8 @@
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 	// Audit lists accepted changes, newest first.
 	Audit(context.Context, *v1.AuditRequest) (*v1.AuditResponse, error)
+	// Diff compares two versions.
+	Diff(context.Context, *v1.DiffRequest) (*v1.DiffResponse, error)
 }
 
 // NewIntentServiceClient constructs a client for the zinccove.v1.IntentService service. By default,
@@ -113,6 +117,12 @@
 			connect.WithSchema(intentServiceMethods.ByName("Audit")),
 			connect.WithClientOptions(opts...),
 		),
+		diff: connect.NewClient[v1.DiffRequest, v1.DiffResponse](
+			httpClient,
+			baseURL+IntentServiceDiffProcedure,
+			connect.WithSchema(intentServiceMethods.ByName("Diff")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -124,6 +134,7 @@
 	showPlan *connect.Client[v1.ShowPlanRequest, v1.ShowPlanResponse]
 	status   *connect.Client[v1.StatusRequest, v1.StatusResponse]
 	audit    *connect.Client[v1.AuditRequest, v1.AuditResponse]
+	diff     *connect.Client[v1.DiffRequest, v1.DiffResponse]
 }
 
 // Plan calls zinccove.v1.IntentService.Plan.
@@ -180,6 +191,15 @@
 	return nil, err
 }
 
+// Diff calls zinccove.v1.IntentService.Diff.
+func (c *intentServiceClient) Diff(ctx context.Context, req *v1.DiffRequest) (*v1.DiffResponse, error) {
+	response, err := c.diff.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // IntentServiceHandler is an implementation of the zinccove.v1.IntentService service.
 type IntentServiceHandler interface {
 	// Plan validates changes against the configuration in force and stores a
@@ -195,6 +215,8 @@
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 	// Audit lists accepted changes, newest first.
 	Audit(context.Context, *v1.AuditRequest) (*v1.AuditResponse, error)
+	// Diff compares two versions.
+	Diff(context.Context, *v1.DiffRequest) (*v1.DiffResponse, error)
 }
 
 // NewIntentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -240,6 +262,12 @@
 		connect.WithSchema(intentServiceMethods.ByName("Audit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	intentServiceDiffHandler := connect.NewUnaryHandlerSimple(
+		IntentServiceDiffProcedure,
+		svc.Diff,
+		connect.WithSchema(intentServiceMethods.ByName("Diff")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/zinccove.v1.IntentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case IntentServicePlanProcedure:
@@ -254,6 +282,8 @@
 			intentServiceStatusHandler.ServeHTTP(w, r)
 		case IntentServiceAuditProcedure:
 			intentServiceAuditHandler.ServeHTTP(w, r)
+		case IntentServiceDiffProcedure:
+			intentServiceDiffHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -286,3 +316,7 @@
 func (UnimplementedIntentServiceHandler) Audit(context.Context, *v1.AuditRequest) (*v1.AuditResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("zinccove.v1.IntentService.Audit is not implemented"))
 }
+
+func (UnimplementedIntentServiceHandler) Diff(context.Context, *v1.DiffRequest) (*v1.DiffResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("zinccove.v1.IntentService.Diff is not implemented"))
+}
--- a/ingress/bench_test.go
+++ b/ingress/bench_test.go
@@ -67,7 +67,7 @@
 	claims := claim.New(claim.Options{Table: table, Clock: clock})
 	s, err := Listen(Options{
 		Address: loopback, Clock: clock, Syncer: syncer, Dispatcher: d, Claims: claims, Clients: clients, Metrics: metrics, NewID: uuid.NewString,
-		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 1000, Timeout: time.Minute, StopTimeout: time.Second},
+		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 1000, Timeout: time.Minute, Write: time.Minute, StopTimeout: time.Second},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() {
--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -206,7 +206,7 @@
 func (c *completion) answerStream(w *bufio.Writer, conn net.Conn, ev target.Event) {
 	for {
 		c.writeEvent(w, &ev)
-		conn.SetWriteDeadline(c.server.options.Clock.Now().Add(writeTimeout)) //nolint:errcheck // the write fails then
+		conn.SetWriteDeadline(c.server.options.Clock.Now().Add(c.server.options.Limits.Write)) //nolint:errcheck // the write fails then
 		if err := w.Flush(); err != nil {
 			c.abort()
 			return
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -175,6 +176,7 @@
 		return f.refused(refuse(CodeCallerGone, "the caller went away"))
 	}
 	if f.request.Fail(fail.Kind, now, f.server.retries.Take) == request.Retry {
+		f.backOff()
 		return nil
 	}
 	if !now.Before(f.deadline) {
@@ -183,6 +185,20 @@
 	return f.refused(failureRefusal(fail))
 }
 
+// firstBackOff is the longest wait before the first retry; it doubles with
+// each attempt.
+const firstBackOff = 10 * time.Millisecond
+
+// backOff waits a random time before a retry, so that the requests of a target
+// that broke do not come back all at once.
+func (f *flow) backOff() {
+	longest := firstBackOff << (f.request.Attempts() - 1)
+	select {
+	case <-f.server.options.Clock.After(rand.N(longest)):
+	case <-f.ended:
+	}
+}
+
 // results tells the dispatcher how an attempt failed.
 var results = map[target.Kind]dispatch.Result{
 	target.NotSent:  dispatch.Failed,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -72,6 +72,8 @@
 	Connections int
 	// Timeout is the longest time of a request.
 	Timeout time.Duration
+	// Write is the longest time that a caller may take no bytes.
+	Write time.Duration
 	// StopTimeout is the longest time that Close waits for requests.
 	StopTimeout time.Duration
 }
@@ -108,7 +110,6 @@
 const (
 	idleTimeout   = 75 * time.Second
 	readTimeout   = 30 * time.Second
-	writeTimeout  = 30 * time.Second
 	lookPeriod    = 100 * time.Millisecond
 	retryRatio    = 0.1
 	retryBurst    = 50
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -167,6 +167,37 @@
 	return h.Head, err
 }
 
+// Version returns an accepted version. A version that does not exist is
+// platform.ErrNotFound.
+func (s *Store) Version(ctx context.Context, version uint64) (*config.Config, error) {
+	if version == 0 {
+		return new(config.Config), nil
+	}
+	a, err := s.audit(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	return s.config(ctx, Head{Version: version, Digest: a.Digest})
+}
+
+// Rollback stores a plan that brings the objects of an earlier version back.
+// It makes a new version: nothing that was in force is undone before it is.
+func (s *Store) Rollback(ctx context.Context, operator string, version uint64) (Plan, error) {
+	old, err := s.Version(ctx, version)
+	if err != nil {
+		return Plan{}, err
+	}
+	h, err := s.Head(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	cur, err := s.config(ctx, h)
+	if err != nil {
+		return Plan{}, err
+	}
+	return s.Plan(ctx, operator, config.ChangesTo(cur, old))
+}
+
 // maxSteps bounds the versions that Follow goes through; more are fetched
 // whole.
 const maxSteps = 8
--- a/intent/intent_test.go
+++ b/intent/intent_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/platform/platformtest"
 )
 
@@ -99,6 +100,26 @@
 	assert.Equal(t, inForce(t, s).Customers[0].Weight, uint32(1))
 }
 
+func TestRollbackIsANewVersion(t *testing.T) {
+	s := newStore(platformtest.New())
+	for _, w := range []uint32{1, 2} {
+		p := mustPlan(t, s, customer("a", w))
+		_, err := s.Confirm(ctx, "anna", p.ID)
+		assert.NilError(t, err)
+	}
+	p, err := s.Rollback(ctx, "bert", 1)
+	assert.NilError(t, err)
+	assert.Equal(t, inForce(t, s).Customers[0].Weight, uint32(2))
+	v, err := s.Confirm(ctx, "bert", p.ID)
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(3))
+	assert.Equal(t, inForce(t, s).Customers[0].Weight, uint32(1))
+	_, err = s.Rollback(ctx, "bert", 99)
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = s.Rollback(ctx, "bert", 3)
+	assert.ErrorContains(t, err, "must not be empty")
+}
+
 func TestEndedPlansCannotBeConfirmed(t *testing.T) {
 	m := platformtest.New()
 	clock := clockwork.NewFakeClock()
--- a/load/load.go
+++ b/load/load.go
@@ -63,6 +63,9 @@
 	Weight float64
 	// Outstanding keeps so many requests sent and not answered; 0 turns it off.
 	Outstanding int
+	// Think is the pause after an answer before the next request of the same
+	// place.
+	Think time.Duration
 	// Rate sends so many requests a second, at random times; 0 turns it off.
 	Rate float64
 	// Routers are the indexes into Callers that requests go to, in turn at
@@ -126,8 +129,7 @@
 // startCustomer starts the load of one customer.
 func (r *runner) startCustomer(ctx context.Context, i int) {
 	c := &r.experiment.Customers[i]
-	rng := rand.New(rand.NewPCG(r.experiment.Seed, uint64(i)))
-	draw := &drawer{customer: i, spec: c, rng: rng}
+	draw := newDrawer(r.experiment, i)
 	for range c.Outstanding {
 		r.group.Go(func() error {
 			r.keepSending(ctx, c, draw)
@@ -152,6 +154,10 @@
 	n   int
 }
 
+func newDrawer(e *Experiment, customer int) *drawer {
+	return &drawer{customer: customer, spec: &e.Customers[customer], rng: rand.New(rand.NewPCG(e.Seed, uint64(customer)))}
+}
+
 func (d *drawer) next() requestSpec {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -178,7 +184,8 @@
 		return
 	}
 	for ctx.Err() == nil && !r.over(c) {
-		if retry := r.send(ctx, d.next()); retry > 0 && !r.sleep(ctx, retry) {
+		pause := max(r.send(ctx, d.next()), c.Think)
+		if pause > 0 && !r.sleep(ctx, pause) {
 			return
 		}
 	}
--- a/load/parse.go
+++ b/load/parse.go
@@ -21,7 +21,7 @@
 // errors.
 //
 // [experiment]: duration, warm-up, seed. [fleet]: callers, controls, engines,
-// slots. [customer.NAME]: key, model, weight, outstanding, rate, routers,
+// slots. [customer.NAME]: key, model, weight, outstanding, think, rate, routers,
 // input, output, spread, start, stop, urgent, timeout, count (that many equal
 // customers NAME-1, NAME-2, ..., whose keys have the same suffix).
 func Parse(name string, body []byte) (*Experiment, error) {
@@ -156,6 +156,7 @@
 		Model:       s.text("model", ""),
 		Weight:      s.float("weight", 1),
 		Outstanding: s.number("outstanding", 0),
+		Think:       s.duration("think", 0),
 		Rate:        s.float("rate", 0),
 		Input:       s.number("input", 32),
 		Output:      s.number("output", 64),
--- a/load/report.go
+++ b/load/report.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -67,8 +66,6 @@
 // seriesStep is the number of recorded points for each reported one.
 const seriesStep = 5
 
-func newLines(r io.Reader) *bufio.Scanner { return bufio.NewScanner(r) }
-
 func (r *recorder) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/load/sample.go
+++ b/load/sample.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/zinccove/metric"
 )
 
 // samplePeriod is the time between points of the series.
@@ -40,7 +40,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.recorder.controlEnd(r.readControls(), r.clock.Now())
+			r.recorder.controlEnd(r.readControls())
 			return nil
 		case <-tick.Chan():
 			waits := r.recorder.take(r.clock.Now())
@@ -90,13 +90,6 @@
 	at                  time.Time
 }
 
-// controlNames are the metrics behind a controlRecord.
-const (
-	nameSent     = "zinccove_control_bytes_sent"
-	nameReceived = "zinccove_control_bytes_received"
-	nameCPU      = "zinccove_control_cpu_seconds"
-)
-
 func (r *runner) readControls() []controlRecord {
 	records := make([]controlRecord, len(r.experiment.Controls))
 	for i, addr := range r.experiment.Controls {
@@ -104,7 +97,12 @@
 		if err != nil {
 			continue
 		}
-		records[i] = controlRecord{sent: values[nameSent], received: values[nameReceived], cpu: values[nameCPU], at: r.clock.Now()}
+		records[i] = controlRecord{
+			sent:     values[metric.ControlBytesSent.Name()],
+			received: values[metric.ControlBytesReceived.Name()],
+			cpu:      values[metric.ControlCPUSeconds.Name()],
+			at:       r.clock.Now(),
+		}
 	}
 	return records
 }
@@ -119,22 +117,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("metrics of %s: status %d", addr, resp.StatusCode)
 	}
-	return parseMetrics(resp)
-}
-
-func parseMetrics(resp *http.Response) (map[string]float64, error) {
-	values := make(map[string]float64)
-	lines := newLines(resp.Body)
-	for lines.Scan() {
-		name, text, ok := strings.Cut(lines.Text(), " ")
-		if !ok || strings.HasPrefix(name, "#") {
-			continue
-		}
-		if v, err := strconv.ParseFloat(text, 64); err == nil {
-			values[name] = v
-		}
-	}
-	return values, lines.Err()
+	return metric.Read(resp.Body)
 }
 
 func (r *recorder) controlStart(records []controlRecord) {
@@ -145,7 +128,7 @@
 
 // controlEnd turns the records into spending a second. Routers that were
 // restarted meanwhile are left out.
-func (r *recorder) controlEnd(records []controlRecord, _ time.Time) {
+func (r *recorder) controlEnd(records []controlRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var rates []controlRecord
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -22,12 +22,23 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"zinccove.example/zinccove/errs"
 )
 
+// prefix starts the names of all metrics.
+const prefix = "zinccove"
+
+// Name returns the name of the counter on the page of metrics.
+func (c Counter) Name() string { return prefix + prometheus.DefaultSeparator + counterTable[c].name }
+
+// Name returns the name of the gauge on the page of metrics.
+func (g Gauge) Name() string { return prefix + prometheus.DefaultSeparator + gaugeTable[g].name }
+
 // reportInterval is how often counts move from tally to the served page.
 const reportInterval = time.Second
 
@@ -45,7 +56,7 @@
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "zinccove",
+		Prefix:         prefix,
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 	}, reportInterval)
@@ -84,6 +95,28 @@
 // Observe adds a duration to a histogram.
 func (m *Metrics) Observe(h Histogram, d time.Duration) { m.histograms[h].RecordDuration(d) }
 
+// Read parses a page of metrics and returns the values of counters and gauges
+// by name.
+func Read(page io.Reader) (map[string]float64, error) {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(page)
+	if err != nil {
+		return nil, errs.Wrap(err, "read metrics", "")
+	}
+	values := make(map[string]float64)
+	for name, f := range families {
+		for _, m := range f.GetMetric() {
+			switch {
+			case m.Counter != nil:
+				values[name] = m.Counter.GetValue()
+			case m.Gauge != nil:
+				values[name] = m.Gauge.GetValue()
+			}
+		}
+	}
+	return values, nil
+}
+
 // Reference returns the page that documents all metrics.
 func Reference() string {
 	var b strings.Builder
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -30,6 +30,22 @@
 	}
 }
 
+func TestReadFindsCountersAndGauges(t *testing.T) {
+	m, err := New()
+	assert.NilError(t, err)
+	m.Add(ControlBytesSent, 12)
+	m.Set(HostsReachable, 8)
+	assert.NilError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	values, err := Read(w.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, values[ControlBytesSent.Name()], 12.0)
+	assert.Equal(t, values[HostsReachable.Name()], 8.0)
+	_, err = Read(strings.NewReader("not { metrics"))
+	assert.Assert(t, err != nil)
+}
+
 // TestReferenceIsCurrent holds the page in docs equal to the tables.
 func TestReferenceIsCurrent(t *testing.T) {
 	body, err := os.ReadFile("../docs/metrics.md")
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -52,6 +52,7 @@
 	number("limits", "connections", 20000, 10, 1<<20, "Most connections of callers at once.", func(s *Settings) *int { return &s.MaxConnections }),
 	number("limits", "queue-per-customer", 256, 1, 1<<20, "Most requests of one customer that wait for one model or service at this router.", func(s *Settings) *int { return &s.QueueLimit }),
 	duration("limits", "request-timeout", 10*time.Minute, 100*time.Millisecond, 24*time.Hour, "Longest time of a request; callers can ask for less.", func(s *Settings) *time.Duration { return &s.RequestTimeout }),
+	duration("limits", "write-timeout", 30*time.Second, 100*time.Millisecond, time.Hour, "Longest time that a caller may take no bytes of its answer; its request is then cancelled.", func(s *Settings) *time.Duration { return &s.WriteTimeout }),
 	duration("limits", "stop-delay", 2*time.Second, 0, time.Minute, "Time that a planned stop gives the balancer to see that this router is not ready.", func(s *Settings) *time.Duration { return &s.StopDelay }),
 	duration("limits", "stop-timeout", 15*time.Minute, time.Second, 24*time.Hour, "Longest time that a planned stop waits for accepted requests.", func(s *Settings) *time.Duration { return &s.StopTimeout }),
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -52,6 +52,8 @@
 	MaxConnections int
 	QueueLimit     int
 	RequestTimeout time.Duration
+	// WriteTimeout is how long a caller may take no bytes of its answer.
+	WriteTimeout time.Duration
 	// StopDelay is the time between telling the balancer and stopping.
 	StopDelay   time.Duration
 	StopTimeout time.Duration
--- a/standin/capacity/capacity.go
+++ b/standin/capacity/capacity.go
@@ -17,7 +17,7 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/jessevdk/go-flags"
+	"zinccove.example/standin/tool"
 )
 
 type options struct {
@@ -71,23 +71,16 @@
 // Main runs the measurements and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, err)
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
+	return tool.Main("zinccove-capacity", &o, args, out, errOut, o.run)
+}
+
+func (o *options) run(out io.Writer) error {
 	slopes := measureParts()
 	processes, err := o.measureProcesses()
-	if err == nil {
-		err = o.print(out, append(slopes, processes...))
-	}
 	if err != nil {
-		fmt.Fprintln(errOut, "zinccove-capacity:", err)
-		return 1
+		return err
 	}
-	return 0
+	return o.print(out, append(slopes, processes...))
 }
 
 func (o *options) print(out io.Writer, slopes []slope) error {
--- a/standin/capacity/processes.go
+++ b/standin/capacity/processes.go
@@ -8,6 +8,7 @@
 
 	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/procfs"
+	"zinccove.example/zinccove/metric"
 )
 
 // observe is the time over which idle processes are watched.
@@ -88,8 +89,8 @@
 	}
 	memory, err := procfs.Memory(r.PID())
 	seconds := observe.Seconds()
-	cost.sent = (after[fleet.MetricSent] - before[fleet.MetricSent]) / seconds
-	cost.control = 100 * (after[fleet.MetricControlCPU] - before[fleet.MetricControlCPU]) / seconds
+	cost.sent = (after[metric.ControlBytesSent.Name()] - before[metric.ControlBytesSent.Name()]) / seconds
+	cost.control = 100 * (after[metric.ControlCPUSeconds.Name()] - before[metric.ControlCPUSeconds.Name()]) / seconds
 	cost.cpu = 100 * (cpuAfter - cpuBefore).Seconds() / seconds
 	cost.memory = float64(memory) / (1 << 20)
 	return cost, err
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -15,11 +15,11 @@
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/engine"
 	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/tool"
 )
 
 type options struct {
@@ -29,20 +29,7 @@
 // Main runs the demonstration and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var o options
-	p := flags.NewParser(&o, flags.HelpFlag)
-	p.Name = "zinccove-demo"
-	if _, err := p.ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, err)
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := run(o.Bin, out); err != nil {
-		fmt.Fprintln(errOut, "zinccove-demo:", err)
-		return 1
-	}
-	return 0
+	return tool.Main("zinccove-demo", &o, args, out, errOut, func(out io.Writer) error { return run(o.Bin, out) })
 }
 
 // dataCentres each have a router and an engine.
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -20,11 +20,11 @@
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/tool"
 	"zinccove.example/zinccove/load"
 )
 
@@ -46,18 +46,7 @@
 // Main runs the experiments and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, err)
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := o.run(out); err != nil {
-		fmt.Fprintln(errOut, "zinccove-experiment:", err)
-		return 1
-	}
-	return 0
+	return tool.Main("zinccove-experiment", &o, args, out, errOut, o.run)
 }
 
 // result is the JSON of one run.
--- a/standin/experiment/inforce.go
+++ b/standin/experiment/inforce.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/standin/fleet"
@@ -91,13 +90,7 @@
 }
 
 func operatorClient(r *fleet.Router) zinccovev1connect.IntentServiceClient {
-	authorize := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set("Authorization", control.Credential(fleet.Operator, fleet.OperatorKey))
-			return next(ctx, req)
-		}
-	})
-	return zinccovev1connect.NewIntentServiceClient(http.DefaultClient, "http://"+r.Control.String(), connect.WithInterceptors(authorize))
+	return zinccovev1connect.NewIntentServiceClient(http.DefaultClient, "http://"+r.Control.String(), control.Authorize(fleet.Operator, fleet.OperatorKey))
 }
 
 // oneChange plans and confirms a change and returns the time until it is in
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -23,12 +23,12 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"zinccove.example/standin/fault"
 	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
 )
 
@@ -270,7 +270,7 @@
 		{"listen", fmt.Sprintf("caller = %s\ncontrol = %s\npeer = %s", r.Caller, r.Control, r.Peer)},
 		{"fleet", "key = " + fleetKey + "\nseeds = " + join(r.seeds)},
 		{"platform", "address = " + r.fleet.PlatformAddress.String()},
-		{"limits", "stop-delay = 200ms"},
+		{"limits", "stop-delay = 200ms\nwrite-timeout = 2s"},
 		{"log", ""},
 		{"operator." + Operator, "key-sha256 = " + config.Digest([]byte(OperatorKey)) + "\nroles = read, plan, confirm"},
 	}
@@ -321,26 +321,13 @@
 	return nil
 }
 
-// Names of metrics that measurements read.
-const (
-	MetricSent       = "zinccove_control_bytes_sent"
-	MetricControlCPU = "zinccove_control_cpu_seconds"
-)
-
-// MetricValues returns the router's plain counters and gauges by name.
+// MetricValues returns the router's counters and gauges by name.
 func (r *Router) MetricValues() (map[string]float64, error) {
 	page, err := r.Metrics()
 	if err != nil {
 		return nil, err
 	}
-	values := make(map[string]float64)
-	for line := range strings.Lines(page) {
-		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if v, err := strconv.ParseFloat(text, 64); err == nil {
-			values[name] = v
-		}
-	}
-	return values, nil
+	return metric.Read(strings.NewReader(page))
 }
 
 // Metrics returns the router's metrics page.
--- a/standin/overhead/overhead.go
+++ b/standin/overhead/overhead.go
@@ -16,9 +16,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/tool"
 )
 
 type options struct {
@@ -30,18 +29,7 @@
 // Main runs the measurements and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, err)
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := o.run(out); err != nil {
-		fmt.Fprintln(errOut, "zinccove-overhead:", err)
-		return 1
-	}
-	return 0
+	return tool.Main("zinccove-overhead", &o, args, out, errOut, o.run)
 }
 
 const (
@@ -74,7 +62,7 @@
 	if err := b.start(); err != nil {
 		return err
 	}
-	for _, measure := range []func(*bench, io.Writer) error{o.calls, o.streams, o.idle} {
+	for _, measure := range []func(*bench, io.Writer) error{o.calls, o.streams, o.flood, o.idle} {
 		if err := measure(b, out); err != nil {
 			return err
 		}
@@ -101,6 +89,12 @@
 	objects.Model(model, version)
 	objects.Service(service, "")
 	objects.Instance(b.service, service, workers)
+	slow, err := b.StartService("s2", "dc1", "--call-time", slowCallTime, "--workers", fmt.Sprint(slowWorkers))
+	if err != nil {
+		return err
+	}
+	objects.Service(slowService, "")
+	objects.Instance(slow, slowService, slowWorkers)
 	for i := range engines {
 		e, err := b.StartEngine(fmt.Sprintf("e%d", i+1), "dc1", "--slots", fmt.Sprint(slots), "--token-time", "20ms")
 		if err != nil {
