Compare policies in equal conditions again

Cause: when spare slots began to be divided among the routers, the policies "counters" and "optimistic" of the experiments were divided too: counters ran with one slot a router (busy share 0.125), optimistic with eight.

Change: the seam that policies replace returns the window itself.

The comparison runs again.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,9 +60,12 @@
 	// Overcommit is the number of requests above its slots that this router
 	// may place at a target whose other slots other routers seem to use.
 	Overcommit int
-	// Split returns the slots of each router and the spare ones. The default is
-	// share.Allocate. Experiments replace it.
-	Split func(in share.Input) (slots []int, spare int)
+	// Window returns the number of requests that the router self, an index of
+	// the input or -1 if it wants nothing, may have at the targets of a pool, and
+	// the slots of all routers, from which its places at the targets follow; nil
+	// leaves them to what seems free. Routers is the number of those alive. The
+	// default is computedWindow. Experiments replace it.
+	Window func(in share.Input, self, routers int) (window int, slots []int)
 	// Isolated makes the dispatcher ignore all other routers, which is the
 	// baseline of experiments.
 	Isolated bool
@@ -116,8 +119,8 @@
 
 // New returns a dispatcher without pools.
 func New(o Options) *Dispatcher {
-	if o.Split == nil {
-		o.Split = share.Allocate
+	if o.Window == nil {
+		o.Window = computedWindow
 	}
 	return &Dispatcher{options: o, pools: make(map[uint32]*pool)}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -9,6 +9,7 @@
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/exchange"
 	"zinccove.example/zinccove/fair"
+	"zinccove.example/zinccove/share"
 )
 
 // pool is the queue and the targets of one model or service.
@@ -356,27 +357,40 @@
 
 // setWindow computes this router's part of the slots and its quota at each
 // target. All demand, its own too, is what the routers announced, so that all
-// compute from the same. Of the spare slots it may use an equal part at once;
-// more once the others have heard of its demand.
+// compute from the same.
 func (p *pool) setWindow(v *View) {
 	b := newSplit(p)
 	for _, d := range v.Demands[p.number] {
 		b.add(d.Host, d.Customer, int(d.Queued), int(d.Running))
 	}
-	slots, spare := p.options.Split(b.input())
-	routers := max(v.Routers, 1)
-	p.window = max((spare+routers-1)/routers, minWindow)
-	p.setQuotas(nil)
+	in := b.input()
 	self, wants := b.routers[p.options.Host]
-	if wants && len(slots) > 0 {
-		p.window = max((spare+routers-1)/routers+slots[self], minWindow)
-		if spare == 0 {
-			p.window += lookAhead
-		}
+	if !wants {
+		self = -1
+	}
+	window, slots := p.options.Window(in, self, max(v.Routers, 1))
+	p.window = max(window, minWindow)
+	p.setQuotas(nil)
+	if wants && slots != nil {
 		p.setQuotas(b.place(v.DataCentres, slots, self))
 	}
 }
 
+// computedWindow is the router's part of the slots. Of spare slots it may use
+// an equal part at once; more once the others have heard of its demand.
+func computedWindow(in share.Input, self, routers int) (window int, slots []int) {
+	slots, spare := share.Allocate(in)
+	window = (spare + routers - 1) / routers
+	if self < 0 {
+		return window, slots
+	}
+	window += slots[self]
+	if spare == 0 {
+		window += lookAhead
+	}
+	return window, slots
+}
+
 // setQuotas sets the quota of each usable target, in order; nil is none.
 func (p *pool) setQuotas(quotas []int) {
 	now := p.options.Clock.Now()
--- a/standin/capacity/capacity.go
+++ b/standin/capacity/capacity.go
@@ -23,7 +23,7 @@
 type options struct {
 	Bin       string `long:"bin" default:"bin" description:"directory of the built programs"`
 	Processes string `long:"processes" default:"3,9,27,54" description:"numbers of router processes; empty for none"`
-	Output    string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+	tool.Format
 }
 
 // point is one measurement at a size.
@@ -87,7 +87,7 @@
 	for i := range slopes {
 		slopes[i].fit()
 	}
-	if o.Output == "json" {
+	if o.JSON() {
 		return json.NewEncoder(out).Encode(slopes)
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -34,7 +34,7 @@
 	Policy   string        `long:"policy" default:"computed" description:"policies to compare: computed, independent, counters, optimistic, or all"`
 	Duration time.Duration `long:"duration" default:"20s" description:"time of each run"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
-	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+	tool.Format
 }
 
 // policies in the order of reports.
@@ -90,7 +90,7 @@
 }
 
 func (o *options) print(out io.Writer, r result) error {
-	if o.Output == "json" {
+	if o.JSON() {
 		return json.NewEncoder(out).Encode(r)
 	}
 	fmt.Fprintf(out, "\n== %s, %s\n", r.Scenario, r.Policy)
--- a/standin/experiment/inforce.go
+++ b/standin/experiment/inforce.go
@@ -71,7 +71,7 @@
 		Reads:  float64(after.reads()-before.reads()) / seconds,
 		Writes: float64(after["commit"]-before["commit"]) / seconds,
 	}
-	if o.Output == "json" {
+	if o.JSON() {
 		return json.NewEncoder(out).Encode(r)
 	}
 	fmt.Fprintf(out, "\n== configuration, %d changes, %d routers\nin force after %.0f ms (p50), %.0f ms (most); platform: %.1f reads/s, %.1f writes/s by the fleet\n",
--- a/standin/testrouter/testrouter.go
+++ b/standin/testrouter/testrouter.go
@@ -48,18 +48,18 @@
 	// knowledge of others.
 	"independent": func(o *dispatch.Options, routers int) {
 		o.Isolated = true
-		o.Split = static(routers)
+		o.Window = static(routers)
 	},
 	// counters: the same with the service of other routers counted.
-	"counters": func(o *dispatch.Options, routers int) { o.Split = static(routers) },
+	"counters": func(o *dispatch.Options, routers int) { o.Window = static(routers) },
 	// optimistic: counters are exchanged and every router fills what seems
 	// free; the engines' priorities order what meets there.
-	"optimistic": func(o *dispatch.Options, _ int) { o.Split = static(1) },
+	"optimistic": func(o *dispatch.Options, _ int) { o.Window = static(1) },
 }
 
 // static gives every router an equal part of the slots, wanted or not.
-func static(routers int) func(share.Input) ([]int, int) {
-	return func(in share.Input) ([]int, int) { return nil, max(in.Slots/routers, 1) }
+func static(routers int) func(share.Input, int, int) (int, []int) {
+	return func(in share.Input, _, _ int) (int, []int) { return in.Slots / routers, nil }
 }
 
 // Main runs the command line and returns the exit code.
--- a/standin/tool/tool.go
+++ b/standin/tool/tool.go
@@ -22,6 +22,14 @@
 	exitUsage  = 2
 )
 
+// Format is the option for the form of the output, to be embedded.
+type Format struct {
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+}
+
+// JSON reports whether the output is to be JSON.
+func (f Format) JSON() bool { return f.Output == "json" }
+
 // Main parses args into options, a pointer to a struct with the tags of
 // go-flags, calls run and returns the exit code.
 func Main(name string, options any, args []string, out, errOut io.Writer, run func(out io.Writer) error) int {
