--- a/cli/status.go
+++ b/cli/status.go
@@ -24,15 +24,25 @@
 	if c.globals.Output == "json" {
 		return c.globals.printJSON(resp.Routers)
 	}
-	w := tabwriter.NewWriter(c.globals.out, 0, 0, 2, ' ', 0)
+	return c.globals.printStatus(resp.Routers)
+}
+
+// printStatus prints a table of routers and one of the answering router's
+// pools.
+func (g *globals) printStatus(routers []*zinccovev1.RouterStatus) error {
+	w := tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTER\tDATA CENTRE\tVERSION\tSTATE\tSILENT")
-	for _, r := range resp.Routers {
+	for _, r := range routers {
 		silent := time.Duration(r.SilentMs) * time.Millisecond
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", r.Host, r.DataCentre, r.ConfigVersion, state(r), silent)
 	}
-	for _, r := range resp.Routers {
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "\nPOOL\tAT\tQUEUED\tRUNNING\tSLOTS OF ALL")
+	for _, r := range routers {
 		for _, p := range r.Pools {
-			fmt.Fprintf(w, "\n%s: %s\tqueued %d\trunning %d\tslots %d\t\n", r.Host, p.Name, p.Queued, p.InFlight, p.Slots)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", p.Name, r.Host, p.Queued, p.InFlight, p.Slots)
 		}
 	}
 	return w.Flush()
