Settle commits by one rule; plan a rollback from one reading

Cause: claim and intent each had the same test for a commit that has to be read back, and a rollback read head and configuration twice (once to compare, once in Plan).

Change: platform.Undecided serves both; Plan and Rollback share planFrom. Behaviour and tests stay as they were.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -135,7 +135,7 @@
 		if err == nil {
 			return held, nil, nil
 		}
-		if !undecided(err) {
+		if !platform.Undecided(err) {
 			return nil, nil, err
 		}
 		row, rec, rerr := s.read(ctx, key)
@@ -155,12 +155,6 @@
 	return nil, nil, errs.Wrap(platform.ErrUnavailable, "claim", "")
 }
 
-// undecided reports whether the row tells more than the error.
-func undecided(err error) bool {
-	var conflict *platform.ConflictError
-	return eris.Is(err, platform.ErrUnknownOutcome) || eris.As(err, &conflict)
-}
-
 // Settle records how a claimed request ended. An error means that the record
 // may be missing; others that use the key are then told that it is running.
 func (s *Store) Settle(ctx context.Context, held *Held, rec Record) error {
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -187,15 +187,11 @@
 	if err != nil {
 		return Plan{}, err
 	}
-	h, err := s.Head(ctx)
-	if err != nil {
-		return Plan{}, err
-	}
-	cur, err := s.config(ctx, h)
+	cur, err := s.current(ctx)
 	if err != nil {
 		return Plan{}, err
 	}
-	return s.Plan(ctx, operator, config.ChangesTo(cur, old))
+	return s.planFrom(ctx, operator, cur, config.ChangesTo(cur, old))
 }
 
 // maxSteps bounds the versions that Follow goes through; more are fetched
@@ -256,14 +252,24 @@
 // Plan validates changes against the configuration in force and stores a plan.
 // The error is a *config.InvalidError or one of package platform.
 func (s *Store) Plan(ctx context.Context, operator string, changes []config.Change) (Plan, error) {
-	h, err := s.Head(ctx)
+	cur, err := s.current(ctx)
 	if err != nil {
 		return Plan{}, err
 	}
-	cur, err := s.config(ctx, h)
+	return s.planFrom(ctx, operator, cur, changes)
+}
+
+// current returns the configuration in force.
+func (s *Store) current(ctx context.Context) (*config.Config, error) {
+	h, err := s.Head(ctx)
 	if err != nil {
-		return Plan{}, err
+		return nil, err
 	}
+	return s.config(ctx, h)
+}
+
+// planFrom stores a plan of changes to cur.
+func (s *Store) planFrom(ctx context.Context, operator string, cur *config.Config, changes []config.Change) (Plan, error) {
 	next, err := cur.Apply(changes)
 	if err != nil {
 		return Plan{}, err
@@ -363,20 +369,13 @@
 			Checks: []platform.Check{{Key: put.Key, Version: row}},
 			Puts:   []platform.Put{put},
 		})
-		if !undecided(err) {
+		if !platform.Undecided(err) {
 			return err
 		}
 	}
 	return ErrContended
 }
 
-// undecided reports whether a commit has to be looked at again: another write
-// came first, or the answer was lost.
-func undecided(err error) bool {
-	var conflict *platform.ConflictError
-	return eris.Is(err, platform.ErrUnknownOutcome) || eris.As(err, &conflict)
-}
-
 // Confirm puts a plan in force and returns the version it made. Confirming a
 // confirmed plan returns that version again. The error is ErrNoPlan,
 // ErrNotProposed, ErrContended, a *ConflictError, a *config.InvalidError or
@@ -393,7 +392,7 @@
 			return 0, ErrNotProposed
 		}
 		err = s.confirm(ctx, operator, p, row)
-		if !undecided(err) && err != nil {
+		if !platform.Undecided(err) && err != nil {
 			return 0, err
 		}
 	}
