Pass the clock into the operators' client

Cause: waiting for a version read the wall clock past the clock interface, and load made a clock of its own.

Change: one clock in the client's globals. Behaviour stays as it was.

Measured: vet, staticcheck; TestRacingOperators, TestOperatorMistakesHaveExitCodes and TestStreamIsWholeAndTheCallersOwn pass (15 s).

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,6 +26,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
 
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/control"
@@ -51,7 +52,8 @@
 	Timeout  time.Duration `long:"timeout" default:"15s" description:"longest time for a call"`
 	Version  func()        `long:"version" description:"print the version and exit"`
 
-	out io.Writer
+	out   io.Writer
+	clock clockwork.Clock
 }
 
 // command is what all commands share.
@@ -59,7 +61,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	g := &globals{out: out}
+	g := &globals{out: out, clock: clockwork.NewRealClock()}
 	p := flags.NewNamedParser("zinccove", flags.HelpFlag|flags.PassDoubleDash)
 	showVersion := false
 	g.Version = func() { showVersion = true }
--- a/cli/load.go
+++ b/cli/load.go
@@ -4,8 +4,6 @@
 	"context"
 	"os"
 
-	"github.com/jonboulle/clockwork"
-
 	"zinccove.example/zinccove/load"
 )
 
@@ -25,7 +23,7 @@
 	if err != nil {
 		return usageError{err.Error()}
 	}
-	report, err := load.Run(context.Background(), e, clockwork.NewRealClock())
+	report, err := load.Run(context.Background(), e, c.globals.clock)
 	if err != nil {
 		return err
 	}
--- a/cli/plan.go
+++ b/cli/plan.go
@@ -104,7 +104,7 @@
 // wait returns the routers that do not have version in force after the
 // waiting time.
 func (c *planConfirm) wait(version uint64) ([]string, error) {
-	deadline := time.Now().Add(c.Wait)
+	deadline := c.globals.clock.Now().Add(c.Wait)
 	for {
 		client, ctx, cancel, err := c.globals.client()
 		if err != nil {
@@ -116,10 +116,10 @@
 			return nil, err
 		}
 		behind := behind(resp.Routers, version)
-		if len(behind) == 0 || time.Now().After(deadline) {
+		if len(behind) == 0 || c.globals.clock.Now().After(deadline) {
 			return behind, nil
 		}
-		time.Sleep(waitPeriod)
+		c.globals.clock.Sleep(waitPeriod)
 	}
 }
 
