--- a/control/control.go
+++ b/control/control.go
@@ -34,14 +34,17 @@
 	"zinccove.example/zinccove/settings"
 )
 
-// Options configure a server. All are required.
+// Options configure a server. All but Store, Syncer and Levels are required.
 type Options struct {
 	Address   netip.AddrPort
 	FleetKey  string
 	Operators []settings.Operator
-	Store     *intent.Store
-	Syncer    *confsync.Syncer
-	// Levels returns the service levels of all pools.
+	// Store keeps plans; nil where the configuration comes from elsewhere.
+	Store  *intent.Store
+	Syncer *confsync.Syncer
+	// Config returns the configuration that peers are given, or nil.
+	Config func() *zinccovev1.FetchConfigResponse
+	// Levels returns the service levels of all pools; nil where there are none.
 	Levels func() []dispatch.PoolLevels
 	// Status returns what is known of all routers.
 	Status func() []*zinccovev1.RouterStatus
@@ -101,7 +104,9 @@
 	limit := connect.WithReadMaxBytes(maxMessage)
 	operators := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateOperator))
 	routers := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateRouter))
-	mux.Handle(zinccovev1connect.NewIntentServiceHandler(&intentHandler{s}, limit, operators))
+	if s.options.Store != nil {
+		mux.Handle(zinccovev1connect.NewIntentServiceHandler(&intentHandler{s}, limit, operators))
+	}
 	mux.Handle(zinccovev1connect.NewPeerServiceHandler(&peerHandler{s}, limit, routers))
 	mux.Handle("/metrics", s.options.Metrics)
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -120,16 +125,19 @@
 
 // FetchConfig implements the PeerService.
 func (h *peerHandler) FetchConfig(context.Context, *zinccovev1.FetchConfigRequest) (*zinccovev1.FetchConfigResponse, error) {
-	snap := h.server.options.Syncer.Current()
-	if snap == nil {
+	config := h.server.options.Config()
+	if config == nil {
 		return nil, connect.NewError(connect.CodeNotFound, errNoConfig)
 	}
-	return &zinccovev1.FetchConfigResponse{Version: snap.Version(), Digest: snap.Digest, Body: snap.Body}, nil
+	return config, nil
 }
 
 // FetchService implements the PeerService.
 func (h *peerHandler) FetchService(context.Context, *zinccovev1.FetchServiceRequest) (*zinccovev1.FetchServiceResponse, error) {
 	resp := new(zinccovev1.FetchServiceResponse)
+	if h.server.options.Levels == nil {
+		return resp, nil
+	}
 	for _, p := range h.server.options.Levels() {
 		pool := &zinccovev1.PoolService{Pool: p.Pool}
 		for _, l := range p.Levels {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -160,7 +160,7 @@
 	}
 	d.control, err = control.Listen(control.Options{
 		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Store: store, Syncer: d.syncer,
-		Levels: d.dispatcher.Levels, Status: d.loop.statuses, Confirmed: d.askSync, Ready: d.ready,
+		Config: d.config, Levels: d.dispatcher.Levels, Status: d.loop.statuses, Confirmed: d.askSync, Ready: d.ready,
 		WrongKey: func() { d.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: d.metrics.Handler(),
 	})
 	if err != nil {
@@ -202,6 +202,15 @@
 	return err
 }
 
+// config is what peers are given.
+func (d *Daemon) config() *zinccovev1.FetchConfigResponse {
+	snap := d.syncer.Current()
+	if snap == nil {
+		return nil
+	}
+	return &zinccovev1.FetchConfigResponse{Version: snap.Version(), Digest: snap.Digest, Body: snap.Body}
+}
+
 // ready reports whether the balancer may send callers here.
 func (d *Daemon) ready() bool { return d.syncer.Current() != nil && !d.stopping.Load() }
 
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -410,7 +410,7 @@
 		if h.Reachable {
 			reachable++
 		}
-		all = append(all, hostStatus(h, now))
+		all = append(all, h.Status(now))
 	}
 	l.published.Store(&all)
 	d.metrics.Set(metric.RequestsQueued, float64(queued))
@@ -420,16 +420,6 @@
 	d.metrics.Set(metric.HeartbeatsForged, float64(d.transport.Forged()))
 }
 
-func hostStatus(h *member.Host, now time.Time) *zinccovev1.RouterStatus {
-	s := &zinccovev1.RouterStatus{
-		Host: h.Name, DataCentre: h.DataCentre, ConfigVersion: h.ConfigVersion, Reachable: h.Reachable, Leaving: h.Leaving,
-	}
-	if !h.Heard.IsZero() {
-		s.SilentMs = now.Sub(h.Heard).Milliseconds()
-	}
-	return s
-}
-
 // statuses returns what is known of all routers as of the last tick.
 func (l *loop) statuses() []*zinccovev1.RouterStatus {
 	if p := l.published.Load(); p != nil {
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"zinccove.example/zinccove/gateway"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/settings"
 )
@@ -28,7 +29,7 @@
 )
 
 type commandLine struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file (INI)"`
+	Settings string `short:"s" long:"settings" env:"ZINCCOVE_NODE_FILE" value-name:"FILE" description:"settings file (INI)"`
 	Check    bool   `long:"check" description:"check the settings file and exit"`
 	Example  bool   `long:"example" description:"print an annotated settings file and exit"`
 	Metrics  bool   `long:"metrics" description:"print the reference of all metrics and exit"`
@@ -80,6 +81,9 @@
 		fmt.Fprintln(out, cl.Settings+": ok")
 		return exitOK
 	}
+	if s.RouteSource == settings.SourceStore {
+		return serveRoutes(s, out)
+	}
 	return serve(s, errOut)
 }
 
@@ -87,6 +91,37 @@
 // so at the default the collector runs many times a second under load.
 const gcPercent = 400
 
+// memoryPart is the part of the allowed memory at which the collector works
+// harder; the rest is for stacks, sockets and what is freed late.
+const memoryPart = 0.5
+
+// serveRoutes runs a router of the platform's routes until a signal asks it to
+// stop.
+func serveRoutes(s *settings.Settings, out io.Writer) int {
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryPart))
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	g, err := gateway.Start(gateway.Options{Settings: s, Clock: clockwork.NewRealClock(), Out: out})
+	if err != nil {
+		fmt.Fprintln(out, "zinccoved: start failed:", err)
+		return exitFailed
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		g.Reload()
+	}
+	if err := g.Close(); err != nil {
+		fmt.Fprintln(out, "zinccoved: stop failed:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 // serve runs a router until a signal asks it to stop.
 func serve(s *settings.Settings, errOut io.Writer) int {
 	debug.SetGCPercent(gcPercent)
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,135 @@
+// Package follow keeps up with a table of the platform without polling it.
+//
+// The table is read whole once; from then on a feed is held open that answers
+// when rows change. A failure is retried after a pause that grows. When the
+// table does not know its history any more, it is read whole again.
+//
+// # Usage
+//
+//	err := follow.Run(ctx, follow.Options{
+//		Table: "targets", Clock: clock, Snapshot: client.Snapshot, Feed: client.Feed,
+//		Whole: func(b platform.Batch) { ... }, // all rows
+//		Changed: func(b platform.Batch) { ... },
+//		Lost: func(err error) { ... }, Regained: func() { ... },
+//	})
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Options configure a follower of batches of type B. All are required.
+type Options[B any] struct {
+	Clock clockwork.Clock
+	// Snapshot reads the whole table and returns the version it is of.
+	Snapshot func(context.Context) (B, uint64, error)
+	// Feed waits for changes after a version and returns the next version.
+	Feed func(ctx context.Context, since uint64, wait time.Duration) (B, uint64, error)
+	// HistoryLost tells whether an error of Feed asks for a new snapshot.
+	HistoryLost func(error) bool
+	// Whole takes a snapshot, Changed what followed it.
+	Whole   func(B)
+	Changed func(B)
+	// Lost is called with the first of a series of failures, Regained with the
+	// first success after it.
+	Lost     func(error)
+	Regained func()
+	// Alive is called with each success.
+	Alive func()
+}
+
+const (
+	// feedWait is how long a feed is held open. Shorter than the platform allows
+	// (30 s), so that a dead connection is noticed in time; each call has its
+	// price.
+	feedWait = 5 * time.Second
+	// firstPause is the time after the first failure; it doubles up to
+	// longestPause, which keeps below the second within which targets that lost
+	// their entries write them again.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Run follows until ctx ends.
+func Run[B any](ctx context.Context, o Options[B]) error {
+	f := follower[B]{options: o}
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.failed(ctx, err)
+		}
+	}
+	return nil
+}
+
+type follower[B any] struct {
+	options Options[B]
+	// since is the version followed from; known is set once the table was read.
+	since uint64
+	known bool
+	lost  bool
+	pause time.Duration
+}
+
+// step reads the table or waits for its next changes.
+func (f *follower[B]) step(ctx context.Context) error {
+	var (
+		batch B
+		since uint64
+		err   error
+	)
+	whole := !f.known
+	if whole {
+		batch, since, err = f.options.Snapshot(ctx)
+	} else {
+		batch, since, err = f.options.Feed(ctx, f.since, f.wait())
+	}
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	f.since, f.known = max(since, f.since), true
+	if whole {
+		f.options.Whole(batch)
+	} else {
+		f.options.Changed(batch)
+	}
+	return nil
+}
+
+// wait is how long the next feed is held open: not at all after a failure, so
+// that the end of an outage is known at once.
+func (f *follower[B]) wait() time.Duration {
+	if f.lost {
+		return 0
+	}
+	return feedWait
+}
+
+func (f *follower[B]) succeeded() {
+	f.pause = 0
+	if f.lost {
+		f.lost = false
+		f.options.Regained()
+	}
+	f.options.Alive()
+}
+
+func (f *follower[B]) failed(ctx context.Context, err error) {
+	if f.options.HistoryLost(err) {
+		f.known, f.since = false, 0
+		return
+	}
+	if !f.lost {
+		f.lost = true
+		f.options.Lost(err)
+	}
+	f.pause = min(max(2*f.pause, firstPause), longestPause)
+	select {
+	case <-ctx.Done():
+	case <-f.options.Clock.After(f.pause/2 + rand.N(f.pause)):
+	}
+}
--- /dev/null
+++ b/gateway/beat.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/member"
+	"zinccove.example/zinccove/metric"
+)
+
+var errDigest = eris.New("configuration does not match its digest")
+
+// beat sends a heartbeat to every known router.
+func (l *loop) beat() {
+	g := l.gateway
+	hb := l.heartbeat()
+	sent := 0
+	for _, to := range l.destinations() {
+		size, err := g.transport.Send(to, hb)
+		if err != nil {
+			g.metrics.Inc(metric.PeerErrors)
+			continue
+		}
+		sent += size
+		g.metrics.Inc(metric.HeartbeatsSent)
+	}
+	g.metrics.Add(metric.ControlBytesSent, sent)
+}
+
+// contactEvery is the number of heartbeats from one to silent routers and
+// contacts to the next.
+const contactEvery = 5
+
+// destinations returns the addresses of the reachable routers and, from time
+// to time, of all others that may be there.
+func (l *loop) destinations() []netip.AddrPort {
+	all := l.sequence%contactEvery == 1
+	var to []netip.AddrPort
+	known := make(map[netip.AddrPort]bool)
+	for _, h := range l.members.Hosts() {
+		if h.Peer.IsValid() && (h.Reachable || all) {
+			to = append(to, h.Peer)
+			known[h.Peer] = true
+		}
+	}
+	if !all {
+		return to
+	}
+	for _, contact := range l.gateway.settings.Contacts {
+		addr := l.gateway.peerAddress(contact)
+		if !known[addr] && addr != l.gateway.settings.ListenPeer {
+			to = append(to, addr)
+		}
+	}
+	return to
+}
+
+func (l *loop) heartbeat() *zinccovev1.Heartbeat {
+	l.sequence++
+	hb := &zinccovev1.Heartbeat{
+		Incarnation: l.incarnation, Sequence: l.sequence, ConfigVersion: l.version(), Leaving: l.gateway.stopping.Load(),
+	}
+	for hash, load := range l.gateway.placer.Own() {
+		hb.Loads = append(hb.Loads, &zinccovev1.TargetLoad{
+			Target: uint32(hash), Requests: uint32(load.Requests), Unread: uint32(load.Unread),
+		})
+	}
+	if l.sequence <= identifyEvery || l.sequence%identifyEvery == 0 {
+		hb.Host = l.identity()
+		hb.Introduced = l.introductions()
+	}
+	return hb
+}
+
+func (l *loop) identity() *zinccovev1.HostInfo {
+	s := l.gateway.settings
+	return &zinccovev1.HostInfo{
+		Name: s.Host, DataCentre: s.DataCentre, Control: s.ListenControl.String(), Peer: s.ListenPeer.String(),
+		StartedUnixMs: l.started.UnixMilli(),
+	}
+}
+
+// introductions names some reachable routers, by turns.
+func (l *loop) introductions() []*zinccovev1.HostInfo {
+	var reachable []*member.Host
+	for _, h := range l.members.Hosts() {
+		if h.Reachable && h.Peer.IsValid() {
+			reachable = append(reachable, h)
+		}
+	}
+	var list []*zinccovev1.HostInfo
+	for range min(introductions, len(reachable)) {
+		h := reachable[l.introduced%len(reachable)]
+		l.introduced++
+		list = append(list, &zinccovev1.HostInfo{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer.String()})
+	}
+	return list
+}
+
+// publish makes the status that operators read, and the gauges.
+func (l *loop) publish(now time.Time) {
+	g := l.gateway
+	all := []*zinccovev1.RouterStatus{{
+		Host: g.settings.Host, DataCentre: g.settings.DataCentre, ConfigVersion: l.version(), Reachable: true, Leaving: g.stopping.Load(),
+	}}
+	reachable := 0
+	for _, h := range l.members.Hosts() {
+		if h.Reachable {
+			reachable++
+		}
+		all = append(all, h.Status(now))
+	}
+	l.published.Store(&all)
+	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
+	g.metrics.Set(metric.HostsReachable, float64(reachable))
+	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
+}
+
+// statuses returns what is known of all routers as of the last tick.
+func (l *loop) statuses() []*zinccovev1.RouterStatus {
+	if p := l.published.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/follow"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+// source follows a table of the store.
+func (g *Gateway) source(table string, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
+	return follow.Options[platform.Batch]{
+		Clock: g.clock,
+		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
+			b, err := g.store.Snapshot(ctx, table)
+			return b, b.Version, err
+		},
+		Feed: func(ctx context.Context, since uint64, wait time.Duration) (platform.Batch, uint64, error) {
+			b, err := g.store.Feed(ctx, table, since, wait)
+			return b, b.Version, err
+		},
+		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
+		Whole:       func(b platform.Batch) { take(b, true) },
+		Changed:     func(b platform.Batch) { take(b, false) },
+		Lost: func(err error) {
+			g.metrics.Inc(metric.PlatformErrors)
+			g.log.Warn().Err(err).Str("table", table).Msg("store lost")
+		},
+		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
+		Alive:    func() {},
+	}
+}
+
+// followRoutes follows the operators' configuration.
+func (g *Gateway) followRoutes(ctx context.Context) error {
+	o := g.source(platform.TableOperator, func(b platform.Batch, _ bool) {
+		for _, c := range b.Changes {
+			if c.Key == platform.ConfigKey && !c.Removed {
+				g.loop.post(ctx, func(l *loop) { l.adopt(c.Value, "store") })
+			}
+		}
+	})
+	lost, regained := o.Lost, o.Regained
+	o.Lost = func(err error) { g.storeLost.Store(true); lost(err) }
+	o.Regained = func() { g.storeLost.Store(false); regained() }
+	o.Alive = func() { now := g.clock.Now(); g.confirmed.Store(&now) }
+	return follow.Run(ctx, o)
+}
+
+// followTargets follows the targets' entries.
+func (g *Gateway) followTargets(ctx context.Context) error {
+	o := g.source(platform.TableTargets, func(b platform.Batch, whole bool) {
+		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
+	})
+	lost, regained := o.Lost, o.Regained
+	o.Lost = func(err error) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(err) }
+	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
+	return follow.Run(ctx, o)
+}
+
+// adopt brings a configuration in force, unless it is not newer than the one
+// in force or not valid.
+func (l *loop) adopt(body []byte, from string) {
+	g := l.gateway
+	spec, err := platform.DecodeConfig(body)
+	var table *route.Table
+	if err == nil {
+		table, err = route.New(spec)
+	}
+	if err != nil {
+		g.metrics.Inc(metric.ConfigRejected)
+		g.log.Error().Err(err).Str("from", from).Uint64("version", spec.Version).Msg("configuration rejected, the one before stays in force")
+		return
+	}
+	if table.Version <= l.version() {
+		return
+	}
+	digest := sha256.Sum256(body)
+	g.table.Store(&adopted{table: table, body: body, digest: hex.EncodeToString(digest[:])})
+	g.metrics.Inc(metric.ConfigAdopted)
+	g.metrics.Set(metric.ConfigVersion, float64(table.Version))
+	g.log.Info().Uint64("version", table.Version).Str("from", from).Int("routes", len(table.Routes)).
+		Int("customers", len(table.Customers)).Msg("configuration in force")
+	l.publishTargets()
+}
+
+// version is that of the table in force, 0 if there is none.
+func (l *loop) version() uint64 {
+	if a := l.gateway.table.Load(); a != nil {
+		return a.table.Version
+	}
+	return 0
+}
+
+// takeTargets takes entries of targets.
+func (l *loop) takeTargets(b platform.Batch, whole bool) {
+	var entries []roster.Target
+	for _, c := range b.Changes {
+		if c.Removed {
+			l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Msg("target entry removed")
+			l.roster.Remove(c.Key)
+			continue
+		}
+		t, err := platform.DecodeTarget(c)
+		if err != nil {
+			l.gateway.log.Error().Err(err).Str("target", c.Key).Msg("target entry rejected")
+			continue
+		}
+		l.gateway.log.Info().Str("target", t.ID).Str("service", t.Service).Stringer("address", t.Address).
+			Bool("draining", t.Draining).Uint64("version", t.Version).Msg("target entry")
+		if whole {
+			entries = append(entries, t)
+		} else {
+			l.roster.Put(t)
+		}
+	}
+	if whole {
+		l.roster.Replace(entries)
+	}
+	l.publishTargets()
+}
+
+// publishTargets gives targets and engines to the placer.
+func (l *loop) publishTargets() {
+	var table *route.Table
+	if a := l.gateway.table.Load(); a != nil {
+		table = a.table
+	}
+	l.targets = l.roster.Targets()
+	l.gateway.placer.SetTargets(l.targets, table)
+}
+
+// announce writes this router's entry and learns the others'. Routers that
+// start later send heartbeats to those they read, so once is enough.
+func (g *Gateway) announce(ctx context.Context) error {
+	self := platform.Host{
+		Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.settings.ListenPeer, State: platform.HostLive,
+	}
+	pause := announcePause
+	for {
+		err := g.store.Announce(ctx, self)
+		var hosts []platform.Host
+		if err == nil {
+			hosts, err = g.store.Hosts(ctx)
+		}
+		if err == nil {
+			g.loop.post(ctx, func(l *loop) { l.learnHosts(hosts) })
+			return nil
+		}
+		g.log.Warn().Err(err).Msg("router not announced, trying again")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.clock.After(pause):
+		}
+		pause = min(2*pause, longestAnnouncePause)
+	}
+}
+
+// Pauses between tries to announce this router. Heartbeats to known contacts
+// bridge the time until it works.
+const (
+	announcePause        = 300 * time.Millisecond
+	longestAnnouncePause = 5 * time.Second
+)
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,222 @@
+// Package gateway is the router of fleets whose operators write routes into
+// the platform's store: it joins callers, targets, other routers and the store.
+//
+// One goroutine, the control loop in loop.go, owns the routing table, the list
+// of targets and the list of routers, and publishes immutable values. Callers
+// are served by goroutines of package relay.
+//
+// # Usage
+//
+//	g, err := gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: os.Stdout})
+//	defer g.Close() // the planned stop
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/zinccove/control"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/relay"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/route"
+	"zinccove.example/zinccove/settings"
+)
+
+// Options configure a gateway. All are required.
+type Options struct {
+	Settings *settings.Settings
+	Clock    clockwork.Clock
+	// Out takes the log.
+	Out io.Writer
+}
+
+// Gateway is a running router.
+type Gateway struct {
+	settings  *settings.Settings
+	clock     clockwork.Clock
+	log       zerolog.Logger
+	lines     *lines
+	metrics   *metric.Metrics
+	store     *platform.Client
+	placer    *place.Placer
+	links     *link.Pool
+	relay     *relay.Server
+	control   *control.Server
+	readiness *readiness
+	transport *peer.Transport
+	peers     *http.Client
+	loop      *loop
+
+	table atomic.Pointer[adopted]
+	// confirmed is when the store last confirmed that the table is the newest.
+	confirmed atomic.Pointer[time.Time]
+	storeLost atomic.Bool
+	stopping  atomic.Bool
+
+	group errgroup.Group
+	stop  context.CancelFunc
+}
+
+// adopted is a table in force and the body that it was read from.
+type adopted struct {
+	table  *route.Table
+	body   []byte
+	digest string
+}
+
+const (
+	// peerTimeout bounds a call to another router.
+	peerTimeout = time.Second
+	// peerIdle is how long a connection to another router is kept unused.
+	peerIdle = 10 * time.Second
+	// stopMargin is how much earlier than the stop limit a planned stop cuts what
+	// still runs, so that the process ends by itself.
+	stopMargin = 700 * time.Millisecond
+	// retryPart is the part of the fleet's retries that all routers together use:
+	// each knows only its own requests.
+	retryPart = 0.7
+	// usualRouters divides the fleet's retry slack when the number of routers is
+	// not known yet.
+	usualRouters = 9
+)
+
+// Start opens all addresses and begins to serve.
+func Start(o Options) (*Gateway, error) {
+	metrics, err := metric.New()
+	if err != nil {
+		return nil, err
+	}
+	s := o.Settings
+	l := newLines(o.Out, metrics)
+	g := &Gateway{
+		settings: s, clock: o.Clock, lines: l, metrics: metrics,
+		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
+		placer: place.New(place.Options{Clock: o.Clock}),
+		links:  link.NewPool(link.Options{Clock: o.Clock}),
+		peers:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
+		store: platform.New(platform.Options{
+			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: link.DialTimeout,
+			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
+		}),
+	}
+	g.loop = newLoop(g)
+	if err := g.start(); err != nil {
+		return nil, errors.Join(err, g.metrics.Close(), l.Close())
+	}
+	return g, nil
+}
+
+// start opens the addresses in an order in which nothing is asked of a part
+// that is not there yet.
+func (g *Gateway) start() error {
+	var err error
+	s := g.settings
+	g.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: g.clock, Key: []byte(s.FleetKey), Receive: g.loop.receive})
+	if err != nil {
+		return err
+	}
+	g.control, err = control.Listen(control.Options{
+		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Config: g.config,
+		Status: g.loop.statuses, Ready: g.ready, WrongKey: func() { g.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: g.metrics.Handler(),
+	})
+	if err != nil {
+		return err
+	}
+	g.relay, err = relay.Listen(relay.Options{
+		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
+		View: g.view, Placer: g.placer, Links: g.links,
+		Retries: request.NewBudget(s.RetryRatio*retryPart, float64(s.RetrySlack)*retryPart/usualRouters),
+		Limits: relay.Limits{
+			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
+			Announce: s.StopDelay, Stop: s.StopTimeout - stopMargin,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if s.ListenReady.IsValid() {
+		if g.readiness, err = listenReady(s.ListenReady, g.ready); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	g.group.Go(func() error { return g.loop.run(ctx) })
+	g.group.Go(func() error { return g.followRoutes(ctx) })
+	g.group.Go(func() error { return g.followTargets(ctx) })
+	g.group.Go(func() error { return g.announce(ctx) })
+	g.log.Info().Stringer("caller", s.ListenCaller).Stringer("control", s.ListenControl).Stringer("peer", s.ListenPeer).
+		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Int("memory_mb", s.MemoryMB).Msg("started")
+	return nil
+}
+
+// Close makes the planned stop: the balancer and the peers are told, accepted
+// requests end, then everything is closed.
+func (g *Gateway) Close() error {
+	g.stopping.Store(true)
+	g.log.Info().Int("running", g.relay.Running()).Msg("stopping")
+	err := g.relay.Close()
+	g.stop()
+	err = errors.Join(err, g.group.Wait(), g.control.Close(), g.transport.Close())
+	if g.readiness != nil {
+		err = errors.Join(err, g.readiness.Close())
+	}
+	g.links.Close()
+	g.store.Close()
+	g.peers.CloseIdleConnections()
+	g.log.Info().Err(err).Msg("stopped")
+	return errors.Join(err, g.metrics.Close(), g.lines.Close())
+}
+
+// Reload notes that the settings file changed. Settings are read at start
+// only; those that change while a router runs concern its next start.
+func (g *Gateway) Reload() {
+	g.log.Info().Msg("settings file changed, it is read at the next start")
+}
+
+// ready reports whether the balancer may send callers here.
+func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
+
+// freshFor is how long a confirmation of the store holds: a feed is held open
+// for a while, and a dead connection is noticed some seconds later.
+const freshFor = 9 * time.Second
+
+// view is the table in force.
+func (g *Gateway) view() relay.View {
+	a := g.table.Load()
+	if a == nil {
+		return relay.View{}
+	}
+	confirmed := g.confirmed.Load()
+	fresh := confirmed != nil && !g.storeLost.Load() && g.clock.Since(*confirmed) < freshFor
+	return relay.View{Table: a.table, Fresh: fresh}
+}
+
+// config is what peers are given.
+func (g *Gateway) config() *zinccovev1.FetchConfigResponse {
+	a := g.table.Load()
+	if a == nil {
+		return nil
+	}
+	return &zinccovev1.FetchConfigResponse{Version: a.table.Version, Digest: a.digest, Body: a.body}
+}
+
+// peerAddress is where the datagrams of a contact are sent.
+func (g *Gateway) peerAddress(contact netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(contact, g.settings.ListenPeer.Port())
+}
--- /dev/null
+++ b/gateway/lines.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"zinccove.example/zinccove/metric"
+)
+
+// lines is a log that never blocks: lines are written by a goroutine of their
+// own from a ring, and lines about requests are limited to a number a second.
+// What is dropped is counted.
+type lines struct {
+	diode.Writer
+
+	metrics *metric.Metrics
+}
+
+const (
+	// ringLines is the number of lines that wait to be written.
+	ringLines = 4096
+	// requestLines is the most lines about requests in a second: ten times what
+	// a router writes at its full load today.
+	requestLines = 600
+)
+
+func newLines(out io.Writer, m *metric.Metrics) *lines {
+	l := &lines{metrics: m}
+	l.Writer = diode.NewWriter(out, ringLines, 0, func(missed int) { m.Add(metric.LogLinesDropped, missed) })
+	return l
+}
+
+// requests returns the log for lines about requests.
+func (l *lines) requests(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second, NextSampler: l})
+}
+
+// Sample drops a line beyond the limit.
+func (l *lines) Sample(zerolog.Level) bool {
+	l.metrics.Inc(metric.LogLinesDropped)
+	return false
+}
--- /dev/null
+++ b/gateway/loop.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"zinccove.example/zinccove/control"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
+	"zinccove.example/zinccove/member"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/roster"
+)
+
+const (
+	// tickPeriod is the time between looks at what is due.
+	tickPeriod = 50 * time.Millisecond
+	// silence is how long a router may be silent before it counts as not
+	// reachable; what it announced is forgotten then.
+	silence = 1500 * time.Millisecond
+	// forgetAfter is the silence after which no heartbeats are sent to a router.
+	forgetAfter = time.Minute
+	// inbox holds what waits for the control loop.
+	inbox = 1024
+	// identifyEvery is the number of heartbeats from one that says who the sender
+	// is to the next.
+	identifyEvery = 4
+	// introductions is the number of other routers named in such a heartbeat.
+	introductions = 3
+	// targetReturn is how long targets may take to write their entries again
+	// after the store was away, as the platform states.
+	targetReturn = 2 * time.Second
+	// behindFor is how long another router may have a newer configuration before
+	// it is asked for it; the feed is usually faster.
+	behindFor = 150 * time.Millisecond
+	// sweepEvery is the number of ticks between sweeps of idle connections.
+	sweepEvery = 10
+)
+
+// received is a heartbeat and its size in bytes.
+type received struct {
+	heartbeat *zinccovev1.Heartbeat
+	size      int
+}
+
+// loop is the control loop. Its fields below the channels belong to its
+// goroutine.
+type loop struct {
+	gateway    *Gateway
+	heartbeats chan received
+	tasks      chan func(*loop)
+	published  atomic.Pointer[[]*zinccovev1.RouterStatus]
+
+	members     *member.Table
+	roster      *roster.Roster
+	targets     []*roster.Target
+	incarnation uint64
+	started     time.Time
+	sequence    uint64
+	ticks       int
+	lastBeat    time.Time
+	introduced  int
+	// behind is since when another router has a newer configuration.
+	behind   time.Time
+	fetching bool
+}
+
+func newLoop(g *Gateway) *loop {
+	return &loop{
+		gateway:     g,
+		heartbeats:  make(chan received, inbox),
+		tasks:       make(chan func(*loop), inbox),
+		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
+		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn}),
+		incarnation: rand.Uint64(),
+		started:     g.clock.Now(),
+	}
+}
+
+// receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
+// is dropped like a lost one.
+func (l *loop) receive(hb *zinccovev1.Heartbeat, size int) {
+	select {
+	case l.heartbeats <- received{hb, size}:
+	default:
+	}
+}
+
+// post has task run on the loop's goroutine.
+func (l *loop) post(ctx context.Context, task func(*loop)) {
+	select {
+	case l.tasks <- task:
+	case <-ctx.Done():
+	}
+}
+
+func (l *loop) run(ctx context.Context) error {
+	tick := l.gateway.clock.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-l.heartbeats:
+			l.hear(r)
+		case task := <-l.tasks:
+			task(l)
+		case <-tick.Chan():
+			l.tick(ctx)
+		}
+	}
+}
+
+// tick does what is due.
+func (l *loop) tick(ctx context.Context) {
+	now := l.gateway.clock.Now()
+	l.ticks++
+	l.expire(now)
+	l.expireTargets()
+	l.catchUp(ctx, now)
+	if now.Sub(l.lastBeat) >= l.gateway.settings.HeartbeatInterval {
+		l.lastBeat = now
+		l.beat()
+	}
+	if l.ticks%sweepEvery == 0 {
+		l.sweep()
+		l.publish(now)
+	}
+}
+
+// expireTargets drops targets that did not come back after an outage of the
+// store.
+func (l *loop) expireTargets() {
+	gone := l.roster.Expire()
+	if len(gone) == 0 {
+		return
+	}
+	l.gateway.log.Info().Strs("targets", gone).Msg("targets gone since the store was away")
+	l.publishTargets()
+}
+
+func (l *loop) sweep() {
+	known := make(map[string]bool, len(l.targets))
+	for _, t := range l.targets {
+		known[t.ID] = true
+	}
+	l.gateway.links.Sweep(func(id string) bool { return known[id] })
+}
+
+// hear takes a heartbeat of another router.
+func (l *loop) hear(r received) {
+	m := l.gateway.metrics
+	m.Inc(metric.HeartbeatsReceived)
+	m.Add(metric.ControlBytesReceived, r.size)
+	host, news := l.members.Hear(r.heartbeat)
+	switch news {
+	case member.Ignored:
+		m.Inc(metric.HeartbeatsIgnored)
+		return
+	case member.Restarted:
+		l.gateway.log.Info().Str("peer", host.Name).Stringer("address", host.Peer).Msg("router heard")
+	}
+	for _, h := range r.heartbeat.Introduced {
+		l.introduce(h)
+	}
+	loads := make(map[place.Hash]place.Load, len(r.heartbeat.Loads))
+	for _, t := range r.heartbeat.Loads {
+		loads[place.Hash(t.Target)] = place.Load{Requests: int(t.Requests), Unread: int(t.Unread)}
+	}
+	l.gateway.placer.SetPeer(host.Name, loads)
+}
+
+// introduce learns a router from another one.
+func (l *loop) introduce(h *zinccovev1.HostInfo) {
+	addr, err := netip.ParseAddrPort(h.Peer)
+	if err != nil {
+		l.gateway.metrics.Inc(metric.PeerErrors)
+		return
+	}
+	l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: addr})
+}
+
+// learnHosts takes the entries of routers from the store.
+func (l *loop) learnHosts(hosts []platform.Host) {
+	for _, h := range hosts {
+		if h.Peer.IsValid() {
+			l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+		}
+	}
+	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
+}
+
+func (l *loop) expire(now time.Time) {
+	for _, h := range l.members.Expire() {
+		l.gateway.placer.SetPeer(h.Name, nil)
+		l.gateway.metrics.Inc(metric.HostsLost)
+		l.gateway.log.Warn().Str("peer", h.Name).Dur("silent", now.Sub(h.Heard)).Msg("router not reachable")
+	}
+	l.members.Forget(now.Add(-forgetAfter))
+}
+
+// catchUp asks another router for a newer configuration.
+func (l *loop) catchUp(ctx context.Context, now time.Time) {
+	ahead := l.ahead()
+	if ahead == nil {
+		l.behind = time.Time{}
+		return
+	}
+	if l.behind.IsZero() {
+		l.behind = now
+	}
+	if l.fetching || now.Sub(l.behind) < behindFor {
+		return
+	}
+	l.fetching = true
+	g, addr := l.gateway, ahead.Control
+	g.group.Go(func() error {
+		body, err := g.fetchConfig(ctx, addr)
+		l.post(ctx, func(l *loop) {
+			l.fetching = false
+			if err != nil {
+				g.metrics.Inc(metric.PeerErrors)
+				g.log.Warn().Err(err).Stringer("peer", addr).Msg("configuration not fetched from router")
+				return
+			}
+			l.adopt(body, addr.String())
+		})
+		return nil
+	})
+}
+
+// ahead returns a reachable router with a newer configuration.
+func (l *loop) ahead() *member.Host {
+	for _, h := range l.members.Hosts() {
+		if h.Reachable && h.Control.IsValid() && h.ConfigVersion > l.version() {
+			return h
+		}
+	}
+	return nil
+}
+
+// fetchConfig reads the configuration of the router at a control address.
+func (g *Gateway) fetchConfig(ctx context.Context, addr netip.AddrPort) ([]byte, error) {
+	client := zinccovev1connect.NewPeerServiceClient(g.peers, "http://"+addr.String(), control.Authorize("", g.settings.FleetKey))
+	resp, err := client.FetchConfig(ctx, new(zinccovev1.FetchConfigRequest))
+	if err != nil {
+		return nil, err
+	}
+	if digest := sha256.Sum256(resp.Body); hex.EncodeToString(digest[:]) != resp.Digest {
+		return nil, errDigest
+	}
+	return resp.Body, nil
+}
--- a/hangup/hangup.go
+++ b/hangup/hangup.go
@@ -96,7 +96,7 @@
 	defer w.mu.Unlock()
 	var gone []*watch
 	for x := range w.watched {
-		if closed(x.raw) {
+		if Peek(x.raw) == Closed {
 			gone = append(gone, x)
 			delete(w.watched, x)
 		}
@@ -104,8 +104,21 @@
 	return gone
 }
 
-// closed peeks at the socket without blocking.
-func closed(raw syscall.RawConn) bool {
+// State is what Peek saw of a connection.
+type State int
+
+// The states.
+const (
+	// Quiet: open, and nothing arrived.
+	Quiet State = iota
+	// Readable: bytes arrived that were not read yet.
+	Readable
+	// Closed: the other side closed or reset the connection.
+	Closed
+)
+
+// Peek looks at a socket without blocking and without taking bytes from it.
+func Peek(raw syscall.RawConn) State {
 	var (
 		b   [1]byte
 		n   int
@@ -114,11 +127,14 @@
 	cerr := raw.Control(func(fd uintptr) {
 		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	if cerr != nil {
-		return true
-	}
-	if err != nil {
-		return err != unix.EAGAIN && err != unix.EINTR
+	switch {
+	case cerr != nil:
+		return Closed
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return Quiet
+	case err != nil || n == 0:
+		return Closed
+	default:
+		return Readable
 	}
-	return n == 0
 }
--- a/hangup/hangup_test.go
+++ b/hangup/hangup_test.go
@@ -39,7 +39,7 @@
 	assert.NilError(t, err)
 	raw, err := server.(*net.TCPConn).SyscallConn()
 	assert.NilError(t, err)
-	assert.Assert(t, !closed(raw))
+	assert.Equal(t, Peek(raw), Readable)
 	b := make([]byte, 4)
 	_, err = server.Read(b)
 	assert.NilError(t, err)
--- a/member/member.go
+++ b/member/member.go
@@ -59,6 +59,17 @@
 	Heard time.Time
 }
 
+// Status is the host as operators see it.
+func (h *Host) Status(now time.Time) *zinccovev1.RouterStatus {
+	s := &zinccovev1.RouterStatus{
+		Host: h.Name, DataCentre: h.DataCentre, ConfigVersion: h.ConfigVersion, Reachable: h.Reachable, Leaving: h.Leaving,
+	}
+	if !h.Heard.IsZero() {
+		s.SilentMs = now.Sub(h.Heard).Milliseconds()
+	}
+	return s
+}
+
 // News is what a heartbeat said about its sender.
 type News int
 
--- /dev/null
+++ b/message/message.go
@@ -0,0 +1,96 @@
+// Package message holds what routers read from and write to the headers of
+// requests and answers, apart from the headers' names.
+//
+// Deployments name these headers in their own way. A Codec translates; the
+// packages that decide see only the types of this package.
+//
+// # Usage
+//
+//	call, err := codec.Call(&ctx.Request.Header)
+//	head = codec.AppendRequest(head, &ctx.Request.Header, message.Forward{...})
+//	answer := codec.Answer(&header)
+package message
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Call is what a caller says about its request.
+type Call struct {
+	// ID differs between any two attempts of all callers.
+	ID string
+	// Deadline is how long the caller waits; 0 means it did not say.
+	Deadline time.Duration
+	// Key is the caller's API key, empty if it sent none.
+	Key string
+	// Parts are the pieces of the prompt in order. The last one belongs to this
+	// request or its session, the ones before it are shared.
+	Parts []Part
+	// PromptTokens and MaxTokens are the size of the prompt and the most tokens
+	// of the answer.
+	PromptTokens int
+	MaxTokens    int
+	// HintTokens is the caller's guess of the answer's tokens; 0 if none.
+	HintTokens int
+	// LastEvent is the id of the last event that a resuming caller has.
+	LastEvent string
+}
+
+// SharedTokens returns the size of the shared parts of the prompt.
+func (c *Call) SharedTokens() int {
+	n := 0
+	for i := range len(c.Parts) - 1 {
+		n += c.Parts[i].Tokens
+	}
+	return n
+}
+
+// Forward is what a router adds to a request for a target.
+type Forward struct {
+	// Target is the id of the target that alone may run the request.
+	Target string
+	// Customer is the name of the customer, empty if there is none.
+	Customer string
+	// Left is the time that the target may take.
+	Left time.Duration
+	// LastEvent is the id of the last event that was delivered, if the request
+	// goes on with a stream that broke.
+	LastEvent string
+	// HideKey removes the caller's API key.
+	HideKey bool
+}
+
+// Answer is what a target says about its answer.
+type Answer struct {
+	// ID is the request that the answer is for.
+	ID string
+	// Signed answers carry the target's signature.
+	Signed bool
+	// NotRun means that the target says that it did not run the request.
+	NotRun bool
+	// Idle is how long the target keeps the connection; 0 if it did not say.
+	Idle time.Duration
+	// Close means that the target closes the connection after the answer.
+	Close bool
+}
+
+// Codec translates headers. All fields are required.
+type Codec struct {
+	// Call decodes a caller's request; the error names the header that is wrong.
+	Call func(*fasthttp.RequestHeader) (Call, error)
+	// AppendRequest appends the header lines of a request to a target, without
+	// request line, framing and the end of the header.
+	AppendRequest func(dst []byte, h *fasthttp.RequestHeader, f Forward) []byte
+	// Answer decodes a target's answer.
+	Answer func(*fasthttp.ResponseHeader) Answer
+	// CopyAnswer copies the header lines of an answer that concern the caller.
+	CopyAnswer func(dst, src *fasthttp.ResponseHeader)
+}
--- a/metric/names.go
+++ b/metric/names.go
@@ -39,6 +39,8 @@
 	PeerErrors
 	ConfigAdopted
 	HostsLost
+	ConfigRejected
+	LogLinesDropped
 	counters
 )
 
@@ -70,6 +72,8 @@
 	PlatformErrors:       {"platform_errors", "*alarm* Requests to the platform that failed."},
 	PeerErrors:           {"peer_errors", "Calls and heartbeats to other routers that failed."},
 	ConfigAdopted:        {"config_adopted", "Versions of the configuration that came in force here."},
+	ConfigRejected:       {"config_rejected", "*alarm* Configurations that were not valid and did not come in force."},
+	LogLinesDropped:      {"log_lines_dropped", "Log lines that were not written because there were too many."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,360 @@
+// Package place chooses the target of each request and says when a request is
+// better refused.
+//
+// Engines keep what they read of prompts. A prompt that shares its first parts
+// with others is therefore sent to its home, the target that rendezvous hashing
+// gives for the last shared part, so that all routers agree without a message.
+// Load comes second: the tokens that wait to be read at a target, of all
+// routers, predict the time to the first event. When the home cannot make the
+// objective, the next homes are asked, where the shared parts may have to be
+// read again; when none can, the request is refused with the time after which
+// the home is expected to have room.
+//
+// Plain services take the target with the fewest outstanding requests.
+//
+// The package has no I/O.
+//
+// # Usage
+//
+//	p := place.New(place.Options{Clock: clock})
+//	p.SetTargets(targets, table)
+//	d := p.Place(request)
+//	if d.Run == nil {
+//		// refused: d.Reason, d.RetryAfter
+//	}
+//	d.Run.FirstEvent()
+//	d.Run.End(place.Answered)
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+// Options configure a placer.
+type Options struct {
+	Clock clockwork.Clock
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service   string
+	Customer  string
+	Objective time.Duration
+	// Call is what the caller said.
+	Call *message.Call
+	// Tried are the ids of targets that the request was sent to before.
+	Tried []string
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// NoTarget: no target of the service takes requests.
+	NoTarget Reason = "no_target"
+	// Overloaded: no target can make the objective.
+	Overloaded Reason = "overloaded"
+)
+
+// Decision is the choice for one request, with the inputs that decided it.
+type Decision struct {
+	// Run is nil if the request is refused.
+	Run        *Run
+	Reason     Reason
+	RetryAfter time.Duration
+
+	// Rank is the place of the target in the order of homes, 0 for the first.
+	Rank int
+	// Backlog is the number of tokens that wait to be read at the target.
+	Backlog int
+	// Outstanding is the number of requests at the target.
+	Outstanding int
+	// Predicted is the expected time to the first event.
+	Predicted time.Duration
+	// Age is the age of the oldest report of another router that was counted.
+	Age time.Duration
+}
+
+// Placer chooses targets. It is safe for concurrent use.
+type Placer struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	services map[string]*service
+	targets  map[string]*target
+	peers    map[string]*report
+}
+
+// New returns a placer without targets.
+func New(o Options) *Placer {
+	return &Placer{
+		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target), peers: make(map[string]*report),
+	}
+}
+
+// service is the state of all targets of a service.
+type service struct {
+	targets []*target
+	engine  *route.Engine
+	speed   *speed
+}
+
+// target is the state of one target.
+type target struct {
+	roster.Target
+
+	hash Hash
+	own  Load
+	// others is the sum of what other routers announced.
+	others  Load
+	circuit circuit
+}
+
+func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
+func (t *target) unread() int      { return t.own.Unread + t.others.Unread }
+
+// Load is the work of one router at one target.
+type Load struct {
+	// Requests is the number of requests.
+	Requests int
+	// Unread is the number of prompt tokens of requests without a first event.
+	Unread int
+}
+
+// SetTargets takes the list of targets and the services they belong to.
+func (p *Placer) SetTargets(list []*roster.Target, table *route.Table) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.targets
+	p.targets = make(map[string]*target, len(list))
+	for _, s := range p.services {
+		s.targets = nil
+	}
+	for _, entry := range list {
+		t := known[entry.ID]
+		if t == nil {
+			t = &target{hash: HashOf(entry.ID)}
+		}
+		t.Target = *entry
+		p.targets[entry.ID] = t
+		s := p.service(entry.Service)
+		s.targets = append(s.targets, t)
+	}
+	if table != nil {
+		p.setEngines(table)
+	}
+	p.sumPeers()
+}
+
+func (p *Placer) setEngines(table *route.Table) {
+	for i := range table.Services {
+		s := p.service(table.Services[i].Name)
+		s.engine = table.Services[i].Engine
+		if s.engine != nil && len(s.targets) > 0 {
+			s.speed.guess(table.Limits.TokensPerSecond / float64(len(s.targets)))
+		}
+	}
+}
+
+func (p *Placer) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{speed: newSpeed()}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Place chooses a target and counts the request there, or refuses it.
+func (p *Placer) Place(r Request) Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	s := p.services[r.Service]
+	if s == nil {
+		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
+	}
+	open := p.open(s, r, now)
+	if len(open) == 0 {
+		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
+	}
+	if s.engine == nil {
+		return p.leastOutstanding(open, now)
+	}
+	return p.home(s, open, r, now)
+}
+
+// noTargetRetry is when a caller may come back if there is no target: lists
+// lag by about a second.
+const noTargetRetry = 500 * time.Millisecond
+
+// open returns the targets that may be used, at best those not tried before.
+func (p *Placer) open(s *service, r Request, now time.Time) []*target {
+	var open []*target
+	for _, t := range s.targets {
+		if !t.Draining && t.circuit.allows(now) && !slices.Contains(r.Tried, t.ID) {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+func (p *Placer) leastOutstanding(open []*target, now time.Time) Decision {
+	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	t := slices.MinFunc(open, func(a, b *target) int {
+		return cmp.Compare(a.outstanding()*max(b.Slots, 1), b.outstanding()*max(a.Slots, 1))
+	})
+	return p.begin(t, Decision{Outstanding: t.outstanding()}, 0, now)
+}
+
+// candidate is a target and what is expected of it for one request.
+type candidate struct {
+	target    *target
+	rank      int
+	unread    int
+	predicted time.Duration
+}
+
+// home chooses the first target in the order of homes that is expected to make
+// the objective.
+func (p *Placer) home(s *service, open []*target, r Request, now time.Time) Decision {
+	order := homes(open, homeKey(r.Call))
+	limit := time.Duration(float64(r.Objective) * admitShare)
+	var first Decision
+	for rank, t := range order[:min(len(order), maxHomes)] {
+		unread := unreadTokens(r.Call, rank)
+		d := Decision{
+			Rank: rank, Backlog: t.unread(), Outstanding: t.outstanding(), Predicted: s.speed.predict(t.unread() + unread),
+		}
+		if d.Predicted <= limit && t.outstanding() < t.Slots {
+			return p.begin(t, d, unread, now)
+		}
+		if rank == 0 {
+			first = d
+		}
+	}
+	first.Reason = Overloaded
+	first.RetryAfter = max(first.Predicted-limit, leastRetry)
+	return first
+}
+
+const (
+	// admitShare is the part of the objective that a prediction may take; the
+	// rest is for what is not seen, as reports of other routers lag.
+	admitShare = 0.8
+	// maxHomes is the number of homes that a prompt may be read at. Shared parts
+	// of all prompts fit about two homes in the memory of the engines.
+	maxHomes = 1
+	// leastRetry is the shortest time after which a caller is asked back.
+	leastRetry = 100 * time.Millisecond
+)
+
+// homeKey is the last shared part of a prompt, or the only one.
+func homeKey(c *message.Call) string {
+	switch n := len(c.Parts); n {
+	case 0:
+		return c.ID
+	case 1:
+		return c.Parts[0].ID
+	default:
+		return c.Parts[n-2].ID
+	}
+}
+
+// unreadTokens is the number of tokens that a target has to read. The first
+// home is expected to keep the shared parts.
+func unreadTokens(c *message.Call, rank int) int {
+	if rank == 0 {
+		return max(c.PromptTokens-c.SharedTokens(), 1)
+	}
+	return max(c.PromptTokens, 1)
+}
+
+// homes sorts targets by rendezvous hashing of a key.
+func homes(targets []*target, key string) []*target {
+	weight := make(map[*target]uint64, len(targets))
+	for _, t := range targets {
+		weight[t] = xxhash.Sum64String(key + "/" + t.ID)
+	}
+	order := slices.Clone(targets)
+	slices.SortFunc(order, func(a, b *target) int { return cmp.Compare(weight[b], weight[a]) })
+	return order
+}
+
+func (p *Placer) begin(t *target, d Decision, unread int, now time.Time) Decision {
+	t.own.Requests++
+	t.own.Unread += unread
+	d.Age = p.oldestReport(now)
+	d.Run = &Run{Target: t.Target, placer: p, state: t, unread: unread, backlog: d.Backlog + unread, began: now}
+	return d
+}
+
+// Run is one request at one target. It is used by one goroutine at a time.
+type Run struct {
+	Target roster.Target
+
+	placer  *Placer
+	state   *target
+	unread  int
+	backlog int
+	began   time.Time
+	ended   bool
+}
+
+// FirstEvent notes that the target has read the prompt.
+func (r *Run) FirstEvent() {
+	p := r.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.unread == 0 {
+		return
+	}
+	p.service(r.Target.Service).speed.learn(r.backlog, p.clock.Since(r.began))
+	r.read()
+}
+
+func (r *Run) read() {
+	r.state.own.Unread -= r.unread
+	r.unread = 0
+}
+
+// Result is how a run ended, as far as it tells about the target.
+type Result int
+
+// The results.
+const (
+	// Answered: the target answered.
+	Answered Result = iota
+	// Refused: the target said that it does not run the request.
+	Refused
+	// Failed: the target could not be reached or broke off.
+	Failed
+	// Cancelled: the run was ended for reasons that say nothing of the target.
+	Cancelled
+)
+
+// End ends the run. Only the first call counts.
+func (r *Run) End(result Result) {
+	p := r.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.read()
+	r.state.own.Requests--
+	r.state.circuit.note(result, p.clock.Now())
+}
--- /dev/null
+++ b/relay/admit.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/route"
+)
+
+// refusal is a final answer that does not come from a target.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter is when the caller may come back; 0 leaves it open.
+	retryAfter time.Duration
+}
+
+// write answers with the refusal.
+func (r *refusal) write(ctx *fasthttp.RequestCtx) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(r.status)
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString(r.reason + "\n")
+	if r.retryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(roundUp(r.retryAfter), 'f', -1, 64))
+	}
+}
+
+// roundUp returns a duration in seconds, rounded up to a hundredth.
+func roundUp(d time.Duration) float64 { return math.Ceil(d.Seconds()*100) / 100 }
+
+// Reasons of refusals before a target was chosen.
+const (
+	reasonNoTable    = "no_configuration"
+	reasonBadRequest = "bad_request"
+	reasonNoRoute    = "no_route"
+	reasonStaleTable = "configuration_may_be_old"
+	reasonWrongKey   = "wrong_key"
+)
+
+// unknownRetry is when a caller may come back that this router cannot judge
+// because its table is missing or old: another router may know more.
+const unknownRetry = 200 * time.Millisecond
+
+// admit finds out what a request is. The refusal is nil if it may be served.
+func (s *Server) admit(ctx *fasthttp.RequestCtx) (*flight, *refusal) {
+	f := &flight{server: s, received: s.options.Clock.Now(), conn: ctx.Conn()}
+	call, err := s.options.Codec.Call(&ctx.Request.Header)
+	f.call = call
+	if err != nil {
+		return f, &refusal{status: fasthttp.StatusBadRequest, reason: reasonBadRequest}
+	}
+	view := s.options.View()
+	if view.Table == nil {
+		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoTable, retryAfter: unknownRetry}
+	}
+	f.version = view.Table.Version
+	f.route = view.Table.Match(string(ctx.Host()), string(ctx.Request.Header.RequestURI()))
+	if f.route == nil {
+		return f, unknown(view, fasthttp.StatusNotFound, reasonNoRoute)
+	}
+	if len(view.Table.Customers) > 0 {
+		f.hideKey = true
+		if r := f.identify(view); r != nil {
+			return f, r
+		}
+	}
+	f.plan(view.Table)
+	return f, nil
+}
+
+// unknown refuses what the table does not know. An old table does not prove
+// that something does not exist.
+func unknown(view View, status int, reason string) *refusal {
+	if !view.Fresh {
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStaleTable, retryAfter: unknownRetry}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+// identify finds the customer.
+func (f *flight) identify(view View) *refusal {
+	customer := view.Table.Customer(f.call.Key)
+	if customer == nil {
+		if f.route.Public {
+			return nil
+		}
+		return unknown(view, fasthttp.StatusUnauthorized, reasonWrongKey)
+	}
+	if !f.route.Public {
+		f.customer = customer.Name
+	}
+	return nil
+}
+
+// plan sets the limits of the request.
+func (f *flight) plan(table *route.Table) {
+	f.deadline = f.received.Add(f.route.Timeout)
+	if f.call.Deadline > 0 && f.call.Deadline < f.route.Timeout {
+		f.deadline = f.received.Add(f.call.Deadline)
+	}
+	f.service = f.route.Pick(rand.IntN)
+	f.engine = table.Service(f.service).Engine != nil
+	f.life = request.New(request.Options{
+		ID: f.call.ID, Repeatable: f.route.Repeats(), Deadline: f.deadline, MaxAttempts: f.route.MaxAttempts,
+	})
+	f.server.options.Retries.Earn()
+}
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/metric"
+)
+
+// passWhole hands a whole answer over to the caller.
+func (f *flight) passWhole(ctx *fasthttp.RequestCtx, ans *answer) {
+	f.head(ctx, ans)
+	ctx.Response.SetBodyRaw(ans.body)
+	f.life.Answer()
+	f.server.options.Metrics.Inc(metric.RequestsAnswered)
+	f.server.logAnswered(f, ans.header.StatusCode())
+	f.server.leave(f)
+}
+
+// passStream hands the events of a stream over as they come. Fasthttp reads
+// the stream after the handler returned, and closes it.
+func (f *flight) passStream(ctx *fasthttp.RequestCtx, ans *answer) {
+	f.head(ctx, ans)
+	ans.stream.caller = ctx
+	ctx.Response.SetBodyStream(ans.stream, -1)
+}
+
+// head copies status and headers of an answer.
+func (f *flight) head(ctx *fasthttp.RequestCtx, ans *answer) {
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	ctx.SetStatusCode(ans.header.StatusCode())
+	f.server.options.Codec.CopyAnswer(&ctx.Response.Header, &ans.header)
+}
--- /dev/null
+++ b/relay/flight.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/route"
+	"zinccove.example/zinccove/target"
+)
+
+// cause says why a request was ended from outside.
+type cause int
+
+const (
+	running cause = iota
+	// callerGone: the caller closed its connection.
+	callerGone
+	// timeUp: the route's time limit or the caller's deadline passed.
+	timeUp
+)
+
+// flight is one request on its way. One goroutine uses it; only interrupt and
+// what it needs may be used by others.
+type flight struct {
+	server   *Server
+	conn     net.Conn
+	received time.Time
+	call     message.Call
+	// version is that of the table that the request was admitted with.
+	version  uint64
+	route    *route.Route
+	service  string
+	engine   bool
+	customer string
+	hideKey  bool
+	deadline time.Time
+	life     *request.Request
+	tried    []string
+
+	// run and link belong to the current attempt.
+	run *place.Run
+	// firstEvent is the time from acceptance to the first event of a stream.
+	firstEvent time.Duration
+
+	mu    sync.Mutex
+	link  *link.Conn
+	cause cause
+}
+
+// serve carries the request to its end. Streams end later, in their Close.
+func (f *flight) serve(ctx *fasthttp.RequestCtx) {
+	for {
+		ans, fail, r := f.attempt(ctx, "")
+		switch {
+		case r != nil:
+			f.refuse(ctx, r)
+			return
+		case fail != nil:
+			if f.next(fail) {
+				continue
+			}
+			f.giveUp(ctx, fail)
+			return
+		case ans.stream != nil:
+			f.passStream(ctx, ans)
+			return
+		}
+		if f.mayImprove(ans) {
+			continue
+		}
+		f.passWhole(ctx, ans)
+		return
+	}
+}
+
+// mayImprove gives a failure of a target's own to another target, if the
+// request may be repeated.
+func (f *flight) mayImprove(ans *answer) bool {
+	if ans.header.StatusCode() < fasthttp.StatusInternalServerError || !f.route.Repeats() {
+		return false
+	}
+	if len(f.tried) >= f.route.MaxAttempts || !f.server.options.Retries.Take() {
+		return false
+	}
+	f.server.logAttempt(f, "target_error", ans.header.StatusCode(), nil)
+	f.life.Fail(target.Broken, f.server.options.Clock.Now(), func() bool { return true })
+	ans.release()
+	return true
+}
+
+// next decides whether another target is tried after a failed attempt.
+func (f *flight) next(fail *target.Failure) bool {
+	f.server.logAttempt(f, failureNames[fail.Kind], fail.Status, fail)
+	if fail.Kind == target.Crossed {
+		f.server.options.Metrics.Inc(metric.AttemptsCrossed)
+	}
+	if f.interrupted() != running {
+		f.life.GiveUp(fail.Kind != target.NotSent && fail.Kind != target.Refused)
+		return false
+	}
+	return f.life.Fail(fail.Kind, f.server.options.Clock.Now(), f.server.options.Retries.Take) == request.Retry
+}
+
+var failureNames = map[target.Kind]string{
+	target.NotSent:  "not_sent",
+	target.Refused:  "refused_by_target",
+	target.Broken:   "broken",
+	target.Crossed:  "crossed",
+	target.Rejected: "rejected",
+}
+
+// busyRetry is when a caller may come back after every target refused.
+const busyRetry = 150 * time.Millisecond
+
+// giveUp answers a request whose attempts failed.
+func (f *flight) giveUp(ctx *fasthttp.RequestCtx, fail *target.Failure) {
+	r := &refusal{reason: failureNames[fail.Kind]}
+	switch {
+	case f.interrupted() == callerGone:
+		f.end(ctx, &refusal{status: fasthttp.StatusBadGateway, reason: "caller_gone"})
+		ctx.SetConnectionClose()
+		return
+	case f.life.Outcome() == request.NotRun:
+		r.status, r.retryAfter = fasthttp.StatusServiceUnavailable, busyRetry
+	case f.interrupted() == timeUp:
+		r.status, r.reason = fasthttp.StatusGatewayTimeout, "time_limit"
+	default:
+		r.status = fasthttp.StatusBadGateway
+	}
+	f.end(ctx, r)
+}
+
+// refuse answers a request for which there is no target. It has not run if no
+// earlier attempt may have.
+func (f *flight) refuse(ctx *fasthttp.RequestCtx, r *refusal) {
+	if f.life.Outcome() != request.NotRun {
+		r = &refusal{status: fasthttp.StatusBadGateway, reason: r.reason}
+	}
+	f.life.GiveUp(false)
+	f.end(ctx, r)
+}
+
+func (f *flight) end(ctx *fasthttp.RequestCtx, r *refusal) {
+	f.server.logRefused(f, r)
+	r.write(ctx)
+	f.server.leave(f)
+}
+
+// interrupt ends the attempt that runs and all later ones.
+func (f *flight) interrupt(c cause) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cause != running {
+		return
+	}
+	f.cause = c
+	if f.link != nil {
+		f.link.Close() //nolint:errcheck // the attempt ends with it
+	}
+	if c == callerGone {
+		f.server.options.Metrics.Inc(metric.CallersGone)
+	}
+}
+
+func (f *flight) interrupted() cause {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cause
+}
+
+// attach makes c the connection that interrupt closes.
+func (f *flight) attach(c *link.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cause != running {
+		return false
+	}
+	f.link = c
+	return true
+}
+
+// detach takes the connection away from interrupt. It reports whether the
+// connection may be used again.
+func (f *flight) detach() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.link = nil
+	return f.cause == running
+}
--- /dev/null
+++ b/relay/log.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/target"
+)
+
+// event starts a line about a request.
+func (s *Server) event(e *zerolog.Event, f *flight) *zerolog.Event {
+	e = e.Str("request", f.call.ID).Uint64("config", f.version)
+	if f.route != nil {
+		e = e.Str("route", f.route.Name).Str("service", f.service)
+	}
+	if f.customer != "" {
+		e = e.Str("customer", f.customer)
+	}
+	return e
+}
+
+// logPlaced tells which target was chosen and what decided it.
+func (s *Server) logPlaced(f *flight, d place.Decision) {
+	s.event(s.options.Log.Info(), f).
+		Str("target", d.Run.Target.ID).Uint64("target_version", d.Run.Target.Version).
+		Int("attempt", len(f.tried)).Int("rank", d.Rank).Int("backlog", d.Backlog).Int("outstanding", d.Outstanding).
+		Dur("predicted", d.Predicted).Dur("reports_age", d.Age).Msg("request placed")
+}
+
+// logAttempt tells why an attempt failed.
+func (s *Server) logAttempt(f *flight, kind string, status int, fail *target.Failure) {
+	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
+		Str("failure", kind).Int("status", status)
+	if fail != nil {
+		e = e.Err(fail)
+	}
+	e.Msg("attempt failed")
+}
+
+// logRefused tells how a request ended that no target answered.
+func (s *Server) logRefused(f *flight, r *refusal) {
+	s.options.Metrics.Inc(metric.RequestsNotRun)
+	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after", r.retryAfter).
+		Dur("took", s.options.Clock.Since(f.received)).Msg("request refused")
+}
+
+// logAnswered tells that a whole answer was handed over.
+func (s *Server) logAnswered(f *flight, status int) {
+	s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
+		Dur("took", s.options.Clock.Since(f.received)).Msg("request answered")
+}
+
+// logStream tells how a stream ended.
+func (s *Server) logStream(f *flight, err error) {
+	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).
+		Dur("first_event", f.firstEvent).Dur("took", s.options.Clock.Since(f.received))
+	if err == io.EOF {
+		e.Msg("stream answered")
+		return
+	}
+	e.Err(err).Msg("stream cut")
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,230 @@
+// Package relay serves callers by passing their requests on to targets.
+//
+// The route of a request follows from its host and path; method, path, query
+// and body reach the target unchanged. Answers are passed on only when they
+// are the target's whole answer to that very request. Streams are passed on
+// event by event, and a stream that breaks is cut, so that it cannot look
+// complete.
+//
+// # Life of a request
+//
+//	fasthttp reads it            handle (relay.go)
+//	route, key, deadline         admit (admit.go)
+//	target, or refusal           place.Placer
+//	connection                   link.Pool
+//	send, read the answer's head attempt (attempt.go)
+//	another target, if allowed   flight.next (flight.go)
+//	answer or events             whole, stream (answer.go, stream.go)
+//	caller gone, time is up      look (look.go), which ends the attempt
+//	one log line for each step   log.go
+//
+// # Usage
+//
+//	s, err := relay.Listen(relay.Options{Address: addr, ...})
+//	defer s.Close() // the planned stop
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/route"
+)
+
+// View is the routing table in force.
+type View struct {
+	// Table is nil until one is known.
+	Table *route.Table
+	// Fresh tells that no newer table can have been accepted some seconds ago,
+	// so that what the table lacks does not exist.
+	Fresh bool
+}
+
+// Options configure a server. All are required.
+type Options struct {
+	Address netip.AddrPort
+	Clock   clockwork.Clock
+	Log     zerolog.Logger
+	Metrics *metric.Metrics
+	Codec   message.Codec
+	View    func() View
+	Placer  *place.Placer
+	Links   *link.Pool
+	Retries *request.Budget
+	Limits  Limits
+}
+
+// Limits bound what callers can take.
+type Limits struct {
+	BodyBytes   int
+	HeaderBytes int
+	Connections int
+	// Announce is how long a planned stop goes on accepting requests, until the
+	// balancer has noticed.
+	Announce time.Duration
+	// Stop is the longest time of a planned stop.
+	Stop time.Duration
+}
+
+// Server serves callers until Close. It is safe for concurrent use.
+type Server struct {
+	options  Options
+	listener net.Listener
+	http     *fasthttp.Server
+	group    errgroup.Group
+	stopping atomic.Bool
+	stop     chan struct{}
+
+	mu      sync.Mutex
+	flights map[*flight]struct{}
+	// last is when the last request arrived.
+	last time.Time
+}
+
+const (
+	// readTimeout bounds receiving a request; callers send theirs in one go.
+	readTimeout = 15 * time.Second
+	// idleTimeout is how long callers' connections may rest. It is longer than
+	// any limit of a table, so that no caller sends into a connection that is
+	// being closed.
+	idleTimeout = 75 * time.Second
+)
+
+// Listen starts to serve.
+func Listen(o Options) (*Server, error) {
+	l, err := net.Listen("tcp", o.Address.String())
+	if err != nil {
+		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
+	}
+	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{})}
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		Concurrency:                  o.Limits.Connections,
+		ReadBufferSize:               o.Limits.HeaderBytes,
+		MaxRequestBodySize:           o.Limits.BodyBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       silent{},
+	}
+	s.group.Go(s.serve)
+	s.group.Go(s.look)
+	return s, nil
+}
+
+// silent drops the lines that fasthttp would log for each broken connection.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// serve accepts callers until the listener is closed.
+func (s *Server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errs.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errs.Wrap(err, "serve callers", s.listener.Addr().String())
+}
+
+// Address returns the address the server listens on.
+func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	f, r := s.admit(ctx)
+	if r != nil {
+		s.logRefused(f, r)
+		r.write(ctx)
+		return
+	}
+	s.enter(f)
+	f.serve(ctx)
+}
+
+func (s *Server) enter(f *flight) {
+	s.options.Metrics.Inc(metric.RequestsReceived)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flights[f] = struct{}{}
+	s.last = f.received
+}
+
+func (s *Server) leave(f *flight) {
+	s.options.Metrics.Observe(metric.RequestTime, s.options.Clock.Since(f.received))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flights, f)
+}
+
+// Running returns the number of requests that are not answered yet.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.flights)
+}
+
+// Close makes the planned stop: callers are still served until the balancer
+// has noticed and nothing runs any more, at most for the stop limit. Answers
+// ask the callers to close their connections.
+func (s *Server) Close() error {
+	s.stopping.Store(true)
+	s.drain()
+	close(s.stop)
+	err := s.listener.Close()
+	if gerr := s.group.Wait(); err == nil {
+		err = gerr
+	}
+	return errs.Wrap(err, "stop serving callers", "")
+}
+
+const (
+	// drainPeriod is the time between looks at what still runs.
+	drainPeriod = 20 * time.Millisecond
+	// quiet is the time without a new request after which none is expected.
+	quiet = 500 * time.Millisecond
+)
+
+func (s *Server) drain() {
+	clock := s.options.Clock
+	began := clock.Now()
+	for {
+		clock.Sleep(drainPeriod)
+		now := clock.Now()
+		if now.Sub(began) >= s.options.Limits.Stop {
+			s.options.Log.Warn().Int("running", s.Running()).Msg("stop limit reached, cutting the requests that still run")
+			return
+		}
+		if now.Sub(began) >= s.options.Limits.Announce && s.resting(now) {
+			return
+		}
+	}
+}
+
+// resting reports whether nothing runs and nothing arrived lately.
+func (s *Server) resting(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.flights) == 0 && now.Sub(s.last) >= quiet
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,292 @@
+// Package route is the table by which callers' requests find a service: routes
+// by host and path, the services they lead to, the customers with their keys,
+// and the limits of the deployment.
+//
+// A Table is an aggregate: New checks a Spec whole, and a Table never changes.
+// Whoever serves a request keeps the Table it began with, except for the
+// route's time limit, which follows the newest one.
+//
+// # Usage
+//
+//	t, err := route.New(spec)             // Errors, one for each wrong part
+//	r := t.Match("api.example", "/a/b")   // nil: no such route
+//	c := t.Customer(key)                  // nil: unknown key
+//	service := r.Pick(rand.IntN)
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind int
+
+// The kinds of routes.
+const (
+	// Once requests run at most once.
+	Once Kind = iota
+	// Repeatable requests may run more than once.
+	Repeatable
+	// Stream answers are a series of events; they run at most once unless the
+	// route is resumable.
+	Stream
+)
+
+var kindNames = [...]string{"once", "repeatable", "stream"}
+
+// String returns the kind's name in logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// Split is the part of a route's requests that goes to a service.
+type Split struct {
+	Service string
+	Weight  int
+}
+
+// Route leads requests of a host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a request is held.
+	Timeout time.Duration
+	// Objective is the time to the whole answer, for streams to the first event,
+	// within which an answer is worth most.
+	Objective time.Duration
+	// EventGap is the longest pause between events that keeps a stream in time.
+	EventGap time.Duration
+	// Priority is the route's rank; 0 is the highest.
+	Priority int
+	Splits   []Split
+	// MaxAttempts is the most targets that a request may be sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another target.
+	Resumable bool
+
+	weights int
+}
+
+// Repeats reports whether a request that may have run may be sent again.
+func (r *Route) Repeats() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
+
+// Pick returns a service by the weights of the splits. Draw returns a number
+// below its argument.
+func (r *Route) Pick(draw func(int) int) string {
+	if len(r.Splits) == 1 {
+		return r.Splits[0].Service
+	}
+	at := draw(r.weights)
+	for _, s := range r.Splits {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Splits[0].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that one engine runs at once.
+	Slots int
+	// MemoryTokens is the number of tokens that one engine keeps.
+	MemoryTokens int
+}
+
+// Service is a group of alike targets.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections that one target accepts from all
+	// routers together.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Customer is who pays for requests.
+type Customer struct {
+	Name     string
+	Priority int
+	Keys     []string
+}
+
+// Limits are bounds of the whole deployment.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+	// TokensPerSecond is what all engines produce together; a token read counts
+	// once, a token made counts MadeTokenCost times. 0 means unknown.
+	TokensPerSecond float64
+}
+
+// MadeTokenCost is the cost of a token made, in tokens read, as the deployment
+// states its rate.
+const MadeTokenCost = 2
+
+// Spec is the content of a table before it was checked.
+type Spec struct {
+	Version   uint64
+	Routes    []*Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
+// Table is a checked, immutable Spec.
+type Table struct {
+	Spec
+
+	byHost    map[string][]*Route
+	byName    map[string]*Route
+	services  map[string]*Service
+	customers map[string]*Customer
+}
+
+// Error says what is wrong with one part of a Spec.
+type Error struct {
+	Part   string
+	Reason string
+}
+
+// Error returns the part and the reason.
+func (e *Error) Error() string { return e.Part + ": " + e.Reason }
+
+// Errors are all the wrong parts of a Spec.
+type Errors []*Error
+
+// Error returns the first errors and the number of the others.
+func (es Errors) Error() string {
+	const shown = 3
+	var lines []string
+	for _, e := range es[:min(shown, len(es))] {
+		lines = append(lines, e.Error())
+	}
+	if more := len(es) - shown; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(lines, "; ")
+}
+
+// New checks a Spec and returns its table, which owns the Spec from then on.
+func New(s Spec) (*Table, error) {
+	t := &Table{
+		Spec: s, byHost: make(map[string][]*Route), byName: make(map[string]*Route),
+		services: make(map[string]*Service), customers: make(map[string]*Customer),
+	}
+	var errs Errors
+	fail := func(part, reason string) { errs = append(errs, &Error{Part: part, Reason: reason}) }
+	if s.Version == 0 {
+		fail("version", "must be at least 1")
+	}
+	t.addServices(fail)
+	t.addCustomers(fail)
+	t.addRoutes(fail)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	return t, nil
+}
+
+func (t *Table) addServices(fail func(part, reason string)) {
+	for i := range t.Services {
+		s := &t.Services[i]
+		if s.Name == "" {
+			fail(fmt.Sprintf("service %d", i), "has no name")
+		}
+		if t.services[s.Name] != nil {
+			fail("service "+s.Name, "stands twice")
+		}
+		if s.Engine != nil && s.Engine.Slots < 1 {
+			fail("service "+s.Name, "engine without slots")
+		}
+		t.services[s.Name] = s
+	}
+}
+
+func (t *Table) addCustomers(fail func(part, reason string)) {
+	for i := range t.Customers {
+		c := &t.Customers[i]
+		if c.Name == "" {
+			fail(fmt.Sprintf("customer %d", i), "has no name")
+		}
+		for _, key := range c.Keys {
+			if other := t.customers[key]; other != nil && other != c {
+				fail("customer "+c.Name, "shares a key with "+other.Name)
+			}
+			t.customers[key] = c
+		}
+	}
+}
+
+func (t *Table) addRoutes(fail func(part, reason string)) {
+	for _, r := range t.Routes {
+		part := "route " + r.Name
+		if t.byName[r.Name] != nil {
+			fail(part, "stands twice")
+		}
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			fail(part, "prefix must begin and end with a slash")
+		}
+		if r.Timeout <= 0 {
+			fail(part, "time limit must be more than 0")
+		}
+		if r.MaxAttempts < 1 {
+			fail(part, "attempts must be at least 1")
+		}
+		t.addSplits(r, func(reason string) { fail(part, reason) })
+		t.byName[r.Name] = r
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+func (t *Table) addSplits(r *Route, fail func(reason string)) {
+	r.weights = 0
+	for _, s := range r.Splits {
+		if t.services[s.Service] == nil {
+			fail("leads to unknown service " + s.Service)
+		}
+		if s.Weight < 0 {
+			fail("negative weight")
+		}
+		r.weights += s.Weight
+	}
+	if r.weights <= 0 {
+		fail("leads to no service")
+	}
+}
+
+// Match returns the route of a host whose prefix begins the path and is
+// longest, or nil. A port in the host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Route returns the route with a name, or nil.
+func (t *Table) Route(name string) *Route { return t.byName[name] }
+
+// Service returns the service with a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Customer returns the customer with a key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.customers[key] }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,8 +37,13 @@
 	address("listen", "control", "", "Address for operators, peers' calls, metrics and health (HTTP).", func(s *Settings) *netip.AddrPort { return &s.ListenControl }),
 	address("listen", "peer", "", "Address for peers' datagrams (UDP).", func(s *Settings) *netip.AddrPort { return &s.ListenPeer }),
 
+	optionalAddress("listen", "ready", "Address for the balancer's readiness check (HTTP, any path). Without it the balancer asks /readyz of the control address.", func(s *Settings) *netip.AddrPort { return &s.ListenReady }),
+
+	choice("routes", "source", SourcePlans, "Where routes, services and customers come from: plans of operators made through this fleet, or the configuration that operators write into the platform's store.", func(s *Settings) *Source { return &s.RouteSource }),
+
 	secret("fleet", "key", "Secret shared by all routers; it authenticates their messages.", func(s *Settings) *string { return &s.FleetKey }),
 	addresses("fleet", "seeds", "Datagram addresses of some other routers, separated by commas. Needed only while the platform cannot be reached.", func(s *Settings) *[]netip.AddrPort { return &s.Seeds }),
+	hosts("fleet", "contacts", "Addresses of some other routers that listen for datagrams on the same port as this one; ports given here are ignored.", func(s *Settings) *[]netip.Addr { return &s.Contacts }),
 	number("fleet", "control-bytes-per-second", 3000, 500, 1<<20, "Most bytes a second sent to peers, headers included; heartbeats slow down to keep it.", func(s *Settings) *int { return &s.ControlBytesPerSecond }),
 	duration("fleet", "heartbeat-interval", 250*time.Millisecond, 50*time.Millisecond, 10*time.Second, "Shortest time between heartbeats.", func(s *Settings) *time.Duration { return &s.HeartbeatInterval }),
 
@@ -56,6 +62,12 @@
 	duration("limits", "stop-delay", 2*time.Second, 0, time.Minute, "Time that a planned stop gives the balancer to see that this router is not ready.", func(s *Settings) *time.Duration { return &s.StopDelay }),
 	duration("limits", "stop-timeout", 15*time.Minute, time.Second, 24*time.Hour, "Longest time that a planned stop waits for accepted requests.", func(s *Settings) *time.Duration { return &s.StopTimeout }),
 
+	number("limits", "memory-mb", 0, 0, 1<<20, "Memory of the process in MB, which the collector keeps well below; 0 leaves it open.", func(s *Settings) *int { return &s.MemoryMB }),
+
+	fraction("retry", "ratio", 0.2, 0, 1, "Most second attempts at a service over the requests for it, of all routers together.", func(s *Settings) *float64 { return &s.RetryRatio }),
+	number("retry", "slack", 50, 0, 1<<20, "Second attempts that all routers together may make beyond the ratio, in one window.", func(s *Settings) *int { return &s.RetrySlack }),
+	duration("retry", "window", 10*time.Second, time.Second, time.Minute, "Window of the retry limits.", func(s *Settings) *time.Duration { return &s.RetryWindow }),
+
 	number("fair", "debt-requests", 4, 2, 1000, "Most that a waiting customer can be ahead of the least served one, in requests of the largest recent cost. What it got beyond that, as in a partition, is forgiven.", func(s *Settings) *int { return &s.DebtRequests }),
 
 	level("log", "level", "Least level of log lines.", func(s *Settings) *zerolog.Level { return &s.LogLevel }),
@@ -96,19 +108,72 @@
 }
 
 func addresses(section, name, doc string, field func(*Settings) *[]netip.AddrPort) key {
+	set := func(s *Settings, v string) error { return eachAddress(v, field(s)) }
+	return key{section: section, name: name, allowed: "IP addresses with ports, separated by commas", doc: doc, set: set}
+}
+
+func optionalAddress(section, name, doc string, field func(*Settings) *netip.AddrPort) key {
+	k := address(section, name, "", doc, field)
+	set := k.set
+	k.required = false
+	k.set = func(s *Settings, v string) error {
+		if v == "" {
+			return nil
+		}
+		return set(s, v)
+	}
+	return k
+}
+
+func eachAddress(v string, list *[]netip.AddrPort) error {
+	for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ',' || r == ' ' }) {
+		a, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return err
+		}
+		*list = append(*list, a)
+	}
+	return nil
+}
+
+func hosts(section, name, doc string, field func(*Settings) *[]netip.Addr) key {
 	set := func(s *Settings, v string) error {
-		for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ',' || r == ' ' }) {
-			a, err := netip.ParseAddrPort(part)
-			if err != nil {
-				return err
-			}
-			*field(s) = append(*field(s), a)
+		var list []netip.AddrPort
+		if err := eachAddress(v, &list); err != nil {
+			return err
+		}
+		for _, a := range list {
+			*field(s) = append(*field(s), a.Addr())
 		}
 		return nil
 	}
 	return key{section: section, name: name, allowed: "IP addresses with ports, separated by commas", doc: doc, set: set}
 }
 
+func choice(section, name string, def Source, doc string, field func(*Settings) *Source) key {
+	set := func(s *Settings, v string) error {
+		*field(s) = Source(v)
+		if !slices.Contains(sources, Source(v)) {
+			return errNotAllowed
+		}
+		return nil
+	}
+	return key{section: section, name: name, def: string(def), allowed: "plans or store", doc: doc, set: set}
+}
+
+func fraction(section, name string, def, least, most float64, doc string, field func(*Settings) *float64) key {
+	set := func(s *Settings, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		// The comparison is false for what is not a number.
+		if err != nil || !(n >= least && n <= most) {
+			return errNotAllowed
+		}
+		*field(s) = n
+		return nil
+	}
+	return key{section: section, name: name, def: strconv.FormatFloat(def, 'g', -1, 64), allowed: fmt.Sprintf("%g to %g", least, most), doc: doc, set: set}
+}
+
 func number(section, name string, def, least, most int, doc string, field func(*Settings) *int) key {
 	set := func(s *Settings, v string) error {
 		n, err := strconv.Atoi(v)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,9 +34,15 @@
 	ListenCaller  netip.AddrPort
 	ListenControl netip.AddrPort
 	ListenPeer    netip.AddrPort
+	// ListenReady is not valid if the balancer asks the control address.
+	ListenReady netip.AddrPort
+
+	RouteSource Source
 
 	FleetKey string
 	Seeds    []netip.AddrPort
+	// Contacts are hosts whose routers use the same datagram port.
+	Contacts []netip.Addr
 	// ControlBytesPerSecond bounds what the router sends to its peers.
 	ControlBytesPerSecond int
 	HeartbeatInterval     time.Duration
@@ -58,6 +64,14 @@
 	StopDelay   time.Duration
 	StopTimeout time.Duration
 
+	MemoryMB int
+
+	// RetryRatio and RetrySlack bound the second attempts of all routers in a
+	// RetryWindow.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+
 	DebtRequests int
 
 	LogLevel zerolog.Level
@@ -65,6 +79,20 @@
 	Operators []Operator
 }
 
+// Source is where the routing configuration comes from.
+type Source string
+
+// The sources.
+const (
+	// SourcePlans: plans that operators confirm through the fleet.
+	SourcePlans Source = "plans"
+	// SourceStore: the configuration that operators write into the platform's
+	// store.
+	SourceStore Source = "store"
+)
+
+var sources = []Source{SourcePlans, SourceStore}
+
 // Role is what an operator may do.
 type Role string
 
