--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -30,6 +30,10 @@
 	g.metrics.Add(metric.ControlBytesSent, sent)
 }
 
+// usesEvery is the number of heartbeats from one that carries the use by
+// customers to the next: it is a sum over seconds.
+const usesEvery = 4
+
 // contactEvery is the number of heartbeats from one to silent routers and
 // contacts to the next.
 const contactEvery = 5
@@ -63,11 +67,7 @@
 	hb := &zinccovev1.Heartbeat{
 		Incarnation: l.incarnation, Sequence: l.sequence, ConfigVersion: l.version(), Leaving: l.gateway.stopping.Load(),
 	}
-	for hash, load := range l.gateway.placer.Own() {
-		hb.Loads = append(hb.Loads, &zinccovev1.TargetLoad{
-			Target: uint32(hash), Requests: uint32(load.Requests), Unread: uint32(load.Unread),
-		})
-	}
+	encodeReport(hb, l.gateway.placer, l.sequence%usesEvery == 0)
 	if l.sequence <= identifyEvery || l.sequence%identifyEvery == 0 {
 		hb.Host = l.identity()
 		hb.Introduced = l.introductions()
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -14,7 +14,6 @@
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
-	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/roster"
 )
@@ -170,11 +169,7 @@
 	for _, h := range r.heartbeat.Introduced {
 		l.introduce(h)
 	}
-	loads := make(map[place.Hash]place.Load, len(r.heartbeat.Loads))
-	for _, t := range r.heartbeat.Loads {
-		loads[place.Hash(t.Target)] = place.Load{Requests: int(t.Requests), Unread: int(t.Unread)}
-	}
-	l.gateway.placer.SetPeer(host.Name, loads)
+	l.gateway.placer.SetPeer(host.Name, decodeReport(r.heartbeat))
 }
 
 // introduce learns a router from another one.
@@ -199,7 +194,7 @@
 
 func (l *loop) expire(now time.Time) {
 	for _, h := range l.members.Expire() {
-		l.gateway.placer.SetPeer(h.Name, nil)
+		l.gateway.placer.ForgetPeer(h.Name)
 		l.gateway.metrics.Inc(metric.HostsLost)
 		l.gateway.log.Warn().Str("peer", h.Name).Dur("silent", now.Sub(h.Heard)).Msg("router not reachable")
 	}
--- /dev/null
+++ b/place/kept.go
@@ -0,0 +1,104 @@
+package place
+
+import "zinccove.example/zinccove/message"
+
+// kept remembers which shared parts of prompts a target has read. Engines
+// forget the parts that were not used for longest, so a part counts as kept
+// until the target has read about its memory's worth of other tokens.
+type kept struct {
+	// read is the number of tokens read so far; used holds its value at the last
+	// use of each part.
+	read uint64
+	used map[Hash]uint64
+}
+
+const (
+	// keptPart is the part of an engine's memory that other tokens may fill
+	// before a part counts as forgotten; running requests need the rest.
+	keptPart = 0.6
+	// maxKept bounds the parts remembered for one target.
+	maxKept = 4096
+)
+
+// touch notes that a prompt with these shared parts was placed.
+func (k *kept) touch(parts []Hash, unread int) {
+	if k.used == nil {
+		k.used = make(map[Hash]uint64)
+	}
+	k.read += uint64(unread)
+	for _, part := range parts {
+		k.used[part] = k.read
+	}
+}
+
+// holds reports whether a part is kept by a target with a memory of so many
+// tokens.
+func (k *kept) holds(part Hash, memory int) bool {
+	at, ok := k.used[part]
+	return ok && k.read-at < uint64(float64(memory)*keptPart)
+}
+
+// trim forgets parts that are not kept any more.
+func (k *kept) trim(memory int) {
+	if len(k.used) < maxKept {
+		return
+	}
+	for part := range k.used {
+		if !k.holds(part, memory) {
+			delete(k.used, part)
+		}
+	}
+	if len(k.used) >= maxKept {
+		clear(k.used)
+	}
+}
+
+// prompt is what placing needs to know of a prompt.
+type prompt struct {
+	// shared are the hashes of the shared parts, sizes their tokens.
+	shared []Hash
+	sizes  []int
+	total  int
+}
+
+func newPrompt(c *message.Call) prompt {
+	p := prompt{total: max(c.PromptTokens, 1)}
+	for i := range len(c.Parts) - 1 {
+		p.shared = append(p.shared, HashOf(c.Parts[i].ID))
+		p.sizes = append(p.sizes, c.Parts[i].Tokens)
+	}
+	return p
+}
+
+// unread is the number of tokens that a target has to read: a part is kept
+// only together with all parts before it.
+func (p *prompt) unread(k *kept, memory int) int {
+	left := p.total
+	for i, part := range p.shared {
+		if !k.holds(part, memory) {
+			break
+		}
+		left -= p.sizes[i]
+	}
+	return max(left, 1)
+}
+
+// Reading is a prompt that was placed at a target.
+type Reading struct {
+	Target Hash
+	Parts  []Hash
+	Unread int
+}
+
+// maxReadings bounds the readings that wait to be announced; a heartbeat
+// carries about as many.
+const maxReadings = 40
+
+// TakeReadings returns the prompts placed since the last call.
+func (p *Placer) TakeReadings() []Reading {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.readings
+	p.readings = nil
+	return list
+}
--- a/place/peers.go
+++ b/place/peers.go
@@ -12,22 +12,43 @@
 // HashOf returns the hash of an id or name.
 func HashOf(name string) Hash { return Hash(xxhash.Sum64String(name)) }
 
-// report is what another router announced last.
+// Report is what another router announces.
+type Report struct {
+	// Loads is the router's work at targets.
+	Loads map[Hash]Load
+	// Uses is the use of the router by customers; nil leaves the last one.
+	Uses map[Hash]Use
+	// Readings are prompts that the router placed since its last report.
+	Readings []Reading
+}
+
+// report is the last report of a router.
 type report struct {
-	at    time.Time
-	loads map[Hash]Load
+	Report
+	at time.Time
 }
 
-// SetPeer takes what another router has outstanding at targets; nil forgets
-// the router.
-func (p *Placer) SetPeer(router string, loads map[Hash]Load) {
+// SetPeer takes a report of another router.
+func (p *Placer) SetPeer(router string, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if loads == nil {
-		delete(p.peers, router)
-	} else {
-		p.peers[router] = &report{at: p.clock.Now(), loads: loads}
+	if old := p.peers[router]; old != nil && r.Uses == nil {
+		r.Uses = old.Uses
 	}
+	p.peers[router] = &report{Report: r, at: p.clock.Now()}
+	for _, reading := range r.Readings {
+		if t := p.byHash[reading.Target]; t != nil {
+			t.kept.touch(reading.Parts, reading.Unread)
+		}
+	}
+	p.sumPeers()
+}
+
+// ForgetPeer drops the report of a router that is not reachable.
+func (p *Placer) ForgetPeer(router string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.peers, router)
 	p.sumPeers()
 }
 
@@ -36,10 +57,11 @@
 		t.others = Load{}
 	}
 	for _, r := range p.peers {
-		for _, t := range p.targets {
-			load := r.loads[t.hash]
-			t.others.Requests += load.Requests
-			t.others.Unread += load.Unread
+		for h, load := range r.Loads {
+			if t := p.byHash[h]; t != nil {
+				t.others.Requests += load.Requests
+				t.others.Unread += load.Unread
+			}
 		}
 	}
 }
--- a/place/place.go
+++ b/place/place.go
@@ -77,8 +77,12 @@
 
 	// Rank is the place of the target in the order of homes, 0 for the first.
 	Rank int
-	// Backlog is the number of tokens that wait to be read at the target.
+	// Share is the part of the usual limit that the customer was given.
+	Share float64
+	// Backlog is the number of tokens that wait to be read at the target, Unread
+	// what the request adds to it.
 	Backlog int
+	Unread  int
 	// Outstanding is the number of requests at the target.
 	Outstanding int
 	// Predicted is the expected time to the first event.
@@ -94,13 +98,18 @@
 	mu       sync.Mutex
 	services map[string]*service
 	targets  map[string]*target
+	byHash   map[Hash]*target
 	peers    map[string]*report
+	uses     map[Hash]*ring
+	shares   shares
+	readings []Reading
 }
 
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
-		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target), peers: make(map[string]*report),
+		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
+		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring),
 	}
 }
 
@@ -120,6 +129,7 @@
 	// others is the sum of what other routers announced.
 	others  Load
 	circuit circuit
+	kept    kept
 }
 
 func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
@@ -139,6 +149,7 @@
 	defer p.mu.Unlock()
 	known := p.targets
 	p.targets = make(map[string]*target, len(list))
+	p.byHash = make(map[Hash]*target, len(list))
 	for _, s := range p.services {
 		s.targets = nil
 	}
@@ -149,6 +160,7 @@
 		}
 		t.Target = *entry
 		p.targets[entry.ID] = t
+		p.byHash[t.hash] = t
 		s := p.service(entry.Service)
 		s.targets = append(s.targets, t)
 	}
@@ -219,46 +231,76 @@
 	return p.begin(t, Decision{Outstanding: t.outstanding()}, 0, now)
 }
 
-// candidate is a target and what is expected of it for one request.
-type candidate struct {
-	target    *target
-	rank      int
-	unread    int
-	predicted time.Duration
-}
-
 // home chooses the first target in the order of homes that is expected to make
-// the objective.
+// the objective. Targets that would have to read shared parts anew are used
+// only while they have much room.
 func (p *Placer) home(s *service, open []*target, r Request, now time.Time) Decision {
-	order := homes(open, homeKey(r.Call))
-	limit := time.Duration(float64(r.Objective) * admitShare)
-	var first Decision
-	for rank, t := range order[:min(len(order), maxHomes)] {
-		unread := unreadTokens(r.Call, rank)
+	pr := newPrompt(r.Call)
+	cost := costOf(r.Call)
+	share := p.currentShares(now).factor(r.Customer)
+	limit := time.Duration(float64(r.Objective) * admitShare * share)
+	first := Decision{Share: share, Reason: Overloaded}
+	for rank, t := range homes(open, homeKey(r.Call), maxHomes) {
+		unread := pr.unread(&t.kept, s.engine.MemoryTokens)
 		d := Decision{
-			Rank: rank, Backlog: t.unread(), Outstanding: t.outstanding(), Predicted: s.speed.predict(t.unread() + unread),
+			Rank: rank, Share: share, Backlog: t.unread(), Unread: unread, Outstanding: t.outstanding(),
+			Predicted: s.speed.predict(t.unread() + unread),
 		}
-		if d.Predicted <= limit && t.outstanding() < t.Slots {
+		if t.outstanding() < t.Slots && p.admits(s, d, limit, rank) {
+			t.kept.touch(pr.shared, unread)
+			t.kept.trim(s.engine.MemoryTokens)
+			if len(p.readings) < maxReadings {
+				p.readings = append(p.readings, Reading{Target: t.hash, Parts: pr.shared, Unread: unread})
+			}
+			p.note(r.Customer, Use{Asked: cost, Served: cost}, now)
 			return p.begin(t, d, unread, now)
 		}
 		if rank == 0 {
-			first = d
+			first.Backlog, first.Unread, first.Outstanding, first.Predicted = d.Backlog, d.Unread, d.Outstanding, d.Predicted
 		}
 	}
-	first.Reason = Overloaded
-	first.RetryAfter = max(first.Predicted-limit, leastRetry)
+	p.note(r.Customer, Use{Asked: cost}, now)
+	first.RetryAfter = min(max(first.Predicted-limit, leastRetry), mostRetry)
 	return first
 }
 
+// admits reports whether a target is expected to make a limit. Prompts too
+// long for any target to make it are admitted where little waits before them.
+func (p *Placer) admits(s *service, d Decision, limit time.Duration, rank int) bool {
+	if rank > 0 {
+		limit = time.Duration(float64(limit) * spillShare)
+	}
+	if d.Predicted <= limit {
+		return true
+	}
+	return rank == 0 && s.speed.predict(d.Backlog) <= time.Duration(float64(limit)*longShare)
+}
+
+// costOf is the size of a request in tokens, for comparing customers.
+func costOf(c *message.Call) int {
+	made := c.HintTokens
+	if made == 0 {
+		made = c.MaxTokens
+	}
+	return c.PromptTokens + route.MadeTokenCost*made
+}
+
 const (
 	// admitShare is the part of the objective that a prediction may take; the
 	// rest is for what is not seen, as reports of other routers lag.
 	admitShare = 0.8
+	// longShare is the part of the limit that may wait before a prompt that is
+	// too long to make it.
+	longShare = 0.3
 	// maxHomes is the number of homes that a prompt may be read at. Shared parts
 	// of all prompts fit about two homes in the memory of the engines.
-	maxHomes = 1
-	// leastRetry is the shortest time after which a caller is asked back.
+	maxHomes = 2
+	// spillShare is the part of the limit that a prediction for another home than
+	// the first may take.
+	spillShare = 0.6
+	// leastRetry and mostRetry bound the time after which a caller is asked back.
 	leastRetry = 100 * time.Millisecond
+	mostRetry  = 2 * time.Second
 )
 
 // homeKey is the last shared part of a prompt, or the only one.
@@ -273,24 +315,15 @@
 	}
 }
 
-// unreadTokens is the number of tokens that a target has to read. The first
-// home is expected to keep the shared parts.
-func unreadTokens(c *message.Call, rank int) int {
-	if rank == 0 {
-		return max(c.PromptTokens-c.SharedTokens(), 1)
-	}
-	return max(c.PromptTokens, 1)
-}
-
-// homes sorts targets by rendezvous hashing of a key.
-func homes(targets []*target, key string) []*target {
+// homes returns the first n targets by rendezvous hashing of a key.
+func homes(targets []*target, key string, n int) []*target {
 	weight := make(map[*target]uint64, len(targets))
 	for _, t := range targets {
 		weight[t] = xxhash.Sum64String(key + "/" + t.ID)
 	}
 	order := slices.Clone(targets)
 	slices.SortFunc(order, func(a, b *target) int { return cmp.Compare(weight[b], weight[a]) })
-	return order
+	return order[:min(n, len(order))]
 }
 
 func (p *Placer) begin(t *target, d Decision, unread int, now time.Time) Decision {
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -41,12 +41,24 @@
 	reasonNoRoute    = "no_route"
 	reasonStaleTable = "configuration_may_be_old"
 	reasonWrongKey   = "wrong_key"
+	reasonStopping   = "stopping"
 )
 
 // unknownRetry is when a caller may come back that this router cannot judge
 // because its table is missing or old: another router may know more.
 const unknownRetry = 200 * time.Millisecond
 
+// stoppingRetry is when a caller may come back that reached a router about to
+// stop; the balancer sends it to another one at once.
+const stoppingRetry = 20 * time.Millisecond
+
+// nearStop reports whether a stream that begins now may be cut by the planned
+// stop.
+func (s *Server) nearStop(now time.Time) bool {
+	stopped := s.stopped.Load()
+	return stopped != nil && now.Sub(*stopped) >= s.options.Limits.Announce
+}
+
 // admit finds out what a request is. The refusal is nil if it may be served.
 func (s *Server) admit(ctx *fasthttp.RequestCtx) (*flight, *refusal) {
 	f := &flight{server: s, received: s.options.Clock.Now(), conn: ctx.Conn()}
@@ -64,6 +76,9 @@
 	if f.route == nil {
 		return f, unknown(view, fasthttp.StatusNotFound, reasonNoRoute)
 	}
+	if f.route.Kind == route.Stream && s.nearStop(f.received) {
+		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetry}
+	}
 	if len(view.Table.Customers) > 0 {
 		f.hideKey = true
 		if r := f.identify(view); r != nil {
--- a/relay/log.go
+++ b/relay/log.go
@@ -26,7 +26,8 @@
 func (s *Server) logPlaced(f *flight, d place.Decision) {
 	s.event(s.options.Log.Info(), f).
 		Str("target", d.Run.Target.ID).Uint64("target_version", d.Run.Target.Version).
-		Int("attempt", len(f.tried)).Int("rank", d.Rank).Int("backlog", d.Backlog).Int("outstanding", d.Outstanding).
+		Int("attempt", len(f.tried)).Int("rank", d.Rank).Float64("share", d.Share).
+		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("outstanding", d.Outstanding).
 		Dur("predicted", d.Predicted).Dur("reports_age", d.Age).Msg("request placed")
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,8 +73,8 @@
 	BodyBytes   int
 	HeaderBytes int
 	Connections int
-	// Announce is how long a planned stop goes on accepting requests, until the
-	// balancer has noticed.
+	// Announce is how long a planned stop goes on accepting streams, until the
+	// balancer has noticed. A stream that begins later may not end in time.
 	Announce time.Duration
 	// Stop is the longest time of a planned stop.
 	Stop time.Duration
@@ -86,8 +86,9 @@
 	listener net.Listener
 	http     *fasthttp.Server
 	group    errgroup.Group
-	stopping atomic.Bool
-	stop     chan struct{}
+	// stopped is when the planned stop began, nil before.
+	stopped atomic.Pointer[time.Time]
+	stop    chan struct{}
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
@@ -150,7 +151,7 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.stopping.Load() {
+	if s.stopped.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 	f, r := s.admit(ctx)
@@ -189,8 +190,9 @@
 // has noticed and nothing runs any more, at most for the stop limit. Answers
 // ask the callers to close their connections.
 func (s *Server) Close() error {
-	s.stopping.Store(true)
-	s.drain()
+	now := s.options.Clock.Now()
+	s.stopped.Store(&now)
+	s.drain(now)
 	close(s.stop)
 	err := s.listener.Close()
 	if gerr := s.group.Wait(); err == nil {
@@ -206,9 +208,8 @@
 	quiet = 500 * time.Millisecond
 )
 
-func (s *Server) drain() {
+func (s *Server) drain(began time.Time) {
 	clock := s.options.Clock
-	began := clock.Now()
 	for {
 		clock.Sleep(drainPeriod)
 		now := clock.Now()
@@ -216,7 +217,7 @@
 			s.options.Log.Warn().Int("running", s.Running()).Msg("stop limit reached, cutting the requests that still run")
 			return
 		}
-		if now.Sub(began) >= s.options.Limits.Announce && s.resting(now) {
+		if now.Sub(began) >= s.options.Limits.Announce+quiet && s.resting(now) {
 			return
 		}
 	}
