Speak the store's protocol everywhere; end a stop inside the grace time

Change: the life cycle says beforehand whether a repeat is allowed; a stop interrupts what runs and closes the store's connections. The client's invented table protocol is gone; names and shapes of the store stand once in platform/wire, which the stand-in of the store speaks too.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -11,6 +11,7 @@
 	"zinccove.example/zinccove/follow"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/platform/wire"
 	"zinccove.example/zinccove/roster"
 	"zinccove.example/zinccove/route"
 )
@@ -41,9 +42,9 @@
 
 // followRoutes follows the operators' configuration.
 func (g *Gateway) followRoutes(ctx context.Context) error {
-	o := g.source(platform.TableOperator, func(b platform.Batch, _ bool) {
+	o := g.source(wire.TableOperator, func(b platform.Batch, _ bool) {
 		for _, c := range b.Changes {
-			if c.Key == platform.ConfigKey && !c.Removed {
+			if c.Key == wire.ConfigKey && !c.Removed {
 				g.loop.post(ctx, func(l *loop) { l.adopt(c.Value, "store") })
 			}
 		}
@@ -57,7 +58,7 @@
 
 // followTargets follows the targets' entries.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	o := g.source(platform.TableTargets, func(b platform.Batch, whole bool) {
+	o := g.source(wire.TableTargets, func(b platform.Batch, whole bool) {
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,12 +172,12 @@
 	g.log.Info().Int("running", g.relay.Running()).Msg("stopping")
 	err := g.relay.Close()
 	g.stop()
+	g.store.Close()
 	err = errors.Join(err, g.group.Wait(), g.control.Close(), g.transport.Close())
 	if g.readiness != nil {
 		err = errors.Join(err, g.readiness.Close())
 	}
 	g.links.Close()
-	g.store.Close()
 	g.peers.CloseIdleConnections()
 	g.log.Info().Err(err).Msg("stopped")
 	return errors.Join(err, g.metrics.Close(), g.lines.Close())
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -24,13 +24,6 @@
 	stream *stream
 }
 
-// release drops an answer that is not passed on.
-func (a *answer) release() {
-	if a.stream != nil {
-		a.stream.abandon()
-	}
-}
-
 // attempt sends the request to one target. LastEvent is the last event of a
 // stream that goes on. The refusal is set if there is no target.
 func (f *flight) attempt(ctx *fasthttp.RequestCtx, lastEvent string) (*answer, *target.Failure, *refusal) {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -25,6 +25,8 @@
 	callerGone
 	// timeUp: the route's time limit or the caller's deadline passed.
 	timeUp
+	// stopped: the limit of a planned stop was reached.
+	stopped
 )
 
 // flight is one request on its way. One goroutine uses it; only interrupt and
@@ -81,18 +83,20 @@
 	}
 }
 
-// mayImprove gives a failure of a target's own to another target, if the
-// request may be repeated.
+// mayImprove gives a request to another target whose answer is a failure of
+// the target's own, if the request may be repeated. Otherwise that answer is
+// the caller's.
 func (f *flight) mayImprove(ans *answer) bool {
-	if ans.header.StatusCode() < fasthttp.StatusInternalServerError || !f.route.Repeats() {
+	status := ans.header.StatusCode()
+	if status < fasthttp.StatusInternalServerError {
 		return false
 	}
-	if len(f.tried) >= f.route.MaxAttempts || !f.server.options.Retries.Take() {
+	now := f.server.options.Clock.Now()
+	if !f.route.Repeats() || !f.life.MayRetry(target.Broken, now) || !f.server.options.Retries.Take() {
 		return false
 	}
-	f.server.logAttempt(f, "target_error", ans.header.StatusCode(), nil)
-	f.life.Fail(target.Broken, f.server.options.Clock.Now(), func() bool { return true })
-	ans.release()
+	f.server.logAttempt(f, "target_error", status, nil)
+	f.life.Fail(target.Broken, now, func() bool { return true })
 	return true
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -194,7 +195,13 @@
 	s.stopped.Store(&now)
 	s.drain(now)
 	close(s.stop)
+	for _, f := range s.running() {
+		f.interrupt(stopped)
+	}
 	err := s.listener.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeIdle)
+	defer cancel()
+	_ = s.http.ShutdownWithContext(ctx) // idle callers may outlast it
 	if gerr := s.group.Wait(); err == nil {
 		err = gerr
 	}
@@ -202,6 +209,8 @@
 }
 
 const (
+	// closeIdle bounds closing the callers' idle connections.
+	closeIdle = 100 * time.Millisecond
 	// drainPeriod is the time between looks at what still runs.
 	drainPeriod = 20 * time.Millisecond
 	// quiet is the time without a new request after which none is expected.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -189,9 +189,6 @@
 	s.flight.run.End(result)
 }
 
-// abandon ends a stream that is not handed over.
-func (s *stream) abandon() { s.drop(place.Cancelled) }
-
 // Close is called by fasthttp when the stream was handed over or the caller
 // went away.
 func (s *stream) Close() error {
--- a/request/request.go
+++ b/request/request.go
@@ -187,6 +187,12 @@
 	return End
 }
 
+// MayRetry reports whether a failed attempt of a kind could be repeated now,
+// budget apart.
+func (r *Request) MayRetry(kind target.Kind, now time.Time) bool {
+	return r.mayRetry(kind, kind == target.NotSent || kind == target.Refused, now)
+}
+
 func (r *Request) mayRetry(kind target.Kind, safe bool, now time.Time) bool {
 	switch {
 	case kind == target.Rejected:
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -9,8 +9,15 @@
 //
 // # Faults
 //
-// The steps "get", "list", "commit", "object", "hosts" and "weight" can be
-// switched; see package fault. GET /counts tells how often each was asked.
+// The steps "get" (one row), "list", "feed", "commit", "object", "hosts" (the
+// table of routers) and "weight" can be switched; see package fault. GET /counts
+// tells how often each was asked.
+//
+// # Control
+//
+// PUT /hosts enters a router as the platform's automation would, after the lag.
+// PUT and DELETE /rows?table=T&key=K write a row as operators and targets do.
+// POST /forget drops the history, so that feeds answer 410.
 package store
 
 import (
@@ -27,7 +34,7 @@
 	"golang.org/x/time/rate"
 
 	"zinccove.example/standin/fault"
-	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/platform/wire"
 )
 
 // Options configure the stand-in.
@@ -46,15 +53,25 @@
 	weights *rate.Limiter
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[id]wire.Row
+	version uint64
+	// removed are rows that went, for feeds; forgotten is the version up to
+	// which the history is lost.
+	removed   []wire.Row
+	forgotten uint64
+	// changed is closed and replaced with each change.
+	changed chan struct{}
 	objects map[string][]byte
 	hosts   []hostChange
 	counts  map[string]int
 }
 
+// id names a row. The stand-in keeps a single part.
+type id struct{ table, key string }
+
 // hostChange is an entry of the host list and when it becomes visible.
 type hostChange struct {
-	host    platform.Host
+	row     wire.Row
 	visible time.Time
 }
 
@@ -63,7 +80,8 @@
 	return &Store{
 		lag:     o.HostLag,
 		weights: rate.NewLimiter(rate.Limit(cmp.Or(o.WeightRate, 10)), 10),
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[id]wire.Row),
+		changed: make(chan struct{}),
 		objects: make(map[string][]byte),
 		counts:  make(map[string]int),
 	}
@@ -77,12 +95,15 @@
 }
 
 var routes = []route{
-	{"get", "/table/row", (*Store).get},
-	{"list", "/table/rows", (*Store).list},
-	{"commit", "/table/txn", (*Store).commit},
-	{"object", "/objects/", (*Store).object},
+	{"list", wire.PathRows, (*Store).list},
+	{"feed", wire.PathFeed, (*Store).feed},
+	{"commit", wire.PathTransact, (*Store).commit},
+	{"object", wire.PathGet, (*Store).getObject},
+	{"object", wire.PathPut, (*Store).putObject},
 	{"weight", "/weights/", (*Store).weight},
-	{"hosts", "/hosts", (*Store).hostList},
+	{"control", "/hosts", (*Store).enterHost},
+	{"control", "/rows", (*Store).writeRow},
+	{"control", "/forget", (*Store).forget},
 }
 
 // Handle serves one request.
@@ -104,13 +125,28 @@
 	ctx.Error("unknown path", fasthttp.StatusNotFound)
 }
 
+// step tells listings of one row and of routers from others.
+func (r route) stepOf(ctx *fasthttp.RequestCtx) string {
+	switch {
+	case r.step != "list":
+		return r.step
+	case string(ctx.QueryArgs().Peek(wire.ParamTable)) == wire.TableRouters:
+		return "hosts"
+	case string(ctx.QueryArgs().Peek(wire.ParamLimit)) == "1":
+		return "get"
+	}
+	return r.step
+}
+
 func (s *Store) serve(ctx *fasthttp.RequestCtx, r route) {
-	f, faulty := s.Faults.Take(r.step)
+	step := r.stepOf(ctx)
+	f, faulty := s.Faults.Take(step)
 	if faulty && fault.Before(ctx, f) {
 		return
 	}
 	s.mu.Lock()
-	s.counts[r.step]++
+	s.counts[step]++
+	s.showHosts()
 	r.serve(s, ctx)
 	s.mu.Unlock()
 	if faulty && f.Mode == fault.DropAnswer {
@@ -135,59 +171,153 @@
 	writeJSON(ctx, counts)
 }
 
-func (s *Store) get(ctx *fasthttp.RequestCtx) {
-	row, ok := s.rows[string(ctx.QueryArgs().Peek("key"))]
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+// put writes a row at a new version. The version of the store must have grown
+// before.
+func (s *Store) put(r wire.Row) {
+	r.Ver, r.Gone = s.version, false
+	s.rows[id{r.Table, r.Key}] = r
+}
+
+func (s *Store) remove(r wire.Row) {
+	name := id{r.Table, r.Key}
+	if _, ok := s.rows[name]; !ok {
 		return
 	}
-	writeJSON(ctx, row)
+	delete(s.rows, name)
+	s.removed = append(s.removed, wire.Row{Table: r.Table, Key: r.Key, Ver: s.version, Gone: true})
+}
+
+// grow begins a change: it moves the version and wakes the feeds.
+func (s *Store) grow() {
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// table returns the rows of a table in key order.
+func (s *Store) table(name string) []wire.Row {
+	var rows []wire.Row
+	for n, r := range s.rows {
+		if n.table == name {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
 }
 
 func (s *Store) list(ctx *fasthttp.RequestCtx) {
-	prefix := string(ctx.QueryArgs().Peek("prefix"))
-	limit, err := strconv.Atoi(string(ctx.QueryArgs().Peek("limit")))
-	if err != nil || limit < 1 {
-		ctx.Error("limit must be a positive number", fasthttp.StatusBadRequest)
+	args := ctx.QueryArgs()
+	from, before := string(args.Peek(wire.ParamFrom)), string(args.Peek(wire.ParamBefore))
+	limit, err := args.GetUint(wire.ParamLimit)
+	if err != nil || limit > wire.MaxRows {
+		limit = wire.MaxRows
+	}
+	answer := wire.Rows{Rows: []wire.Row{}, Ver: s.version}
+	for _, r := range s.table(string(args.Peek(wire.ParamTable))) {
+		if r.Key < from || before != "" && r.Key >= before {
+			continue
+		}
+		if len(answer.Rows) == limit {
+			answer.More = true
+			break
+		}
+		answer.Rows = append(answer.Rows, r)
+	}
+	writeJSON(ctx, answer)
+}
+
+// feed answers as soon as something changed. It gives up the lock while it
+// waits.
+func (s *Store) feed(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	table := string(args.Peek(wire.ParamTable))
+	since, err := strconv.ParseUint(string(args.Peek(wire.ParamSince)), 10, 64)
+	if err != nil {
+		ctx.Error("version must be a number", fasthttp.StatusBadRequest)
 		return
 	}
-	rows := make([]platform.Row, 0, limit)
-	for key, row := range s.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
+	deadline := time.Now().Add(time.Duration(args.GetUintOrZero(wire.ParamWait)) * time.Millisecond)
+	for {
+		if since < s.forgotten {
+			ctx.SetStatusCode(fasthttp.StatusGone)
+			return
 		}
+		rows := s.after(table, since)
+		left := time.Until(deadline)
+		if len(rows) > 0 || left <= 0 {
+			writeJSON(ctx, wire.Rows{Rows: rows, Ver: s.version})
+			return
+		}
+		s.wait(left)
+	}
+}
+
+func (s *Store) wait(most time.Duration) {
+	changed := s.changed
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	if string(ctx.QueryArgs().Peek("descending")) == "true" {
-		slices.Reverse(rows)
+}
+
+// after returns the rows of a table that changed after a version, in order.
+func (s *Store) after(table string, since uint64) []wire.Row {
+	rows := []wire.Row{}
+	for _, r := range slices.Concat(s.table(table), s.removed) {
+		if r.Table == table && r.Ver > since {
+			rows = append(rows, r)
+		}
 	}
-	writeJSON(ctx, platform.RowList{Rows: rows[:min(limit, len(rows))]})
+	slices.SortStableFunc(rows, func(a, b wire.Row) int { return cmp.Compare(a.Ver, b.Ver) })
+	return rows
 }
 
 func (s *Store) commit(ctx *fasthttp.RequestCtx) {
-	var t platform.Txn
+	var t wire.Txn
 	if err := json.Unmarshal(ctx.PostBody(), &t); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	for _, check := range t.Checks {
-		if s.rows[check.Key].Version != check.Version {
-			writeJSON(ctx, platform.Conflict{Key: check.Key})
-			ctx.SetStatusCode(fasthttp.StatusConflict)
+	for _, r := range slices.Concat(t.Put, t.Remove) {
+		if r.Table == wire.TableTargets {
+			ctx.Error("only targets write their entries", fasthttp.StatusForbidden)
 			return
 		}
 	}
-	for _, put := range t.Puts {
-		s.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: s.rows[put.Key].Version + 1}
+	var found []wire.Row
+	holds := true
+	for _, e := range t.ExpectedRev {
+		r := s.rows[id{e.Table, e.Key}]
+		holds = holds && r.Ver == e.Ver
+		if r.Ver > 0 {
+			found = append(found, r)
+		}
 	}
-}
-
-func (s *Store) object(ctx *fasthttp.RequestCtx) {
-	name := strings.TrimPrefix(string(ctx.Path()), "/objects/")
-	if ctx.IsPut() {
-		s.objects[name] = slices.Clone(ctx.PostBody())
+	if !holds {
+		writeJSON(ctx, wire.Rows{Rows: found, Ver: s.version})
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 		return
 	}
+	s.grow()
+	for _, r := range t.Put {
+		s.put(r)
+	}
+	for _, r := range t.Remove {
+		s.remove(r)
+	}
+	writeJSON(ctx, wire.Rows{Ver: s.version})
+}
+
+func (s *Store) getObject(ctx *fasthttp.RequestCtx) {
+	s.readObject(ctx, strings.TrimPrefix(string(ctx.Path()), wire.PathGet))
+}
+
+func (s *Store) readObject(ctx *fasthttp.RequestCtx, name string) {
 	body, ok := s.objects[name]
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -196,34 +326,66 @@
 	ctx.SetBody(body)
 }
 
+func (s *Store) putObject(ctx *fasthttp.RequestCtx) {
+	s.objects[strings.TrimPrefix(string(ctx.Path()), wire.PathPut)] = slices.Clone(ctx.PostBody())
+}
+
 func (s *Store) weight(ctx *fasthttp.RequestCtx) {
 	if !s.weights.Allow() {
 		ctx.Response.Header.Set("Retry-After", "1")
 		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
 		return
 	}
-	s.object(ctx)
+	name := string(ctx.Path())
+	if ctx.IsPut() {
+		s.objects[name] = slices.Clone(ctx.PostBody())
+		return
+	}
+	s.readObject(ctx, name)
 }
 
-// hostList answers the list as it was HostLag ago. PUT changes an entry, as
-// the platform's own automation would.
-func (s *Store) hostList(ctx *fasthttp.RequestCtx) {
-	now := time.Now()
-	if ctx.IsPut() {
-		var h platform.Host
-		if err := json.Unmarshal(ctx.PostBody(), &h); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		s.hosts = append(s.hosts, hostChange{host: h, visible: now.Add(s.lag)})
+// enterHost enters a router; it is shown after the lag.
+func (s *Store) enterHost(ctx *fasthttp.RequestCtx) {
+	var h struct {
+		Name string `json:"name"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &h); err != nil || h.Name == "" {
+		ctx.Error("a router has a name", fasthttp.StatusBadRequest)
 		return
 	}
-	latest := make(map[string]platform.Host)
+	row := wire.Row{Table: wire.TableRouters, Key: h.Name, Value: slices.Clone(ctx.PostBody())}
+	s.hosts = append(s.hosts, hostChange{row: row, visible: time.Now().Add(s.lag)})
+}
+
+// showHosts makes the routers visible whose lag is over.
+func (s *Store) showHosts() {
+	now := time.Now()
+	var later []hostChange
 	for _, ch := range s.hosts {
-		if !ch.visible.After(now) {
-			latest[ch.host.Name] = ch.host
+		if ch.visible.After(now) {
+			later = append(later, ch)
+			continue
 		}
+		s.grow()
+		s.put(ch.row)
+	}
+	s.hosts = later
+}
+
+// writeRow writes or removes a row without conditions.
+func (s *Store) writeRow(ctx *fasthttp.RequestCtx) {
+	r := wire.Row{Table: string(ctx.QueryArgs().Peek(wire.ParamTable)), Key: string(ctx.QueryArgs().Peek("key"))}
+	s.grow()
+	if ctx.IsDelete() {
+		s.remove(r)
+		return
 	}
-	hosts := slices.SortedFunc(maps.Values(latest), func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
-	writeJSON(ctx, platform.HostList{Hosts: hosts})
+	r.Value = slices.Clone(ctx.PostBody())
+	s.put(r)
+}
+
+func (s *Store) forget(*fasthttp.RequestCtx) {
+	s.grow()
+	s.forgotten = s.version
+	s.removed = nil
 }
