Choose among two homes by expected cost

Cause: a second home was used only above the limit, even when it kept the parts and was idle; a target that restarted moved the homes of all prompts, as homes went by run.

Change: cost = expected time to the first event + time of reading shared parts again + a margin by rank; homes go by address.

--- a/place/kept.go
+++ b/place/kept.go
@@ -83,6 +83,15 @@
 	return max(left, 1)
 }
 
+// own is the size of the part that no other prompt shares.
+func (p *prompt) own() int {
+	own := p.total
+	for _, size := range p.sizes {
+		own -= size
+	}
+	return max(own, 1)
+}
+
 // Reading is a prompt that was placed at a target.
 type Reading struct {
 	Target Hash
--- a/place/place.go
+++ b/place/place.go
@@ -231,49 +231,64 @@
 	return p.begin(t, Decision{Outstanding: t.outstanding()}, 0, now)
 }
 
-// home chooses the first target in the order of homes that is expected to make
-// the objective. Targets that would have to read shared parts anew are used
-// only while they have much room.
+// home chooses among the first homes of a prompt the target with the least
+// cost, if it is expected to make the objective.
 func (p *Placer) home(s *service, open []*target, r Request, now time.Time) Decision {
 	pr := newPrompt(r.Call)
 	cost := costOf(r.Call)
 	share := p.currentShares(now).factor(r.Customer)
 	limit := time.Duration(float64(r.Objective) * admitShare * share)
-	first := Decision{Share: share, Reason: Overloaded}
-	for rank, t := range homes(open, homeKey(r.Call), maxHomes) {
-		unread := pr.unread(&t.kept, s.engine.MemoryTokens)
-		d := Decision{
-			Rank: rank, Share: share, Backlog: t.unread(), Unread: unread, Outstanding: t.outstanding(),
-			Predicted: s.speed.predict(t.unread() + unread),
-		}
-		if t.outstanding() < t.Slots && p.admits(s, d, limit, rank) {
-			t.kept.touch(pr.shared, unread)
-			t.kept.trim(s.engine.MemoryTokens)
-			if len(p.readings) < maxReadings {
-				p.readings = append(p.readings, Reading{Target: t.hash, Parts: pr.shared, Unread: unread})
-			}
-			p.note(r.Customer, Use{Asked: cost, Served: cost}, now)
-			return p.begin(t, d, unread, now)
-		}
-		if rank == 0 {
-			first.Backlog, first.Unread, first.Outstanding, first.Predicted = d.Backlog, d.Unread, d.Outstanding, d.Predicted
+	best := s.cheapest(homes(open, homeKey(r.Call), maxHomes), &pr)
+	d := Decision{
+		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread,
+		Outstanding: best.target.outstanding(), Predicted: best.predicted,
+	}
+	if best.target.outstanding() >= best.target.Slots || !s.admits(d, limit) {
+		p.note(r.Customer, Use{Asked: cost}, now)
+		d.Reason = Overloaded
+		d.RetryAfter = min(max(d.Predicted-limit, leastRetry), mostRetry)
+		return d
+	}
+	p.note(r.Customer, Use{Asked: cost, Served: cost}, now)
+	best.target.kept.touch(pr.shared, best.unread)
+	best.target.kept.trim(s.engine.MemoryTokens)
+	if len(p.readings) < maxReadings {
+		p.readings = append(p.readings, Reading{Target: best.target.hash, Parts: pr.shared, Unread: best.unread})
+	}
+	return p.begin(best.target, d, best.unread, now)
+}
+
+// candidate is a home and what is expected of it for one request.
+type candidate struct {
+	target    *target
+	rank      int
+	unread    int
+	predicted time.Duration
+	cost      time.Duration
+}
+
+// cheapest returns the home with the least cost: the expected time to the
+// first event, the time that reading shared parts again takes from others, and
+// a margin for homes after the first, so that requests do not move for small
+// differences between reports.
+func (s *service) cheapest(homes []*target, pr *prompt) candidate {
+	var best candidate
+	for rank, t := range homes {
+		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens)}
+		c.predicted = s.speed.predict(t.unread() + c.unread)
+		again := s.speed.reading(c.unread - pr.own())
+		c.cost = c.predicted + time.Duration(againWeight*float64(again)) + time.Duration(rank)*moveMargin
+		if best.target == nil || c.cost < best.cost {
+			best = c
 		}
 	}
-	p.note(r.Customer, Use{Asked: cost}, now)
-	first.RetryAfter = min(max(first.Predicted-limit, leastRetry), mostRetry)
-	return first
+	return best
 }
 
 // admits reports whether a target is expected to make a limit. Prompts too
 // long for any target to make it are admitted where little waits before them.
-func (p *Placer) admits(s *service, d Decision, limit time.Duration, rank int) bool {
-	if rank > 0 {
-		limit = time.Duration(float64(limit) * spillShare)
-	}
-	if d.Predicted <= limit {
-		return true
-	}
-	return rank == 0 && s.speed.predict(d.Backlog) <= time.Duration(float64(limit)*longShare)
+func (s *service) admits(d Decision, limit time.Duration) bool {
+	return d.Predicted <= limit || s.speed.predict(d.Backlog) <= time.Duration(float64(limit)*longShare)
 }
 
 // costOf is the size of a request in tokens, for comparing customers.
@@ -295,9 +310,12 @@
 	// maxHomes is the number of homes that a prompt may be read at. Shared parts
 	// of all prompts fit about two homes in the memory of the engines.
 	maxHomes = 2
-	// spillShare is the part of the limit that a prediction for another home than
-	// the first may take.
-	spillShare = 0.6
+	// againWeight is the weight of the time that reading shared parts again takes
+	// from other requests.
+	againWeight = 1.0
+	// moveMargin is what another home must be better by, for each rank: about
+	// what a backlog changes between two reports of a busy router.
+	moveMargin = 150 * time.Millisecond
 	// leastRetry and mostRetry bound the time after which a caller is asked back.
 	leastRetry = 100 * time.Millisecond
 	mostRetry  = 2 * time.Second
@@ -315,11 +333,12 @@
 	}
 }
 
-// homes returns the first n targets by rendezvous hashing of a key.
+// homes returns the first n targets by rendezvous hashing of a key. Targets go
+// by their addresses, which outlast a restart.
 func homes(targets []*target, key string, n int) []*target {
 	weight := make(map[*target]uint64, len(targets))
 	for _, t := range targets {
-		weight[t] = xxhash.Sum64String(key + "/" + t.ID)
+		weight[t] = xxhash.Sum64String(key + "/" + t.Address.String())
 	}
 	order := slices.Clone(targets)
 	slices.SortFunc(order, func(a, b *target) int { return cmp.Compare(weight[b], weight[a]) })
--- a/place/speed.go
+++ b/place/speed.go
@@ -75,3 +75,8 @@
 func (s *speed) predict(tokens int) time.Duration {
 	return time.Duration((s.base + s.perToken*float64(tokens)) * float64(time.Millisecond))
 }
+
+// reading returns the time that reading tokens takes.
+func (s *speed) reading(tokens int) time.Duration {
+	return time.Duration(s.perToken * float64(tokens) * float64(time.Millisecond))
+}
