--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,9 @@
 	// stopMargin is how much earlier than the stop limit a planned stop cuts what
 	// still runs, so that the process ends by itself.
 	stopMargin = 700 * time.Millisecond
+	// stopQuiet is the time without a new request after which a planned stop
+	// expects no more: the balancer checks every second, callers come back sooner.
+	stopQuiet = 500 * time.Millisecond
 	// retryPart is the part of the fleet's retries that all routers together use:
 	// each knows only its own requests.
 	retryPart = 0.7
@@ -143,7 +146,7 @@
 		Retries: request.NewBudget(s.RetryRatio*retryPart, float64(s.RetrySlack)*retryPart/usualRouters),
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
-			Announce: s.StopDelay, Stop: s.StopTimeout - stopMargin,
+			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
 		},
 	})
 	if err != nil {
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,219 @@
+package place
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+const objective = 800 * time.Millisecond
+
+func targets(service string, n int) []*roster.Target {
+	list := make([]*roster.Target, n)
+	for i := range list {
+		list[i] = &roster.Target{
+			ID: fmt.Sprintf("%s-%d", service, i), Service: service, Slots: 64,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 80),
+		}
+	}
+	return list
+}
+
+func table(t *testing.T) *route.Table {
+	t.Helper()
+	table, err := route.New(route.Spec{
+		Version: 1, Limits: route.Limits{TokensPerSecond: 300_000},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 64, MemoryTokens: 500_000}}, {Name: "plain"}},
+	})
+	assert.NilError(t, err)
+	return table
+}
+
+func newTestPlacer(t *testing.T) (*Placer, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock})
+	p.SetTargets(append(targets("model", 9), targets("plain", 3)...), table(t))
+	return p, clock
+}
+
+func call(shared string, sharedTokens, own int) *message.Call {
+	return &message.Call{
+		Parts:        []message.Part{{ID: shared, Tokens: sharedTokens}, {ID: "own", Tokens: own}},
+		PromptTokens: sharedTokens + own, MaxTokens: 100,
+	}
+}
+
+func ask(c *message.Call, customer string) Request {
+	return Request{Service: "model", Customer: customer, Objective: objective, Call: c}
+}
+
+func TestRoutersAgreeOnHomesWithoutAMessage(t *testing.T) {
+	a, _ := newTestPlacer(t)
+	b, _ := newTestPlacer(t)
+	used := make(map[string]int)
+	for i := range 100 {
+		c := call(fmt.Sprint(i), 1000, 10)
+		da, db := a.Place(ask(c, "c")), b.Place(ask(c, "c"))
+		assert.Equal(t, da.Run.Target.ID, db.Run.Target.ID)
+		used[da.Run.Target.ID]++
+		da.Run.End(Answered)
+		db.Run.End(Answered)
+	}
+	assert.Equal(t, len(used), 9, "all targets are homes: %v", used)
+}
+
+func TestHomesOutlastTheRestartOfATarget(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := call("part", 1000, 10)
+	first := p.Place(ask(c, "c")).Run
+	first.End(Answered)
+	list := targets("model", 9)
+	for _, target := range list {
+		target.ID += "-again"
+	}
+	p.SetTargets(list, table(t))
+	assert.Equal(t, p.Place(ask(c, "c")).Run.Target.Address, first.Target.Address)
+}
+
+func TestFullHomeGivesWayToTheNextThenRefuses(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	used := make(map[string]int)
+	var refused Decision
+	for range 200 {
+		d := p.Place(ask(call("hot", 2000, 4000), "c"))
+		if d.Run == nil {
+			refused = d
+			break
+		}
+		used[d.Run.Target.ID]++
+	}
+	assert.Equal(t, len(used), maxHomes)
+	assert.Equal(t, refused.Reason, Overloaded)
+	assert.Assert(t, refused.RetryAfter >= leastRetry && refused.RetryAfter <= mostRetry)
+}
+
+func TestPromptTooLongForAnyTargetIsAdmittedWhereLittleWaits(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	long := call("long", 100, 90_000)
+	assert.Assert(t, p.Place(ask(long, "c")).Run != nil)
+	assert.Assert(t, p.Place(ask(long, "c")).Rank == 1, "the next one has another home")
+	assert.Equal(t, p.Place(ask(long, "c")).Reason, Overloaded)
+}
+
+func TestWorkOfOtherRoutersCounts(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	c := call("part", 1000, 10)
+	home := p.Place(ask(c, "c")).Run
+	home.End(Answered)
+	p.SetPeer("other", Report{Loads: map[Hash]Load{HashOf(home.Target.ID): {Requests: 9, Unread: 60_000}}})
+	clock.Advance(70 * time.Millisecond)
+	d := p.Place(ask(c, "c"))
+	assert.Equal(t, d.Rank, 1)
+	assert.Equal(t, d.Age, 70*time.Millisecond)
+	d.Run.End(Answered)
+	p.ForgetPeer("other")
+	assert.Equal(t, p.Place(ask(c, "c")).Run.Target.ID, home.Target.ID)
+}
+
+func TestPartsReadByOtherRoutersAreKept(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := call("part", 20_000, 10)
+	d := p.Place(ask(c, "c"))
+	assert.Equal(t, d.Unread, 20_010)
+	d.Run.End(Cancelled)
+	other, _ := newTestPlacer(t)
+	other.SetPeer("p", Report{Readings: p.TakeReadings()})
+	assert.Equal(t, other.Place(ask(c, "c")).Unread, 10)
+}
+
+func TestPartsAreForgottenWhenTheMemoryWasReadOver(t *testing.T) {
+	var k kept
+	k.touch([]Hash{1}, 10)
+	assert.Assert(t, k.holds(1, 1000))
+	k.touch([]Hash{2}, 700)
+	assert.Assert(t, !k.holds(1, 1000))
+	assert.Assert(t, k.holds(2, 1000))
+}
+
+func TestPlainServicesTakeTheLeastLoadedTarget(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	counts := make(map[string]int)
+	for range 9 {
+		d := p.Place(Request{Service: "plain", Call: new(message.Call)})
+		counts[d.Run.Target.ID]++
+	}
+	for id, n := range counts {
+		assert.Equal(t, n, 3, id)
+	}
+}
+
+func TestDrainingTriedAndFailingTargetsAreLeftAlone(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock})
+	list := targets("plain", 3)
+	list[0].Draining = true
+	p.SetTargets(list, table(t))
+	r := Request{Service: "plain", Call: new(message.Call), Tried: []string{"plain-1"}}
+	for range openAfter {
+		d := p.Place(r)
+		assert.Equal(t, d.Run.Target.ID, "plain-2")
+		d.Run.End(Failed)
+	}
+	assert.Equal(t, p.Place(r).Reason, NoTarget)
+	clock.Advance(firstPause)
+	assert.Assert(t, p.Place(r).Run != nil, "tried again after the pause")
+}
+
+func TestSpeedLearnsALine(t *testing.T) {
+	s := newSpeed()
+	s.guess(30_000)
+	for i := range 200 {
+		tokens := i * 100
+		s.learn(tokens, 40*time.Millisecond+time.Duration(tokens)*20*time.Microsecond)
+	}
+	got := s.predict(10_000)
+	assert.Assert(t, got > 230*time.Millisecond && got < 250*time.Millisecond, got)
+}
+
+func TestShareLevelIsMaxMin(t *testing.T) {
+	s := computeShares(map[Hash]Use{1: {Asked: 100, Served: 100}, 2: {Asked: 1000, Served: 300}, 3: {Asked: 5000, Served: 1500}})
+	assert.Assert(t, s.pressed)
+	assert.Equal(t, s.level, 900)
+	calm := computeShares(map[Hash]Use{1: {Asked: 100, Served: 100}, 2: {Asked: 5000, Served: 5000}})
+	assert.Assert(t, !calm.pressed)
+}
+
+func TestCustomerAboveItsShareIsRefusedFirst(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	p.SetPeer("other", Report{Uses: map[Hash]Use{
+		HashOf("flood"): {Asked: 10_000_000, Served: 1_000_000}, HashOf("small"): {Asked: 500_000, Served: 10_000},
+	}})
+	c := call("part", 500, 3000)
+	home := p.Place(ask(c, "small")).Run
+	for _, target := range p.targets {
+		target.others.Unread = 18_000
+	}
+	assert.Equal(t, p.Place(ask(c, "flood")).Reason, Overloaded)
+	d := p.Place(ask(c, "small"))
+	assert.Equal(t, d.Share, 1.0)
+	assert.Assert(t, d.Run != nil, "places are left for customers below their share")
+	home.End(Answered)
+}
+
+func TestUseSlidesOutOfTheWindow(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	p.note("c", Use{Asked: 10, Served: 5}, clock.Now())
+	clock.Advance((useSlots - 1) * useSlot)
+	assert.Equal(t, p.Uses()[HashOf("c")], Use{Asked: 10, Served: 5})
+	clock.Advance(2 * useSlot)
+	assert.Equal(t, len(p.Uses()), 0)
+}
--- /dev/null
+++ b/relay/fake_test.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+// arrival is a request as a target saw it.
+type arrival struct {
+	header fasthttp.RequestHeader
+	body   []byte
+}
+
+func (a *arrival) id() string { return string(a.header.Peek("Request-Id")) }
+
+// fakeTarget serves each request by a function that writes raw bytes. It
+// returns false to end the connection.
+type fakeTarget struct {
+	id       string
+	listener net.Listener
+	serve    func(a *arrival, c net.Conn) bool
+	group    errgroup.Group
+
+	mu       sync.Mutex
+	arrivals []*arrival
+	conns    []net.Conn
+	// closed counts connections that the router closed.
+	closed int
+}
+
+func newTarget(t *testing.T, id string, serve func(*arrival, net.Conn) bool) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeTarget{id: id, listener: l, serve: serve}
+	f.group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			f.mu.Lock()
+			f.conns = append(f.conns, c)
+			f.mu.Unlock()
+			f.group.Go(func() error { f.talk(c); return nil })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		f.mu.Lock()
+		for _, c := range f.conns {
+			c.Close()
+		}
+		f.mu.Unlock()
+		f.group.Wait()
+	})
+	return f
+}
+
+func (f *fakeTarget) talk(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		a := new(arrival)
+		if err := a.header.Read(r); err != nil {
+			f.mu.Lock()
+			f.closed++
+			f.mu.Unlock()
+			return
+		}
+		if n := a.header.ContentLength(); n > 0 {
+			a.body = make([]byte, n)
+			if _, err := io.ReadFull(r, a.body); err != nil {
+				return
+			}
+		}
+		f.mu.Lock()
+		f.arrivals = append(f.arrivals, a)
+		f.mu.Unlock()
+		if !f.serve(a, c) {
+			return
+		}
+	}
+}
+
+func (f *fakeTarget) seen() []*arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrivals
+}
+
+func (f *fakeTarget) hungUp() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
+// reply writes an answer with a length.
+func reply(c net.Conn, status int, id, body string, headers ...string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n", status, id, len(body))
+	for _, h := range headers {
+		fmt.Fprintf(c, "%s\r\n", h)
+	}
+	fmt.Fprintf(c, "\r\n%s", body)
+	return true
+}
+
+const seal = "Response-Seal: s"
+
+func answers(a *arrival, c net.Conn) bool { return reply(c, 200, a.id(), "answer", seal) }
+
+// beginStream writes the head of a stream; event and endStream follow.
+func beginStream(a *arrival, c net.Conn) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id(), seal)
+}
+
+func event(c net.Conn, n int) {
+	text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+	fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+func endStream(c net.Conn) bool {
+	fmt.Fprint(c, "0\r\n\r\n")
+	return true
+}
+
+// site is a server before targets.
+type site struct {
+	*Server
+	table *route.Table
+	fresh bool
+	mu    sync.Mutex
+}
+
+func (s *site) view() View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return View{Table: s.table, Fresh: s.fresh}
+}
+
+func (s *site) set(table *route.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = table
+}
+
+const (
+	customerKey  = "secret"
+	customerName = "cus"
+	routeTimeout = 2 * time.Second
+)
+
+// spec has a route of each kind; all but /model/ and /resume/ lead to plain.
+func spec() route.Spec {
+	r := func(prefix string, kind route.Kind, service string) *route.Route {
+		return &route.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: routeTimeout, Objective: time.Second, MaxAttempts: 2,
+			Splits: []route.Split{{Service: service, Weight: 1}},
+		}
+	}
+	resume := r("/resume/", route.Stream, "model")
+	resume.Resumable = true
+	public := r("/public/", route.Once, "plain")
+	public.Public = true
+	return route.Spec{
+		Version:   1,
+		Services:  []route.Service{{Name: "plain"}, {Name: "model", Engine: &route.Engine{Slots: 8, MemoryTokens: 10000}}},
+		Customers: []route.Customer{{Name: customerName, Keys: []string{customerKey}}},
+		Routes: []*route.Route{
+			r("/once/", route.Once, "plain"), r("/repeat/", route.Repeatable, "plain"), r("/model/", route.Stream, "model"), resume, public,
+		},
+	}
+}
+
+func newTable(t *testing.T, s route.Spec) *route.Table {
+	t.Helper()
+	table, err := route.New(s)
+	assert.NilError(t, err)
+	return table
+}
+
+func newSite(t *testing.T, targets ...*fakeTarget) *site {
+	t.Helper()
+	s := &site{table: newTable(t, spec()), fresh: true}
+	clock := clockwork.NewRealClock()
+	metrics, err := metric.New()
+	assert.NilError(t, err)
+	placer := place.New(place.Options{Clock: clock})
+	var list []*roster.Target
+	for _, f := range targets {
+		addr := f.listener.Addr().(*net.TCPAddr).AddrPort()
+		for _, service := range []string{"plain", "model"} {
+			list = append(list, &roster.Target{ID: f.id + "-" + service, Service: service, Address: addr, Slots: 8})
+		}
+	}
+	placer.SetTargets(list, s.table)
+	links := link.NewPool(link.Options{Clock: clock})
+	s.Server, err = Listen(Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
+		View: s.view, Placer: placer, Links: links, Retries: request.NewBudget(1, 100),
+		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, Quiet: 10 * time.Millisecond, Stop: time.Second},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		assert.NilError(t, s.Close())
+		links.Close()
+		metrics.Close()
+	})
+	return s
+}
+
+// caller is one connection to a site.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *site) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address().String())
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	t.Cleanup(func() { c.Close() })
+	return &caller{Conn: c, r: bufio.NewReader(c)}
+}
+
+// send writes a request with a key, a deadline and more headers.
+func (c *caller) send(method, path, id, body string, headers ...string) {
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Deadline: 1500\r\nAuthorization: Bearer %s\r\n", method, path, id, customerKey)
+	for _, h := range headers {
+		fmt.Fprintf(c, "%s\r\n", h)
+	}
+	if body != "" {
+		fmt.Fprintf(c, "Content-Length: %d\r\n", len(body))
+	}
+	fmt.Fprintf(c, "\r\n%s", body)
+}
+
+// result is an answer as a caller saw it.
+type result struct {
+	header fasthttp.ResponseHeader
+	body   string
+	err    error
+}
+
+func (c *caller) read() *result {
+	res := new(result)
+	if res.err = res.header.Read(c.r); res.err != nil {
+		return res
+	}
+	text, err := newBody(c.r, &res.header, false).whole()
+	res.body, res.err = string(text), err
+	return res
+}
+
+func (s *site) ask(t *testing.T, method, path, id, body string, headers ...string) *result {
+	t.Helper()
+	c := s.dial(t)
+	c.send(method, path, id, body, headers...)
+	return c.read()
+}
+
+// eventually waits for a condition for two seconds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 200 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not in time: " + what)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,9 @@
 	// Announce is how long a planned stop goes on accepting streams, until the
 	// balancer has noticed. A stream that begins later may not end in time.
 	Announce time.Duration
+	// Quiet is the time without a new request after which a planned stop expects
+	// no more.
+	Quiet time.Duration
 	// Stop is the longest time of a planned stop.
 	Stop time.Duration
 }
@@ -192,7 +195,9 @@
 // ask the callers to close their connections.
 func (s *Server) Close() error {
 	now := s.options.Clock.Now()
-	s.stopped.Store(&now)
+	if !s.stopped.CompareAndSwap(nil, &now) {
+		return errs.Wrap(s.group.Wait(), "stop serving callers", "")
+	}
 	s.drain(now)
 	close(s.stop)
 	for _, f := range s.running() {
@@ -213,8 +218,6 @@
 	closeIdle = 100 * time.Millisecond
 	// drainPeriod is the time between looks at what still runs.
 	drainPeriod = 20 * time.Millisecond
-	// quiet is the time without a new request after which none is expected.
-	quiet = 500 * time.Millisecond
 )
 
 func (s *Server) drain(began time.Time) {
@@ -226,7 +229,7 @@
 			s.options.Log.Warn().Int("running", s.Running()).Msg("stop limit reached, cutting the requests that still run")
 			return
 		}
-		if now.Sub(began) >= s.options.Limits.Announce+quiet && s.resting(now) {
+		if now.Sub(began) >= s.options.Limits.Announce+s.options.Limits.Quiet && s.resting(now) {
 			return
 		}
 	}
@@ -236,5 +239,5 @@
 func (s *Server) resting(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.flights) == 0 && now.Sub(s.last) >= quiet
+	return len(s.flights) == 0 && now.Sub(s.last) >= s.options.Limits.Quiet
 }
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,343 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+func TestRequestReachesTheTargetUnchanged(t *testing.T) {
+	f := newTarget(t, "t", answers)
+	s := newSite(t, f)
+	res := s.ask(t, "POST", "/once/a%2Fb?x=1&y=%20", "r1", "the body",
+		"Tenant: forged", "Expect-Instance: forged", "X-Own: kept", "Connection: X-Hop", "X-Hop: dropped")
+	assert.NilError(t, res.err)
+	assert.Equal(t, res.header.StatusCode(), 200)
+	assert.Equal(t, res.body, "answer")
+	assert.Equal(t, string(res.header.Peek("Response-Seal")), "s")
+	a := f.seen()[0]
+	assert.Equal(t, string(a.header.Method()), "POST")
+	assert.Equal(t, string(a.header.RequestURI()), "/once/a%2Fb?x=1&y=%20")
+	assert.Equal(t, string(a.body), "the body")
+	assert.Equal(t, string(a.header.Peek("X-Own")), "kept")
+	assert.Equal(t, string(a.header.Peek("Tenant")), customerName)
+	assert.Equal(t, string(a.header.Peek("Expect-Instance")), "t-plain")
+	for _, name := range []string{"Authorization", "X-Hop"} {
+		assert.Equal(t, len(a.header.Peek(name)), 0, name)
+	}
+	left := string(a.header.Peek("Request-Deadline"))
+	assert.Assert(t, left <= "1500" && left > "1400", left)
+}
+
+func TestRefusalsBeforeATarget(t *testing.T) {
+	s := newSite(t, newTarget(t, "t", answers))
+	tests := []struct {
+		name, path, key string
+		fresh           bool
+		status          int
+	}{
+		{"unknown route", "/none/", customerKey, true, 404},
+		{"unknown route, old table", "/none/", customerKey, false, 503},
+		{"wrong key", "/once/", "wrong", true, 401},
+		{"wrong key, old table", "/once/", "wrong", false, 503},
+		{"wrong key, public", "/public/", "wrong", true, 200},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s.mu.Lock()
+			s.fresh = tc.fresh
+			s.mu.Unlock()
+			c := s.dial(t)
+			fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\n\r\n", tc.path, tc.key)
+			assert.Equal(t, c.read().header.StatusCode(), tc.status)
+		})
+	}
+	s.set(nil)
+	res := s.ask(t, "GET", "/once/", "r", "")
+	assert.Equal(t, res.header.StatusCode(), 503)
+	assert.Assert(t, len(res.header.Peek("Retry-After")) > 0)
+}
+
+func TestTargetThatDidNotRunIsFollowedByAnother(t *testing.T) {
+	var calls atomic.Int32
+	serve := func(a *arrival, c net.Conn) bool {
+		if calls.Add(1) == 1 {
+			return reply(c, 503, a.id(), "full", "Not-Executed: 1")
+		}
+		return answers(a, c)
+	}
+	s := newSite(t, newTarget(t, "t1", serve), newTarget(t, "t2", serve))
+	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
+	assert.Equal(t, calls.Load(), int32(2))
+}
+
+// outcomes are answers of a target and what the caller is told.
+func TestOutcomesAreTold(t *testing.T) {
+	tests := []struct {
+		name  string
+		path  string
+		serve func(*arrival, net.Conn) bool
+		want  int
+		tries int
+	}{
+		{"not run by any", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 503, a.id(), "", "Not-Executed: 1") }, 503, 2},
+		{"other instance", "/once/", func(_ *arrival, c net.Conn) bool { return reply(c, 421, "", "") }, 503, 2},
+		{"full without a promise", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 503, a.id(), "") }, 502, 1},
+		{"too many without a promise", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 429, a.id(), "") }, 502, 1},
+		{"unsigned", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 200, a.id(), "x") }, 502, 1},
+		{"crossed", "/once/", func(_ *arrival, c net.Conn) bool { return reply(c, 200, "other", "x", seal) }, 502, 1},
+		{"closed", "/once/", func(*arrival, net.Conn) bool { return false }, 502, 1},
+		{"closed, repeatable", "/repeat/", func(*arrival, net.Conn) bool { return false }, 502, 2},
+		{"cut body", "/once/", func(a *arrival, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\nContent-Length: 50\r\n\r\nhalf", a.id(), seal)
+			return false
+		}, 502, 1},
+		{"not an answer", "/once/", func(_ *arrival, c net.Conn) bool { fmt.Fprint(c, "rubbish\r\n\r\n"); return false }, 502, 1},
+		{"own failure", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 500, a.id(), "bad", seal) }, 500, 1},
+		{"own failure, repeatable", "/repeat/", func(a *arrival, c net.Conn) bool { return reply(c, 500, a.id(), "bad", seal) }, 500, 2},
+		{"stream fails", "/model/", func(a *arrival, c net.Conn) bool { return reply(c, 500, a.id(), "bad", seal) }, 500, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f1, f2 := newTarget(t, "t1", tc.serve), newTarget(t, "t2", tc.serve)
+			s := newSite(t, f1, f2)
+			res := s.ask(t, "POST", tc.path, "r", "b")
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.header.StatusCode(), tc.want)
+			assert.Equal(t, len(f1.seen())+len(f2.seen()), tc.tries)
+			promise := tc.want == 503
+			assert.Equal(t, len(res.header.Peek("Retry-After")) > 0, promise)
+			signed := tc.want == 500
+			assert.Equal(t, len(res.header.Peek("Response-Seal")) > 0, signed)
+		})
+	}
+}
+
+func TestUnreachableTargetsAreNotRun(t *testing.T) {
+	f := newTarget(t, "t", answers)
+	f.listener.Close()
+	s := newSite(t, f)
+	res := s.ask(t, "POST", "/once/", "r", "b")
+	assert.Equal(t, res.header.StatusCode(), 503)
+	assert.Assert(t, len(res.header.Peek("Retry-After")) > 0)
+}
+
+func TestLateAnswerOfAnotherRequestIsReadOver(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		if a.id() == "r2" {
+			reply(c, 200, "r1", "late", seal)
+		}
+		return reply(c, 200, a.id(), "for "+a.id(), seal)
+	})
+	s := newSite(t, f)
+	c := s.dial(t)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		c.send("POST", "/repeat/", id, "b")
+		assert.Equal(t, c.read().body, "for "+id)
+	}
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		return reply(c, 200, a.id(), "for "+a.id(), seal) && reply(c, 200, "r1", "extra", seal)
+	})
+	s := newSite(t, f)
+	for _, id := range []string{"r1", "r2"} {
+		assert.Equal(t, s.ask(t, "POST", "/repeat/", id, "b").body, "for "+id)
+	}
+	eventually(t, "connections with extra bytes are closed", func() bool { return f.hungUp() >= 1 })
+}
+
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\nConnection: close\r\n\r\nuntil the end", a.id(), seal)
+		if a.id() == "reset" {
+			time.Sleep(50 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+	s := newSite(t, f)
+	assert.Equal(t, s.ask(t, "POST", "/once/", "whole", "b").body, "until the end")
+	assert.Equal(t, s.ask(t, "POST", "/once/", "reset", "b").header.StatusCode(), 502)
+}
+
+func TestTargetThatAnswersBeforeItReadsALongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var g errgroup.Group
+	g.Go(func() error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		reply(c, 413, "r", "too long", seal)
+		time.Sleep(300 * time.Millisecond)
+		return nil
+	})
+	f := &fakeTarget{id: "t", listener: l}
+	s := newSite(t, f)
+	res := s.ask(t, "POST", "/once/", "r", strings.Repeat("x", 900_000))
+	assert.Equal(t, res.header.StatusCode(), 413)
+	assert.NilError(t, g.Wait())
+	l.Close()
+}
+
+func TestStreamIsPassedOnEventByEvent(t *testing.T) {
+	next := make(chan struct{})
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		for i := range 3 {
+			event(c, i)
+			<-next
+		}
+		return endStream(c)
+	})
+	s := newSite(t, f)
+	c := s.dial(t)
+	c.send("POST", "/model/", "r", "b")
+	var res result
+	assert.NilError(t, res.header.Read(c.r))
+	assert.Equal(t, string(res.header.Peek("Response-Seal")), "s")
+	body := newBody(c.r, &res.header, false)
+	for i := range 3 {
+		b := make([]byte, 100)
+		n, err := body.Read(b)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b[:n]), fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
+		next <- struct{}{}
+	}
+	rest, err := body.whole()
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), 0)
+}
+
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		event(c, 0)
+		return false
+	})
+	s := newSite(t, f)
+	res := s.ask(t, "POST", "/model/", "r", "b")
+	assert.Assert(t, cmp.ErrorContains(res.err, ""))
+	assert.Equal(t, len(f.seen()), 1, "a stream that may not be repeated is sent once")
+}
+
+func TestResumableStreamGoesOnAtAnotherTarget(t *testing.T) {
+	var calls atomic.Int32
+	serve := func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		if calls.Add(1) == 1 {
+			event(c, 0)
+			event(c, 1)
+			fmt.Fprint(c, "10\r\nid: 2\ndata: pie")
+			return false
+		}
+		if string(a.header.Peek("Last-Event-Id")) != "1" {
+			return false
+		}
+		event(c, 2)
+		return endStream(c)
+	}
+	s := newSite(t, newTarget(t, "t1", serve), newTarget(t, "t2", serve))
+	res := s.ask(t, "POST", "/resume/", "r", "b")
+	assert.NilError(t, res.err)
+	var want strings.Builder
+	for i := range 3 {
+		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	assert.Equal(t, res.body, want.String())
+	assert.Equal(t, calls.Load(), int32(2))
+}
+
+// TestOwnFailureAfterTheDeadlineIsPassedOn is the case of a router that ended
+// by a panic: a repeatable request failed when its time was already up.
+func TestOwnFailureAfterTheDeadlineIsPassedOn(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		time.Sleep(30 * time.Millisecond)
+		return reply(c, 500, a.id(), "bad", seal)
+	})
+	s := newSite(t, f)
+	c := s.dial(t)
+	fmt.Fprintf(c, "GET /repeat/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Deadline: 20\r\nAuthorization: Bearer %s\r\n\r\n", customerKey)
+	status := c.read().header.StatusCode()
+	assert.Assert(t, status == 500 || status == 504, status)
+	assert.Equal(t, s.ask(t, "GET", "/public/", "r2", "").header.StatusCode(), 500, "the server still serves")
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	for _, path := range []string{"/once/", "/model/"} {
+		t.Run(path, func(t *testing.T) {
+			began := make(chan struct{})
+			f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+				if path == "/model/" {
+					beginStream(a, c)
+					event(c, 0)
+				}
+				close(began)
+				c.Read(make([]byte, 1))
+				return false
+			})
+			s := newSite(t, f)
+			c := s.dial(t)
+			c.send("POST", path, "r", "b")
+			<-began
+			left := time.Now()
+			c.Close()
+			eventually(t, "nothing runs", func() bool { return s.Running() == 0 })
+			assert.Assert(t, time.Since(left) < 500*time.Millisecond)
+		})
+	}
+}
+
+func TestTimeLimitIsHeldTo(t *testing.T) {
+	f := newTarget(t, "t", func(_ *arrival, c net.Conn) bool { c.Read(make([]byte, 1)); return false })
+	s := newSite(t, f)
+	c := s.dial(t)
+	fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", customerKey)
+	eventually(t, "the request runs", func() bool { return len(f.seen()) == 1 })
+	// A new configuration shortens the limit of the request that runs.
+	short := spec()
+	for _, r := range short.Routes {
+		r.Timeout = 200 * time.Millisecond
+	}
+	short.Version = 2
+	s.set(newTable(t, short))
+	sent := time.Now()
+	assert.Equal(t, c.read().header.StatusCode(), 504)
+	assert.Assert(t, time.Since(sent) < 700*time.Millisecond)
+}
+
+func TestStopEndsWhatRunsAndRefusesLateStreams(t *testing.T) {
+	release := make(chan struct{})
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		<-release
+		return answers(a, c)
+	})
+	s := newSite(t, f)
+	running, waiting := s.dial(t), s.dial(t)
+	running.send("POST", "/once/", "r", "b")
+	eventually(t, "the request runs", func() bool { return len(f.seen()) == 1 })
+	// A connection that is open already is still served during the stop.
+	waiting.send("GET", "/none/", "r2", "")
+	assert.Equal(t, waiting.read().header.StatusCode(), 404)
+	var g errgroup.Group
+	g.Go(s.Close)
+	eventually(t, "the stop began", func() bool { return s.stopped.Load() != nil })
+	waiting.send("POST", "/model/", "r3", "b")
+	res := waiting.read()
+	assert.Equal(t, res.header.StatusCode(), 503)
+	assert.Assert(t, res.header.ConnectionClose())
+	close(release)
+	assert.Equal(t, running.read().body, "answer")
+	assert.NilError(t, g.Wait())
+}
