Bound what waits apart from what is read; leave cut-off and grey targets alone

Targets behind a cut were used until their connections broke after two seconds; targets that fail 45 % of their answers kept their share.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,9 +54,12 @@
 	if !all {
 		return to
 	}
+	contacts := slices.Clone(l.gateway.settings.Seeds)
 	for _, contact := range l.gateway.settings.Contacts {
-		addr := l.gateway.peerAddress(contact)
-		if !known[addr] && addr != l.gateway.settings.ListenPeer {
+		contacts = append(contacts, l.gateway.peerAddress(contact))
+	}
+	for _, addr := range contacts {
+		if !known[addr] && addr != l.gateway.transport.Address() {
 			to = append(to, addr)
 		}
 	}
@@ -76,9 +80,10 @@
 }
 
 func (l *loop) identity() *zinccovev1.HostInfo {
-	s := l.gateway.settings
+	g := l.gateway
 	return &zinccovev1.HostInfo{
-		Name: s.Host, DataCentre: s.DataCentre, Control: s.ListenControl.String(), Peer: s.ListenPeer.String(),
+		Name: g.settings.Host, DataCentre: g.settings.DataCentre,
+		Control: g.control.Address().String(), Peer: g.transport.Address().String(),
 		StartedUnixMs: l.started.UnixMilli(),
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -143,7 +143,7 @@
 // start later send heartbeats to those they read, so once is enough.
 func (g *Gateway) announce(ctx context.Context) error {
 	self := platform.Host{
-		Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.settings.ListenPeer, State: platform.HostLive,
+		Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address(), State: platform.HostLive,
 	}
 	pause := announcePause
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,7 +163,7 @@
 	g.group.Go(func() error { return g.followRoutes(ctx) })
 	g.group.Go(func() error { return g.followTargets(ctx) })
 	g.group.Go(func() error { return g.announce(ctx) })
-	g.log.Info().Stringer("caller", s.ListenCaller).Stringer("control", s.ListenControl).Stringer("peer", s.ListenPeer).
+	g.log.Info().Stringer("caller", g.relay.Address()).Stringer("control", g.control.Address()).Stringer("peer", g.transport.Address()).
 		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Int("memory_mb", s.MemoryMB).Msg("started")
 	return nil
 }
@@ -221,5 +221,5 @@
 
 // peerAddress is where the datagrams of a contact are sent.
 func (g *Gateway) peerAddress(contact netip.Addr) netip.AddrPort {
-	return netip.AddrPortFrom(contact, g.settings.ListenPeer.Port())
+	return netip.AddrPortFrom(contact, g.transport.Address().Port())
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	ticks       int
 	lastBeat    time.Time
 	introduced  int
+	// cut are the data centres that seem to be cut off.
+	cut []string
 	// behind is since when another router has a newer configuration.
 	behind   time.Time
 	fetching bool
@@ -122,6 +125,7 @@
 	now := l.gateway.clock.Now()
 	l.ticks++
 	l.expire(now)
+	l.findCuts()
 	l.expireTargets()
 	l.catchUp(ctx, now)
 	if now.Sub(l.lastBeat) >= l.gateway.settings.HeartbeatInterval {
@@ -134,6 +138,22 @@
 	}
 }
 
+// findCuts notes which data centres seem to be cut off.
+func (l *loop) findCuts() {
+	beats := make(map[string]time.Time)
+	for _, h := range l.members.Hosts() {
+		if h.DataCentre != l.gateway.settings.DataCentre && h.Heard.After(beats[h.DataCentre]) {
+			beats[h.DataCentre] = h.Heard
+		}
+	}
+	cut := l.gateway.placer.SetBeats(beats)
+	slices.Sort(cut)
+	if !slices.Equal(cut, l.cut) {
+		l.gateway.log.Warn().Strs("data_centres", cut).Msg("data centres that seem cut off")
+		l.cut = cut
+	}
+}
+
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,99 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+var addr = netip.MustParseAddrPort("127.0.0.1:1")
+
+// newTestPool returns a pool and the far ends of its connections.
+func newTestPool(t *testing.T) (*Pool, *clockwork.FakeClock, *[]net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var far []net.Conn
+	clock := clockwork.NewFakeClock()
+	p := NewPool(Options{Clock: clock, Dial: func(netip.AddrPort) (net.Conn, error) {
+		near, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		c, err := l.Accept()
+		far = append(far, c)
+		return near, err
+	}})
+	t.Cleanup(func() {
+		p.Close()
+		l.Close()
+		for _, c := range far {
+			c.Close()
+		}
+	})
+	return p, clock, &far
+}
+
+func get(t *testing.T, p *Pool, target string, fresh Freshness) *Conn {
+	t.Helper()
+	c, err := p.Get(target, addr, fresh)
+	assert.NilError(t, err)
+	return c
+}
+
+func TestConnectionIsUsedAgainOnlyForItsTarget(t *testing.T) {
+	p, _, far := newTestPool(t)
+	p.Put(get(t, p, "a", Rested), 0)
+	assert.Assert(t, !get(t, p, "b", Rested).Reused)
+	assert.Assert(t, get(t, p, "a", Rested).Reused)
+	assert.Equal(t, len(*far), 2)
+}
+
+func TestRestedConnectionIsNotForRequestsThatMustNotBeRepeated(t *testing.T) {
+	p, clock, _ := newTestPool(t)
+	p.Put(get(t, p, "a", Recent), 0)
+	clock.Advance(time.Duration(Recent) + time.Millisecond)
+	assert.Assert(t, !get(t, p, "a", Recent).Reused)
+	assert.Assert(t, get(t, p, "a", Rested).Reused)
+}
+
+func TestConnectionIsGivenUpBeforeTheTargetDoes(t *testing.T) {
+	p, clock, _ := newTestPool(t)
+	p.Put(get(t, p, "a", Rested), 2*time.Second)
+	clock.Advance(2*time.Second - idleMargin + time.Millisecond)
+	assert.Assert(t, !get(t, p, "a", Rested).Reused)
+}
+
+func TestBytesBetweenRequestsEndTheConnection(t *testing.T) {
+	for _, disturb := range []func(net.Conn){
+		func(c net.Conn) { c.Write([]byte("stray")) },
+		func(c net.Conn) { c.Close() },
+	} {
+		p, _, far := newTestPool(t)
+		p.Put(get(t, p, "a", Rested), 0)
+		disturb((*far)[0])
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, !get(t, p, "a", Rested).Reused)
+	}
+}
+
+func TestSweepClosesConnectionsOfUnknownTargets(t *testing.T) {
+	p, clock, far := newTestPool(t)
+	p.Put(get(t, p, "a", Rested), 0)
+	p.Put(get(t, p, "b", Rested), 0)
+	p.Sweep(func(target string) bool { return target == "a" })
+	_, err := (*far)[1].Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+	assert.Assert(t, get(t, p, "a", Rested).Reused)
+	clock.Advance(time.Hour)
+}
+
+func TestFailureToConnectIsAnError(t *testing.T) {
+	p := NewPool(Options{Clock: clockwork.NewFakeClock()})
+	_, err := p.Get("a", addr, Rested)
+	assert.ErrorContains(t, err, "connect to target (127.0.0.1:1)")
+}
--- a/place/circuit.go
+++ b/place/circuit.go
@@ -2,13 +2,12 @@
 
 import "time"
 
-// circuit keeps requests away from a target that fails in a row. After a pause
-// one request at a time tries it.
+// circuit keeps requests away from a target that fails in a row, for a pause
+// that grows while it goes on failing.
 type circuit struct {
 	failures int
 	until    time.Time
 	pause    time.Duration
-	probing  bool
 }
 
 const (
@@ -30,7 +29,7 @@
 
 func (c *circuit) note(r Result, now time.Time) {
 	switch r {
-	case Answered, Refused:
+	case Answered, Faulty, Refused:
 		*c = circuit{}
 	case Failed:
 		c.failures++
--- /dev/null
+++ b/place/health.go
@@ -0,0 +1,110 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// health is what this router has seen of a target lately: how often it failed,
+// and when it was last heard.
+type health struct {
+	// failed is the recent part of answers that were failures, between 0 and 1.
+	failed float64
+	at     time.Time
+	// heard is when bytes last arrived from the target.
+	heard time.Time
+}
+
+const (
+	// failureWeight is the weight of one answer in the recent part of failures.
+	failureWeight = 0.12
+	// failureHalfLife is the time after which half of the failures are forgotten,
+	// so that a target that was left alone is tried again.
+	failureHalfLife = 2 * time.Second
+	// greyPart is the part of failures from which on a target is left alone, if
+	// it also fails greyRatio times as often as the others of its service.
+	greyPart  = 0.3
+	greyRatio = 2.5
+)
+
+// rate returns the recent part of failures.
+func (h *health) rate(now time.Time) float64 {
+	if h.failed == 0 {
+		return 0
+	}
+	return h.failed * math.Exp2(-now.Sub(h.at).Seconds()/failureHalfLife.Seconds())
+}
+
+// note takes the result of one run.
+func (h *health) note(r Result, now time.Time) {
+	var failure float64
+	switch r {
+	case Failed, Faulty:
+		failure = 1
+	case Cancelled, Refused:
+		return
+	}
+	h.failed = h.rate(now)*(1-failureWeight) + failure*failureWeight
+	h.at = now
+}
+
+// grey reports whether a target fails so much more often than the others of
+// its service that it is better left alone although it answers.
+func (s *service) grey(t *target, now time.Time) bool {
+	rate := t.health.rate(now)
+	if rate < greyPart || len(s.targets) < 2 {
+		return false
+	}
+	var others float64
+	for _, o := range s.targets {
+		if o != t {
+			others += o.health.rate(now)
+		}
+	}
+	return rate > greyRatio*others/float64(len(s.targets)-1)
+}
+
+// silentFor is how long neither the routers nor the targets of a data centre
+// may be heard until it is taken as cut off: several heartbeats, and longer
+// than a busy engine is silent between two events.
+const silentFor = 450 * time.Millisecond
+
+// SetBeats takes when a router of each other data centre was last heard, and
+// returns the data centres that seem to be cut off from here. Their targets
+// are used only if there are no others.
+func (p *Placer) SetBeats(beats map[string]time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	heard := make(map[string]time.Time)
+	for _, t := range p.targets {
+		if t.health.heard.After(heard[t.DataCentre]) {
+			heard[t.DataCentre] = t.health.heard
+		}
+	}
+	clear(p.cut)
+	var cut []string
+	for dc, beat := range beats {
+		if now.Sub(beat) > silentFor && now.Sub(heard[dc]) > silentFor {
+			p.cut[dc] = true
+			cut = append(cut, dc)
+		}
+	}
+	return cut
+}
+
+// CutOff reports whether the target's data centre seems to be cut off.
+func (r *Run) CutOff() bool {
+	p := r.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut[r.Target.DataCentre]
+}
+
+// Heard notes that bytes arrived from the target.
+func (r *Run) Heard() {
+	p := r.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.state.health.heard = p.clock.Now()
+}
--- a/place/place.go
+++ b/place/place.go
@@ -103,6 +103,8 @@
 	uses     map[Hash]*ring
 	shares   shares
 	readings []Reading
+	// cut holds the data centres that seem to be cut off.
+	cut map[string]bool
 }
 
 // New returns a placer without targets.
@@ -110,6 +112,7 @@
 	return &Placer{
 		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring),
+		cut: make(map[string]bool),
 	}
 }
 
@@ -129,6 +132,7 @@
 	// others is the sum of what other routers announced.
 	others  Load
 	circuit circuit
+	health  health
 	kept    kept
 }
 
@@ -212,15 +216,23 @@
 // lag by about a second.
 const noTargetRetry = 500 * time.Millisecond
 
-// open returns the targets that may be used, at best those not tried before.
+// open returns the targets that may be used. Those that seem cut off or fail
+// much are among them only if there are no others.
 func (p *Placer) open(s *service, r Request, now time.Time) []*target {
-	var open []*target
+	var good, doubtful []*target
 	for _, t := range s.targets {
-		if !t.Draining && t.circuit.allows(now) && !slices.Contains(r.Tried, t.ID) {
-			open = append(open, t)
+		switch {
+		case t.Draining || slices.Contains(r.Tried, t.ID):
+		case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now):
+			doubtful = append(doubtful, t)
+		default:
+			good = append(good, t)
 		}
 	}
-	return open
+	if len(good) == 0 {
+		return doubtful
+	}
+	return good
 }
 
 func (p *Placer) leastOutstanding(open []*target, now time.Time) Decision {
@@ -285,10 +297,15 @@
 	return best
 }
 
-// admits reports whether a target is expected to make a limit. Prompts too
-// long for any target to make it are admitted where little waits before them.
+// admits reports whether a target is expected to make a limit. What waits is
+// bounded apart, so that short prompts leave room for long ones. Prompts too
+// long for any target to make the limit are admitted where little waits.
 func (s *service) admits(d Decision, limit time.Duration) bool {
-	return d.Predicted <= limit || s.speed.predict(d.Backlog) <= time.Duration(float64(limit)*longShare)
+	waits := s.speed.predict(d.Backlog)
+	if d.Predicted <= limit {
+		return waits <= time.Duration(float64(limit)*waitShare)
+	}
+	return waits <= time.Duration(float64(limit)*longShare)
 }
 
 // costOf is the size of a request in tokens, for comparing customers.
@@ -304,6 +321,8 @@
 	// admitShare is the part of the objective that a prediction may take; the
 	// rest is for what is not seen, as reports of other routers lag.
 	admitShare = 0.8
+	// waitShare is the part of the limit that may wait before any prompt.
+	waitShare = 0.6
 	// longShare is the part of the limit that may wait before a prompt that is
 	// too long to make it.
 	longShare = 0.3
@@ -312,7 +331,7 @@
 	maxHomes = 2
 	// againWeight is the weight of the time that reading shared parts again takes
 	// from other requests.
-	againWeight = 1.0
+	againWeight = 3.0
 	// moveMargin is what another home must be better by, for each rank: about
 	// what a backlog changes between two reports of a busy router.
 	moveMargin = 150 * time.Millisecond
@@ -389,6 +408,8 @@
 const (
 	// Answered: the target answered.
 	Answered Result = iota
+	// Faulty: the target answered with a failure of its own.
+	Faulty
 	// Refused: the target said that it does not run the request.
 	Refused
 	// Failed: the target could not be reached or broke off.
@@ -408,5 +429,7 @@
 	r.ended = true
 	r.read()
 	r.state.own.Requests--
-	r.state.circuit.note(result, p.clock.Now())
+	now := p.clock.Now()
+	r.state.circuit.note(result, now)
+	r.state.health.note(result, now)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -181,6 +181,9 @@
 	if ans.body, err = body.whole(); err != nil {
 		return nil, f.fail(target.Broken, status, err, "read answer")
 	}
+	if status >= fasthttp.StatusInternalServerError {
+		f.run.End(place.Faulty)
+	}
 	f.run.End(place.Answered)
 	f.finish(c, ans, body, sent)
 	return ans, nil
@@ -207,6 +210,7 @@
 		if err := ans.header.Read(c.Reader); err != nil {
 			return f.fail(target.Broken, 0, err, "read head of answer")
 		}
+		f.run.Heard()
 		if ans.header.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -52,8 +52,10 @@
 	// firstEvent is the time from acceptance to the first event of a stream.
 	firstEvent time.Duration
 
-	mu    sync.Mutex
-	link  *link.Conn
+	mu   sync.Mutex
+	link *link.Conn
+	// at is the run that link belongs to.
+	at    *place.Run
 	cause cause
 }
 
@@ -187,10 +189,20 @@
 	if f.cause != running {
 		return false
 	}
-	f.link = c
+	f.link, f.at = c, f.run
 	return true
 }
 
+// leaveCutTarget ends the attempt at a target whose data centre seems to be cut
+// off, so that the request is repeated elsewhere before its caller gives up.
+func (f *flight) leaveCutTarget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link != nil && f.at.CutOff() {
+		f.link.Close() //nolint:errcheck // the attempt ends with it
+	}
+}
+
 // detach takes the connection away from interrupt. It reports whether the
 // connection may be used again.
 func (f *flight) detach() bool {
--- a/relay/look.go
+++ b/relay/look.go
@@ -44,6 +44,8 @@
 			f.interrupt(timeUp)
 		case gone(f):
 			f.interrupt(callerGone)
+		case f.route.Repeats():
+			f.leaveCutTarget()
 		}
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -96,6 +96,7 @@
 // arrived notes new bytes: the first ones, and the whole events among them.
 func (s *stream) arrived() {
 	f := s.flight
+	f.run.Heard()
 	if !s.began {
 		s.began = true
 		f.run.FirstEvent()
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -105,6 +105,17 @@
 	return err
 }
 
+// StartWorker starts a target of routes; args are its flags.
+func (f *Fleet) StartWorker(id, service, dataCentre string, args ...string) (*Target, error) {
+	args = append([]string{"--id", id, "--service", service, "--data-centre", dataCentre, "--platform", f.PlatformAddress.String()}, args...)
+	return f.startTarget(id, "worker", dataCentre, args)
+}
+
+// PutRow writes a row of the platform's store as an operator does.
+func (f *Fleet) PutRow(table, key string, value []byte) error {
+	return put(f.PlatformAddress, "/rows?table="+table+"&key="+key, value)
+}
+
 // Target is an engine or a service.
 type Target struct {
 	*Process
@@ -272,6 +283,7 @@
 		{"platform", "address = " + r.fleet.PlatformAddress.String()},
 		{"limits", "stop-delay = 200ms\nwrite-timeout = 2s"},
 		{"log", ""},
+		{"routes", ""},
 		{"operator." + Operator, "key-sha256 = " + config.Digest([]byte(OperatorKey)) + "\nroles = read, plan, confirm"},
 	}
 	var b strings.Builder
@@ -349,3 +361,6 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// Forget drops the history of the platform's store.
+func (f *Fleet) Forget() error { return put(f.PlatformAddress, "/forget", nil) }
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -5,6 +5,7 @@
 //	zinccove-standin platform --listen 127.0.0.1:0
 //	zinccove-standin engine --listen 127.0.0.1:0 --slots 8
 //	zinccove-standin service --listen 127.0.0.1:0 --workers 4
+//	zinccove-standin worker --id w1 --service model --events 20 --platform 127.0.0.1:9000
 //
 // The first line on standard output is the address it listens on. It ends on
 // SIGINT or SIGTERM.
@@ -15,6 +16,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,11 +30,15 @@
 	"zinccove.example/standin/passthrough"
 	"zinccove.example/standin/service"
 	"zinccove.example/standin/store"
+	"zinccove.example/standin/worker"
 )
 
 type listenOptions struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
 	out    io.Writer
+	// began and ending are called after listening began and before it ends.
+	began  func(netip.AddrPort) error
+	ending func(netip.AddrPort) error
 }
 
 type platformCommand struct {
@@ -58,6 +64,36 @@
 	CallTime time.Duration `long:"call-time" default:"20ms" description:"time of one call"`
 }
 
+type workerCommand struct {
+	listenOptions
+	ID         string        `long:"id" required:"yes" description:"id of this run"`
+	Service    string        `long:"service" required:"yes" description:"service it belongs to"`
+	DataCentre string        `long:"data-centre" default:"dc1" description:"data centre"`
+	Platform   string        `long:"platform" required:"yes" description:"address of the platform"`
+	Slots      int           `long:"slots" default:"8" description:"requests run at once"`
+	Events     int           `long:"events" description:"events of a stream; 0 for a plain service"`
+	EventTime  time.Duration `long:"event-time" default:"5ms" description:"time of one event"`
+	CallTime   time.Duration `long:"call-time" default:"20ms" description:"time of a call, or until the first event"`
+	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
+}
+
+// Execute runs the worker until a signal; it announces its end.
+func (c *workerCommand) Execute([]string) error {
+	platform, err := netip.ParseAddrPort(c.Platform)
+	if err != nil {
+		return err
+	}
+	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, DataCentre: c.DataCentre, Slots: c.Slots,
+		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime})
+	c.began = func(a netip.AddrPort) error { return w.Enter(platform, a) }
+	c.ending = func(a netip.AddrPort) error {
+		err := w.Drain(platform, a)
+		time.Sleep(c.DrainTime)
+		return errors.Join(err, w.Leave(platform))
+	}
+	return c.serve(w.Handle)
+}
+
 type passthroughCommand struct {
 	listenOptions
 	To string `long:"to" required:"yes" description:"address of the target"`
@@ -98,12 +134,21 @@
 	srv := &fasthttp.Server{Handler: handle, MaxRequestBodySize: maxBody, IdleTimeout: time.Minute, CloseOnShutdown: true}
 	var g errgroup.Group
 	g.Go(func() error { return srv.Serve(ln) })
-	fmt.Fprintln(l.out, ln.Addr())
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	if l.began != nil {
+		if err := l.began(addr); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(l.out, addr)
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	<-signals
-	return ln.Close()
+	if l.ending != nil {
+		err = l.ending(addr)
+	}
+	return errors.Join(err, ln.Close())
 }
 
 // Main runs the command line and returns the exit code.
@@ -118,6 +163,7 @@
 		{"engine", "Run a model engine stand-in", &engineCommand{listenOptions: l}},
 		{"passthrough", "Run a bare pass-through to one target", &passthroughCommand{listenOptions: l}},
 		{"service", "Run a plain service stand-in", &serviceCommand{listenOptions: l}},
+		{"worker", "Run a target of routes", &workerCommand{listenOptions: l}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.text, "", c.data); err != nil {
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,267 @@
+// Package worker is a stand-in for the targets of routes: an engine that
+// streams events, or an instance of a plain service. It speaks what the
+// platform's targets speak and enters itself in the store.
+//
+// Every run is recorded by its request, so that a proof can compare what ran
+// with what callers were told: GET /runs.
+//
+// # Usage
+//
+//	w := worker.New(worker.Options{Service: "model", Slots: 8, Events: 20, EventTime: 5 * time.Millisecond})
+//	err := fasthttp.Serve(listener, w.Handle)
+//	err = w.Enter(platformAddress, listenAddress) // and w.Drain, w.Leave
+//
+// # Faults
+//
+// The step "run" can be switched; see package fault. Refuse answers that the
+// request was not run; the others break the answer after the run began.
+package worker
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/standin/fault"
+	"zinccove.example/zinccove/platform/wire"
+)
+
+// Headers of targets.
+const (
+	headerID       = "Request-Id"
+	headerExpect   = "Expect-Instance"
+	headerInstance = "Instance-Id"
+	headerSeal     = "Response-Seal"
+	headerNotRun   = "Not-Executed"
+	headerLast     = "Last-Event-Id"
+	headerCustomer = "Tenant"
+)
+
+// Options configure a worker.
+type Options struct {
+	// ID differs between any two runs.
+	ID         string
+	Service    string
+	DataCentre string
+	Slots      int
+	// Events is the number of events of a stream; 0 makes a plain service.
+	Events    int
+	EventTime time.Duration
+	// CallTime is the time of a plain call, or until the first event.
+	CallTime time.Duration
+}
+
+// Run is what a worker knows of one request.
+type Run struct {
+	Began    int
+	Finished int
+	Customer string
+	Path     string
+	Body     string
+}
+
+// Worker serves requests.
+type Worker struct {
+	Faults fault.Switches
+
+	options Options
+
+	mu      sync.Mutex
+	running int
+	runs    map[string]*Run
+}
+
+// New returns a worker.
+func New(o Options) *Worker {
+	o.Slots = cmp.Or(o.Slots, 8)
+	return &Worker{options: o, runs: make(map[string]*Run)}
+}
+
+// Handle serves one request.
+func (w *Worker) Handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case w.Faults.Handle(ctx):
+	case string(ctx.Path()) == "/runs":
+		w.writeRuns(ctx)
+	case string(ctx.Path()) == "/health":
+		ctx.Response.Header.Set(headerInstance, w.options.ID)
+	default:
+		w.serve(ctx)
+	}
+}
+
+func (w *Worker) writeRuns(ctx *fasthttp.RequestCtx) {
+	w.mu.Lock()
+	body, err := json.Marshal(w.runs)
+	w.mu.Unlock()
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+func (w *Worker) serve(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(headerID))
+	ctx.Response.Header.Set(headerID, id)
+	if expect := string(ctx.Request.Header.Peek(headerExpect)); expect != "" && expect != w.options.ID {
+		ctx.Response.Header.Set(headerInstance, w.options.ID)
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	f, _ := w.Faults.Take("run")
+	if f.Mode == fault.Refuse || !w.begin(ctx, id) {
+		ctx.Response.Header.Set(headerNotRun, "1")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if f.Mode == fault.Cross {
+		ctx.Response.Header.Set(headerID, "another")
+	}
+	time.Sleep(w.options.CallTime + f.Delay)
+	if f.Mode == fault.DropAnswer {
+		w.end(id, true)
+		fault.Hangup(ctx)
+		return
+	}
+	ctx.Response.Header.Set(headerSeal, Seal(id, w.options.ID))
+	if w.options.Events == 0 {
+		fmt.Fprintf(ctx, "%s %s %s", ctx.Method(), ctx.RequestURI(), id)
+		w.end(id, true)
+		return
+	}
+	s := &stream{worker: w, id: id, next: 1}
+	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
+		if n, err := fasthttp.ParseUint(last); err == nil {
+			s.next = n + 1
+		}
+	}
+	if f.Mode == fault.Cut {
+		s.cutAfter = max(f.After, 1)
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStream(s, -1)
+}
+
+// Seal is the signature of an instance for a request.
+func Seal(id, instance string) string {
+	return fmt.Sprintf("%s.%x", instance, xxhash.Sum64String(id+instance))
+}
+
+// Event is the text of the n-th event of a request's stream, from 1.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+func (w *Worker) begin(ctx *fasthttp.RequestCtx, id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running >= w.options.Slots {
+		return false
+	}
+	w.running++
+	r := w.runs[id]
+	if r == nil {
+		r = &Run{Customer: string(ctx.Request.Header.Peek(headerCustomer)), Path: string(ctx.RequestURI()), Body: string(ctx.PostBody())}
+		w.runs[id] = r
+	}
+	r.Began++
+	return true
+}
+
+func (w *Worker) end(id string, whole bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running--
+	if whole {
+		w.runs[id].Finished++
+	}
+}
+
+// stream makes the events of one run as they are read.
+type stream struct {
+	worker   *Worker
+	id       string
+	next     int
+	cutAfter int
+	rest     []byte
+	done     bool
+}
+
+// Read returns the next event.
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.rest) == 0 {
+		o := &s.worker.options
+		if s.next > o.Events {
+			s.done = true
+			return 0, io.EOF
+		}
+		if s.cutAfter > 0 && s.next > s.cutAfter {
+			return 0, io.ErrUnexpectedEOF
+		}
+		time.Sleep(o.EventTime)
+		s.rest = []byte(Event(s.id, s.next))
+		s.next++
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+// Close ends the run.
+func (s *stream) Close() error {
+	s.worker.end(s.id, s.done)
+	return nil
+}
+
+// entry is how a target announces itself.
+type entry struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// Enter writes the worker's entry into the store.
+func (w *Worker) Enter(store, listen netip.AddrPort) error { return w.write(store, listen, "ready") }
+
+// Drain announces that the worker will end.
+func (w *Worker) Drain(store, listen netip.AddrPort) error { return w.write(store, listen, "draining") }
+
+func (w *Worker) write(store, listen netip.AddrPort, state string) error {
+	body, err := json.Marshal(entry{
+		Service: w.options.Service, Address: listen.String(), Zone: w.options.DataCentre, Slots: w.options.Slots, State: state,
+	})
+	if err != nil {
+		return err
+	}
+	return w.row(http.MethodPut, store, body)
+}
+
+// Leave removes the worker's entry.
+func (w *Worker) Leave(store netip.AddrPort) error { return w.row(http.MethodDelete, store, nil) }
+
+func (w *Worker) row(method string, store netip.AddrPort, body []byte) error {
+	url := fmt.Sprintf("http://%s/rows?table=%s&key=%s", store, wire.TableTargets, w.options.ID)
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d", method, url, resp.StatusCode)
+	}
+	return nil
+}
