Hold requests back shortly instead of refusing; bound what exchange and feeds cost

Change: heartbeats slow down with the number of routers; changes of targets are collected for 0.4 s; a request is held back up to 0.22 of its objective while room is expected.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -40,6 +40,9 @@
 	Regained func()
 	// Alive is called with each success.
 	Alive func()
+	// Settle is how long to wait after changes before asking for more, so that
+	// changes in quick succession come in one answer; 0 asks at once.
+	Settle time.Duration
 }
 
 const (
@@ -94,12 +97,23 @@
 	f.since, f.known = max(since, f.since), true
 	if whole {
 		f.options.Whole(batch)
-	} else {
-		f.options.Changed(batch)
+		return nil
+	}
+	f.options.Changed(batch)
+	if f.options.Settle > 0 {
+		f.rest(ctx, f.options.Settle)
 	}
 	return nil
 }
 
+// rest waits, or until ctx ends.
+func (f *follower[B]) rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.options.Clock.After(d):
+	}
+}
+
 // wait is how long the next feed is held open: not at all after a failure, so
 // that the end of an outage is known at once.
 func (f *follower[B]) wait() time.Duration {
@@ -128,8 +142,5 @@
 		f.options.Lost(err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
-	select {
-	case <-ctx.Done():
-	case <-f.options.Clock.After(f.pause/2 + rand.N(f.pause)):
-	}
+	f.rest(ctx, f.pause/2+rand.N(f.pause))
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -56,12 +56,18 @@
 	return follow.Run(ctx, o)
 }
 
+// targetsSettle collects changes of targets that come in quick succession, as
+// when many start: each answer of the store has its price. Targets that leave
+// serve for seconds after they said so.
+const targetsSettle = 400 * time.Millisecond
+
 // followTargets follows the targets' entries.
 func (g *Gateway) followTargets(ctx context.Context) error {
 	o := g.source(wire.TableTargets, func(b platform.Batch, whole bool) {
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
+	o.Settle = targetsSettle
 	o.Lost = func(err error) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(err) }
 	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
 	return follow.Run(ctx, o)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -24,7 +24,7 @@
 	tickPeriod = 50 * time.Millisecond
 	// silence is how long a router may be silent before it counts as not
 	// reachable; what it announced is forgotten then.
-	silence = 1500 * time.Millisecond
+	silence = 2 * time.Second
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
 	forgetAfter = time.Minute
 	// inbox holds what waits for the control loop.
@@ -40,6 +40,9 @@
 	// behindFor is how long another router may have a newer configuration before
 	// it is asked for it; the feed is usually faster.
 	behindFor = 150 * time.Millisecond
+	// beatCost is the least time for each heartbeat received: 125 a second cost
+	// about a hundredth of a core.
+	beatCost = 8 * time.Millisecond
 	// sweepEvery is the number of ticks between sweeps of idle connections.
 	sweepEvery = 10
 )
@@ -128,7 +131,7 @@
 	l.findCuts()
 	l.expireTargets()
 	l.catchUp(ctx, now)
-	if now.Sub(l.lastBeat) >= l.gateway.settings.HeartbeatInterval {
+	if now.Sub(l.lastBeat) >= l.beatInterval() {
 		l.lastBeat = now
 		l.beat()
 	}
@@ -154,6 +157,18 @@
 	}
 }
 
+// beatInterval grows with the number of routers, so that what each of them
+// receives stays the same.
+func (l *loop) beatInterval() time.Duration {
+	reachable := 0
+	for _, h := range l.members.Hosts() {
+		if h.Reachable {
+			reachable++
+		}
+	}
+	return max(l.gateway.settings.HeartbeatInterval, time.Duration(reachable)*beatCost)
+}
+
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
--- a/place/place.go
+++ b/place/place.go
@@ -55,6 +55,8 @@
 	Call *message.Call
 	// Tried are the ids of targets that the request was sent to before.
 	Tried []string
+	// Waited is how long the request was held back before.
+	Waited time.Duration
 }
 
 // Reason says why a request was refused.
@@ -70,10 +72,13 @@
 
 // Decision is the choice for one request, with the inputs that decided it.
 type Decision struct {
-	// Run is nil if the request is refused.
+	// Run is nil if the request is refused or held back.
 	Run        *Run
 	Reason     Reason
 	RetryAfter time.Duration
+	// Hold is how long the request may be held back and asked for again, because
+	// room is expected soon; 0 if it is refused.
+	Hold time.Duration
 
 	// Rank is the place of the target in the order of homes, 0 for the first.
 	Rank int
@@ -249,19 +254,25 @@
 	pr := newPrompt(r.Call)
 	cost := costOf(r.Call)
 	share := p.currentShares(now).factor(r.Customer)
-	limit := time.Duration(float64(r.Objective) * admitShare * share)
+	limit := time.Duration(float64(r.Objective)*admitShare*share) - r.Waited
 	best := s.cheapest(homes(open, homeKey(r.Call), maxHomes), &pr)
 	d := Decision{
 		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread,
 		Outstanding: best.target.outstanding(), Predicted: best.predicted,
 	}
+	use := Use{Asked: cost}
+	if r.Waited > 0 {
+		use.Asked = 0
+	}
 	if best.target.outstanding() >= best.target.Slots || !s.admits(d, limit) {
-		p.note(r.Customer, Use{Asked: cost}, now)
+		p.note(r.Customer, use, now)
 		d.Reason = Overloaded
 		d.RetryAfter = min(max(d.Predicted-limit, leastRetry), mostRetry)
+		d.Hold = s.hold(r, d, limit)
 		return d
 	}
-	p.note(r.Customer, Use{Asked: cost, Served: cost}, now)
+	use.Served = cost
+	p.note(r.Customer, use, now)
 	best.target.kept.touch(pr.shared, best.unread)
 	best.target.kept.trim(s.engine.MemoryTokens)
 	if len(p.readings) < maxReadings {
@@ -270,6 +281,21 @@
 	return p.begin(best.target, d, best.unread, now)
 }
 
+// hold returns how long a request may be held back: until its part of the
+// objective is over, if what waits is expected to shrink enough by then.
+// Customers above their share are not held.
+func (s *service) hold(r Request, d Decision, limit time.Duration) time.Duration {
+	left := time.Duration(float64(r.Objective)*holdShare) - r.Waited
+	if left <= 0 || d.Share < 1 {
+		return 0
+	}
+	excess := s.speed.predict(d.Backlog) - time.Duration(float64(limit)*waitShare)
+	if excess > left {
+		return 0
+	}
+	return min(left, holdStep)
+}
+
 // candidate is a home and what is expected of it for one request.
 type candidate struct {
 	target    *target
@@ -323,6 +349,12 @@
 	admitShare = 0.8
 	// waitShare is the part of the limit that may wait before any prompt.
 	waitShare = 0.6
+	// holdShare is the part of the objective that a request may be held back: what
+	// is refused after a quarter of it counts as held for nothing.
+	holdShare = 0.22
+	// holdStep is the time between two looks for a request that is held back;
+	// targets read about a thousand tokens in it.
+	holdStep = 20 * time.Millisecond
 	// longShare is the part of the limit that may wait before a prompt that is
 	// too long to make it.
 	longShare = 0.3
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,9 +28,7 @@
 // stream that goes on. The refusal is set if there is no target.
 func (f *flight) attempt(ctx *fasthttp.RequestCtx, lastEvent string) (*answer, *target.Failure, *refusal) {
 	s := f.server
-	d := s.options.Placer.Place(place.Request{
-		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried,
-	})
+	d := f.place()
 	if d.Run == nil {
 		status := fasthttp.StatusTooManyRequests
 		if d.Reason == place.NoTarget {
@@ -57,6 +55,22 @@
 	return ans, fail, nil
 }
 
+// place asks for a target, and again for a short time while room is expected.
+func (f *flight) place() place.Decision {
+	s := f.server
+	r := place.Request{Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried}
+	began := s.options.Clock.Now()
+	for {
+		d := s.options.Placer.Place(r)
+		if d.Run != nil || d.Hold == 0 || f.interrupted() != running {
+			f.held = r.Waited
+			return d
+		}
+		s.options.Clock.Sleep(d.Hold)
+		r.Waited = s.options.Clock.Since(began)
+	}
+}
+
 // results tells the placer how an attempt failed.
 var results = map[target.Kind]place.Result{
 	target.NotSent:  place.Failed,
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -46,6 +46,8 @@
 	deadline time.Time
 	life     *request.Request
 	tried    []string
+	// held is how long the request was held back before the last decision.
+	held time.Duration
 
 	// run and link belong to the current attempt.
 	run *place.Run
--- a/relay/log.go
+++ b/relay/log.go
@@ -28,7 +28,7 @@
 		Str("target", d.Run.Target.ID).Uint64("target_version", d.Run.Target.Version).
 		Int("attempt", len(f.tried)).Int("rank", d.Rank).Float64("share", d.Share).
 		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("outstanding", d.Outstanding).
-		Dur("predicted", d.Predicted).Dur("reports_age", d.Age).Msg("request placed")
+		Dur("predicted", d.Predicted).Dur("held", f.held).Dur("reports_age", d.Age).Msg("request placed")
 }
 
 // logAttempt tells why an attempt failed.
@@ -44,7 +44,7 @@
 // logRefused tells how a request ended that no target answered.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(metric.RequestsNotRun)
-	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after", r.retryAfter).
+	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after", r.retryAfter).Dur("held", f.held).
 		Dur("took", s.options.Clock.Since(f.received)).Msg("request refused")
 }
 
