--- a/daemon/main.go
+++ b/daemon/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
@@ -58,6 +59,8 @@
 }
 
 func (cl *commandLine) run(out, errOut io.Writer) int {
+	// Steps of a request are milliseconds apart.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	switch {
 	case cl.Version:
 		fmt.Fprintln(out, "zinccoved", Version)
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,220 @@
+// Package explain tells the life of one request from the logs of routers.
+//
+// The lines of the request are put in order over all hosts. Before them stands
+// what the routers that handled it believed at the time: the last line before
+// the request about the configuration, about the targets it was sent to, and
+// about what was lost or cut off. Lines of that kind that fall into the life of
+// the request stand among its own.
+//
+// # Usage
+//
+//	l := explain.New("9c41d07be2a35f68")
+//	err := l.Read(file) // any number of logs, in any order
+//	err = l.Write(os.Stdout) // ErrNotFound if no line names the request
+//
+// # Limits
+//
+// Lines are ordered by the clocks of the hosts, which may differ. Lines that
+// are not JSON are passed over; text before the JSON of a line is ignored.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fastjson"
+
+	"zinccove.example/zinccove/errs"
+)
+
+// ErrNotFound means that no line names the request.
+var ErrNotFound = eris.New("no line names the request")
+
+// field is one value of a line.
+type field struct{ name, value string }
+
+// line is one line of a log.
+type line struct {
+	at      time.Time
+	host    string
+	message string
+	request string
+	// subject is what a line without a request is about.
+	subject string
+	fields  []field
+}
+
+// Life collects the lines of one request.
+type Life struct {
+	request string
+	own     []line
+	state   []line
+	parser  fastjson.Parser
+}
+
+// New returns an empty life of a request.
+func New(request string) *Life { return &Life{request: request} }
+
+const (
+	// maxLine is the longest line that is read in bytes.
+	maxLine = 1 << 20
+	// maxState bounds the lines without a request that are kept.
+	maxState = 200_000
+)
+
+// Read takes the lines of a log.
+func (l *Life) Read(r io.Reader) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		start := bytes.IndexByte(sc.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		if err := l.take(sc.Bytes()[start:]); err != nil {
+			continue // not a line of a router
+		}
+	}
+	return errs.Wrap(sc.Err(), "read log", "")
+}
+
+// subjects are the fields that say what a line without a request is about.
+var subjects = []string{"target", "table", "peer"}
+
+// take parses a line and keeps it if it may matter.
+func (l *Life) take(text []byte) error {
+	v, err := l.parser.ParseBytes(text)
+	if err != nil {
+		return err
+	}
+	o, err := v.Object()
+	if err != nil {
+		return err
+	}
+	var x line
+	o.Visit(func(key []byte, v *fastjson.Value) { x.set(string(key), v) })
+	switch {
+	case x.request == l.request:
+		l.own = append(l.own, x)
+	case x.request == "" && len(l.state) < maxState:
+		l.state = append(l.state, x)
+	}
+	return nil
+}
+
+func (x *line) set(name string, v *fastjson.Value) {
+	value := v.String()
+	if v.Type() == fastjson.TypeString {
+		value = string(v.GetStringBytes())
+	}
+	switch name {
+	case "time":
+		if at, err := time.Parse(time.RFC3339Nano, value); err == nil {
+			x.at = at
+		}
+	case "host":
+		x.host = value
+	case "message":
+		x.message = value
+	case "request":
+		x.request = value
+	case "level":
+	default:
+		if slices.Contains(subjects, name) {
+			x.subject = value
+		}
+		x.fields = append(x.fields, field{name, value})
+	}
+}
+
+// Write prints the life of the request.
+func (l *Life) Write(out io.Writer) error {
+	if len(l.own) == 0 {
+		return errs.Wrap(ErrNotFound, "explain request "+l.request, "")
+	}
+	byTime(l.own)
+	byTime(l.state)
+	before, during := l.context()
+	fmt.Fprintln(out, "what the routers knew before:")
+	for _, x := range before {
+		x.write(out, l.own[0].at)
+	}
+	fmt.Fprintln(out, "request", l.request+":")
+	life := slices.Concat(l.own, during)
+	byTime(life)
+	for _, x := range life {
+		x.write(out, l.own[0].at)
+	}
+	return nil
+}
+
+func byTime(lines []line) {
+	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
+}
+
+// about names what a line without a request is the latest word on. Losing and
+// regaining the same thing is one matter.
+func (x *line) about() string {
+	matter := x.message
+	for _, word := range []string{" lost", " regained"} {
+		matter = strings.TrimSuffix(matter, word)
+	}
+	for _, word := range []string{"target entry removed", "target entry"} {
+		if matter == word {
+			matter = "target"
+		}
+	}
+	return x.host + "/" + matter + "/" + x.subject
+}
+
+// context returns the last word on each matter before the request, and all
+// words during it, of the hosts that handled it.
+func (l *Life) context() (before, during []line) {
+	hosts, targets := make(map[string]bool), make(map[string]bool)
+	for _, x := range l.own {
+		hosts[x.host] = true
+		for _, f := range x.fields {
+			if f.name == "target" {
+				targets[f.value] = true
+			}
+		}
+	}
+	last := make(map[string]line)
+	for _, x := range l.state {
+		ofTarget := strings.HasPrefix(x.message, "target entry")
+		if !hosts[x.host] || ofTarget && !targets[x.subject] {
+			continue
+		}
+		switch {
+		case x.at.Before(l.own[0].at):
+			last[x.about()] = x
+		case !x.at.After(l.own[len(l.own)-1].at):
+			during = append(during, x)
+		}
+	}
+	for _, x := range last {
+		before = append(before, x)
+	}
+	slices.SortFunc(before, func(a, b line) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return strings.Compare(a.about(), b.about())
+	})
+	return before, during
+}
+
+// write prints a line with its time relative to the first line of the request.
+func (x *line) write(out io.Writer, start time.Time) {
+	fmt.Fprintf(out, "  %+9.3fs %s %s", x.at.Sub(start).Seconds(), x.host, x.message)
+	for _, f := range x.fields {
+		fmt.Fprintf(out, " %s=%s", f.name, f.value)
+	}
+	fmt.Fprintln(out)
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,48 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const log1 = `
+  0.1 r1 {"level":"info","host":"r1","version":3,"time":"2026-01-01T10:00:00.1Z","message":"configuration in force"}
+not json {
+{"level":"info","host":"r1","version":4,"time":"2026-01-01T10:00:01Z","message":"configuration in force"}
+{"level":"info","host":"r1","target":"t1","time":"2026-01-01T10:00:01.5Z","message":"target entry"}
+{"level":"info","host":"r1","target":"t2","time":"2026-01-01T10:00:01.6Z","message":"target entry"}
+{"level":"info","host":"r1","table":"op","time":"2026-01-01T10:00:02Z","message":"store lost"}
+{"level":"info","host":"r1","request":"q","target":"t1","predicted_ms":70.5,"time":"2026-01-01T10:00:05Z","message":"request placed"}
+{"level":"info","host":"r1","request":"other","target":"t2","time":"2026-01-01T10:00:05Z","message":"request placed"}
+{"level":"info","host":"r1","target":"t1","time":"2026-01-01T10:00:05.2Z","message":"target entry removed"}
+{"level":"info","host":"r1","request":"q","error":"read stream: EOF","time":"2026-01-01T10:00:06Z","message":"stream cut"}
+`
+
+const log2 = `
+{"level":"info","host":"r2","version":9,"time":"2026-01-01T10:00:01Z","message":"configuration in force"}
+`
+
+func TestLifeIsToldWithWhatWasKnown(t *testing.T) {
+	l := New("q")
+	assert.NilError(t, l.Read(strings.NewReader(log2)))
+	assert.NilError(t, l.Read(strings.NewReader(log1)))
+	var out strings.Builder
+	assert.NilError(t, l.Write(&out))
+	assert.Equal(t, out.String(), `what the routers knew before:
+     -4.000s r1 configuration in force version=4
+     -3.500s r1 target entry target=t1
+     -3.000s r1 store lost table=op
+request q:
+     +0.000s r1 request placed target=t1 predicted_ms=70.5
+     +0.200s r1 target entry removed target=t1
+     +1.000s r1 stream cut error=read stream: EOF
+`)
+}
+
+func TestUnknownRequestIsAnError(t *testing.T) {
+	l := New("none")
+	assert.NilError(t, l.Read(strings.NewReader(log1)))
+	assert.ErrorIs(t, l.Write(new(strings.Builder)), ErrNotFound)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -231,7 +231,7 @@
 	for _, h := range l.members.Expire() {
 		l.gateway.placer.ForgetPeer(h.Name)
 		l.gateway.metrics.Inc(metric.HostsLost)
-		l.gateway.log.Warn().Str("peer", h.Name).Dur("silent", now.Sub(h.Heard)).Msg("router not reachable")
+		l.gateway.log.Warn().Str("peer", h.Name).Dur("silent_ms", now.Sub(h.Heard)).Msg("router not reachable")
 	}
 	l.members.Forget(now.Add(-forgetAfter))
 }
--- a/place/peers.go
+++ b/place/peers.go
@@ -32,37 +32,49 @@
 func (p *Placer) SetPeer(router string, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.peers[router]; old != nil && r.Uses == nil {
-		r.Uses = old.Uses
+	if old := p.peers[router]; old != nil {
+		p.count(old, -1)
+		if r.Uses == nil {
+			r.Uses = old.Uses
+		}
 	}
-	p.peers[router] = &report{Report: r, at: p.clock.Now()}
+	kept := &report{Report: r, at: p.clock.Now()}
+	p.peers[router] = kept
+	p.count(kept, 1)
 	for _, reading := range r.Readings {
 		if t := p.byHash[reading.Target]; t != nil {
 			t.kept.touch(reading.Parts, reading.Unread)
 		}
 	}
-	p.sumPeers()
 }
 
 // ForgetPeer drops the report of a router that is not reachable.
 func (p *Placer) ForgetPeer(router string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if old := p.peers[router]; old != nil {
+		p.count(old, -1)
+	}
 	delete(p.peers, router)
-	p.sumPeers()
 }
 
+// count adds a report's loads to those of the targets, or takes them away.
+func (p *Placer) count(r *report, sign int) {
+	for h, load := range r.Loads {
+		if t := p.byHash[h]; t != nil {
+			t.others.Requests += sign * load.Requests
+			t.others.Unread += sign * load.Unread
+		}
+	}
+}
+
+// sumPeers counts all reports anew.
 func (p *Placer) sumPeers() {
 	for _, t := range p.targets {
 		t.others = Load{}
 	}
 	for _, r := range p.peers {
-		for h, load := range r.Loads {
-			if t := p.byHash[h]; t != nil {
-				t.others.Requests += load.Requests
-				t.others.Unread += load.Unread
-			}
-		}
+		p.count(r, 1)
 	}
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -27,7 +27,6 @@
 package place
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -88,6 +87,8 @@
 	// what the request adds to it.
 	Backlog int
 	Unread  int
+	// Shared is the part of Unread that other prompts share.
+	Shared int
 	// Outstanding is the number of requests at the target.
 	Outstanding int
 	// Predicted is the expected time to the first event.
@@ -133,6 +134,8 @@
 	roster.Target
 
 	hash Hash
+	// seed makes the target's weights in rendezvous hashing.
+	seed uint64
 	own  Load
 	// others is the sum of what other routers announced.
 	others  Load
@@ -168,6 +171,7 @@
 			t = &target{hash: HashOf(entry.ID)}
 		}
 		t.Target = *entry
+		t.seed = xxhash.Sum64String(entry.Address.String())
 		p.targets[entry.ID] = t
 		p.byHash[t.hash] = t
 		s := p.service(entry.Service)
@@ -207,57 +211,76 @@
 	if s == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
-	open := p.open(s, r, now)
-	if len(open) == 0 {
-		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
-	}
 	if s.engine == nil {
-		return p.leastOutstanding(open, now)
+		return p.leastOutstanding(s, r, now)
 	}
-	return p.home(s, open, r, now)
+	return p.home(s, r, now)
 }
 
 // noTargetRetry is when a caller may come back if there is no target: lists
 // lag by about a second.
 const noTargetRetry = 500 * time.Millisecond
 
-// open returns the targets that may be used. Those that seem cut off or fail
-// much are among them only if there are no others.
-func (p *Placer) open(s *service, r Request, now time.Time) []*target {
-	var good, doubtful []*target
-	for _, t := range s.targets {
-		switch {
-		case t.Draining || slices.Contains(r.Tried, t.ID):
-		case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now):
-			doubtful = append(doubtful, t)
-		default:
-			good = append(good, t)
-		}
-	}
-	if len(good) == 0 {
+// grade says how well a target may be used.
+type grade int
+
+const (
+	// unusable targets leave, or were tried before.
+	unusable grade = iota
+	// doubtful targets seem cut off or fail much; they are used only if there are
+	// no others.
+	doubtful
+	good
+)
+
+func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
+	switch {
+	case t.Draining || slices.Contains(r.Tried, t.ID):
+		return unusable
+	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now):
 		return doubtful
 	}
 	return good
 }
 
-func (p *Placer) leastOutstanding(open []*target, now time.Time) Decision {
-	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
-	t := slices.MinFunc(open, func(a, b *target) int {
-		return cmp.Compare(a.outstanding()*max(b.Slots, 1), b.outstanding()*max(a.Slots, 1))
-	})
-	return p.begin(t, Decision{Outstanding: t.outstanding()}, 0, now)
+// leastOutstanding takes the target with the least work for its slots, by
+// chance among equals.
+func (p *Placer) leastOutstanding(s *service, r Request, now time.Time) Decision {
+	var (
+		best   *target
+		graded grade
+	)
+	start := rand.IntN(len(s.targets) + 1)
+	for i := range s.targets {
+		t := s.targets[(start+i)%len(s.targets)]
+		g := p.grade(s, t, r, now)
+		if g > graded || g == graded && g > unusable && t.busyness() < best.busyness() {
+			best, graded = t, g
+		}
+	}
+	if best == nil {
+		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
+	}
+	return p.begin(best, Decision{Outstanding: best.outstanding(), Share: 1}, 0, now)
 }
 
+// busyness is the work of a target for each of its slots.
+func (t *target) busyness() float64 { return float64(t.outstanding()) / float64(max(t.Slots, 1)) }
+
 // home chooses among the first homes of a prompt the target with the least
 // cost, if it is expected to make the objective.
-func (p *Placer) home(s *service, open []*target, r Request, now time.Time) Decision {
+func (p *Placer) home(s *service, r Request, now time.Time) Decision {
+	homes := p.homes(s, r, now)
+	if len(homes) == 0 {
+		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
+	}
 	pr := newPrompt(r.Call)
 	cost := costOf(r.Call)
 	share := p.currentShares(now).factor(r.Customer)
 	limit := time.Duration(float64(r.Objective)*admitShare*share) - r.Waited
-	best := s.cheapest(homes(open, homeKey(r.Call), maxHomes), &pr)
+	best := s.cheapest(homes, &pr)
 	d := Decision{
-		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread,
+		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread, Shared: best.unread - pr.own(),
 		Outstanding: best.target.outstanding(), Predicted: best.predicted,
 	}
 	use := Use{Asked: cost}
@@ -348,7 +371,7 @@
 	// rest is for what is not seen, as reports of other routers lag.
 	admitShare = 0.8
 	// waitShare is the part of the limit that may wait before any prompt.
-	waitShare = 0.6
+	waitShare = 0.8
 	// holdShare is the part of the objective that a request may be held back: what
 	// is refused after a quarter of it counts as held for nothing.
 	holdShare = 0.22
@@ -384,16 +407,59 @@
 	}
 }
 
-// homes returns the first n targets by rendezvous hashing of a key. Targets go
-// by their addresses, which outlast a restart.
-func homes(targets []*target, key string, n int) []*target {
-	weight := make(map[*target]uint64, len(targets))
-	for _, t := range targets {
-		weight[t] = xxhash.Sum64String(key + "/" + t.Address.String())
+// homes returns the first homes of a prompt by rendezvous hashing, at best
+// among the good targets. Targets go by their addresses, which outlast a
+// restart.
+func (p *Placer) homes(s *service, r Request, now time.Time) []*target {
+	key := xxhash.Sum64String(homeKey(r.Call))
+	var first [good + 1]ranking
+	for _, t := range s.targets {
+		weight := mix(key ^ t.seed)
+		if !first[good].takes(weight) {
+			continue
+		}
+		g := p.grade(s, t, r, now)
+		first[g].add(t, weight)
+	}
+	if first[good].n == 0 {
+		return first[doubtful].list()
 	}
-	order := slices.Clone(targets)
-	slices.SortFunc(order, func(a, b *target) int { return cmp.Compare(weight[b], weight[a]) })
-	return order[:min(n, len(order))]
+	return first[good].list()
+}
+
+// ranking holds the targets with the greatest weights.
+type ranking struct {
+	targets [maxHomes]*target
+	weights [maxHomes]uint64
+	n       int
+}
+
+// takes reports whether a weight is among the greatest.
+func (r *ranking) takes(weight uint64) bool { return r.n < maxHomes || weight > r.weights[maxHomes-1] }
+
+func (r *ranking) add(t *target, weight uint64) {
+	if !r.takes(weight) {
+		return
+	}
+	at := min(r.n, maxHomes-1)
+	for at > 0 && r.weights[at-1] < weight {
+		r.targets[at], r.weights[at] = r.targets[at-1], r.weights[at-1]
+		at--
+	}
+	r.targets[at], r.weights[at] = t, weight
+	r.n = min(r.n+1, maxHomes)
+}
+
+func (r *ranking) list() []*target { return r.targets[:r.n] }
+
+// mix spreads the bits of a hash: the finaliser of MurmurHash3 by Austin
+// Appleby.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
 
 func (p *Placer) begin(t *target, d Decision, unread int, now time.Time) Decision {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -291,3 +291,29 @@
 	clock.Advance(2 * useSlot)
 	assert.Equal(t, len(p.Uses()), 0)
 }
+
+func TestRankingKeepsTheGreatest(t *testing.T) {
+	var r ranking
+	for _, w := range []uint64{3, 9, 1, 7, 9, 8} {
+		r.add(&target{seed: w}, w)
+	}
+	assert.Equal(t, r.n, maxHomes)
+	assert.Equal(t, r.list()[0].seed, uint64(9))
+	assert.Equal(t, r.list()[1].seed, uint64(9))
+}
+
+func BenchmarkPlaceAmong140(b *testing.B) {
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock})
+	table, err := route.New(route.Spec{Version: 1, Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 64, MemoryTokens: 500_000}}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.SetTargets(targets("model", 140), table)
+	c := call("part", 2000, 100)
+	for b.Loop() {
+		if d := p.Place(ask(c, "c")); d.Run != nil {
+			d.Run.End(Answered)
+		}
+	}
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -28,6 +28,9 @@
 	ctx.SetBodyString(r.reason + "\n")
 	if r.retryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(roundUp(r.retryAfter), 'f', -1, 64))
+		// Callers come back on a new connection; those that are refused at once and
+		// often would otherwise leave thousands of idle ones behind.
+		ctx.SetConnectionClose()
 	}
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -27,8 +27,8 @@
 	s.event(s.options.Log.Info(), f).
 		Str("target", d.Run.Target.ID).Uint64("target_version", d.Run.Target.Version).
 		Int("attempt", len(f.tried)).Int("rank", d.Rank).Float64("share", d.Share).
-		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("outstanding", d.Outstanding).
-		Dur("predicted", d.Predicted).Dur("held", f.held).Dur("reports_age", d.Age).Msg("request placed")
+		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("shared_unread", d.Shared).Int("outstanding", d.Outstanding).
+		Dur("predicted_ms", d.Predicted).Dur("held_ms", f.held).Dur("reports_age_ms", d.Age).Msg("request placed")
 }
 
 // logAttempt tells why an attempt failed.
@@ -44,20 +44,20 @@
 // logRefused tells how a request ended that no target answered.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(metric.RequestsNotRun)
-	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after", r.retryAfter).Dur("held", f.held).
-		Dur("took", s.options.Clock.Since(f.received)).Msg("request refused")
+	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after_ms", r.retryAfter).Dur("held_ms", f.held).
+		Dur("took_ms", s.options.Clock.Since(f.received)).Msg("request refused")
 }
 
 // logAnswered tells that a whole answer was handed over.
 func (s *Server) logAnswered(f *flight, status int) {
 	s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
-		Dur("took", s.options.Clock.Since(f.received)).Msg("request answered")
+		Dur("took_ms", s.options.Clock.Since(f.received)).Msg("request answered")
 }
 
 // logStream tells how a stream ended.
 func (s *Server) logStream(f *flight, err error) {
 	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).
-		Dur("first_event", f.firstEvent).Dur("took", s.options.Clock.Since(f.received))
+		Dur("first_event_ms", f.firstEvent).Dur("took_ms", s.options.Clock.Since(f.received))
 	if err == io.EOF {
 		e.Msg("stream answered")
 		return
