Hold feeds open for ten seconds

Change: feeds are held for 10 s, a confirmation holds for 14 s; a dead connection is noticed by probes after about three seconds.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -49,7 +49,7 @@
 	// feedWait is how long a feed is held open. Shorter than the platform allows
 	// (30 s), so that a dead connection is noticed in time; each call has its
 	// price.
-	feedWait = 5 * time.Second
+	feedWait = 10 * time.Second
 	// firstPause is the time after the first failure; it doubles up to
 	// longestPause, which keeps below the second within which targets that lost
 	// their entries write them again.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,7 +197,7 @@
 
 // freshFor is how long a confirmation of the store holds: a feed is held open
 // for a while, and a dead connection is noticed some seconds later.
-const freshFor = 9 * time.Second
+const freshFor = 14 * time.Second
 
 // view is the table in force.
 func (g *Gateway) view() relay.View {
