Accept during a stop what ends in time; leave silent plain targets

Repeatable calls at a target that went dark waited until their callers gave up.

Change: a stop accepts a stream whose most tokens, at the slowest recent pace, end before it has to be cut; a repeatable call of a plain service goes to another target after 0.6 of its objective. Callers and sites of the route proofs stand in standin/routesite.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -55,11 +55,32 @@
 // stop; the balancer sends it to another one at once.
 const stoppingRetry = 20 * time.Millisecond
 
-// nearStop reports whether a stream that begins now may be cut by the planned
-// stop.
-func (s *Server) nearStop(now time.Time) bool {
+// firstEventMargin is the time that a planned stop allows for the first event
+// of a stream.
+const firstEventMargin = time.Second
+
+// endsInTime reports whether a request that begins now is expected to end
+// before a planned stop has to cut it. Callers still come while the balancer
+// has not noticed, and when most routers of a data centre stop at once.
+func (s *Server) endsInTime(f *flight) bool {
 	stopped := s.stopped.Load()
-	return stopped != nil && now.Sub(*stopped) >= s.options.Limits.Announce
+	if stopped == nil || f.received.Sub(*stopped) < s.options.Limits.Announce {
+		return true
+	}
+	left := s.options.Limits.Stop - f.received.Sub(*stopped)
+	if f.route.Kind != route.Stream {
+		return f.limit() < left
+	}
+	bound, known := s.pace.bound(&f.call)
+	return known && bound+firstEventMargin < left || f.limit() < left
+}
+
+// limit is the longest time that the request may take.
+func (f *flight) limit() time.Duration {
+	if f.call.Deadline > 0 {
+		return min(f.call.Deadline, f.route.Timeout)
+	}
+	return f.route.Timeout
 }
 
 // admit finds out what a request is. The refusal is nil if it may be served.
@@ -79,7 +100,7 @@
 	if f.route == nil {
 		return f, unknown(view, fasthttp.StatusNotFound, reasonNoRoute)
 	}
-	if f.route.Kind == route.Stream && s.nearStop(f.received) {
+	if !s.endsInTime(f) {
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetry}
 	}
 	if len(view.Table.Customers) > 0 {
@@ -118,10 +139,7 @@
 
 // plan sets the limits of the request.
 func (f *flight) plan(table *route.Table) {
-	f.deadline = f.received.Add(f.route.Timeout)
-	if f.call.Deadline > 0 && f.call.Deadline < f.route.Timeout {
-		f.deadline = f.received.Add(f.call.Deadline)
-	}
+	f.deadline = f.received.Add(f.limit())
 	f.service = f.route.Pick(rand.IntN)
 	f.engine = table.Service(f.service).Engine != nil
 	f.life = request.New(request.Options{
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -115,13 +116,20 @@
 	return f.closed
 }
 
-// reply writes an answer with a length.
-func reply(c net.Conn, status int, id, body string, headers ...string) bool {
-	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n", status, id, len(body))
+// text is an answer with a length.
+func text(status int, id, body string, headers ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n", status, id, len(body))
 	for _, h := range headers {
-		fmt.Fprintf(c, "%s\r\n", h)
+		fmt.Fprintf(&b, "%s\r\n", h)
 	}
-	fmt.Fprintf(c, "\r\n%s", body)
+	fmt.Fprintf(&b, "\r\n%s", body)
+	return b.String()
+}
+
+// reply writes an answer with a length.
+func reply(c net.Conn, status int, id, body string, headers ...string) bool {
+	fmt.Fprint(c, text(status, id, body, headers...))
 	return true
 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -56,9 +56,12 @@
 
 	mu   sync.Mutex
 	link *link.Conn
-	// at is the run that link belongs to.
-	at    *place.Run
-	cause cause
+	// at is the run that link belongs to, sent when it began; attempts counts
+	// them.
+	at       *place.Run
+	sent     time.Time
+	attempts int
+	cause    cause
 }
 
 // serve carries the request to its end. Streams end later, in their Close.
@@ -192,15 +195,27 @@
 		return false
 	}
 	f.link, f.at = c, f.run
+	f.sent = f.server.options.Clock.Now()
+	f.attempts++
 	return true
 }
 
-// leaveCutTarget ends the attempt at a target whose data centre seems to be cut
-// off, so that the request is repeated elsewhere before its caller gives up.
-func (f *flight) leaveCutTarget() {
+// patience is the part of the objective that a plain target may be silent for
+// before a request that may be repeated is given to another one.
+const patience = 0.6
+
+// leaveLostTarget ends the attempt at a target that seems lost, so that the
+// request is repeated elsewhere before its caller gives up: its data centre
+// seems to be cut off, or a plain service does not answer in time.
+func (f *flight) leaveLostTarget(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.link != nil && f.at.CutOff() {
+	if f.link == nil {
+		return
+	}
+	late := !f.engine && f.attempts < f.route.MaxAttempts &&
+		now.Sub(f.sent) > time.Duration(patience*float64(f.route.Objective))
+	if late || f.at.CutOff() {
 		f.link.Close() //nolint:errcheck // the attempt ends with it
 	}
 }
--- a/relay/look.go
+++ b/relay/look.go
@@ -45,7 +45,7 @@
 		case gone(f):
 			f.interrupt(callerGone)
 		case f.route.Repeats():
-			f.leaveCutTarget()
+			f.leaveLostTarget(now)
 		}
 	}
 }
--- /dev/null
+++ b/relay/pace.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"zinccove.example/zinccove/message"
+)
+
+// pace bounds how long streams last. It remembers the slowest recent stream for
+// the most tokens that its caller allowed, and forgets it slowly.
+type pace struct {
+	mu       sync.Mutex
+	perToken time.Duration
+}
+
+const (
+	// paceGuess is assumed before any stream ended.
+	paceGuess = 20 * time.Millisecond
+	// paceForget is the part of the slowest stream that is forgotten with each
+	// faster one.
+	paceForget = 0.002
+	// paceMargin is how much slower a stream may be than the slowest recent one.
+	paceMargin = 1.25
+)
+
+// learn takes the time of a whole stream after its first event.
+func (p *pace) learn(c *message.Call, took time.Duration) {
+	if c.MaxTokens <= 0 {
+		return
+	}
+	per := took / time.Duration(c.MaxTokens)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.perToken = max(per, p.perToken-time.Duration(float64(p.perToken)*paceForget))
+}
+
+// bound returns the longest time that a stream is expected to last after its
+// first event; 0 allowed tokens are not bounded.
+func (p *pace) bound(c *message.Call) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	per := p.perToken
+	if per == 0 {
+		per = paceGuess
+	}
+	return time.Duration(float64(per) * paceMargin * float64(c.MaxTokens)), c.MaxTokens > 0
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,8 +74,8 @@
 	BodyBytes   int
 	HeaderBytes int
 	Connections int
-	// Announce is how long a planned stop goes on accepting streams, until the
-	// balancer has noticed. A stream that begins later may not end in time.
+	// Announce is how long a planned stop goes on accepting all requests, until
+	// the balancer has noticed. Later ones are refused if they may not end in time.
 	Announce time.Duration
 	// Quiet is the time without a new request after which a planned stop expects
 	// no more.
@@ -93,6 +93,7 @@
 	// stopped is when the planned stop began, nil before.
 	stopped atomic.Pointer[time.Time]
 	stop    chan struct{}
+	pace    pace
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,6 +11,9 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/route"
 )
 
 func TestRequestReachesTheTargetUnchanged(t *testing.T) {
@@ -146,7 +149,9 @@
 
 func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
 	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
-		return reply(c, 200, a.id(), "for "+a.id(), seal) && reply(c, 200, "r1", "extra", seal)
+		// In one piece, so that both arrive together.
+		fmt.Fprint(c, text(200, a.id(), "for "+a.id(), seal)+text(200, "r1", "extra", seal))
+		return true
 	})
 	s := newSite(t, f)
 	for _, id := range []string{"r1", "r2"} {
@@ -341,3 +346,42 @@
 	assert.Equal(t, running.read().body, "answer")
 	assert.NilError(t, g.Wait())
 }
+
+func TestStopAcceptsWhatEndsInTime(t *testing.T) {
+	s := &Server{options: Options{Limits: Limits{Announce: 2 * time.Second, Stop: 7 * time.Second}}}
+	began := time.Now()
+	flight := func(after time.Duration, kind route.Kind, tokens int) *flight {
+		return &flight{
+			server: s, received: began.Add(after), route: &route.Route{Kind: kind, Timeout: 12 * time.Second},
+			call: message.Call{Deadline: 10 * time.Second, MaxTokens: tokens},
+		}
+	}
+	assert.Assert(t, s.endsInTime(flight(0, route.Stream, 5000)), "no stop")
+	s.stopped.Store(&began)
+	s.pace.learn(&message.Call{MaxTokens: 100}, time.Second)
+	assert.Assert(t, s.endsInTime(flight(time.Second, route.Stream, 5000)), "the balancer has not noticed")
+	assert.Assert(t, s.endsInTime(flight(3*time.Second, route.Stream, 200)))
+	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Stream, 400)))
+	assert.Assert(t, !s.endsInTime(flight(5*time.Second, route.Stream, 200)))
+	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Stream, 0)), "no bound is known")
+	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Once, 0)))
+	short := flight(3*time.Second, route.Once, 0)
+	short.call.Deadline = time.Second
+	assert.Assert(t, s.endsInTime(short))
+}
+
+func TestSilentPlainTargetIsFollowedByAnother(t *testing.T) {
+	var calls atomic.Int32
+	serve := func(a *arrival, c net.Conn) bool {
+		if calls.Add(1) == 1 {
+			c.Read(make([]byte, 1))
+			return false
+		}
+		return answers(a, c)
+	}
+	s := newSite(t, newTarget(t, "t1", serve), newTarget(t, "t2", serve))
+	sent := time.Now()
+	assert.Equal(t, s.ask(t, "POST", "/repeat/", "r", "b").body, "answer")
+	assert.Assert(t, time.Since(sent) < time.Second)
+	assert.Equal(t, calls.Load(), int32(2))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -207,6 +207,7 @@
 	if s.err == io.EOF {
 		f.life.Answer()
 		f.server.options.Metrics.Inc(metric.RequestsAnswered)
+		f.server.pace.learn(&f.call, f.server.options.Clock.Since(f.received)-f.firstEvent)
 	}
 	f.server.logStream(f, s.err)
 	f.server.leave(f)
--- /dev/null
+++ b/standin/routesite/routesite.go
@@ -0,0 +1,201 @@
+// Package routesite is a fleet that serves the routes of a store: routers, targets
+// of a model and of a plain service, and callers that check what they get.
+//
+// # Usage
+//
+//	s, err := routesite.New(binDir)
+//	defer s.Close()
+//	_, err = s.AddWorker("m1", routesite.Model, "dc1")
+//	router, err := s.StartRouter("r1", "dc1")
+//	err = s.Configure(routesite.Config(1, "key"))
+//	a := s.Call(router.Caller, "POST", "/draft/x", "key")
+//	ok := a.Whole("/draft/x")
+package routesite
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/worker"
+	"zinccove.example/zinccove/platform/wire"
+)
+
+// The services.
+const (
+	Model = "model"
+	Plain = "plain"
+)
+
+// Paths has one path for each route of Config: a stream that may not be
+// repeated, one that may be resumed, a call that may not be repeated and one
+// that may.
+var Paths = []string{"/draft/a", "/gloss/a?x=1", "/record/a%20b", "/lookup/"}
+
+// Once reports whether a request of a path runs at most once.
+func Once(path string) bool {
+	return strings.HasPrefix(path, "/record/") || strings.HasPrefix(path, "/draft/")
+}
+
+const (
+	host = "archive.example"
+	// Customer is the customer of all keys.
+	Customer = "c"
+	slots    = "16"
+	events   = 20
+	// deadline is how long callers wait; the connection is given up later.
+	deadline = 4 * time.Second
+	patience = 8 * time.Second
+)
+
+// Config is a configuration as operators write it.
+func Config(version int, keys ...string) []byte {
+	route := func(name, kind, service string, resumable bool) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%s/","kind":%q,"timeoutMs":5000,"targetLatencyMs":800,`+
+			`"gap_aim_ms":400,"priority":1,"service":%q,"maxAttempts":2,"resumable":%t}`, name, host, name, kind, service, resumable)
+	}
+	routes := []string{
+		route("draft", "streaming", Model, false), route("gloss", "streaming", Model, true),
+		route("record", "non_idempotent", Plain, false), route("lookup", "idempotent", Plain, false),
+	}
+	quoted := make([]string, len(keys))
+	for i, key := range keys {
+		quoted[i] = fmt.Sprintf("%q", key)
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":%q,"maxConns":300,"engine":{"slots":16,"kvTokens":100000}},`+
+		`{"name":%q,"maxConns":100}],"limits":{"maxBodyBytes":1000000,"tokens_per_s":100000},"tenants":[{"name":%q,"apiKeys":[%s]}]}`,
+		version, strings.Join(routes, ","), Model, Plain, Customer, strings.Join(quoted, ","))
+}
+
+// Site is a running fleet.
+type Site struct {
+	*fleet.Fleet
+	Workers []*fleet.Target
+
+	sent atomic.Int64
+}
+
+// New starts the platform.
+func New(bin string) (*Site, error) {
+	f, err := fleet.New(bin)
+	if err != nil {
+		return nil, err
+	}
+	f.Settings = map[string]string{
+		"routes": "source = store", "limits": "memory-mb = 200\nstop-timeout = 6s", "fleet": "heartbeat-interval = 100ms",
+	}
+	return &Site{Fleet: f}, f.StartPlatform()
+}
+
+// AddWorker starts a target of a service; more are further flags.
+func (s *Site) AddWorker(id, service, dataCentre string, more ...string) (*fleet.Target, error) {
+	args := append([]string{"--slots", slots}, more...)
+	if service == Model {
+		args = append(args, "--events", fmt.Sprint(events))
+	}
+	w, err := s.StartWorker(id, service, dataCentre, args...)
+	if err == nil {
+		s.Workers = append(s.Workers, w)
+	}
+	return w, err
+}
+
+// Configure writes a configuration into the store.
+func (s *Site) Configure(body []byte) error {
+	return s.PutRow(wire.TableOperator, wire.ConfigKey, body)
+}
+
+// Runs returns how often the workers that run now began each request.
+func (s *Site) Runs() (map[string]int, error) {
+	counts := make(map[string]int)
+	for _, w := range s.Workers {
+		if w.Ended() {
+			continue
+		}
+		var runs map[string]worker.Run
+		if err := fleet.GetJSON(w.Address, "/runs", &runs); err != nil {
+			return nil, err
+		}
+		for id, r := range runs {
+			counts[id] += r.Began
+		}
+	}
+	return counts, nil
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	ID     string
+	Path   string
+	Router netip.AddrPort
+	Sent   time.Time
+	Status int
+	Body   string
+	Header http.Header
+	// Err is a failure of the connection, also in the middle of an answer.
+	Err error
+}
+
+// Call sends a request over a connection of its own.
+func (s *Site) Call(to netip.AddrPort, method, path, key string) *Answer {
+	a := &Answer{ID: fmt.Sprintf("q%d", s.sent.Add(1)), Path: path, Router: to, Sent: time.Now()}
+	c, err := net.DialTimeout("tcp", to.String(), time.Second)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer c.Close() //nolint:errcheck // the answer is known
+	a.Err = a.exchange(c, method, path, key)
+	return a
+}
+
+func (a *Answer) exchange(c net.Conn, method, path, key string) error {
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader("body of "+a.ID))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Request-Id", a.ID)
+	req.Header.Set("Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Token-Usage", "900,60")
+	req.Header.Set("Prompt-Prefix", "aa:800,"+a.ID+":100")
+	if err := req.Write(c); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close() //nolint:errcheck // read to its end
+	body, err := io.ReadAll(resp.Body)
+	a.Status, a.Header, a.Body = resp.StatusCode, resp.Header, string(body)
+	return err
+}
+
+// Complete reports whether the answer looks complete to its caller.
+func (a *Answer) Complete() bool { return a.Err == nil && a.Status == http.StatusOK }
+
+// Whole reports whether the answer is the whole one of its own request.
+func (a *Answer) Whole(path string) bool {
+	if !a.Complete() {
+		return false
+	}
+	if !strings.HasPrefix(path, "/draft/") && !strings.HasPrefix(path, "/gloss/") {
+		return strings.HasSuffix(a.Body, path+" "+a.ID)
+	}
+	var want strings.Builder
+	for n := range events {
+		want.WriteString(worker.Event(a.ID, n+1))
+	}
+	return a.Body == want.String()
+}
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -70,6 +70,7 @@
 	Service    string        `long:"service" required:"yes" description:"service it belongs to"`
 	DataCentre string        `long:"data-centre" default:"dc1" description:"data centre"`
 	Platform   string        `long:"platform" required:"yes" description:"address of the platform"`
+	Advertise  string        `long:"advertise" description:"address to enter, if not the one listened on"`
 	Slots      int           `long:"slots" default:"8" description:"requests run at once"`
 	Events     int           `long:"events" description:"events of a stream; 0 for a plain service"`
 	EventTime  time.Duration `long:"event-time" default:"5ms" description:"time of one event"`
@@ -85,9 +86,19 @@
 	}
 	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, DataCentre: c.DataCentre, Slots: c.Slots,
 		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime})
-	c.began = func(a netip.AddrPort) error { return w.Enter(platform, a) }
+	entered := func(listening netip.AddrPort) (netip.AddrPort, error) {
+		if c.Advertise == "" {
+			return listening, nil
+		}
+		return netip.ParseAddrPort(c.Advertise)
+	}
+	c.began = func(a netip.AddrPort) error {
+		a, err := entered(a)
+		return errors.Join(err, w.Enter(platform, a))
+	}
 	c.ending = func(a netip.AddrPort) error {
-		err := w.Drain(platform, a)
+		a, err := entered(a)
+		err = errors.Join(err, w.Drain(platform, a))
 		time.Sleep(c.DrainTime)
 		return errors.Join(err, w.Leave(platform))
 	}
