--- a/relay/pace.go
+++ b/relay/pace.go
@@ -8,20 +8,23 @@
 )
 
 // pace bounds how long streams last. It remembers the slowest recent stream for
-// the most tokens that its caller allowed, and forgets it slowly.
+// the most tokens that its caller allowed, and forgets it slowly. Most streams
+// make far fewer tokens than allowed, so a few of them say little; the pace is
+// never taken to be faster than leastPace.
 type pace struct {
 	mu       sync.Mutex
 	perToken time.Duration
 }
 
 const (
-	// paceGuess is assumed before any stream ended.
-	paceGuess = 20 * time.Millisecond
+	// leastPace is the time of a token at a full engine, with prompts read beside
+	// it: a hunted day cut a stream that was expected to be faster.
+	leastPace = 25 * time.Millisecond
 	// paceForget is the part of the slowest stream that is forgotten with each
 	// faster one.
 	paceForget = 0.002
 	// paceMargin is how much slower a stream may be than the slowest recent one.
-	paceMargin = 1.25
+	paceMargin = 1.5
 )
 
 // learn takes the time of a whole stream after its first event.
@@ -40,9 +43,6 @@
 func (p *pace) bound(c *message.Call) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	per := p.perToken
-	if per == 0 {
-		per = paceGuess
-	}
+	per := max(p.perToken, leastPace)
 	return time.Duration(float64(per) * paceMargin * float64(c.MaxTokens)), c.MaxTokens > 0
 }
--- /dev/null
+++ b/standin/soak/faults.go
@@ -0,0 +1,211 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/standin/fault"
+	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/routesite"
+)
+
+// kind is a fault: it begins, lasts and is mended.
+type kind struct {
+	name string
+	// begin starts the fault and returns what ends it.
+	begin func(*run) (mend func() error, err error)
+}
+
+// kinds are all faults of a soak.
+var kinds = []kind{
+	{"connections to a target", (*run).disturbProxy},
+	{"store", (*run).disturbStore},
+	{"router frozen", (*run).freezeRouter},
+	{"router killed", func(r *run) (func() error, error) { return r.endRouter(r.killRouter) }},
+	{"router stopped", func(r *run) (func() error, error) { return r.endRouter(r.stopRouter) }},
+	{"target frozen", (*run).freezeTarget},
+	{"target replaced", (*run).replaceTarget},
+	{"configuration", (*run).reconfigure},
+	{"history forgotten", func(r *run) (func() error, error) { return nothing, r.site.Forget() }},
+}
+
+func nothing() error { return nil }
+
+const (
+	// longestPause and longestFault bound the time between the beginnings of two
+	// faults and how long one lasts: several overlap.
+	longestPause = 600 * time.Millisecond
+	longestFault = 2500 * time.Millisecond
+)
+
+// disturb injects faults until the duration is over and all are mended.
+func (r *run) disturb() error {
+	var g errgroup.Group
+	busy := make(map[int]bool)
+	ended := make(chan int, len(kinds))
+	stop := time.Now().Add(r.options.Duration)
+	for time.Now().Before(stop) {
+		time.Sleep(time.Duration(r.draw.Int64N(int64(longestPause))))
+		for len(ended) > 0 {
+			delete(busy, <-ended)
+		}
+		at := r.draw.IntN(len(kinds))
+		lasts := time.Duration(r.draw.Int64N(int64(longestFault)))
+		if busy[at] {
+			continue
+		}
+		busy[at] = true
+		mend, err := kinds[at].begin(r)
+		if err != nil {
+			return fmt.Errorf("%s: %w", kinds[at].name, err)
+		}
+		r.report.Faults = append(r.report.Faults, kinds[at].name)
+		g.Go(func() error {
+			time.Sleep(lasts)
+			err := mend()
+			ended <- at
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// mend ends all faults of connections and of the store.
+func (r *run) mend() {
+	for _, p := range r.proxies {
+		p.set(pass)
+	}
+	fleet.SetFaults(r.site.PlatformAddress) //nolint:errcheck // recovery tells
+}
+
+func (r *run) disturbProxy() (func() error, error) {
+	p := r.proxies[r.draw.IntN(len(r.proxies))]
+	w := way(1 + r.draw.IntN(int(ways)-1))
+	r.report.Faults = append(r.report.Faults, wayNames[w])
+	p.set(w)
+	return func() error { p.set(pass); return nil }, nil
+}
+
+func (r *run) disturbStore() (func() error, error) {
+	modes := []fault.Mode{fault.Refuse, fault.Delay, fault.DropAnswer, fault.DropRequest}
+	mode := modes[r.draw.IntN(len(modes))]
+	var faults []fault.Fault
+	for _, step := range []string{"list", "get", "feed", "hosts", "commit"} {
+		faults = append(faults, fault.Fault{Step: step, Mode: mode, Delay: 300 * time.Millisecond})
+	}
+	r.report.Faults = append(r.report.Faults, string(mode))
+	mend := func() error { return fleet.SetFaults(r.site.PlatformAddress) }
+	return mend, fleet.SetFaults(r.site.PlatformAddress, faults...)
+}
+
+func (r *run) router() *fleet.Router { return r.site.Routers[r.draw.IntN(len(r.site.Routers))] }
+
+func (r *run) freezeRouter() (func() error, error) {
+	process := r.router().Process
+	return thaw(process), freeze(process)
+}
+
+func (r *run) freezeTarget() (func() error, error) {
+	process := r.site.Workers[r.draw.IntN(len(r.site.Workers))].Process
+	return thaw(process), freeze(process)
+}
+
+func freeze(p *fleet.Process) error {
+	if p.Ended() {
+		return nil
+	}
+	return p.Signal(syscall.SIGSTOP)
+}
+
+func thaw(p *fleet.Process) func() error {
+	return func() error {
+		if p.Ended() {
+			return nil
+		}
+		return p.Signal(syscall.SIGCONT)
+	}
+}
+
+// endRouter ends a router and starts it again.
+func (r *run) endRouter(end func(*fleet.Process)) (func() error, error) {
+	router := r.router()
+	if router.Ended() {
+		return nothing, nil
+	}
+	process := router.Process
+	others := r.site.Routers[(r.draw.IntN(len(r.site.Routers)))].Peer
+	return func() error {
+		thaw(process)() //nolint:errcheck // it may have ended
+		end(process)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if router.Process != process {
+			return nil
+		}
+		return router.Restart(others)
+	}, nil
+}
+
+func (r *run) killRouter(p *fleet.Process) {
+	r.mu.Lock()
+	r.killed[p] = true
+	r.mu.Unlock()
+	p.Kill()
+}
+
+func (r *run) wasKilled(p *fleet.Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.killed[p]
+}
+
+// stopRouter makes a planned stop, which has to end well.
+func (r *run) stopRouter(p *fleet.Process) {
+	if p.Ended() {
+		return
+	}
+	code, err := p.Stop()
+	if r.wasKilled(p) {
+		return
+	}
+	if err != nil || code != 0 {
+		r.violate("planned stop of %s: code %d, %v", p.Name, code, err)
+	}
+}
+
+// replaceTarget starts a target and lets an older one of its service drain.
+// The old one keeps its process, so that it can still be asked what it ran.
+func (r *run) replaceTarget() (func() error, error) {
+	services := []string{routesite.Model, routesite.Plain}
+	return nothing, r.startTarget(services[r.draw.IntN(len(services))], r.draw.IntN(r.options.Routers))
+}
+
+// reconfigure writes a new version, without the key that is to be revoked from
+// the third on.
+func (r *run) reconfigure() (func() error, error) {
+	r.version += 1 + r.draw.IntN(3)
+	keys := []string{key}
+	if r.version < 4 {
+		keys = append(keys, revoked)
+	}
+	return nothing, r.site.Configure(routesite.Config(r.version, keys...))
+}
+
+// recover waits until every router serves each path.
+func (r *run) recover() bool {
+	deadline := time.Now().Add(recovery)
+	for _, router := range r.site.Routers {
+		for _, path := range routesite.Paths {
+			for !r.site.Call(router.Caller, "POST", path, key).Whole(path) {
+				if time.Now().After(deadline) {
+					return false
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,254 @@
+// Package soak runs the real programs as processes on loopback and injects
+// faults from outside, drawn from a seed, while callers check what they get.
+//
+// Faults come in series and overlap: connections to targets that are slow,
+// silent, lose answers or are reset; routers and targets that are frozen,
+// killed, stopped and started again; a store that is slow, refuses, loses
+// answers or forgets its history; configurations that change.
+//
+// # What is checked
+//
+//   - an answer that looks complete is the whole one of its own request;
+//   - a request that may not be repeated ran at most once;
+//   - a request answered 429 or 503 did not run;
+//   - a router that refused a revoked key never accepts it again in its life;
+//   - repeats stay inside the budget;
+//   - routers end by themselves only when stopped, with code 0;
+//   - after the last fault all routers serve within the recovery time.
+//
+// # Usage
+//
+//	report, err := soak.Run(soak.Options{Bin: dir, Seed: 7, Routers: 3, Duration: 10 * time.Second})
+//	for _, v := range report.Violations { ... }
+//
+// # Limits
+//
+// The faults, their order and length follow from the seed; what the processes
+// make of them also depends on the machine. Only processes that the run started
+// are signalled, by their ids.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"zinccove.example/standin/fleet"
+	"zinccove.example/standin/routesite"
+)
+
+// Options configure a run. All are required.
+type Options struct {
+	Bin      string
+	Seed     uint64
+	Routers  int
+	Duration time.Duration
+}
+
+// Report is what a run found.
+type Report struct {
+	Requests   int
+	Whole      int
+	Faults     []string
+	Violations []string
+}
+
+const (
+	key     = "kept-key"
+	revoked = "revoked-key"
+	// callersPerRouter send requests one after the other.
+	callersPerRouter = 4
+	// recovery is the time after the last fault by which all is served again.
+	recovery = 12 * time.Second
+	// retryRatio and retrySlack bound the repeats, as the settings' defaults do.
+	retryRatio = 0.2
+	retrySlack = 50
+)
+
+// run is a soak that runs.
+type run struct {
+	options Options
+	draw    *rand.Rand
+	site    *routesite.Site
+	proxies []*proxy
+
+	mu      sync.Mutex
+	answers []*routesite.Answer
+	report  Report
+	// refusedKey holds when each life of a router first refused the revoked key.
+	refusedKey map[*fleet.Process]time.Time
+	// killed are the routers that the run killed, maybe during a planned stop.
+	killed  map[*fleet.Process]bool
+	stopped bool
+	version int
+	// lives counts the targets that were started.
+	lives int
+}
+
+// Run runs a soak.
+func Run(o Options) (*Report, error) {
+	s, err := routesite.New(o.Bin)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), version: 1}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	var g errgroup.Group
+	for i := range o.Routers * callersPerRouter {
+		g.Go(func() error { r.call(i % o.Routers); return nil })
+	}
+	err = r.disturb()
+	r.mend()
+	recovered := r.recover()
+	r.mu.Lock()
+	r.stopped = true
+	r.mu.Unlock()
+	if gerr := g.Wait(); err == nil {
+		err = gerr
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !recovered {
+		r.violate("not all routers serve %s after the last fault", recovery)
+	}
+	return &r.report, r.judge()
+}
+
+func (r *run) close() {
+	r.mend()
+	r.site.Close()
+	for _, p := range r.proxies {
+		p.close()
+	}
+}
+
+func (r *run) start() error {
+	for i := range r.options.Routers {
+		for _, service := range []string{routesite.Model, routesite.Plain} {
+			if err := r.startTarget(service, i); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range r.options.Routers {
+		if _, err := r.site.StartRouter(fmt.Sprintf("r%d", i), fmt.Sprintf("dc%d", i)); err != nil {
+			return err
+		}
+	}
+	if err := r.site.Configure(routesite.Config(r.version, key, revoked)); err != nil {
+		return err
+	}
+	return r.site.AwaitReady(recovery)
+}
+
+// startTarget starts a target behind a proxy of its own. Each start has a new
+// id, as with real targets.
+func (r *run) startTarget(service string, dc int) error {
+	p, err := newProxy()
+	if err != nil {
+		return err
+	}
+	r.lives++
+	id := fmt.Sprintf("%s-%d", service, r.lives)
+	w, err := r.site.AddWorker(id, service, fmt.Sprintf("dc%d", dc), "--advertise", p.address().String(), "--drain-time", "300ms")
+	if err != nil {
+		return err
+	}
+	p.connect(w.Address)
+	r.proxies = append(r.proxies, p)
+	return nil
+}
+
+// call sends requests to one router until the soak stops.
+func (r *run) call(router int) {
+	to := r.site.Routers[router]
+	for n := 0; ; n++ {
+		r.mu.Lock()
+		done := r.stopped
+		process := to.Process
+		r.mu.Unlock()
+		if done {
+			return
+		}
+		a := r.site.Call(to.Caller, "POST", routesite.Paths[n%len(routesite.Paths)], key)
+		r.take(a)
+		if n%8 == 0 {
+			r.tryRevoked(to, process)
+		}
+		if a.Status != 200 {
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+}
+
+func (r *run) take(a *routesite.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers = append(r.answers, a)
+	r.report.Requests++
+	switch {
+	case a.Whole(a.Path):
+		r.report.Whole++
+	case a.Complete():
+		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%s %s: not the whole own answer looks complete: %.80q", a.ID, a.Path, a.Body))
+	}
+}
+
+// tryRevoked asks with the key that is taken away during the run.
+func (r *run) tryRevoked(to *fleet.Router, process *fleet.Process) {
+	a := r.site.Call(to.Caller, "POST", "/lookup/", revoked)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if to.Process != process {
+		return // restarted meanwhile
+	}
+	switch at, refused := r.refusedKey[process]; {
+	case a.Status == 401 && !refused:
+		r.refusedKey[process] = time.Now()
+	case a.Status == 200 && refused && a.Sent.After(at):
+		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%s accepts a key again that it refused", to.Name))
+	}
+}
+
+// judge compares what callers were told with what ran.
+func (r *run) judge() error {
+	ran, err := r.site.Runs()
+	if err != nil {
+		return err
+	}
+	first, all := 0, 0
+	for _, a := range r.answers {
+		n := ran[a.ID]
+		first++
+		all += n
+		if n > 1 && routesite.Once(a.Path) {
+			r.violate("%s %s ran %d times", a.ID, a.Path, n)
+		}
+		if n > 0 && (a.Status == 429 || a.Status == 503) {
+			r.violate("%s %s was told not run (%d), ran %d times", a.ID, a.Path, a.Status, n)
+		}
+	}
+	if float64(all-first) > retryRatio*float64(first)+retrySlack {
+		r.violate("%d runs for %d requests exceed the budget of repeats", all, first)
+	}
+	for _, router := range r.site.Routers {
+		if strings.Contains(router.Output(), "panic:") || strings.Contains(router.Output(), "DATA RACE") {
+			r.violate("%s: %s", router.Name, router.Output())
+		}
+	}
+	return nil
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
+}
