Learn from other routers that a target leaves

Ruled out: the settling of 0.4 s alone (the removal was seen 0.33 s late).

Change: heartbeats name targets of which the store said that they leave or are gone; entries that go after the changes of an outage were taken have 1 s.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -71,6 +71,7 @@
 	hb := &zinccovev1.Heartbeat{
 		Incarnation: l.incarnation, Sequence: l.sequence, ConfigVersion: l.version(), Leaving: l.gateway.stopping.Load(),
 	}
+	hb.LeavingTargets = l.leavingTargets()
 	encodeReport(hb, l.gateway.placer, l.sequence%usesEvery == 0)
 	if l.sequence <= identifyEvery || l.sequence%identifyEvery == 0 {
 		hb.Host = l.identity()
@@ -79,6 +80,24 @@
 	return hb
 }
 
+// maxLeaving bounds the targets of one heartbeat.
+const maxLeaving = 40
+
+// leavingTargets returns the targets to tell others of.
+func (l *loop) leavingTargets() []uint32 {
+	now := l.gateway.clock.Now()
+	var list []uint32
+	for hash, at := range l.leaving {
+		switch {
+		case now.Sub(at) > leavingFor:
+			delete(l.leaving, hash)
+		case len(list) < maxLeaving:
+			list = append(list, uint32(hash))
+		}
+	}
+	return list
+}
+
 func (l *loop) identity() *zinccovev1.HostInfo {
 	g := l.gateway
 	return &zinccovev1.HostInfo{
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -10,6 +10,7 @@
 
 	"zinccove.example/zinccove/follow"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/platform/wire"
 	"zinccove.example/zinccove/roster"
@@ -112,8 +113,11 @@
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
-			l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Msg("target entry removed")
-			l.roster.Remove(c.Key)
+			gone := l.roster.Remove(c.Key)
+			l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Bool("gone", gone).Msg("target entry removed")
+			if gone {
+				l.leaves(c.Key)
+			}
 			continue
 		}
 		t, err := platform.DecodeTarget(c)
@@ -123,6 +127,9 @@
 		}
 		l.gateway.log.Info().Str("target", t.ID).Str("service", t.Service).Stringer("address", t.Address).
 			Bool("draining", t.Draining).Uint64("version", t.Version).Msg("target entry")
+		if t.Draining {
+			l.leaves(t.ID)
+		}
 		if whole {
 			entries = append(entries, t)
 		} else {
@@ -132,9 +139,13 @@
 	if whole {
 		l.roster.Replace(entries)
 	}
+	l.roster.CaughtUp()
 	l.publishTargets()
 }
 
+// leaves remembers a target to tell other routers of.
+func (l *loop) leaves(id string) { l.leaving[place.HashOf(id)] = l.gateway.clock.Now() }
+
 // publishTargets gives targets and engines to the placer.
 func (l *loop) publishTargets() {
 	var table *route.Table
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,6 +15,7 @@
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/roster"
 )
@@ -37,6 +38,13 @@
 	// targetReturn is how long targets may take to write their entries again
 	// after the store was away, as the platform states.
 	targetReturn = 2 * time.Second
+	// targetRenewal is how long an entry that goes soon after an outage may take
+	// to come back; with the settling of changes it stays below the two seconds
+	// after which a target that left must get nothing new.
+	targetRenewal = time.Second
+	// leavingFor is how long other routers are told of a target that leaves: as
+	// long as targets serve on and outages of single routers last.
+	leavingFor = 10 * time.Second
 	// behindFor is how long another router may have a newer configuration before
 	// it is asked for it; the feed is usually faster.
 	behindFor = 150 * time.Millisecond
@@ -70,6 +78,8 @@
 	ticks       int
 	lastBeat    time.Time
 	introduced  int
+	// leaving holds when the store said that targets are leaving or gone.
+	leaving map[place.Hash]time.Time
 	// cut are the data centres that seem to be cut off.
 	cut []string
 	// behind is since when another router has a newer configuration.
@@ -83,7 +93,8 @@
 		heartbeats:  make(chan received, inbox),
 		tasks:       make(chan func(*loop), inbox),
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
-		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn}),
+		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: targetRenewal}),
+		leaving:     make(map[place.Hash]time.Time),
 		incarnation: rand.Uint64(),
 		started:     g.clock.Now(),
 	}
@@ -177,6 +188,9 @@
 		return
 	}
 	l.gateway.log.Info().Strs("targets", gone).Msg("targets gone since the store was away")
+	for _, id := range gone {
+		l.leaves(id)
+	}
 	l.publishTargets()
 }
 
@@ -205,6 +219,21 @@
 		l.introduce(h)
 	}
 	l.gateway.placer.SetPeer(host.Name, decodeReport(r.heartbeat))
+	l.hearLeaving(host.Name, r.heartbeat.LeavingTargets)
+}
+
+// hearLeaving takes another router's word on targets that leave.
+func (l *loop) hearLeaving(from string, hashes []uint32) {
+	changed := false
+	for _, t := range l.targets {
+		if slices.Contains(hashes, uint32(place.HashOf(t.ID))) && l.roster.Leave(t.ID) {
+			l.gateway.log.Info().Str("target", t.ID).Str("peer", from).Msg("target is leaving, as another router says")
+			changed = true
+		}
+	}
+	if changed {
+		l.publishTargets()
+	}
 }
 
 // introduce learns a router from another one.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,6 +49,9 @@
 	// Return is how long targets may take to write their entries again after
 	// the table was away.
 	Return time.Duration
+	// Renewal is the time between two writes of a target. An entry that goes
+	// while the table is followed again is gone unless it is back by then.
+	Renewal time.Duration
 }
 
 // Roster is the list of targets.
@@ -58,6 +61,8 @@
 	// doubted holds when entries that went missing across an outage are removed.
 	doubted map[string]time.Time
 	away    bool
+	// catching is set until the changes made during an outage were taken.
+	catching bool
 	// settled is when entries that are missing after an outage count as gone.
 	settled time.Time
 }
@@ -73,11 +78,14 @@
 // Resumed notes that the table can be followed again.
 func (r *Roster) Resumed() {
 	if r.away {
-		r.away = false
+		r.away, r.catching = false, true
 		r.settled = r.options.Clock.Now().Add(r.options.Return)
 	}
 }
 
+// CaughtUp notes that the changes made during an outage were taken.
+func (r *Roster) CaughtUp() { r.catching = false }
+
 // Put adds or changes an entry. Entries that are older than the known one are
 // ignored.
 func (r *Roster) Put(t Target) {
@@ -88,22 +96,39 @@
 	delete(r.doubted, t.ID)
 }
 
-// Remove notes that an entry went.
-func (r *Roster) Remove(id string) {
-	if r.targets[id] == nil {
-		return
+// Remove notes that an entry went. It reports whether the target is gone; else
+// the entry may have lapsed only.
+func (r *Roster) Remove(id string) bool {
+	t := r.targets[id]
+	now := r.options.Clock.Now()
+	switch {
+	case t == nil:
+		return false
+	case t.Draining || !r.away && !now.Before(r.settled):
+		r.drop(id)
+		return true
 	}
-	if r.away || r.options.Clock.Now().Before(r.settled) {
-		r.doubt(id)
-		return
+	if _, ok := r.doubted[id]; ok {
+		return false
+	}
+	r.doubted[id] = now.Add(r.options.Renewal)
+	if r.catching {
+		// It went during the outage, so it has the whole time to come back.
+		r.doubted[id] = r.settled
 	}
-	r.drop(id)
+	return false
 }
 
-func (r *Roster) doubt(id string) {
-	if _, ok := r.doubted[id]; !ok {
-		r.doubted[id] = r.settled
+// Leave notes that somebody else read that a target is leaving or gone.
+func (r *Roster) Leave(id string) bool {
+	t := r.targets[id]
+	if t == nil || t.Draining {
+		return false
 	}
+	leaving := *t
+	leaving.Draining = true
+	r.targets[id] = &leaving
+	return true
 }
 
 func (r *Roster) drop(id string) {
@@ -134,7 +159,7 @@
 	now := r.options.Clock.Now()
 	var gone []string
 	for id, until := range r.doubted {
-		if !now.Before(later(until, r.settled)) {
+		if !now.Before(until) {
 			gone = append(gone, id)
 			r.drop(id)
 		}
@@ -142,13 +167,6 @@
 	return gone
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Targets returns all targets in the order of their ids.
 func (r *Roster) Targets() []*Target {
 	list := make([]*Target, 0, len(r.targets))
