Try another target when one cannot be reached; log what decided a refusal

Change: up to two targets that cannot be reached do not count as attempts nor against the budget of repeats; connecting takes at most 150 ms. Refusals for overload log the inputs of the decision.

--- a/link/link.go
+++ b/link/link.go
@@ -46,7 +46,7 @@
 const (
 	// dialTimeout bounds connecting; inside a region it takes a few milliseconds,
 	// also when a target is busy.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// deadPeer is how long sent bytes may stay unacknowledged, and how long a
 	// silent peer is probed, before the connection counts as broken.
 	deadPeer = 2 * time.Second
@@ -88,11 +88,12 @@
 
 func dial(addr netip.AddrPort) (net.Conn, error) { return DialTimeout(addr.String(), dialTimeout) }
 
-// DialTimeout connects to an address. The connection breaks when the peer is
-// silent for some seconds while it is probed or sent to.
+// DialTimeout connects to an address within a timeout, at most dialTimeout. The
+// connection breaks when the peer is silent for some seconds while it is probed
+// or sent to.
 func DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:         timeout,
+		Timeout:         min(timeout, dialTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: int(deadPeer / probeAfter)},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
--- a/place/place.go
+++ b/place/place.go
@@ -292,6 +292,7 @@
 		d.Reason = Overloaded
 		d.RetryAfter = min(max(d.Predicted-limit, leastRetry), mostRetry)
 		d.Hold = s.hold(r, d, limit)
+		d.Age = p.oldestReport(now)
 		return d
 	}
 	use.Served = cost
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -137,6 +137,10 @@
 	return nil
 }
 
+// freeUnsent is the number of targets that a request may fail to reach beyond
+// the attempts of its route: no work was given to them.
+const freeUnsent = 2
+
 // plan sets the limits of the request.
 func (f *flight) plan(table *route.Table) {
 	f.deadline = f.received.Add(f.limit())
@@ -144,6 +148,7 @@
 	f.engine = table.Service(f.service).Engine != nil
 	f.life = request.New(request.Options{
 		ID: f.call.ID, Repeatable: f.route.Repeats(), Deadline: f.deadline, MaxAttempts: f.route.MaxAttempts,
+		FreeUnsent: freeUnsent,
 	})
 	f.server.options.Retries.Earn()
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,7 +44,7 @@
 	f.tried = append(f.tried, d.Run.Target.ID)
 	f.life.Queue()
 	f.life.Dispatch()
-	s.logPlaced(f, d)
+	s.logPlaced(f)
 	ans, fail := f.exchange(ctx, lastEvent)
 	if fail != nil {
 		d.Run.End(results[fail.Kind])
@@ -63,7 +63,7 @@
 	for {
 		d := s.options.Placer.Place(r)
 		if d.Run != nil || d.Hold == 0 || f.interrupted() != running {
-			f.held = r.Waited
+			f.held, f.decision = r.Waited, d
 			return d
 		}
 		s.options.Clock.Sleep(d.Hold)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -47,7 +47,8 @@
 	life     *request.Request
 	tried    []string
 	// held is how long the request was held back before the last decision.
-	held time.Duration
+	held     time.Duration
+	decision place.Decision
 
 	// run and link belong to the current attempt.
 	run *place.Run
@@ -117,7 +118,12 @@
 		f.life.GiveUp(fail.Kind != target.NotSent && fail.Kind != target.Refused)
 		return false
 	}
-	return f.life.Fail(fail.Kind, f.server.options.Clock.Now(), f.server.options.Retries.Take) == request.Retry
+	take := f.server.options.Retries.Take
+	if fail.Kind == target.NotSent {
+		// The budget is for second arrivals at a service.
+		take = func() bool { return true }
+	}
+	return f.life.Fail(fail.Kind, f.server.options.Clock.Now(), take) == request.Retry
 }
 
 var failureNames = map[target.Kind]string{
--- a/relay/log.go
+++ b/relay/log.go
@@ -22,13 +22,19 @@
 	return e
 }
 
-// logPlaced tells which target was chosen and what decided it.
-func (s *Server) logPlaced(f *flight, d place.Decision) {
-	s.event(s.options.Log.Info(), f).
-		Str("target", d.Run.Target.ID).Uint64("target_version", d.Run.Target.Version).
-		Int("attempt", len(f.tried)).Int("rank", d.Rank).Float64("share", d.Share).
+// decided adds the inputs of the last decision of the placer.
+func (f *flight) decided(e *zerolog.Event) *zerolog.Event {
+	d := &f.decision
+	return e.Int("rank", d.Rank).Float64("share", d.Share).
 		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("shared_unread", d.Shared).Int("outstanding", d.Outstanding).
-		Dur("predicted_ms", d.Predicted).Dur("held_ms", f.held).Dur("reports_age_ms", d.Age).Msg("request placed")
+		Dur("predicted_ms", d.Predicted).Dur("held_ms", f.held).Dur("reports_age_ms", d.Age)
+}
+
+// logPlaced tells which target was chosen and what decided it.
+func (s *Server) logPlaced(f *flight) {
+	e := s.event(s.options.Log.Info(), f).
+		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Version).Int("attempt", len(f.tried))
+	f.decided(e).Msg("request placed")
 }
 
 // logAttempt tells why an attempt failed.
@@ -44,8 +50,12 @@
 // logRefused tells how a request ended that no target answered.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(metric.RequestsNotRun)
-	s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).Dur("retry_after_ms", r.retryAfter).Dur("held_ms", f.held).
-		Dur("took_ms", s.options.Clock.Since(f.received)).Msg("request refused")
+	e := s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).
+		Dur("retry_after_ms", r.retryAfter).Dur("took_ms", s.options.Clock.Since(f.received))
+	if r.reason == string(place.Overloaded) {
+		e = f.decided(e)
+	}
+	e.Msg("request refused")
 }
 
 // logAnswered tells that a whole answer was handed over.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -132,6 +132,20 @@
 	assert.Assert(t, len(res.header.Peek("Retry-After")) > 0)
 }
 
+func TestUnreachableTargetIsFollowedByAnother(t *testing.T) {
+	dead, alive := newTarget(t, "t1", answers), newTarget(t, "t2", answers)
+	dead.listener.Close()
+	s := newSite(t, dead, alive)
+	one := spec()
+	for _, r := range one.Routes {
+		r.MaxAttempts = 1
+	}
+	s.set(newTable(t, one))
+	for range 8 {
+		assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
+	}
+}
+
 func TestLateAnswerOfAnotherRequestIsReadOver(t *testing.T) {
 	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
 		if a.id() == "r2" {
--- a/request/request.go
+++ b/request/request.go
@@ -80,6 +80,9 @@
 	Deadline   time.Time
 	// MaxAttempts bounds the attempts; at least 1.
 	MaxAttempts int
+	// FreeUnsent is the number of attempts that reached no target and do not
+	// count as attempts.
+	FreeUnsent int
 }
 
 // Request is one caller's request. It is not safe for concurrent use.
@@ -87,6 +90,8 @@
 	options  Options
 	state    State
 	attempts int
+	// unsent is the number of attempts that reached no target.
+	unsent int
 	// exposed is set once an attempt may have run.
 	exposed bool
 	outcome Outcome
@@ -180,6 +185,9 @@
 func (r *Request) Fail(kind target.Kind, now time.Time, takeRetry func() bool) Decision {
 	safe := kind == target.NotSent || kind == target.Refused
 	r.exposed = r.exposed || !safe
+	if kind == target.NotSent {
+		r.unsent++
+	}
 	if r.mayRetry(kind, safe, now) && takeRetry() {
 		return Retry
 	}
@@ -197,7 +205,7 @@
 	switch {
 	case kind == target.Rejected:
 		return false
-	case r.attempts >= r.options.MaxAttempts:
+	case r.attempts-min(r.unsent, r.options.FreeUnsent) >= r.options.MaxAttempts:
 		return false
 	case !now.Before(r.options.Deadline):
 		return false
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -102,3 +102,20 @@
 	}
 	assert.Equal(t, taken, 11)
 }
+
+func TestUnsentAttemptsMayBeFree(t *testing.T) {
+	always := func() bool { return true }
+	deadline := time.Now().Add(time.Minute)
+	r := New(Options{ID: "r", Deadline: deadline, MaxAttempts: 1, FreeUnsent: 1})
+	r.Queue()
+	r.Dispatch()
+	assert.Equal(t, r.Fail(target.NotSent, time.Now(), always), Retry)
+	r.Queue()
+	r.Dispatch()
+	assert.Equal(t, r.Fail(target.NotSent, time.Now(), always), End, "only one is free")
+	assert.Equal(t, r.Outcome(), NotRun)
+	sent := New(Options{ID: "s", Deadline: deadline, MaxAttempts: 1, FreeUnsent: 1})
+	sent.Queue()
+	sent.Dispatch()
+	assert.Equal(t, sent.Fail(target.Refused, time.Now(), always), End, "a target that refused was reached")
+}
