Fit what routers announce into a datagram

On the grown site uses by customer were two seconds old.

Change: the heaviest targets first, then uses, then prompts placed; what does not fit waits. Uses go every 0.4 s whatever the period.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -31,9 +31,18 @@
 	g.metrics.Add(metric.ControlBytesSent, sent)
 }
 
-// usesEvery is the number of heartbeats from one that carries the use by
-// customers to the next: it is a sum over seconds.
-const usesEvery = 4
+// usesPeriod is the time between heartbeats that carry the use by customers,
+// which is a sum over four seconds.
+const usesPeriod = 400 * time.Millisecond
+
+func (l *loop) usesDue() bool {
+	now := l.gateway.clock.Now()
+	if now.Sub(l.lastUses) < usesPeriod {
+		return false
+	}
+	l.lastUses = now
+	return true
+}
 
 // contactEvery is the number of heartbeats from one to silent routers and
 // contacts to the next.
@@ -72,11 +81,11 @@
 		Incarnation: l.incarnation, Sequence: l.sequence, ConfigVersion: l.version(), Leaving: l.gateway.stopping.Load(),
 	}
 	hb.LeavingTargets = l.leavingTargets()
-	encodeReport(hb, l.gateway.placer, l.sequence%usesEvery == 0)
 	if l.sequence <= identifyEvery || l.sequence%identifyEvery == 0 {
 		hb.Host = l.identity()
 		hb.Introduced = l.introductions()
 	}
+	encodeReport(hb, l.gateway.placer, l.usesDue())
 	return hb
 }
 
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+func newPlacer(t *testing.T) *place.Placer {
+	t.Helper()
+	table, err := route.New(route.Spec{Version: 1, Services: []route.Service{{Name: "m", Engine: &route.Engine{Slots: 64, MemoryTokens: 100_000}}}})
+	assert.NilError(t, err)
+	p := place.New(place.Options{Clock: clockwork.NewFakeClock()})
+	p.SetTargets([]*roster.Target{{ID: "t", Service: "m", Slots: 64}}, table)
+	return p
+}
+
+func ask(id string) place.Request {
+	return place.Request{Service: "m", Customer: "c", Objective: 1e9, Call: &message.Call{
+		Parts: []message.Part{{ID: "shared", Tokens: 900}, {ID: id, Tokens: 100}}, PromptTokens: 1000, MaxTokens: 10,
+	}}
+}
+
+func TestReportCrossesTheWire(t *testing.T) {
+	sender, receiver := newPlacer(t), newPlacer(t)
+	assert.Assert(t, sender.Place(ask("a")).Run != nil)
+	hb := &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1}
+	encodeReport(hb, sender, true)
+	datagram, err := peer.Seal([]byte("key"), hb)
+	assert.NilError(t, err)
+	opened, err := peer.Open([]byte("key"), datagram)
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(hb, opened))
+	receiver.SetPeer("sender", decodeReport(opened))
+	d := receiver.Place(ask("b"))
+	assert.Equal(t, d.Outstanding, 1)
+	assert.Equal(t, d.Backlog, 1000)
+	assert.Equal(t, d.Unread, 100, "the shared part was read by the sender's request")
+}
+
+// TestFullReportFitsADatagram is the case of a grown site: work at 140 targets
+// for 60 customers does not fit, and a heartbeat that is too large is lost.
+func TestFullReportFitsADatagram(t *testing.T) {
+	const targets, customers, requests = 140, 60, 600
+	table, err := route.New(route.Spec{Version: 1, Services: []route.Service{{Name: "m", Engine: &route.Engine{Slots: 64, MemoryTokens: 100_000}}}})
+	assert.NilError(t, err)
+	p := place.New(place.Options{Clock: clockwork.NewFakeClock()})
+	var list []*roster.Target
+	for i := range targets {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 80)
+		list = append(list, &roster.Target{ID: fmt.Sprint(i), Service: "m", Slots: 64, Address: addr})
+	}
+	p.SetTargets(list, table)
+	for i := range requests {
+		r := ask("x")
+		r.Customer = fmt.Sprint(i % customers)
+		r.Call.Parts[0].ID = fmt.Sprint(i)
+		p.Place(r)
+	}
+	for range 40 {
+		hb := &zinccovev1.Heartbeat{Incarnation: 1 << 60, Sequence: 1 << 40, LeavingTargets: make([]uint32, maxLeaving)}
+		encodeReport(hb, p, true)
+		assert.Assert(t, len(hb.Loads) > 50)
+		_, err = peer.Seal([]byte("key"), hb)
+		assert.NilError(t, err)
+	}
+}
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	io.Writer
+	release chan struct{}
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Writer.Write(p)
+}
+
+// safe is a builder for several goroutines.
+type safe struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (s *safe) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func TestLogNeverBlocksAndIsBounded(t *testing.T) {
+	m, err := metric.New()
+	assert.NilError(t, err)
+	defer m.Close()
+	out := &blocked{Writer: new(safe), release: make(chan struct{})}
+	l := newLines(out, m)
+	log := zerolog.New(l)
+	for range 3 * ringLines {
+		log.Info().Msg("state")
+	}
+	requests := l.requests(log)
+	for range 2 * requestLines {
+		requests.Info().Msg("request")
+	}
+	close(out.release)
+	assert.NilError(t, l.Close())
+	written := strings.Count(out.Writer.(*safe).b.String(), "\n")
+	assert.Assert(t, written <= ringLines+1, written)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -77,6 +77,7 @@
 	sequence    uint64
 	ticks       int
 	lastBeat    time.Time
+	lastUses    time.Time
 	introduced  int
 	// leaving holds when the store said that targets are leaving or gone.
 	leaving map[place.Hash]time.Time
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,32 +1,76 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 )
 
-// encodeReport writes what this router announces about its requests.
+// encodeReport writes what this router announces about its requests, as far as
+// it fits a datagram: the targets with the most unread tokens first, then uses
+// by customer if they are due, then prompts placed; those that do not fit wait
+// for the next heartbeat.
 func encodeReport(hb *zinccovev1.Heartbeat, p *place.Placer, uses bool) {
-	for target, load := range p.Own() {
-		hb.Loads = append(hb.Loads, &zinccovev1.TargetLoad{
-			Target: uint32(target), Requests: uint32(load.Requests), Unread: uint32(load.Unread),
-		})
+	room := room{left: peer.MaxBody - proto.Size(hb)}
+	for _, load := range heaviest(p.Own()) {
+		if room.takes(load) {
+			hb.Loads = append(hb.Loads, load)
+		}
+	}
+	if uses {
+		for customer, use := range p.Uses() {
+			u := &zinccovev1.CustomerUse{Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked)}
+			if room.takes(u) {
+				hb.Uses = append(hb.Uses, u)
+			}
+		}
 	}
-	for _, r := range p.TakeReadings() {
+	p.TakeReadings(func(r place.Reading) bool {
 		reading := &zinccovev1.Reading{Target: uint32(r.Target), Unread: uint32(r.Unread)}
 		for _, part := range r.Parts {
 			reading.Parts = append(reading.Parts, uint32(part))
 		}
+		if !room.takes(reading) {
+			return false
+		}
 		hb.Readings = append(hb.Readings, reading)
+		return true
+	})
+}
+
+// room is what is left of a datagram in bytes.
+type room struct{ left int }
+
+// itemOverhead is the key and length of an item of a list in bytes.
+const itemOverhead = 3
+
+// takes reports whether an item fits, and reserves its place.
+func (r *room) takes(m proto.Message) bool {
+	size := proto.Size(m) + itemOverhead
+	if size > r.left {
+		return false
 	}
-	if !uses {
-		return
-	}
-	for customer, use := range p.Uses() {
-		hb.Uses = append(hb.Uses, &zinccovev1.CustomerUse{
-			Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked),
+	r.left -= size
+	return true
+}
+
+// heaviest returns loads, those with the most unread tokens first.
+func heaviest(own map[place.Hash]place.Load) []*zinccovev1.TargetLoad {
+	loads := make([]*zinccovev1.TargetLoad, 0, len(own))
+	for target, load := range own {
+		loads = append(loads, &zinccovev1.TargetLoad{
+			Target: uint32(target), Requests: uint32(load.Requests), Unread: uint32(load.Unread),
 		})
 	}
+	slices.SortFunc(loads, func(a, b *zinccovev1.TargetLoad) int {
+		return cmp.Or(cmp.Compare(b.Unread, a.Unread), cmp.Compare(b.Requests, a.Requests))
+	})
+	return loads
 }
 
 // decodeReport reads what another router announces.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,8 @@
 	// MaxSize is the largest datagram sent, in bytes; it crosses common
 	// networks in one piece.
 	MaxSize = 1400
+	// MaxBody is the largest encoded heartbeat.
+	MaxBody = MaxSize - tagSize
 )
 
 // ErrTooLarge means that a heartbeat does not fit a datagram.
--- a/place/kept.go
+++ b/place/kept.go
@@ -1,6 +1,10 @@
 package place
 
-import "zinccove.example/zinccove/message"
+import (
+	"slices"
+
+	"zinccove.example/zinccove/message"
+)
 
 // kept remembers which shared parts of prompts a target has read. Engines
 // forget the parts that were not used for longest, so a part counts as kept
@@ -99,15 +103,21 @@
 	Unread int
 }
 
-// maxReadings bounds the readings that wait to be announced; a heartbeat
-// carries about as many.
-const maxReadings = 40
+// maxReadings bounds the readings that wait to be announced: what a router
+// places in some heartbeats at its full load.
+const maxReadings = 200
 
-// TakeReadings returns the prompts placed since the last call.
-func (p *Placer) TakeReadings() []Reading {
+// TakeReadings hands the prompts placed since the last call to take, in order.
+// Those from the first that take does not want wait for the next call.
+func (p *Placer) TakeReadings(take func(Reading) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.readings
-	p.readings = nil
-	return list
+	taken := 0
+	for _, r := range p.readings {
+		if !take(r) {
+			break
+		}
+		taken++
+	}
+	p.readings = slices.Delete(p.readings, 0, taken)
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -131,7 +131,10 @@
 	assert.Equal(t, d.Unread, 20_010)
 	d.Run.End(Cancelled)
 	other, _ := newTestPlacer(t)
-	other.SetPeer("p", Report{Readings: p.TakeReadings()})
+	var readings []Reading
+	p.TakeReadings(func(r Reading) bool { readings = append(readings, r); return true })
+	p.TakeReadings(func(Reading) bool { t.Error("taken twice"); return true })
+	other.SetPeer("p", Report{Readings: readings})
 	assert.Equal(t, other.Place(ask(c, "c")).Unread, 10)
 }
 
