--- a/follow/follow.go
+++ b/follow/follow.go
@@ -22,7 +22,8 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// Options configure a follower of batches of type B. All are required.
+// Options configure a follower of batches of type B. All but Settle are
+// required.
 type Options[B any] struct {
 	Clock clockwork.Clock
 	// Snapshot reads the whole table and returns the version it is of.
@@ -41,8 +42,8 @@
 	// Alive is called with each success.
 	Alive func()
 	// Settle is how long to wait after changes before asking for more, so that
-	// changes in quick succession come in one answer; 0 asks at once.
-	Settle time.Duration
+	// changes in quick succession come in one answer; nil asks at once.
+	Settle func() time.Duration
 }
 
 const (
@@ -100,8 +101,8 @@
 		return nil
 	}
 	f.options.Changed(batch)
-	if f.options.Settle > 0 {
-		f.rest(ctx, f.options.Settle)
+	if f.options.Settle != nil {
+		f.rest(ctx, f.options.Settle())
 	}
 	return nil
 }
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -147,6 +147,7 @@
 		all = append(all, h.Status(now))
 	}
 	l.published.Store(&all)
+	g.routers.Store(int64(reachable))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
 	g.metrics.Set(metric.HostsReachable, float64(reachable))
 	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -57,10 +57,21 @@
 	return follow.Run(ctx, o)
 }
 
-// targetsSettle collects changes of targets that come in quick succession, as
-// when many start: each answer of the store has its price. Targets that leave
-// serve for seconds after they said so.
-const targetsSettle = 400 * time.Millisecond
+const (
+	// leastSettle and mostSettle bound the time for which changes of targets are
+	// collected, as when many start: each answer of the store has its price, and
+	// each change would have one for every router. Targets that leave serve for
+	// at least two seconds after they said so.
+	leastSettle = 400 * time.Millisecond
+	mostSettle  = time.Second
+	// routerSettle is the part of it for each router.
+	routerSettle = 16 * time.Millisecond
+)
+
+// settle is how long changes of targets are collected.
+func (g *Gateway) settle() time.Duration {
+	return min(max(time.Duration(g.routers.Load())*routerSettle, leastSettle), mostSettle)
+}
 
 // followTargets follows the targets' entries.
 func (g *Gateway) followTargets(ctx context.Context) error {
@@ -68,7 +79,7 @@
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
-	o.Settle = targetsSettle
+	o.Settle = g.settle
 	o.Lost = func(err error) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(err) }
 	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
 	return follow.Run(ctx, o)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	confirmed atomic.Pointer[time.Time]
 	storeLost atomic.Bool
 	stopping  atomic.Bool
+	// routers is the number of other routers that are reachable.
+	routers atomic.Int64
 
 	group errgroup.Group
 	stop  context.CancelFunc
