--- a/place/use.go
+++ b/place/use.go
@@ -26,6 +26,10 @@
 	// others, whose few refusals weigh more. Measured in docs/design/0007.
 	heavyFactor = 0.85
 	heavyRatio  = 2
+	// lightFactor is that for customers that ask for less than an even part divided
+	// by lightRatio.
+	lightFactor = 1.1
+	lightRatio  = 2
 )
 
 // ring holds one customer's use of this router by slots of time.
@@ -158,15 +162,24 @@
 	return s
 }
 
+// usual is the part of the usual limit for a customer that is not above its
+// share.
+func (s *shares) usual(u Use) float64 {
+	switch even := s.asked / max(len(s.uses), 1); {
+	case u.Asked > heavyRatio*even:
+		return heavyFactor
+	case u.Asked < even/lightRatio:
+		return lightFactor
+	}
+	return 1
+}
+
 // factor is the part of the usual limit for a customer: all of it up to the
-// level of fair sharing, less the further it is above, and a little less for
-// those who ask for much.
+// level of fair sharing, less the further it is above, a little less for those
+// who ask for much and a little more for those who ask for little.
 func (s *shares) factor(customer string) float64 {
 	u := s.uses[HashOf(customer)]
-	usual := 1.0
-	if u.Asked*len(s.uses) > heavyRatio*s.asked {
-		usual = heavyFactor
-	}
+	usual := s.usual(u)
 	if !s.pressed || u.Served <= s.level {
 		return usual
 	}
