--- a/gateway/report.go
+++ b/gateway/report.go
@@ -12,16 +12,12 @@
 )
 
 // encodeReport writes what this router announces about its requests, as far as
-// it fits a datagram: the targets with the most unread tokens first, then uses
-// by customer if they are due, then prompts placed; those that do not fit wait
-// for the next heartbeat.
+// it fits a datagram: uses by customer if they are due, then the targets with
+// the most unread tokens, then prompts placed; those that do not fit wait for
+// the next heartbeat. Uses come first, as shares computed without some routers'
+// uses are wrong for everybody.
 func encodeReport(hb *zinccovev1.Heartbeat, p *place.Placer, uses bool) {
 	room := room{left: peer.MaxBody - proto.Size(hb)}
-	for _, load := range heaviest(p.Own()) {
-		if room.takes(load) {
-			hb.Loads = append(hb.Loads, load)
-		}
-	}
 	if uses {
 		for customer, use := range p.Uses() {
 			u := &zinccovev1.CustomerUse{Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked)}
@@ -30,6 +26,11 @@
 			}
 		}
 	}
+	for _, load := range heaviest(p.Own()) {
+		if room.takes(load) {
+			hb.Loads = append(hb.Loads, load)
+		}
+	}
 	p.TakeReadings(func(r place.Reading) bool {
 		reading := &zinccovev1.Reading{Target: uint32(r.Target), Unread: uint32(r.Unread)}
 		for _, part := range r.Parts {
