--- a/place/use.go
+++ b/place/use.go
@@ -175,13 +175,15 @@
 }
 
 // factor is the part of the usual limit for a customer: all of it up to the
-// level of fair sharing, less the further it is above, a little less for those
-// who ask for much and a little more for those who ask for little.
+// level of fair sharing, less by the square the further it is above (the plain
+// ratio left a flood half of the places), a little less for those who ask for
+// much and a little more for those who ask for little.
 func (s *shares) factor(customer string) float64 {
 	u := s.uses[HashOf(customer)]
 	usual := s.usual(u)
 	if !s.pressed || u.Served <= s.level {
 		return usual
 	}
-	return min(max(float64(s.level)/float64(u.Served), leastFactor), usual)
+	over := float64(s.level) / float64(u.Served)
+	return min(max(over*over, leastFactor), usual)
 }
