Explain the relay's names and bring comments up to the code

Cause: read as by a newcomer, some comments and usage examples told what the code does not do any more (follow.Options has no Table; wire.go is package wire; the soak revokes its key from version 4, not the third; the relay's list of steps named functions that are gone), and some names needed explaining (mayImprove, promises, first/all, others).

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -77,9 +77,7 @@
 		if start < 0 {
 			continue
 		}
-		if err := l.take(sc.Bytes()[start:]); err != nil {
-			continue // not a line of a router
-		}
+		_ = l.take(sc.Bytes()[start:]) // an error means that no router wrote the line
 	}
 	return errs.Wrap(sc.Err(), "read log", "")
 }
@@ -108,6 +106,7 @@
 	return nil
 }
 
+// set takes one value of a line.
 func (x *line) set(name string, v *fastjson.Value) {
 	value := v.String()
 	if v.Type() == fastjson.TypeString {
@@ -158,8 +157,9 @@
 	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
 }
 
-// about names what a line without a request is the latest word on. Losing and
-// regaining the same thing is one matter.
+// about names the host and matter that a line without a request is about. Only
+// the latest line on a matter counts: losing and regaining the same thing, or
+// writing and removing a target's entry, are one matter.
 func (x *line) about() string {
 	matter := x.message
 	for _, word := range []string{" lost", " regained"} {
@@ -173,8 +173,8 @@
 	return x.host + "/" + matter + "/" + x.subject
 }
 
-// context returns the last word on each matter before the request, and all
-// words during it, of the hosts that handled it.
+// context returns the last line on each matter before the request, and all
+// lines during it, of the hosts that handled it.
 func (l *Life) context() (before, during []line) {
 	hosts, targets := make(map[string]bool), make(map[string]bool)
 	for _, x := range l.own {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,11 +6,12 @@
 //
 // # Usage
 //
-//	err := follow.Run(ctx, follow.Options{
-//		Table: "targets", Clock: clock, Snapshot: client.Snapshot, Feed: client.Feed,
-//		Whole: func(b platform.Batch) { ... }, // all rows
-//		Changed: func(b platform.Batch) { ... },
-//		Lost: func(err error) { ... }, Regained: func() { ... },
+//	err := follow.Run(ctx, follow.Options[platform.Batch]{
+//		Clock: clock, Snapshot: snapshot, Feed: feed, // calls of the client, bound to a table
+//		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
+//		Whole:       func(b platform.Batch) { ... }, // all rows
+//		Changed:     func(b platform.Batch) { ... }, // rows written or removed since
+//		Lost:        func(err error) { ... }, Regained: func() { ... }, Alive: func() { ... },
 //	})
 package follow
 
@@ -58,7 +59,7 @@
 	longestPause = 800 * time.Millisecond
 )
 
-// Run follows until ctx ends.
+// Run follows until ctx ends. It returns nil; failures go to Options.Lost.
 func Run[B any](ctx context.Context, o Options[B]) error {
 	f := follower[B]{options: o}
 	for ctx.Err() == nil {
@@ -69,11 +70,14 @@
 	return nil
 }
 
+// follower is the state of one Run.
 type follower[B any] struct {
 	options Options[B]
 	// since is the version followed from; known is set once the table was read.
 	since uint64
 	known bool
+	// lost is set from a failure to the next success; pause is the mean wait
+	// after the last failure.
 	lost  bool
 	pause time.Duration
 }
@@ -107,7 +111,7 @@
 	return nil
 }
 
-// rest waits, or until ctx ends.
+// rest waits for d, or until ctx ends.
 func (f *follower[B]) rest(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -47,6 +47,12 @@
 	reasonStopping   = "stopping"
 )
 
+// Reasons after an attempt; others are failureNames and the placer's reasons.
+const (
+	reasonCallerGone = "caller_gone"
+	reasonTimeLimit  = "time_limit"
+)
+
 // unknownRetry is when a caller may come back that this router cannot judge
 // because its table is missing or old: another router may know more.
 const unknownRetry = 200 * time.Millisecond
@@ -113,7 +119,7 @@
 	return f, nil
 }
 
-// unknown refuses what the table does not know. An old table does not prove
+// unknown refuses a route or key that the table lacks. An old table does not prove
 // that something does not exist.
 func unknown(view View, status int, reason string) *refusal {
 	if !view.Fresh {
@@ -122,7 +128,8 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// identify finds the customer.
+// identify finds the customer. A public route needs none and names none to the
+// target, also if the key is known.
 func (f *flight) identify(view View) *refusal {
 	customer := view.Table.Customer(f.call.Key)
 	if customer == nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -80,6 +80,8 @@
 	target.Rejected: place.Cancelled,
 }
 
+// fail describes a failure of the current attempt. Status is 0 if no answer told
+// one.
 func (f *flight) fail(kind target.Kind, status int, err error, step string) *target.Failure {
 	return &target.Failure{Kind: kind, Status: status, Err: errs.Wrap(err, step, f.run.Target.Address.String())}
 }
@@ -117,7 +119,7 @@
 	return ans, fail
 }
 
-// sending tells how far the request was sent.
+// sending tells whether the request was sent whole.
 type sending struct {
 	done atomic.Bool
 }
@@ -181,7 +183,7 @@
 	switch {
 	case ans.facts.NotRun || status == fasthttp.StatusMisdirectedRequest:
 		return nil, f.fail(target.Refused, status, errNotRun, "read answer")
-	case promises(status):
+	case saysNotRun(status):
 		return nil, f.fail(target.Broken, status, errNoPromise, "read answer")
 	case status < fasthttp.StatusMultipleChoices && !ans.facts.Signed:
 		return nil, f.fail(target.Broken, status, errUnsigned, "read answer")
@@ -196,16 +198,17 @@
 		return nil, f.fail(target.Broken, status, err, "read answer")
 	}
 	if status >= fasthttp.StatusInternalServerError {
-		f.run.End(place.Faulty)
+		f.run.End(place.Faulty) // the later End has no effect then
 	}
 	f.run.End(place.Answered)
 	f.finish(c, ans, body, sent)
 	return ans, nil
 }
 
-// promises reports whether a status tells a caller that its request did not
-// run.
-func promises(status int) bool {
+// saysNotRun reports whether callers take a status alone as a promise that their
+// request did not run. A target that sends it without making the promise in a
+// header may have run the request.
+func saysNotRun(status int) bool {
 	switch status {
 	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
 		return true
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -20,6 +20,7 @@
 type cause int
 
 const (
+	// running: it was not ended from outside.
 	running cause = iota
 	// callerGone: the caller closed its connection.
 	callerGone
@@ -37,28 +38,33 @@
 	received time.Time
 	call     message.Call
 	// version is that of the table that the request was admitted with.
-	version  uint64
-	route    *route.Route
-	service  string
+	version uint64
+	route   *route.Route
+	service string
+	// engine tells that the service runs model engines, which answer in streams.
 	engine   bool
 	customer string
+	// hideKey keeps the caller's API key from the target.
 	hideKey  bool
 	deadline time.Time
 	life     *request.Request
-	tried    []string
+	// tried are the ids of the targets of all attempts, the current one last.
+	tried []string
 	// held is how long the request was held back before the last decision.
 	held     time.Duration
 	decision place.Decision
 
-	// run and link belong to the current attempt.
+	// run is the current attempt.
 	run *place.Run
 	// firstEvent is the time from acceptance to the first event of a stream.
 	firstEvent time.Duration
 
-	mu   sync.Mutex
+	// What follows may be used by other goroutines, under mu.
+	mu sync.Mutex
+	// link is the connection of the current attempt, nil between attempts.
 	link *link.Conn
-	// at is the run that link belongs to, sent when it began; attempts counts
-	// them.
+	// at is the run that link belongs to, sent when it got the connection;
+	// attempts counts those that got one.
 	at       *place.Run
 	sent     time.Time
 	attempts int
@@ -83,7 +89,7 @@
 			f.passStream(ctx, ans)
 			return
 		}
-		if f.mayImprove(ans) {
+		if f.nextAfterAnswer(ans) {
 			continue
 		}
 		f.passWhole(ctx, ans)
@@ -91,10 +97,10 @@
 	}
 }
 
-// mayImprove gives a request to another target whose answer is a failure of
-// the target's own, if the request may be repeated. Otherwise that answer is
-// the caller's.
-func (f *flight) mayImprove(ans *answer) bool {
+// nextAfterAnswer decides whether another target is tried after an answer that
+// is a failure of the target's own (status 500 and above). If not, the caller
+// gets that answer.
+func (f *flight) nextAfterAnswer(ans *answer) bool {
 	status := ans.header.StatusCode()
 	if status < fasthttp.StatusInternalServerError {
 		return false
@@ -103,7 +109,7 @@
 	if !f.route.Repeats() || !f.life.MayRetry(target.Broken, now) || !f.server.options.Retries.Take() {
 		return false
 	}
-	f.server.logAttempt(f, "target_error", status, nil)
+	f.server.logAttempt(f, failureOfTarget, status, nil)
 	f.life.Fail(target.Broken, now, func() bool { return true })
 	return true
 }
@@ -126,6 +132,10 @@
 	return f.life.Fail(fail.Kind, f.server.options.Clock.Now(), take) == request.Retry
 }
 
+// failureOfTarget is the name in logs of an answer of status 500 and above.
+const failureOfTarget = "target_error"
+
+// failureNames are the names of failures in logs and refusals.
 var failureNames = map[target.Kind]string{
 	target.NotSent:  "not_sent",
 	target.Refused:  "refused_by_target",
@@ -142,13 +152,13 @@
 	r := &refusal{reason: failureNames[fail.Kind]}
 	switch {
 	case f.interrupted() == callerGone:
-		f.end(ctx, &refusal{status: fasthttp.StatusBadGateway, reason: "caller_gone"})
+		f.end(ctx, &refusal{status: fasthttp.StatusBadGateway, reason: reasonCallerGone})
 		ctx.SetConnectionClose()
 		return
 	case f.life.Outcome() == request.NotRun:
 		r.status, r.retryAfter = fasthttp.StatusServiceUnavailable, busyRetry
 	case f.interrupted() == timeUp:
-		r.status, r.reason = fasthttp.StatusGatewayTimeout, "time_limit"
+		r.status, r.reason = fasthttp.StatusGatewayTimeout, reasonTimeLimit
 	default:
 		r.status = fasthttp.StatusBadGateway
 	}
@@ -165,6 +175,7 @@
 	f.end(ctx, r)
 }
 
+// end answers with a refusal and ends the request.
 func (f *flight) end(ctx *fasthttp.RequestCtx, r *refusal) {
 	f.server.logRefused(f, r)
 	r.write(ctx)
--- a/relay/log.go
+++ b/relay/log.go
@@ -10,7 +10,7 @@
 	"zinccove.example/zinccove/target"
 )
 
-// event starts a line about a request.
+// event adds to a line what every line about a request tells.
 func (s *Server) event(e *zerolog.Event, f *flight) *zerolog.Event {
 	e = e.Str("request", f.call.ID).Uint64("config", f.version)
 	if f.route != nil {
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -39,7 +39,7 @@
 }
 
 // bound returns the longest time that a stream is expected to last after its
-// first event; 0 allowed tokens are not bounded.
+// first event, and false if its caller did not bound the tokens.
 func (p *pace) bound(c *message.Call) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,8 +13,8 @@
 //	target, or refusal           place.Placer
 //	connection                   link.Pool
 //	send, read the answer's head attempt (attempt.go)
-//	another target, if allowed   flight.next (flight.go)
-//	answer or events             whole, stream (answer.go, stream.go)
+//	another target, if allowed   next, nextAfterAnswer (flight.go)
+//	answer or events             passWhole, passStream (answer.go, stream.go)
 //	caller gone, time is up      look (look.go), which ends the attempt
 //	one log line for each step   log.go
 //
@@ -97,7 +97,7 @@
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
-	// last is when the last request arrived.
+	// last is when the last admitted request arrived.
 	last time.Time
 }
 
@@ -169,6 +169,7 @@
 	f.serve(ctx)
 }
 
+// enter counts a request as running until leave.
 func (s *Server) enter(f *flight) {
 	s.options.Metrics.Inc(metric.RequestsReceived)
 	s.mu.Lock()
@@ -221,6 +222,8 @@
 	drainPeriod = 20 * time.Millisecond
 )
 
+// drain waits until nothing runs and nothing more is expected, or until the
+// stop limit.
 func (s *Server) drain(began time.Time) {
 	clock := s.options.Clock
 	for {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -129,14 +129,14 @@
 	}
 }
 
-// endRouter ends a router and starts it again.
+// endRouter ends a router when the fault is mended, and starts it again.
 func (r *run) endRouter(end func(*fleet.Process)) (func() error, error) {
 	router := r.router()
 	if router.Ended() {
 		return nothing, nil
 	}
 	process := router.Process
-	others := r.site.Routers[(r.draw.IntN(len(r.site.Routers)))].Peer
+	seed := r.router().Peer
 	return func() error {
 		thaw(process)() //nolint:errcheck // it may have ended
 		end(process)
@@ -145,7 +145,7 @@
 		if router.Process != process {
 			return nil
 		}
-		return router.Restart(others)
+		return router.Restart(seed)
 	}, nil
 }
 
@@ -183,12 +183,14 @@
 	return nothing, r.startTarget(services[r.draw.IntN(len(services))], r.draw.IntN(r.options.Routers))
 }
 
-// reconfigure writes a new version, without the key that is to be revoked from
-// the third on.
+// revokedFrom is the first version of the configuration without the revoked key.
+const revokedFrom = 4
+
+// reconfigure writes a new version.
 func (r *run) reconfigure() (func() error, error) {
 	r.version += 1 + r.draw.IntN(3)
 	keys := []string{key}
-	if r.version < 4 {
+	if r.version < revokedFrom {
 		keys = append(keys, revoked)
 	}
 	return nothing, r.site.Configure(routesite.Config(r.version, keys...))
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -224,11 +224,10 @@
 	if err != nil {
 		return err
 	}
-	first, all := 0, 0
+	runs := 0
 	for _, a := range r.answers {
 		n := ran[a.ID]
-		first++
-		all += n
+		runs += n
 		if n > 1 && routesite.Once(a.Path) {
 			r.violate("%s %s ran %d times", a.ID, a.Path, n)
 		}
@@ -236,15 +235,21 @@
 			r.violate("%s %s was told not run (%d), ran %d times", a.ID, a.Path, a.Status, n)
 		}
 	}
-	if float64(all-first) > retryRatio*float64(first)+retrySlack {
-		r.violate("%d runs for %d requests exceed the budget of repeats", all, first)
+	requests := len(r.answers)
+	if float64(runs-requests) > retryRatio*float64(requests)+retrySlack {
+		r.violate("%d runs for %d requests exceed the budget of repeats", runs, requests)
 	}
+	r.judgeLogs()
+	return nil
+}
+
+// judgeLogs looks for panics and data races in what the routers wrote.
+func (r *run) judgeLogs() {
 	for _, router := range r.site.Routers {
 		if strings.Contains(router.Output(), "panic:") || strings.Contains(router.Output(), "DATA RACE") {
 			r.violate("%s: %s", router.Name, router.Output())
 		}
 	}
-	return nil
 }
 
 func (r *run) violate(format string, args ...any) {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -125,7 +125,8 @@
 	ctx.Error("unknown path", fasthttp.StatusNotFound)
 }
 
-// step tells listings of one row and of routers from others.
+// stepOf returns the step that can be switched; listings of one row and of routers
+// have their own.
 func (r route) stepOf(ctx *fasthttp.RequestCtx) string {
 	switch {
 	case r.step != "list":
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -139,6 +139,11 @@
 		w.end(id, true)
 		return
 	}
+	w.serveStream(ctx, id, f)
+}
+
+// serveStream answers with the events after the one that the caller has.
+func (w *Worker) serveStream(ctx *fasthttp.RequestCtx, id string, f fault.Fault) {
 	s := &stream{worker: w, id: id, next: 1}
 	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
 		if n, err := fasthttp.ParseUint(last); err == nil {
