Judge a target only by attempts that were not ended from outside; count unknown outcomes

Cause (found by a reader of the diff): an attempt that ended because its caller left was noted as the target's failure before it was noted as cancelled, and only the first word counts; so callers that leave opened circuits. 502 and 504 were counted as not run. The soak said it checked for routers that end by themselves and looked for panics only.

Change: the result is chosen first; unknown outcomes have their counter; the soak inspects each router before it ends it.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/route"
 )
@@ -20,6 +21,16 @@
 	retryAfter time.Duration
 }
 
+// counter is what counts the refusal: a gateway's own failures leave open
+// whether the request ran.
+func (r *refusal) counter() metric.Counter {
+	switch r.status {
+	case fasthttp.StatusBadGateway, fasthttp.StatusGatewayTimeout:
+		return metric.RequestsUnknown
+	}
+	return metric.RequestsNotRun
+}
+
 // write answers with the refusal.
 func (r *refusal) write(ctx *fasthttp.RequestCtx) {
 	ctx.Response.ResetBody()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,10 +47,7 @@
 	s.logPlaced(f)
 	ans, fail := f.exchange(ctx, lastEvent)
 	if fail != nil {
-		d.Run.End(results[fail.Kind])
-		if f.interrupted() != running {
-			d.Run.End(place.Cancelled)
-		}
+		d.Run.End(f.result(fail.Kind))
 	}
 	return ans, fail, nil
 }
@@ -71,6 +68,15 @@
 	}
 }
 
+// result is what a failed attempt tells about the target: nothing if it was
+// ended from outside.
+func (f *flight) result(kind target.Kind) place.Result {
+	if f.interrupted() != running {
+		return place.Cancelled
+	}
+	return results[kind]
+}
+
 // results tells the placer how an attempt failed.
 var results = map[target.Kind]place.Result{
 	target.NotSent:  place.Failed,
--- a/relay/log.go
+++ b/relay/log.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/target"
 )
@@ -49,7 +48,7 @@
 
 // logRefused tells how a request ended that no target answered.
 func (s *Server) logRefused(f *flight, r *refusal) {
-	s.options.Metrics.Inc(metric.RequestsNotRun)
+	s.options.Metrics.Inc(r.counter())
 	e := s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).
 		Dur("retry_after_ms", r.retryAfter).Dur("took_ms", s.options.Clock.Since(f.received))
 	if r.reason == string(place.Overloaded) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/route"
 )
 
@@ -401,3 +402,39 @@
 	assert.Assert(t, time.Since(sent) < time.Second)
 	assert.Equal(t, calls.Load(), int32(2))
 }
+
+// TestCallersThatLeaveDoNotSpeakAgainstTheTarget held a fault that a reader
+// found: attempts ended from outside were counted as failures of the target.
+func TestCallersThatLeaveDoNotSpeakAgainstTheTarget(t *testing.T) {
+	serve := func(a *arrival, c net.Conn) bool {
+		if a.id() == "leaves" {
+			c.Read(make([]byte, 1))
+			return false
+		}
+		return answers(a, c)
+	}
+	stays, other := newTarget(t, "t1", serve), newTarget(t, "t2", serve)
+	s := newSite(t, stays, other)
+	for range 6 {
+		before := len(stays.seen()) + len(other.seen())
+		c := s.dial(t)
+		c.send("POST", "/once/", "leaves", "b")
+		eventually(t, "the request runs", func() bool { return len(stays.seen())+len(other.seen()) > before })
+		c.Close()
+		eventually(t, "nothing runs", func() bool { return s.Running() == 0 })
+	}
+	used := len(stays.seen())
+	for range 12 {
+		assert.Equal(t, s.ask(t, "POST", "/once/", "stays", "b").header.StatusCode(), 200)
+	}
+	got := len(stays.seen()) - used
+	assert.Assert(t, got > 0 && got < 12, "both targets are used: %d of 12", got)
+}
+
+func TestOutcomesAreCountedApart(t *testing.T) {
+	for status, want := range map[int]metric.Counter{
+		502: metric.RequestsUnknown, 504: metric.RequestsUnknown, 429: metric.RequestsNotRun, 503: metric.RequestsNotRun, 404: metric.RequestsNotRun,
+	} {
+		assert.Equal(t, (&refusal{status: status}).counter(), want)
+	}
+}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -132,14 +133,17 @@
 // endRouter ends a router when the fault is mended, and starts it again.
 func (r *run) endRouter(end func(*fleet.Process)) (func() error, error) {
 	router := r.router()
-	if router.Ended() {
+	process := router.Process
+	r.inspect(process)
+	if process.Ended() {
 		return nothing, nil
 	}
-	process := router.Process
 	seed := r.router().Peer
 	return func() error {
 		thaw(process)() //nolint:errcheck // it may have ended
+		r.expectEnd(process)
 		end(process)
+		r.inspect(process)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if router.Process != process {
@@ -149,6 +153,26 @@
 	}, nil
 }
 
+// expectEnd notes that the run is about to end a router.
+func (r *run) expectEnd(p *fleet.Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended[p] = true
+}
+
+// inspect looks for a router that ended by itself, for panics and data races.
+func (r *run) inspect(p *fleet.Process) {
+	r.mu.Lock()
+	expected := r.ended[p]
+	r.mu.Unlock()
+	if p.Ended() && !expected {
+		r.violate("%s ended by itself: %s", p.Name, p.Output())
+	}
+	if strings.Contains(p.Output(), "panic:") || strings.Contains(p.Output(), "DATA RACE") {
+		r.violate("%s: %s", p.Name, p.Output())
+	}
+}
+
 func (r *run) killRouter(p *fleet.Process) {
 	r.mu.Lock()
 	r.killed[p] = true
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -31,7 +31,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -82,7 +81,9 @@
 	// refusedKey holds when each life of a router first refused the revoked key.
 	refusedKey map[*fleet.Process]time.Time
 	// killed are the routers that the run killed, maybe during a planned stop.
-	killed  map[*fleet.Process]bool
+	killed map[*fleet.Process]bool
+	// ended are the routers that the run ended, in either way.
+	ended   map[*fleet.Process]bool
 	stopped bool
 	version int
 	// lives counts the targets that were started.
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), version: 1}
+	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), version: 1}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -239,17 +240,10 @@
 	if float64(runs-requests) > retryRatio*float64(requests)+retrySlack {
 		r.violate("%d runs for %d requests exceed the budget of repeats", runs, requests)
 	}
-	r.judgeLogs()
-	return nil
-}
-
-// judgeLogs looks for panics and data races in what the routers wrote.
-func (r *run) judgeLogs() {
 	for _, router := range r.site.Routers {
-		if strings.Contains(router.Output(), "panic:") || strings.Contains(router.Output(), "DATA RACE") {
-			r.violate("%s: %s", router.Name, router.Output())
-		}
+		r.inspect(router.Process)
 	}
+	return nil
 }
 
 func (r *run) violate(format string, args ...any) {
