Work out a prompt's own size once

Cause: the size of the part that no other prompt shares was summed up to three times for each placing, beside message.Call.SharedTokens, which sums the rest.

Change: newPrompt keeps it, from SharedTokens. Behaviour stays.

Measured: vet, staticcheck of place; tests of place, gateway, relay and roster pass.

--- a/place/home.go
+++ b/place/home.go
@@ -22,7 +22,7 @@
 	limit := time.Duration(float64(r.Objective)*admitShare*share) - r.Waited
 	best := s.cheapest(homes, &pr)
 	d := Decision{
-		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread, Shared: best.unread - pr.own(),
+		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread, Shared: best.unread - pr.own,
 		Outstanding: best.target.outstanding(), Predicted: best.predicted,
 	}
 	use := Use{Asked: cost}
@@ -80,7 +80,7 @@
 	for rank, t := range homes {
 		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens)}
 		c.predicted = s.speed.predict(t.unread() + c.unread)
-		again := s.speed.reading(c.unread - pr.own())
+		again := s.speed.reading(c.unread - pr.own)
 		c.cost = c.predicted + time.Duration(againWeight*float64(again)) + time.Duration(rank)*moveMargin
 		if best.target == nil || c.cost < best.cost {
 			best = c
--- a/place/kept.go
+++ b/place/kept.go
@@ -63,6 +63,8 @@
 	shared []Hash
 	sizes  []int
 	total  int
+	// own is the size of the part that no other prompt shares, at least 1.
+	own int
 }
 
 func newPrompt(c *message.Call) prompt {
@@ -71,6 +73,7 @@
 		p.shared = append(p.shared, HashOf(c.Parts[i].ID))
 		p.sizes = append(p.sizes, c.Parts[i].Tokens)
 	}
+	p.own = max(p.total-c.SharedTokens(), 1)
 	return p
 }
 
@@ -87,15 +90,6 @@
 	return max(left, 1)
 }
 
-// own is the size of the part that no other prompt shares.
-func (p *prompt) own() int {
-	own := p.total
-	for _, size := range p.sizes {
-		own -= size
-	}
-	return max(own, 1)
-}
-
 // Reading is a prompt that was placed at a target.
 type Reading struct {
 	Target Hash
