Take callers that left out of the circuit of their target

Cause: flow.failed gave the slot back as failed before it looked whether the caller had left. Three callers in a row that left during their streams opened the circuit of the only engine for up to 15 s; the next request waited in the queue until its deadline and was told not_run. That is what TestCallersThatGoAwayHarmNobody showed once in three runs under the race detector.

Ruled out: the queue's limit (the leavers' places are given up at once), a refusal by the engine (it counts none).

Change: the caller is looked at first, as in package relay.

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -169,12 +169,14 @@
 		f.server.options.Metrics.Inc(metric.AttemptsCrossed)
 	}
 	f.submit.Avoid = f.slot.Target().Number
-	f.release(results[fail.Kind])
 	now := f.server.options.Clock.Now()
 	if f.callerGone() {
+		// The attempt was ended from here, which says nothing of the target.
+		f.release(dispatch.Cancelled)
 		f.request.GiveUp(true)
 		return f.refused(refuse(CodeCallerGone, "the caller went away"))
 	}
+	f.release(results[fail.Kind])
 	if f.request.Fail(fail.Kind, now, f.server.retries.Take) == request.Retry {
 		f.backOff()
 		return nil
