Look at a target once more before the request is sent

Ruled out: a choice among leaving targets (grade leaves them out).

Change: place.Run.Leaving is asked when the connection is there; the request goes to another target, which costs neither an attempt nor the retry budget.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,6 +94,7 @@
 
 var (
 	errInterrupted = eris.New("request ended before it was sent")
+	errLeft        = eris.New("target left before the request was sent")
 	errUnsigned    = eris.New("answer without signature")
 	errCrossed     = eris.New("answer of another request")
 	errNotRun      = eris.New("target did not run the request")
@@ -116,6 +117,13 @@
 		c.Close() //nolint:errcheck // nothing was sent
 		return nil, f.fail(target.NotSent, 0, errInterrupted, "connect")
 	}
+	// On a busy host some time can pass since the target was chosen.
+	if f.run.Leaving() {
+		f.run.End(place.Cancelled) // the later End has no effect then
+		f.detach()
+		c.Close() //nolint:errcheck // nothing was sent
+		return nil, f.fail(target.NotSent, 0, errLeft, "connect")
+	}
 	sending := f.send(ctx, c, lastEvent)
 	ans, fail := f.receive(ctx, c, sending)
 	if fail != nil {
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -155,7 +155,9 @@
 // site is a server before targets.
 type site struct {
 	*Server
-	table *route.Table
+	// targets is what the placer was given.
+	targets []*roster.Target
+	table   *route.Table
 	fresh bool
 	mu    sync.Mutex
 }
@@ -166,6 +168,17 @@
 	return View{Table: s.table, Fresh: s.fresh}
 }
 
+// leave marks the targets at an address as draining.
+func (s *site) leave(addr netip.AddrPort) {
+	var list []*roster.Target
+	for _, known := range s.targets {
+		t := *known
+		t.Draining = t.Draining || t.Address == addr
+		list = append(list, &t)
+	}
+	s.options.Placer.SetTargets(list, s.view().Table)
+}
+
 func (s *site) set(table *route.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,22 +220,25 @@
 	return table
 }
 
-func newSite(t *testing.T, targets ...*fakeTarget) *site {
+func newSite(t *testing.T, targets ...*fakeTarget) *site { return newSiteDialling(t, nil, targets...) }
+
+// newSiteDialling returns a site that connects to targets in its own way; nil
+// is the usual one.
+func newSiteDialling(t *testing.T, dial func(netip.AddrPort) (net.Conn, error), targets ...*fakeTarget) *site {
 	t.Helper()
 	s := &site{table: newTable(t, spec()), fresh: true}
 	clock := clockwork.NewRealClock()
 	metrics, err := metric.New()
 	assert.NilError(t, err)
 	placer := place.New(place.Options{Clock: clock})
-	var list []*roster.Target
 	for _, f := range targets {
 		addr := f.listener.Addr().(*net.TCPAddr).AddrPort()
 		for _, service := range []string{"plain", "model"} {
-			list = append(list, &roster.Target{ID: f.id + "-" + service, Service: service, Address: addr, Slots: 8})
+			s.targets = append(s.targets, &roster.Target{ID: f.id + "-" + service, Service: service, Address: addr, Slots: 8})
 		}
 	}
-	placer.SetTargets(list, s.table)
-	links := link.NewPool(link.Options{Clock: clock})
+	placer.SetTargets(s.targets, s.table)
+	links := link.NewPool(link.Options{Clock: clock, Dial: dial})
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
 		View: s.view, Placer: placer, Links: links, Retries: request.NewBudget(1, 100),
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -147,6 +148,29 @@
 	}
 }
 
+// TestTargetThatLeavesBeforeTheRequestIsSentGetsNothing has a target say that it
+// leaves while the router connects to it.
+func TestTargetThatLeavesBeforeTheRequestIsSentGetsNothing(t *testing.T) {
+	targets := []*fakeTarget{newTarget(t, "t1", answers), newTarget(t, "t2", answers)}
+	var s *site
+	var left netip.AddrPort
+	s = newSiteDialling(t, func(to netip.AddrPort) (net.Conn, error) {
+		if !left.IsValid() {
+			left = to
+			s.leave(to)
+		}
+		return net.Dial("tcp", to.String())
+	}, targets...)
+	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
+	for _, f := range targets {
+		want := 1
+		if f.listener.Addr().String() == left.String() {
+			want = 0
+		}
+		assert.Equal(t, len(f.seen()), want)
+	}
+}
+
 func TestLateAnswerOfAnotherRequestIsReadOver(t *testing.T) {
 	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
 		if a.id() == "r2" {
