Admit where nothing waits, and learn outliers as bounded

Ruled out: shares (factor 0.85), old reports (470 ms), held back requests (none).

Change: a target with no unread tokens takes a request whatever is expected; a first event is learned as at most 400 ms later than expected.

--- a/place/home.go
+++ b/place/home.go
@@ -91,8 +91,13 @@
 
 // admits reports whether a target is expected to make a limit. What waits is
 // bounded apart, so that short prompts leave room for long ones. Prompts too
-// long for any target to make the limit are admitted where little waits.
+// long for any target to make the limit are admitted where little waits, and
+// all where nothing waits: a refusal would leave the target idle, and a router
+// that expects too much would learn nothing any more.
 func (s *service) admits(d Decision, limit time.Duration) bool {
+	if d.Backlog == 0 {
+		return true
+	}
 	waits := s.speed.predict(d.Backlog)
 	if d.Predicted <= limit {
 		return waits <= time.Duration(float64(limit)*waitShare)
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -109,6 +109,20 @@
 	assert.Equal(t, p.Place(ask(long, "c")).Reason, Overloaded)
 }
 
+// TestIdleTargetsTakeRequestsWhateverIsExpected has every request take far
+// longer than its objective. Refusing them while nothing waits at the targets
+// would end the learning, so the router would never find out that they recovered.
+func TestIdleTargetsTakeRequestsWhateverIsExpected(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	for i := range 100 {
+		d := p.Place(ask(call(fmt.Sprint(i), 100*i, 10), "c"))
+		assert.Assert(t, d.Run != nil, "request %d, expected time %v", i, d.Predicted)
+		clock.Advance(2*time.Second + time.Duration(2*i)*time.Millisecond)
+		d.Run.FirstEvent()
+		d.Run.End(Answered)
+	}
+}
+
 func TestWorkOfOtherRoutersCounts(t *testing.T) {
 	p, clock := newTestPlacer(t)
 	c := call("part", 1000, 10)
--- a/place/speed.go
+++ b/place/speed.go
@@ -27,6 +27,11 @@
 	readPart = 1.5
 	// minRequests is the number of requests after which the line is trusted.
 	minRequests = 30
+	// mostLate is the most in milliseconds that a request may be later than
+	// expected to be learned as it is; later ones are learned as late by that. Only
+	// faults make a prompt wait longer than the objectives of requests are long,
+	// and they say nothing about what waits.
+	mostLate = 400.0
 	// spreadTokens is the least spread of backlogs that gives a slope.
 	spreadTokens = 500.0
 )
@@ -45,6 +50,7 @@
 // backlog of unread tokens, its own included.
 func (s *speed) learn(tokens int, took time.Duration) {
 	x, y := float64(tokens), float64(took)/float64(time.Millisecond)
+	y = min(y, s.base+s.perToken*x+mostLate)
 	s.n = s.n*forget + 1
 	s.x = s.x*forget + x
 	s.y = s.y*forget + y
--- /dev/null
+++ b/place/speed_test.go
@@ -0,0 +1,43 @@
+package place
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// teach has s learn requests of up to 30,000 tokens at a target that needs 50 ms
+// and 0.02 ms a token; late of each hundred take three seconds longer.
+func teach(s *speed, requests, late int) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range requests {
+		tokens := rnd.IntN(30_000)
+		took := 50*time.Millisecond + time.Duration(tokens)*20*time.Microsecond
+		if rnd.IntN(100) < late {
+			took += 3 * time.Second
+		}
+		s.learn(tokens, took)
+	}
+}
+
+func TestSpeedIsLearned(t *testing.T) {
+	s := newSpeed()
+	s.guess(30_000)
+	teach(s, 300, 0)
+	assert.Assert(t, s.predict(0) > 40*time.Millisecond && s.predict(0) < 60*time.Millisecond, "%v", s.predict(0))
+	assert.Assert(t, s.predict(10_000) > 240*time.Millisecond && s.predict(10_000) < 260*time.Millisecond, "%v", s.predict(10_000))
+}
+
+// TestLateFirstEventsDoNotMoveTheLineMuch has some requests take far longer than
+// what waits explains, as at targets that fail.
+func TestLateFirstEventsDoNotMoveTheLineMuch(t *testing.T) {
+	s := newSpeed()
+	s.guess(30_000)
+	teach(s, 300, 0)
+	teach(s, 300, 15)
+	assert.Assert(t, s.predict(0) < 150*time.Millisecond, "%v", s.predict(0))
+	teach(s, 1000, 0)
+	assert.Assert(t, s.predict(0) < 60*time.Millisecond, "%v", s.predict(0))
+}
