Refuse streams while the process is behind

Cause: a flooding customer's connections all go to one router.

Ruled out: the last look at the target before sending (it came 3 s late itself); logging (lines written together: 4 % of the processor).

Change: the look at what runs measures how late it is, overdue looks included. From 40 to 120 ms of lag streams are refused in proportion, 503, not run, back in 50 ms at another router; plain calls go on.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -56,6 +56,7 @@
 	reasonStaleTable = "configuration_may_be_old"
 	reasonWrongKey   = "wrong_key"
 	reasonStopping   = "stopping"
+	reasonBusy       = "router_busy"
 )
 
 // Reasons after an attempt; others are failureNames and the placer's reasons.
@@ -72,6 +73,10 @@
 // stop; the balancer sends it to another one at once.
 const stoppingRetry = 20 * time.Millisecond
 
+// busyRouterRetry is when a caller may come back that reached a router at its
+// limit; the balancer sends it to another one.
+const busyRouterRetry = 50 * time.Millisecond
+
 // firstEventMargin is the time that a planned stop allows for the first event
 // of a stream.
 const firstEventMargin = time.Second
@@ -127,6 +132,9 @@
 		}
 	}
 	f.plan(view.Table)
+	if f.engine && s.lag.refuses() {
+		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonBusy, retryAfter: busyRouterRetry}
+	}
 	return f, nil
 }
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -158,8 +158,8 @@
 	// targets is what the placer was given.
 	targets []*roster.Target
 	table   *route.Table
-	fresh bool
-	mu    sync.Mutex
+	fresh   bool
+	mu      sync.Mutex
 }
 
 func (s *site) view() View {
--- /dev/null
+++ b/relay/lag.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// lag is how late this process does what is due, as of the last looks at what
+// runs. A host that gets more requests than its processor can carry falls
+// seconds behind: events reach callers late, requests are sent to targets that
+// left meanwhile, heartbeats are not read. Streams are refused before that, in
+// proportion to the lag; a stream costs many times what a refusal does, and the
+// caller comes back to another router.
+type lag struct {
+	clock clockwork.Clock
+	// last is the lag as of the last look in nanoseconds.
+	last atomic.Int64
+	// due is when the next look is due, nil before the first. A process that is
+	// far behind may not look for seconds.
+	due atomic.Pointer[time.Time]
+}
+
+const (
+	// leastLag is the lag from which on streams are refused: timers of a process
+	// that has time fire within some milliseconds.
+	leastLag = 40 * time.Millisecond
+	// mostLag is the lag at which all are: operators want events passed on within
+	// 120 ms.
+	mostLag = 120 * time.Millisecond
+	// lagForget is the part of the lag that is kept when the next look is in time,
+	// so that a short pause does not let everything in again.
+	lagForget = 0.5
+)
+
+// looked notes that a look at what runs begins, and when the next one is due.
+func (l *lag) looked(next time.Time) {
+	kept := time.Duration(lagForget * float64(l.last.Load()))
+	l.last.Store(int64(max(l.overdue(), kept)))
+	l.due.Store(&next)
+}
+
+// overdue is how late the next look is by now.
+func (l *lag) overdue() time.Duration {
+	due := l.due.Load()
+	if due == nil {
+		return 0
+	}
+	return l.clock.Since(*due)
+}
+
+// now returns the lag.
+func (l *lag) now() time.Duration { return max(time.Duration(l.last.Load()), l.overdue()) }
+
+// refuses draws whether a stream is refused.
+func (l *lag) refuses() bool {
+	over := l.now() - leastLag
+	return over > 0 && rand.Float64() < over.Seconds()/(mostLag-leastLag).Seconds()
+}
--- /dev/null
+++ b/relay/lag_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// newTestLag returns a lag whose next look is due now.
+func newTestLag() (*lag, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	l := &lag{clock: clock}
+	l.looked(clock.Now())
+	return l, clock
+}
+
+func TestLagRefusesInProportion(t *testing.T) {
+	for _, tc := range []struct {
+		late        time.Duration
+		least, most int
+	}{
+		{0, 0, 0},
+		{leastLag, 0, 0},
+		{(leastLag + mostLag) / 2, 400, 600},
+		{mostLag, 1000, 1000},
+		{time.Minute, 1000, 1000},
+	} {
+		l, clock := newTestLag()
+		clock.Advance(tc.late)
+		refused := 0
+		for range 1000 {
+			if l.refuses() {
+				refused++
+			}
+		}
+		assert.Assert(t, refused >= tc.least && refused <= tc.most, "%v late: %d of 1000 refused", tc.late, refused)
+	}
+}
+
+func TestLagIsForgottenByAndBy(t *testing.T) {
+	l, clock := newTestLag()
+	clock.Advance(mostLag)
+	l.looked(clock.Now())
+	l.looked(clock.Now())
+	assert.Assert(t, l.now() > leastLag)
+	for range 10 {
+		l.looked(clock.Now())
+	}
+	assert.Assert(t, !l.refuses())
+}
+
+// TestLagCountsBeforeTheLateLook has a process that does not come to look at all.
+func TestLagCountsBeforeTheLateLook(t *testing.T) {
+	l, clock := newTestLag()
+	clock.Advance(time.Minute)
+	assert.Equal(t, l.now(), time.Minute)
+}
+
+// TestBusyRouterRefusesStreamsOnly has a router that is far behind: streams are
+// refused, not run, with when to come back; plain calls cost little and go on.
+func TestBusyRouterRefusesStreamsOnly(t *testing.T) {
+	f := newTarget(t, "t", answers)
+	s := newSite(t, f)
+	s.lag.last.Store(int64(time.Minute))
+	res := s.ask(t, "POST", "/model/", "r", "b")
+	assert.Equal(t, res.header.StatusCode(), 503)
+	assert.Assert(t, len(res.header.Peek("Retry-After")) > 0)
+	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
+	assert.Equal(t, len(f.seen()), 1)
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -51,8 +51,11 @@
 	s.options.Metrics.Inc(r.counter())
 	e := s.event(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).
 		Dur("retry_after_ms", r.retryAfter).Dur("took_ms", s.options.Clock.Since(f.received))
-	if r.reason == string(place.Overloaded) {
+	switch r.reason {
+	case string(place.Overloaded):
 		e = f.decided(e)
+	case reasonBusy:
+		e = e.Dur("lag_ms", s.lag.now())
 	}
 	e.Msg("request refused")
 }
--- a/relay/look.go
+++ b/relay/look.go
@@ -16,14 +16,14 @@
 // look ends requests whose caller is gone or whose time is up, until the
 // server stops.
 func (s *Server) look() error {
-	tick := s.options.Clock.NewTicker(lookPeriod)
-	defer tick.Stop()
+	clock := s.options.Clock
 	for {
+		s.lag.looked(clock.Now().Add(lookPeriod))
+		s.lookOnce()
 		select {
 		case <-s.stop:
 			return nil
-		case <-tick.Chan():
-			s.lookOnce()
+		case <-clock.After(lookPeriod):
 		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,7 @@
 	stopped atomic.Pointer[time.Time]
 	stop    chan struct{}
 	pace    pace
+	lag     lag
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
@@ -116,7 +117,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{})}
+	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		Concurrency:                  o.Limits.Connections,
