Collect changes of targets as long as their drain allows

Ruled out: a longer hold of feeds (a connection whose answer was lost is noticed by the hold only).

Change: settings [targets] drain and heartbeat, filled by the platform. All routers together ask about 20 times a second.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -58,19 +58,28 @@
 }
 
 const (
-	// leastSettle and mostSettle bound the time for which changes of targets are
-	// collected, as when many start: each answer of the store has its price, and
-	// each change would have one for every router. Targets that leave serve for
-	// at least two seconds after they said so.
-	leastSettle = 400 * time.Millisecond
-	mostSettle  = time.Second
-	// routerSettle is the part of it for each router.
-	routerSettle = 16 * time.Millisecond
+	// leastSettle is the least time for which changes of targets are collected.
+	leastSettle = 100 * time.Millisecond
+	// routerSettle is that time for each router: each answer of the store has its
+	// price, and each change would have one for every router. All routers together
+	// so ask for changes about 20 times a second, however many they are.
+	routerSettle = 50 * time.Millisecond
+	// drainMargin is what is left of the time in which a target that left must be
+	// left alone, for the store's answer and for requests on their way.
+	drainMargin = 400 * time.Millisecond
 )
 
-// settle is how long changes of targets are collected.
+// settleTime is how long a fleet of so many other routers collects changes of
+// targets. An entry that goes is kept for a heartbeat of its target; together
+// they stay below the time after which the target must get nothing new.
+func settleTime(routers int, drain, heartbeat time.Duration) time.Duration {
+	most := drain - heartbeat - drainMargin
+	return max(min(time.Duration(routers)*routerSettle, most), leastSettle)
+}
+
+// settle is how long this router collects changes of targets.
 func (g *Gateway) settle() time.Duration {
-	return min(max(time.Duration(g.routers.Load())*routerSettle, leastSettle), mostSettle)
+	return settleTime(int(g.routers.Load()), g.settings.TargetDrain, g.settings.TargetHeartbeat)
 }
 
 // followTargets follows the targets' entries.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -54,6 +55,20 @@
 	assert.Equal(t, d.Unread, 100, "the shared part was read by the sender's request")
 }
 
+// TestSettledChangesAreInTimeForTheDrain holds that a target whose entry goes
+// unannounced is left alone in time.
+func TestSettledChangesAreInTimeForTheDrain(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for _, drain := range []time.Duration{1800 * time.Millisecond, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
+		for _, routers := range []int{0, 8, 58, 820} {
+			settle := settleTime(routers, drain, heartbeat)
+			assert.Assert(t, settle+heartbeat < drain, "drain %v, %d routers: %v", drain, routers, settle)
+		}
+	}
+	assert.Equal(t, settleTime(4, 10*time.Second, heartbeat), 200*time.Millisecond)
+	assert.Equal(t, settleTime(58, 10*time.Second, heartbeat), 2900*time.Millisecond)
+}
+
 // TestFullReportFitsADatagram is the case of a grown site: work at 140 targets
 // for 60 customers does not fit, and a heartbeat that is too large is lost.
 func TestFullReportFitsADatagram(t *testing.T) {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -38,11 +38,6 @@
 	// targetReturn is how long targets may take to write their entries again
 	// after the store was away, as the platform states.
 	targetReturn = 2 * time.Second
-	// targetRenewal is how long an entry that goes may take to come back: targets
-	// write about every 1.2 s. With the settling of changes in small fleets it
-	// stays below the two seconds after which a target that left must get nothing
-	// new.
-	targetRenewal = 1200 * time.Millisecond
 	// leavingFor is how long other routers are told of a target that leaves: as
 	// long as targets serve on and outages of single routers last.
 	leavingFor = 10 * time.Second
@@ -97,7 +92,7 @@
 		heartbeats:  make(chan received, inbox),
 		tasks:       make(chan func(*loop), inbox),
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
-		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: targetRenewal}),
+		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: g.settings.TargetHeartbeat}),
 		leaving:     make(map[place.Hash]departure),
 		removed:     make(map[string]uint64),
 		incarnation: rand.Uint64(),
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -64,6 +64,9 @@
 
 	number("limits", "memory-mb", 0, 0, 1<<20, "Memory of the process in MB, which the collector keeps well below; 0 leaves it open.", func(s *Settings) *int { return &s.MemoryMB }),
 
+	duration("targets", "drain", 2*time.Second, time.Second, time.Minute, "Time after which a target that said that it leaves, or whose entry went, must get nothing new.", func(s *Settings) *time.Duration { return &s.TargetDrain }),
+	duration("targets", "heartbeat", 1200*time.Millisecond, 100*time.Millisecond, time.Minute, "Time between two writes of a target's entry; an entry that goes is gone unless it is back by then.", func(s *Settings) *time.Duration { return &s.TargetHeartbeat }),
+
 	fraction("retry", "ratio", 0.2, 0, 1, "Most second attempts at a service over the requests for it, of all routers together.", func(s *Settings) *float64 { return &s.RetryRatio }),
 	number("retry", "slack", 50, 0, 1<<20, "Second attempts that all routers together may make beyond the ratio, in one window.", func(s *Settings) *int { return &s.RetrySlack }),
 	duration("retry", "window", 10*time.Second, time.Second, time.Minute, "Window of the retry limits.", func(s *Settings) *time.Duration { return &s.RetryWindow }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,11 @@
 
 	MemoryMB int
 
+	// TargetDrain is how long after a target's word or end it must get nothing new.
+	TargetDrain time.Duration
+	// TargetHeartbeat is the time between two writes of a target's entry.
+	TargetHeartbeat time.Duration
+
 	// RetryRatio and RetrySlack bound the second attempts of all routers in a
 	// RetryWindow.
 	RetryRatio  float64
