Take targets found at a start as warm

Cause: a restarted router knew nothing of what targets keep, counted all shared parts of prompts as unread and refused, while the targets kept them: after the loss of power of all hosts a fifth of the requests was refused for four seconds.

Ruled out: the start itself (targets and configuration 40 ms after the process).

Change: setting [fleet] first-start, filled by the platform. At any later start the first home counts as keeping parts of which nothing is known, for 10 s; targets that start later are cold.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 	g := &Gateway{
 		settings: s, clock: o.Clock, lines: l, metrics: metrics,
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
-		placer: place.New(place.Options{Clock: o.Clock}),
+		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}),
 		peers:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		store: platform.New(platform.Options{
@@ -166,7 +166,7 @@
 	g.group.Go(func() error { return g.followTargets(ctx) })
 	g.group.Go(func() error { return g.announce(ctx) })
 	g.log.Info().Stringer("caller", g.relay.Address()).Stringer("control", g.control.Address()).Stringer("peer", g.transport.Address()).
-		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Int("memory_mb", s.MemoryMB).Msg("started")
+		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Int("memory_mb", s.MemoryMB).Bool("first_start", s.FirstStart).Msg("started")
 	return nil
 }
 
--- a/place/home.go
+++ b/place/home.go
@@ -20,7 +20,7 @@
 	cost := costOf(r.Call)
 	share := p.currentShares(now).factor(r.Customer)
 	limit := time.Duration(float64(r.Objective)*admitShare*share) - r.Waited
-	best := s.cheapest(homes, &pr)
+	best := s.cheapest(homes, &pr, now)
 	d := Decision{
 		Rank: best.rank, Share: share, Backlog: best.target.unread(), Unread: best.unread, Shared: best.unread - pr.own,
 		Outstanding: best.target.outstanding(), Predicted: best.predicted,
@@ -75,10 +75,11 @@
 // first event, the time that reading shared parts again takes from others, and
 // a margin for homes after the first, so that requests do not move for small
 // differences between reports.
-func (s *service) cheapest(homes []*target, pr *prompt) candidate {
+func (s *service) cheapest(homes []*target, pr *prompt, now time.Time) candidate {
 	var best candidate
 	for rank, t := range homes {
-		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens)}
+		assumed := rank == 0 && now.Before(t.warmUntil)
+		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens, assumed)}
 		c.predicted = s.speed.predict(t.unread() + c.unread)
 		again := s.speed.reading(c.unread - pr.own)
 		c.cost = c.predicted + time.Duration(againWeight*float64(again)) + time.Duration(rank)*moveMargin
--- a/place/kept.go
+++ b/place/kept.go
@@ -42,6 +42,12 @@
 	return ok && k.read-at < uint64(float64(memory)*keptPart)
 }
 
+// knows reports whether a part was read since this router started.
+func (k *kept) knows(part Hash) bool {
+	_, ok := k.used[part]
+	return ok
+}
+
 // trim forgets parts that are not kept any more.
 func (k *kept) trim(memory int) {
 	if len(k.used) < maxKept {
@@ -78,11 +84,12 @@
 }
 
 // unread is the number of tokens that a target has to read: a part is kept
-// only together with all parts before it.
-func (p *prompt) unread(k *kept, memory int) int {
+// only together with all parts before it. Parts of which nothing is known count
+// as kept if assumed is set.
+func (p *prompt) unread(k *kept, memory int, assumed bool) int {
 	left := p.total
 	for i, part := range p.shared {
-		if !k.holds(part, memory) {
+		if !k.holds(part, memory) && !(assumed && !k.knows(part)) {
 			break
 		}
 		left -= p.sizes[i]
--- a/place/place.go
+++ b/place/place.go
@@ -43,6 +43,9 @@
 // Options configure a placer.
 type Options struct {
 	Clock clockwork.Clock
+	// Warm tells that the fleet ran before this router started, so that the
+	// targets that it finds keep parts of prompts of which it knows nothing.
+	Warm bool
 }
 
 // Request is what the choice depends on.
@@ -111,14 +114,21 @@
 	readings []Reading
 	// cut holds the data centres that seem to be cut off.
 	cut map[string]bool
+	// warm is set until the first targets are known, if the fleet ran before.
+	warm bool
 }
 
+// warmFor is how long parts of which nothing is known count as kept by the
+// targets that a router finds at its start: parts that are in use are asked for
+// every few seconds, others are forgotten.
+const warmFor = 10 * time.Second
+
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
 		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring),
-		cut: make(map[string]bool),
+		cut: make(map[string]bool), warm: o.Warm,
 	}
 }
 
@@ -142,6 +152,8 @@
 	circuit circuit
 	health  health
 	kept    kept
+	// warmUntil is until when parts of which nothing is known count as kept.
+	warmUntil time.Time
 }
 
 func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
@@ -169,6 +181,9 @@
 		t := known[entry.ID]
 		if t == nil {
 			t = &target{hash: HashOf(entry.ID)}
+			if p.warm {
+				t.warmUntil = p.clock.Now().Add(warmFor)
+			}
 		}
 		t.Target = *entry
 		t.seed = xxhash.Sum64String(entry.Address.String())
@@ -177,6 +192,7 @@
 		s := p.service(entry.Service)
 		s.targets = append(s.targets, t)
 	}
+	p.warm = p.warm && len(list) == 0
 	if table != nil {
 		p.setEngines(table)
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -152,6 +152,34 @@
 	assert.Equal(t, other.Place(ask(c, "c")).Unread, 10)
 }
 
+// TestTargetsFoundAtAStartKeepWhatIsInUse has a router start into a fleet that
+// runs: its targets keep prompts that it never placed, those that start later
+// keep nothing.
+func TestTargetsFoundAtAStartKeepWhatIsInUse(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock, Warm: true})
+	p.SetTargets(nil, table(t))
+	p.SetTargets(targets("model", 1), table(t))
+	unread := func(shared string) int {
+		d := p.Place(ask(call(shared, 1000, 10), "c"))
+		d.Run.End(Answered)
+		return d.Unread
+	}
+	assert.Equal(t, unread("a"), 10)
+	p.SetTargets([]*roster.Target{{ID: "new", Service: "model", Slots: 64}}, table(t))
+	assert.Equal(t, unread("b"), 1010)
+	p.SetTargets(targets("model", 1), table(t))
+	assert.Equal(t, unread("b"), 1010, "it was gone, so it may have started again")
+}
+
+func TestWhatTargetsFoundAtAStartKeepIsForgotten(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock, Warm: true})
+	p.SetTargets(targets("model", 1), table(t))
+	clock.Advance(warmFor)
+	assert.Equal(t, p.Place(ask(call("a", 1000, 10), "c")).Unread, 1010)
+}
+
 func TestPartsAreForgottenWhenTheMemoryWasReadOver(t *testing.T) {
 	var k kept
 	k.touch([]Hash{1}, 10)
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -46,6 +46,7 @@
 	hosts("fleet", "contacts", "Addresses of some other routers that listen for datagrams on the same port as this one; ports given here are ignored.", func(s *Settings) *[]netip.Addr { return &s.Contacts }),
 	number("fleet", "control-bytes-per-second", 3000, 500, 1<<20, "Most bytes a second sent to peers, headers included; heartbeats slow down to keep it.", func(s *Settings) *int { return &s.ControlBytesPerSecond }),
 	duration("fleet", "heartbeat-interval", 250*time.Millisecond, 50*time.Millisecond, 10*time.Second, "Shortest time between heartbeats.", func(s *Settings) *time.Duration { return &s.HeartbeatInterval }),
+	flag("fleet", "first-start", "Whether the whole fleet starts for the first time, so that its targets keep no prompts yet.", func(s *Settings) *bool { return &s.FirstStart }),
 
 	address("platform", "address", "", "Address of the platform's table, object store and host list (HTTP).", func(s *Settings) *netip.AddrPort { return &s.PlatformAddress }),
 	duration("platform", "timeout", 2*time.Second, 50*time.Millisecond, time.Minute, "Longest time for one request to the platform.", func(s *Settings) *time.Duration { return &s.PlatformTimeout }),
@@ -164,6 +165,18 @@
 	return key{section: section, name: name, def: string(def), allowed: "plans or store", doc: doc, set: set}
 }
 
+// flag is a key that is true or false, false by default.
+func flag(section, name, doc string, field func(*Settings) *bool) key {
+	set := func(s *Settings, v string) error {
+		*field(s) = v == "true"
+		if v != "true" && v != "false" {
+			return errNotAllowed
+		}
+		return nil
+	}
+	return key{section: section, name: name, def: "false", allowed: "true or false", doc: doc, set: set}
+}
+
 func fraction(section, name string, def, least, most float64, doc string, field func(*Settings) *float64) key {
 	set := func(s *Settings, v string) error {
 		n, err := strconv.ParseFloat(v, 64)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,8 @@
 	// ControlBytesPerSecond bounds what the router sends to its peers.
 	ControlBytesPerSecond int
 	HeartbeatInterval     time.Duration
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 
 	PlatformAddress netip.AddrPort
 	PlatformTimeout time.Duration
