Ask for a configuration at once when there is none

Change: the wait of 0.15 s is for routers that have a configuration.

Measured: gateway TestRouterWithoutConfigurationAsksAtOnce fails before and passes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -15,12 +17,14 @@
 	"gotest.tools/v3/assert"
 
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/roster"
 	"zinccove.example/zinccove/route"
+	"zinccove.example/zinccove/settings"
 )
 
 func newPlacer(t *testing.T) *place.Placer {
@@ -55,6 +59,32 @@
 	assert.Equal(t, d.Unread, 100, "the shared part was read by the sender's request")
 }
 
+// TestRouterWithoutConfigurationAsksAtOnce has a router hear of another one that
+// has a configuration. It may not have the time to wait for the store's feed.
+func TestRouterWithoutConfigurationAsksAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		version uint64
+		asks    bool
+	}{{0, true}, {4, false}} {
+		m, err := metric.New()
+		assert.NilError(t, err)
+		clock := clockwork.NewFakeClock()
+		g := &Gateway{settings: &settings.Settings{Host: "a"}, clock: clock, metrics: m, log: zerolog.Nop(), peers: &http.Client{}}
+		l := newLoop(g)
+		if tc.version > 0 {
+			g.table.Store(&adopted{table: &route.Table{Spec: route.Spec{Version: tc.version}}})
+		}
+		_, news := l.members.Hear(&zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: 5, Host: &zinccovev1.HostInfo{
+			Name: "b", Control: "127.0.0.1:1", Peer: "127.0.0.1:2",
+		}})
+		assert.Equal(t, news, member.Restarted)
+		l.catchUp(context.Background(), clock.Now())
+		assert.Equal(t, l.fetching, tc.asks)
+		assert.NilError(t, g.group.Wait())
+		assert.NilError(t, m.Close())
+	}
+}
+
 // TestSettledChangesAreInTimeForTheDrain holds that a target whose entry goes
 // unannounced is left alone in time.
 func TestSettledChangesAreInTimeForTheDrain(t *testing.T) {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -42,7 +42,9 @@
 	// long as targets serve on and outages of single routers last.
 	leavingFor = 10 * time.Second
 	// behindFor is how long another router may have a newer configuration before
-	// it is asked for it; the feed is usually faster.
+	// it is asked for it; the feed is usually faster. A router that has none asks
+	// at once: in a data centre that is cut off, those who have one may be about
+	// to stop.
 	behindFor = 150 * time.Millisecond
 	// beatCost is the least time for each heartbeat received: 125 a second cost
 	// about a hundredth of a core.
@@ -283,7 +285,7 @@
 	if l.behind.IsZero() {
 		l.behind = now
 	}
-	if l.fetching || now.Sub(l.behind) < behindFor {
+	if l.fetching || l.version() > 0 && now.Sub(l.behind) < behindFor {
 		return
 	}
 	l.fetching = true
