--- a/metric/names.go
+++ b/metric/names.go
@@ -41,6 +41,7 @@
 	HostsLost
 	ConfigRejected
 	LogLinesDropped
+	RequestsShed
 	counters
 )
 
@@ -74,6 +75,7 @@
 	ConfigAdopted:        {"config_adopted", "Versions of the configuration that came in force here."},
 	ConfigRejected:       {"config_rejected", "*alarm* Configurations that were not valid and did not come in force."},
 	LogLinesDropped:      {"log_lines_dropped", "Log lines that were not written because there were too many."},
+	RequestsShed:         {"requests_shed", "*alarm* Streams refused because this process was behind."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -108,6 +110,7 @@
 	QueueWait Histogram = iota
 	FirstToken
 	RequestTime
+	ProcessLag
 	histograms
 )
 
@@ -115,4 +118,5 @@
 	QueueWait:   {"queue_wait", "Time from acceptance to the slot."},
 	FirstToken:  {"first_token", "Time from acceptance to the first output token."},
 	RequestTime: {"request_time", "Time from acceptance to the end of the request."},
+	ProcessLag:  {"process_lag", "How late the looks at running requests were, ten a second: the lag of this process."},
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -133,6 +133,7 @@
 	}
 	f.plan(view.Table)
 	if f.engine && s.lag.refuses() {
+		s.options.Metrics.Inc(metric.RequestsShed)
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonBusy, retryAfter: busyRouterRetry}
 	}
 	return f, nil
--- a/relay/lag.go
+++ b/relay/lag.go
@@ -35,11 +35,14 @@
 	lagForget = 0.5
 )
 
-// looked notes that a look at what runs begins, and when the next one is due.
-func (l *lag) looked(next time.Time) {
+// looked notes that a look at what runs begins, and when the next one is due. It
+// returns how late the look is.
+func (l *lag) looked(next time.Time) time.Duration {
+	late := l.overdue()
 	kept := time.Duration(lagForget * float64(l.last.Load()))
-	l.last.Store(int64(max(l.overdue(), kept)))
+	l.last.Store(int64(max(late, kept)))
 	l.due.Store(&next)
+	return late
 }
 
 // overdue is how late the next look is by now.
--- a/relay/look.go
+++ b/relay/look.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinccove.example/zinccove/hangup"
+	"zinccove.example/zinccove/metric"
 )
 
 const (
@@ -18,7 +19,7 @@
 func (s *Server) look() error {
 	clock := s.options.Clock
 	for {
-		s.lag.looked(clock.Now().Add(lookPeriod))
+		s.options.Metrics.Observe(metric.ProcessLag, s.lag.looked(clock.Now().Add(lookPeriod)))
 		s.lookOnce()
 		select {
 		case <-s.stop:
