--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -15,7 +15,9 @@
 var failed = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{100, "the soak itself: it killed a router during its planned stop and took the exit for a wrong one"},
+}
 
 // short is the seed of every test run.
 const short = 1
