Write at most what a pipe takes whole

Change: a batch is at most 4 KB.

Measured: gateway TestLinesAreNeverSplit fails with 32 KB and passes.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -25,18 +25,21 @@
 	// batchTime is how long lines are collected: short for those who read along,
 	// and what a process that is killed loses.
 	batchTime = 50 * time.Millisecond
-	// batchBytes is the size from which lines are written at once.
-	batchBytes = 32 << 10
+	// batchBytes is the most that is written in one call: what a pipe takes whole,
+	// so that whoever collects the logs of several processes never sees half a
+	// line.
+	batchBytes = 4 << 10
 )
 
 // Write collects a line. An error is that of an earlier write.
 func (b *batch) Write(line []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.buffer = append(b.buffer, line...)
-	if len(b.buffer) >= batchBytes {
+	if len(b.buffer)+len(line) > batchBytes {
 		b.flush()
-	} else if b.timer == nil {
+	}
+	b.buffer = append(b.buffer, line...)
+	if b.timer == nil {
 		b.timer = b.clock.AfterFunc(batchTime, b.Flush)
 	}
 	err := b.err
--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -41,11 +41,31 @@
 	assert.Equal(t, out.String(), "line\nline\nline\n")
 }
 
-func TestManyLinesAreWrittenAtOnce(t *testing.T) {
-	var out countingWriter
-	b := &batch{out: &out, clock: clockwork.NewFakeClock()}
-	b.Write(make([]byte, batchBytes)) //nolint:errcheck // cannot fail
-	assert.Equal(t, out.calls, 1)
+// TestLinesAreNeverSplit has more lines than one call may carry. A pipe takes
+// 4 KB whole; beyond that lines of other processes could come in between.
+func TestLinesAreNeverSplit(t *testing.T) {
+	out := new(wholeLines)
+	b := &batch{out: out, clock: clockwork.NewFakeClock()}
+	line := append(bytes.Repeat([]byte("x"), 600), '\n')
+	for range 100 {
+		b.Write(line) //nolint:errcheck // cannot fail
+	}
+	b.Flush()
+	assert.Equal(t, out.lines, 100)
+	assert.Equal(t, out.broken, 0)
+	assert.Assert(t, out.calls < 20, "%d calls", out.calls)
+}
+
+// wholeLines counts calls that are too long or do not end with a line.
+type wholeLines struct{ calls, lines, broken int }
+
+func (w *wholeLines) Write(p []byte) (int, error) {
+	w.calls++
+	w.lines += bytes.Count(p, []byte("\n"))
+	if len(p) > 4096 || !bytes.HasSuffix(p, []byte("\n")) {
+		w.broken++
+	}
+	return len(p), nil
 }
 
 func TestClosedLogHasWrittenAll(t *testing.T) {
