Leave a target alone once its next run answered

Until the entries changed, routers went on sending to the old ids: 654 requests in 3 s were refused by the new runs (421), the refusal closed the circuit again, and a route with one attempt told its caller 503.

Ruled out: shares (the customer had 1.1 of the limit, the flood 0.5 to 0.85).

Change: such an attempt has a kind of its own, Replaced. The target counts as ended; the request goes on elsewhere, which costs no attempt but the retry budget.

Measured: relay TestReplacedTargetIsLeftAlone fails before (503) and passes.

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -208,6 +208,7 @@
 	target.Broken:   dispatch.Failed,
 	target.Crossed:  dispatch.Failed,
 	target.Rejected: dispatch.Cancelled,
+	target.Replaced: dispatch.Refused,
 }
 
 func failureRefusal(fail *target.Failure) *Refusal {
--- a/place/health.go
+++ b/place/health.go
@@ -41,7 +41,7 @@
 	switch r {
 	case Failed, Faulty:
 		failure = 1
-	case Cancelled, Refused:
+	case Cancelled, Refused, Replaced:
 		return
 	}
 	h.failed = h.rate(now)*(1-failureWeight) + failure*failureWeight
--- a/place/place.go
+++ b/place/place.go
@@ -152,6 +152,9 @@
 	circuit circuit
 	health  health
 	kept    kept
+	// replaced is set once another run of the target answered: this one has ended,
+	// also if its entry says nothing of it yet.
+	replaced bool
 	// warmUntil is until when parts of which nothing is known count as kept.
 	warmUntil time.Time
 }
@@ -241,7 +244,7 @@
 type grade int
 
 const (
-	// unusable targets leave, or were tried before.
+	// unusable targets leave, have ended or were tried before.
 	unusable grade = iota
 	// doubtful targets seem cut off or fail much; they are used only if there are
 	// no others.
@@ -251,7 +254,7 @@
 
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case t.Draining || slices.Contains(r.Tried, t.ID):
+	case t.Draining || t.replaced || slices.Contains(r.Tried, t.ID):
 		return unusable
 	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now):
 		return doubtful
--- a/place/run.go
+++ b/place/run.go
@@ -66,6 +66,8 @@
 	Refused
 	// Failed: the target could not be reached or broke off.
 	Failed
+	// Replaced: another run of the target answered, so this one has ended.
+	Replaced
 	// Cancelled: the run was ended for reasons that say nothing of the target.
 	Cancelled
 )
@@ -82,6 +84,7 @@
 	r.read()
 	r.state.own.Requests--
 	now := p.clock.Now()
+	r.state.replaced = r.state.replaced || result == Replaced
 	r.state.circuit.note(result, now)
 	r.state.health.note(result, now)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -81,6 +81,7 @@
 var results = map[target.Kind]place.Result{
 	target.NotSent:  place.Failed,
 	target.Refused:  place.Refused,
+	target.Replaced: place.Replaced,
 	target.Broken:   place.Failed,
 	target.Crossed:  place.Failed,
 	target.Rejected: place.Cancelled,
@@ -97,6 +98,7 @@
 	errLeft        = eris.New("target left before the request was sent")
 	errUnsigned    = eris.New("answer without signature")
 	errCrossed     = eris.New("answer of another request")
+	errReplaced    = eris.New("another run of the target answered")
 	errNotRun      = eris.New("target did not run the request")
 	errNoPromise   = eris.New("target failed without saying whether the request ran")
 )
@@ -195,7 +197,9 @@
 	}
 	status := ans.header.StatusCode()
 	switch {
-	case ans.facts.NotRun || status == fasthttp.StatusMisdirectedRequest:
+	case status == fasthttp.StatusMisdirectedRequest:
+		return nil, f.fail(target.Replaced, status, errReplaced, "read answer")
+	case ans.facts.NotRun:
 		return nil, f.fail(target.Refused, status, errNotRun, "read answer")
 	case saysNotRun(status):
 		return nil, f.fail(target.Broken, status, errNoPromise, "read answer")
@@ -262,7 +266,10 @@
 // stray is the failure of an answer that names another request, or none.
 func (f *flight) stray(ans *answer) *target.Failure {
 	status := ans.header.StatusCode()
-	if ans.facts.ID == "" && (ans.facts.NotRun || status == fasthttp.StatusMisdirectedRequest) {
+	switch {
+	case ans.facts.ID == "" && status == fasthttp.StatusMisdirectedRequest:
+		return f.fail(target.Replaced, status, errReplaced, "read answer")
+	case ans.facts.ID == "" && ans.facts.NotRun:
 		return f.fail(target.Refused, status, errNotRun, "read answer")
 	}
 	return f.fail(target.Crossed, status, errCrossed, "read answer")
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -121,7 +121,7 @@
 		f.server.options.Metrics.Inc(metric.AttemptsCrossed)
 	}
 	if f.interrupted() != running {
-		f.life.GiveUp(fail.Kind != target.NotSent && fail.Kind != target.Refused)
+		f.life.GiveUp(!fail.Kind.NotRun())
 		return false
 	}
 	take := f.server.options.Retries.Take
@@ -139,6 +139,7 @@
 var failureNames = map[target.Kind]string{
 	target.NotSent:  "not_sent",
 	target.Refused:  "refused_by_target",
+	target.Replaced: "replaced",
 	target.Broken:   "broken",
 	target.Crossed:  "crossed",
 	target.Rejected: "rejected",
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -83,6 +83,23 @@
 	assert.Equal(t, calls.Load(), int32(2))
 }
 
+// TestReplacedTargetIsLeftAlone has another run of a target answer at its
+// address. The request goes on elsewhere although its route allows one attempt,
+// and later ones do not go there again.
+func TestReplacedTargetIsLeftAlone(t *testing.T) {
+	replaced := newTarget(t, "t1", func(_ *arrival, c net.Conn) bool { return reply(c, 421, "", "") })
+	s := newSite(t, replaced, newTarget(t, "t2", answers))
+	one := spec()
+	for _, r := range one.Routes {
+		r.MaxAttempts = 1
+	}
+	s.set(newTable(t, one))
+	for i := range 20 {
+		assert.Equal(t, s.ask(t, "POST", "/once/", fmt.Sprint("r", i), "b").header.StatusCode(), 200)
+	}
+	assert.Assert(t, len(replaced.seen()) <= 1, "%d requests", len(replaced.seen()))
+}
+
 // outcomes are answers of a target and what the caller is told.
 func TestOutcomesAreTold(t *testing.T) {
 	tests := []struct {
--- a/request/request.go
+++ b/request/request.go
@@ -80,8 +80,8 @@
 	Deadline   time.Time
 	// MaxAttempts bounds the attempts; at least 1.
 	MaxAttempts int
-	// FreeUnsent is the number of attempts that reached no target and do not
-	// count as attempts.
+	// FreeUnsent is the number of attempts that did not reach the target they were
+	// meant for and do not count as attempts.
 	FreeUnsent int
 }
 
@@ -90,7 +90,7 @@
 	options  Options
 	state    State
 	attempts int
-	// unsent is the number of attempts that reached no target.
+	// unsent is the number of attempts that did not reach their target.
 	unsent int
 	// exposed is set once an attempt may have run.
 	exposed bool
@@ -183,12 +183,11 @@
 // Fail records a failed attempt and decides what follows. TakeRetry takes one
 // retry from the budget and reports whether there was one.
 func (r *Request) Fail(kind target.Kind, now time.Time, takeRetry func() bool) Decision {
-	safe := kind == target.NotSent || kind == target.Refused
-	r.exposed = r.exposed || !safe
-	if kind == target.NotSent {
+	r.exposed = r.exposed || !kind.NotRun()
+	if kind == target.NotSent || kind == target.Replaced {
 		r.unsent++
 	}
-	if r.mayRetry(kind, safe, now) && takeRetry() {
+	if r.MayRetry(kind, now) && takeRetry() {
 		return Retry
 	}
 	r.GiveUp(false)
@@ -198,10 +197,6 @@
 // MayRetry reports whether a failed attempt of a kind could be repeated now,
 // budget apart.
 func (r *Request) MayRetry(kind target.Kind, now time.Time) bool {
-	return r.mayRetry(kind, kind == target.NotSent || kind == target.Refused, now)
-}
-
-func (r *Request) mayRetry(kind target.Kind, safe bool, now time.Time) bool {
 	switch {
 	case kind == target.Rejected:
 		return false
@@ -210,6 +205,6 @@
 	case !now.Before(r.options.Deadline):
 		return false
 	default:
-		return safe || r.options.Repeatable
+		return kind.NotRun() || r.options.Repeatable
 	}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -64,8 +64,14 @@
 	Crossed
 	// Rejected: the target found the request itself wrong.
 	Rejected
+	// Replaced: another run of the target answered, which refuses what was meant
+	// for the one before.
+	Replaced
 )
 
+// NotRun reports whether an attempt that failed so has provably not run.
+func (k Kind) NotRun() bool { return k == NotSent || k == Refused || k == Replaced }
+
 // Failure is the error of an attempt.
 type Failure struct {
 	Kind Kind
