Tidy the overload and replacement code for newcomers

Cause: what an answer that declines a request means was written twice in relay; exchange connected, looked at the target again and exchanged; some comments of the changes since were unclear or lacked the why, and package comments and the layout did not know of the lag, warm starts, claim, lease, order and load.

Change, without one of behaviour: relay has connect (out of exchange) and declined (for receive and stray); lag.now is current, reasonBusy reasonRouterBusy, busyRouterRetry routerBusyRetry; place's assumed is assumeKept, and target.warm says until when. lag_test.go follows the name of lag.current, its checks are as they were.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -18,16 +18,17 @@
 	buffer []byte
 	// timer flushes what was collected; nil while nothing is.
 	timer clockwork.Timer
-	err   error
+	// err is the error of the last failed flush that no Write has returned yet.
+	err error
 }
 
 const (
-	// batchTime is how long lines are collected: short for those who read along,
-	// and what a process that is killed loses.
+	// batchTime is the longest time for which lines are collected: those who read
+	// along do not notice it, and a process that is killed loses no more.
 	batchTime = 50 * time.Millisecond
-	// batchBytes is the most that is written in one call: what a pipe takes whole,
-	// so that whoever collects the logs of several processes never sees half a
-	// line.
+	// batchBytes is the most that is written in one call, unless a single line is
+	// longer: what a pipe takes whole (PIPE_BUF on Linux), so that whoever collects
+	// the logs of several processes never sees half a line.
 	batchBytes = 4 << 10
 )
 
@@ -54,6 +55,7 @@
 	b.flush()
 }
 
+// flush writes what was collected; b.mu is held.
 func (b *batch) flush() {
 	if b.timer != nil {
 		b.timer.Stop()
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -12,7 +12,8 @@
 )
 
 // lines is a log that never blocks: lines are written by a goroutine of their
-// own from a ring, and lines about requests are limited to a number a second.
+// own from a ring, several in one call, and lines about requests are limited to
+// a number a second.
 // What is dropped is counted.
 type lines struct {
 	diode.Writer
@@ -35,7 +36,7 @@
 	return l
 }
 
-// Close writes what waits.
+// Close writes what waits: the lines in the ring, then those collected.
 func (l *lines) Close() error {
 	err := l.Writer.Close()
 	l.batch.Flush()
--- a/place/home.go
+++ b/place/home.go
@@ -78,8 +78,10 @@
 func (s *service) cheapest(homes []*target, pr *prompt, now time.Time) candidate {
 	var best candidate
 	for rank, t := range homes {
-		assumed := rank == 0 && now.Before(t.warmUntil)
-		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens, assumed)}
+		// All routers prefer a prompt's first home, so only that one is likely to keep
+		// parts of which nothing is known here.
+		assumeKept := rank == 0 && t.warm(now)
+		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens, assumeKept)}
 		c.predicted = s.speed.predict(t.unread() + c.unread)
 		again := s.speed.reading(c.unread - pr.own)
 		c.cost = c.predicted + time.Duration(againWeight*float64(again)) + time.Duration(rank)*moveMargin
--- a/place/kept.go
+++ b/place/kept.go
@@ -42,7 +42,7 @@
 	return ok && k.read-at < uint64(float64(memory)*keptPart)
 }
 
-// knows reports whether a part was read since this router started.
+// knows reports whether this router remembers a use of a part, kept or not.
 func (k *kept) knows(part Hash) bool {
 	_, ok := k.used[part]
 	return ok
@@ -85,11 +85,11 @@
 
 // unread is the number of tokens that a target has to read: a part is kept
 // only together with all parts before it. Parts of which nothing is known count
-// as kept if assumed is set.
-func (p *prompt) unread(k *kept, memory int, assumed bool) int {
+// as kept if assumeKept is set.
+func (p *prompt) unread(k *kept, memory int, assumeKept bool) int {
 	left := p.total
 	for i, part := range p.shared {
-		if !k.holds(part, memory) && !(assumed && !k.knows(part)) {
+		if !k.holds(part, memory) && !(assumeKept && !k.knows(part)) {
 			break
 		}
 		left -= p.sizes[i]
--- a/place/place.go
+++ b/place/place.go
@@ -8,7 +8,12 @@
 // routers, predict the time to the first event. When the home cannot make the
 // objective, the next homes are asked, where the shared parts may have to be
 // read again; when none can, the request is refused with the time after which
-// the home is expected to have room.
+// the home is expected to have room. A home with free slots at which no tokens
+// wait takes a request whatever is expected, so that a router that expects too
+// long times learns better.
+//
+// A router that starts into a fleet that runs does not know what the targets
+// keep. For a short time it takes it that homes keep what it has never seen.
 //
 // Plain services take the target with the fewest outstanding requests.
 //
@@ -159,6 +164,8 @@
 	warmUntil time.Time
 }
 
+func (t *target) warm(now time.Time) bool { return now.Before(t.warmUntil) }
+
 func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
 func (t *target) unread() int      { return t.own.Unread + t.others.Unread }
 
--- a/place/speed.go
+++ b/place/speed.go
@@ -27,10 +27,10 @@
 	readPart = 1.5
 	// minRequests is the number of requests after which the line is trusted.
 	minRequests = 30
-	// mostLate is the most in milliseconds that a request may be later than
-	// expected to be learned as it is; later ones are learned as late by that. Only
-	// faults make a prompt wait longer than the objectives of requests are long,
-	// and they say nothing about what waits.
+	// mostLate is the most in milliseconds by which a first event is learned as
+	// later than predicted; what is later than that counts as late by just this.
+	// Only faults make a prompt wait longer than the objectives of requests are
+	// long, and they say nothing about the tokens that wait.
 	mostLate = 400.0
 	// spreadTokens is the least spread of backlogs that gives a slope.
 	spreadTokens = 500.0
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -56,7 +56,7 @@
 	reasonStaleTable = "configuration_may_be_old"
 	reasonWrongKey   = "wrong_key"
 	reasonStopping   = "stopping"
-	reasonBusy       = "router_busy"
+	reasonRouterBusy = "router_busy"
 )
 
 // Reasons after an attempt; others are failureNames and the placer's reasons.
@@ -73,9 +73,9 @@
 // stop; the balancer sends it to another one at once.
 const stoppingRetry = 20 * time.Millisecond
 
-// busyRouterRetry is when a caller may come back that reached a router at its
-// limit; the balancer sends it to another one.
-const busyRouterRetry = 50 * time.Millisecond
+// routerBusyRetry is when a caller may come back whose stream was refused because
+// this router is behind; the balancer sends it to another one.
+const routerBusyRetry = 50 * time.Millisecond
 
 // firstEventMargin is the time that a planned stop allows for the first event
 // of a stream.
@@ -134,7 +134,7 @@
 	f.plan(view.Table)
 	if f.engine && s.lag.refuses() {
 		s.options.Metrics.Inc(metric.RequestsShed)
-		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonBusy, retryAfter: busyRouterRetry}
+		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: routerBusyRetry}
 	}
 	return f, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -106,6 +106,22 @@
 // exchange sends the request and reads the answer's head, and the whole answer
 // unless it is a stream.
 func (f *flight) exchange(ctx *fasthttp.RequestCtx, lastEvent string) (*answer, *target.Failure) {
+	c, fail := f.connect()
+	if fail != nil {
+		return nil, fail
+	}
+	sending := f.send(ctx, c, lastEvent)
+	ans, fail := f.receive(ctx, c, sending)
+	if fail != nil {
+		f.detach()
+		c.Close() //nolint:errcheck // the failure is known already
+	}
+	return ans, fail
+}
+
+// connect returns a connection to the target on which the request may still be
+// sent. Nothing was sent if it fails.
+func (f *flight) connect() (*link.Conn, *target.Failure) {
 	freshness := link.Recent
 	if f.route.Repeats() {
 		freshness = link.Rested
@@ -119,20 +135,17 @@
 		c.Close() //nolint:errcheck // nothing was sent
 		return nil, f.fail(target.NotSent, 0, errInterrupted, "connect")
 	}
-	// On a busy host some time can pass since the target was chosen.
+	// The target may have left since it was chosen: on a busy host some time can
+	// pass until there is a connection.
 	if f.run.Leaving() {
-		f.run.End(place.Cancelled) // the later End has no effect then
+		// That it left is no failure of the target's; the End in attempt has no
+		// effect after this one.
+		f.run.End(place.Cancelled)
 		f.detach()
 		c.Close() //nolint:errcheck // nothing was sent
 		return nil, f.fail(target.NotSent, 0, errLeft, "connect")
 	}
-	sending := f.send(ctx, c, lastEvent)
-	ans, fail := f.receive(ctx, c, sending)
-	if fail != nil {
-		f.detach()
-		c.Close() //nolint:errcheck // the failure is known already
-	}
-	return ans, fail
+	return c, nil
 }
 
 // sending tells whether the request was sent whole.
@@ -195,12 +208,11 @@
 	if fail := f.readHead(c, ans); fail != nil {
 		return nil, fail
 	}
+	if fail := f.declined(ans); fail != nil {
+		return nil, fail
+	}
 	status := ans.header.StatusCode()
 	switch {
-	case status == fasthttp.StatusMisdirectedRequest:
-		return nil, f.fail(target.Replaced, status, errReplaced, "read answer")
-	case ans.facts.NotRun:
-		return nil, f.fail(target.Refused, status, errNotRun, "read answer")
 	case saysNotRun(status):
 		return nil, f.fail(target.Broken, status, errNoPromise, "read answer")
 	case status < fasthttp.StatusMultipleChoices && !ans.facts.Signed:
@@ -223,6 +235,20 @@
 	return ans, nil
 }
 
+// declined is the failure of an answer that promises that the request did not
+// run, nil for other answers. Status 421 promises it without the header: it comes
+// from another run of the target, which the request was not meant for.
+func (f *flight) declined(ans *answer) *target.Failure {
+	status := ans.header.StatusCode()
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest:
+		return f.fail(target.Replaced, status, errReplaced, "read answer")
+	case ans.facts.NotRun:
+		return f.fail(target.Refused, status, errNotRun, "read answer")
+	}
+	return nil
+}
+
 // saysNotRun reports whether callers take a status alone as a promise that their
 // request did not run. A target that sends it without making the promise in a
 // header may have run the request.
@@ -265,14 +291,12 @@
 
 // stray is the failure of an answer that names another request, or none.
 func (f *flight) stray(ans *answer) *target.Failure {
-	status := ans.header.StatusCode()
-	switch {
-	case ans.facts.ID == "" && status == fasthttp.StatusMisdirectedRequest:
-		return f.fail(target.Replaced, status, errReplaced, "read answer")
-	case ans.facts.ID == "" && ans.facts.NotRun:
-		return f.fail(target.Refused, status, errNotRun, "read answer")
+	if ans.facts.ID == "" {
+		if fail := f.declined(ans); fail != nil {
+			return fail
+		}
 	}
-	return f.fail(target.Crossed, status, errCrossed, "read answer")
+	return f.fail(target.Crossed, ans.header.StatusCode(), errCrossed, "read answer")
 }
 
 // finish gives the connection back after a whole answer.
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -126,7 +126,8 @@
 	}
 	take := f.server.options.Retries.Take
 	if fail.Kind == target.NotSent {
-		// The budget is for second arrivals at a service.
+		// The budget is for second arrivals at a service. Replaced attempts did
+		// arrive, at another run, so what follows them takes from it.
 		take = func() bool { return true }
 	}
 	return f.life.Fail(fail.Kind, f.server.options.Clock.Now(), take) == request.Retry
--- a/relay/lag.go
+++ b/relay/lag.go
@@ -54,11 +54,13 @@
 	return l.clock.Since(*due)
 }
 
-// now returns the lag.
-func (l *lag) now() time.Duration { return max(time.Duration(l.last.Load()), l.overdue()) }
+// current returns the lag: as of the last look, or that of a look which is due
+// and does not come.
+func (l *lag) current() time.Duration { return max(time.Duration(l.last.Load()), l.overdue()) }
 
-// refuses draws whether a stream is refused.
+// refuses draws whether a stream is refused: none up to leastLag, all from
+// mostLag on.
 func (l *lag) refuses() bool {
-	over := l.now() - leastLag
+	over := l.current() - leastLag
 	return over > 0 && rand.Float64() < over.Seconds()/(mostLag-leastLag).Seconds()
 }
--- a/relay/lag_test.go
+++ b/relay/lag_test.go
@@ -44,7 +44,7 @@
 	clock.Advance(mostLag)
 	l.looked(clock.Now())
 	l.looked(clock.Now())
-	assert.Assert(t, l.now() > leastLag)
+	assert.Assert(t, l.current() > leastLag)
 	for range 10 {
 		l.looked(clock.Now())
 	}
@@ -55,7 +55,7 @@
 func TestLagCountsBeforeTheLateLook(t *testing.T) {
 	l, clock := newTestLag()
 	clock.Advance(time.Minute)
-	assert.Equal(t, l.now(), time.Minute)
+	assert.Equal(t, l.current(), time.Minute)
 }
 
 // TestBusyRouterRefusesStreamsOnly has a router that is far behind: streams are
--- a/relay/log.go
+++ b/relay/log.go
@@ -54,8 +54,8 @@
 	switch r.reason {
 	case string(place.Overloaded):
 		e = f.decided(e)
-	case reasonBusy:
-		e = e.Dur("lag_ms", s.lag.now())
+	case reasonRouterBusy:
+		e = e.Dur("lag_ms", s.lag.current())
 	}
 	e.Msg("request refused")
 }
--- a/relay/look.go
+++ b/relay/look.go
@@ -15,7 +15,8 @@
 )
 
 // look ends requests whose caller is gone or whose time is up, until the
-// server stops.
+// server stops. It also measures the lag of this process: a look is due
+// lookPeriod after the one before began, so what a look takes counts as well.
 func (s *Server) look() error {
 	clock := s.options.Clock
 	for {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,12 +10,14 @@
 //
 //	fasthttp reads it            handle (relay.go)
 //	route, key, deadline         admit (admit.go)
+//	refusal of streams by lag    lag (lag.go), which admit asks
 //	target, or refusal           place.Placer
 //	connection                   link.Pool
 //	send, read the answer's head attempt (attempt.go)
 //	another target, if allowed   next, nextAfterAnswer (flight.go)
 //	answer or events             passWhole, passStream (answer.go, stream.go)
-//	caller gone, time is up      look (look.go), which ends the attempt
+//	caller gone, time is up      look (look.go), which ends the attempt and
+//	                             measures the lag
 //	one log line for each step   log.go
 //
 // # Usage
