Say what the drain of targets bounds

Cause: the comment of TargetDrain read as if targets got nothing new for that long; those of routerSettle and settleTime promised a rate for any number of routers and a time below the drain, which do not hold where the drain is short.

Change: the three comments.

Run: gofmt -l . and go vet ./... say nothing; go test ./ingress ./relay ./place ./gateway ./request ./target ./metric ./settings ./roster ./daemon passes (target and daemon have no tests). make check was not run.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -62,7 +62,8 @@
 	leastSettle = 100 * time.Millisecond
 	// routerSettle is that time for each router: each answer of the store has its
 	// price, and each change would have one for every router. All routers together
-	// so ask for changes about 20 times a second, however many they are.
+	// so ask for changes about 20 times a second, and more often only where the
+	// drain leaves less time.
 	routerSettle = 50 * time.Millisecond
 	// drainMargin is what is left of the time in which a target that left must be
 	// left alone, for the store's answer and for requests on their way.
@@ -71,7 +72,8 @@
 
 // settleTime is how long a fleet of so many other routers collects changes of
 // targets. An entry that goes is kept for a heartbeat of its target; together
-// they stay below the time after which the target must get nothing new.
+// they stay below the drain, the time after which the target must get nothing
+// new, unless the drain leaves less than leastSettle.
 func settleTime(routers int, drain, heartbeat time.Duration) time.Duration {
 	most := drain - heartbeat - drainMargin
 	return max(min(time.Duration(routers)*routerSettle, most), leastSettle)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,7 +68,8 @@
 
 	MemoryMB int
 
-	// TargetDrain is how long after a target's word or end it must get nothing new.
+	// TargetDrain is the time after which a target that said that it leaves, or
+	// whose entry went, must get nothing new.
 	TargetDrain time.Duration
 	// TargetHeartbeat is the time between two writes of a target's entry.
 	TargetHeartbeat time.Duration
