Leave replaced targets alone at the last look; keep renewals inside the drain

Cause, from a second reading: a run whose target was found replaced meanwhile was still sent; a heartbeat longer than the drain allows kept entries that went beyond the drain; the lag counted the time of a look itself.

Change: Run.Leaving knows replaced targets; entries are kept for a heartbeat or what the drain allows; the next look is due from the end of the one before.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -79,6 +79,12 @@
 	return max(min(time.Duration(routers)*routerSettle, most), leastSettle)
 }
 
+// renewalTime is how long an entry that goes is kept: a heartbeat of its target,
+// or less where the drain allows no more.
+func renewalTime(drain, heartbeat time.Duration) time.Duration {
+	return max(min(heartbeat, drain-drainMargin-leastSettle), 0)
+}
+
 // settle is how long this router collects changes of targets.
 func (g *Gateway) settle() time.Duration {
 	return settleTime(int(g.routers.Load()), g.settings.TargetDrain, g.settings.TargetHeartbeat)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -94,7 +94,7 @@
 		heartbeats:  make(chan received, inbox),
 		tasks:       make(chan func(*loop), inbox),
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
-		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: g.settings.TargetHeartbeat}),
+		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
 		leaving:     make(map[place.Hash]departure),
 		removed:     make(map[string]uint64),
 		incarnation: rand.Uint64(),
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -220,6 +220,20 @@
 	assert.Equal(t, p.Place(r).Run.Target.ID, "plain-2", "tried again after the pause")
 }
 
+func TestRunKnowsThatItsTargetLeaves(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := call("part", 1000, 10)
+	replaced, other := p.Place(ask(c, "c")).Run, p.Place(ask(c, "c")).Run
+	assert.Equal(t, replaced.Target.ID, other.Target.ID)
+	assert.Assert(t, !other.Leaving())
+	replaced.End(Replaced)
+	assert.Assert(t, other.Leaving())
+	next := p.Place(ask(c, "c")).Run
+	assert.Assert(t, next.Target.ID != replaced.Target.ID)
+	p.SetTargets(nil, table(t))
+	assert.Assert(t, next.Leaving())
+}
+
 func TestOnlyDoubtfulTargetsAreBetterThanNone(t *testing.T) {
 	p, _ := newTestPlacer(t)
 	r := Request{Service: "plain", Call: new(message.Call)}
--- a/place/run.go
+++ b/place/run.go
@@ -26,14 +26,14 @@
 	ended   bool
 }
 
-// Leaving reports whether the target takes no new requests any more: it said so
-// or went since it was chosen.
+// Leaving reports whether the target takes no new requests any more: it said so,
+// went or was found replaced since it was chosen.
 func (r *Run) Leaving() bool {
 	p := r.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[r.Target.ID]
-	return t == nil || t.Draining
+	return t == nil || t.Draining || t.replaced
 }
 
 // FirstEvent notes that the target has read the prompt.
--- a/relay/lag.go
+++ b/relay/lag.go
@@ -35,16 +35,17 @@
 	lagForget = 0.5
 )
 
-// looked notes that a look at what runs begins, and when the next one is due. It
-// returns how late the look is.
-func (l *lag) looked(next time.Time) time.Duration {
+// looked notes that a look at what runs begins, and returns how late it is.
+func (l *lag) looked() time.Duration {
 	late := l.overdue()
 	kept := time.Duration(lagForget * float64(l.last.Load()))
 	l.last.Store(int64(max(late, kept)))
-	l.due.Store(&next)
 	return late
 }
 
+// expect notes when the next look is due.
+func (l *lag) expect(next time.Time) { l.due.Store(&next) }
+
 // overdue is how late the next look is by now.
 func (l *lag) overdue() time.Duration {
 	due := l.due.Load()
--- a/relay/look.go
+++ b/relay/look.go
@@ -15,18 +15,18 @@
 )
 
 // look ends requests whose caller is gone or whose time is up, until the
-// server stops. It also measures the lag of this process: a look is due
-// lookPeriod after the one before began, so what a look takes counts as well.
+// server stops. How late its looks are is the lag of this process.
 func (s *Server) look() error {
 	clock := s.options.Clock
 	for {
-		s.options.Metrics.Observe(metric.ProcessLag, s.lag.looked(clock.Now().Add(lookPeriod)))
-		s.lookOnce()
+		s.lag.expect(clock.Now().Add(lookPeriod))
 		select {
 		case <-s.stop:
 			return nil
 		case <-clock.After(lookPeriod):
 		}
+		s.options.Metrics.Observe(metric.ProcessLag, s.lag.looked())
+		s.lookOnce()
 	}
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -19,9 +19,9 @@
 // # Rules
 //
 // A request is told not run only if every attempt provably did not run: it did
-// not reach a target, or was refused by it or by another run of it. A request that may not be repeated is sent once
-// more only after such an attempt. Attempts that end otherwise leave the
-// outcome unknown.
+// not reach a target, or was refused by it or by another run of it. A request
+// that may not be repeated is sent once more only after such an attempt.
+// Attempts that end otherwise leave the outcome unknown.
 package request
 
 import (
