Take service back from attempts that provably did not run

Besides, each second attempt counted as asked for again.

Change: the result of a run tells whether it provably did not run; its tokens are taken off the slot of time in which they were counted. Second attempts ask for nothing new. An unreachable target is told apart from one that broke off.

Tests: TestServiceIsTakenBackFromWhatDidNotRun over all results, TestServiceOfLongAgoIsNotTakenBackTwice, TestSecondAttemptAsksForNothingNew; they fail without the change (no such results; asked counted twice).

--- a/place/circuit.go
+++ b/place/circuit.go
@@ -31,7 +31,7 @@
 	switch r {
 	case Answered, Faulty, Refused:
 		*c = circuit{}
-	case Failed:
+	case Failed, Unreachable:
 		c.failures++
 		if c.failures >= openAfter {
 			c.pause = min(max(2*c.pause, firstPause), longestPause)
--- a/place/health.go
+++ b/place/health.go
@@ -39,9 +39,9 @@
 func (h *health) note(r Result, now time.Time) {
 	var failure float64
 	switch r {
-	case Failed, Faulty:
+	case Failed, Unreachable, Faulty:
 		failure = 1
-	case Cancelled, Refused, Replaced:
+	case Cancelled, Withdrawn, Refused, Replaced:
 		return
 	}
 	h.failed = h.rate(now)*(1-failureWeight) + failure*failureWeight
--- a/place/home.go
+++ b/place/home.go
@@ -19,21 +19,20 @@
 	pr := newPrompt(r.Call)
 	cost := costOf(r.Call)
 	st := p.currentShares(now).standing(r.Customer)
-	limit := time.Duration(float64(r.Objective)*admitShare*st.part) - r.Waited
+	limit := time.Duration(float64(r.Objective) * admitShare * st.part)
 	best := s.cheapest(homes, &pr, now)
 	d := Decision{
 		Rank: best.rank, Share: st.part, Above: st.above, Backlog: best.backlog, Unread: best.unread, Shared: best.unread - pr.own,
 		Outstanding: best.target.outstanding(), Wait: best.wait, Predicted: best.predicted, Slowness: best.target.slow.factor(now),
 	}
 	use := Use{Asked: cost}
-	if r.Waited > 0 {
-		use.Asked = 0
+	if len(r.Tried) > 0 {
+		use.Asked = 0 // it was counted with the first attempt
 	}
 	if best.target.outstanding() >= best.target.Slots || !s.admits(d, limit, st) {
 		p.note(r.Customer, use, now)
 		d.Reason = Overloaded
 		d.RetryAfter = min(max(d.Predicted-limit, leastRetry), mostRetry)
-		d.Hold = s.hold(r, d, limit)
 		d.Age = p.oldestReport(now)
 		return d
 	}
@@ -42,22 +41,9 @@
 	best.target.kept.touch(pr.shared, best.unread)
 	best.target.kept.trim(s.engine.MemoryTokens)
 	p.announce(Reading{Target: best.target.hash, Parts: pr.shared, Unread: best.unread})
-	return p.begin(best.target, d, best.unread, now)
-}
-
-// hold returns how long a request may be held back: until its part of the
-// objective is over, if what waits is expected to shrink enough by then.
-// Customers above their share are not held.
-func (s *service) hold(r Request, d Decision, limit time.Duration) time.Duration {
-	left := time.Duration(float64(r.Objective)*holdShare) - r.Waited
-	if left <= 0 || d.Share < heavyFactor {
-		return 0
-	}
-	excess := s.speed.predict(d.Backlog) - time.Duration(float64(limit)*waitShare)
-	if excess > left {
-		return 0
-	}
-	return min(left, holdStep)
+	d = p.begin(best.target, d, best.unread, now)
+	d.Run.customer, d.Run.cost = HashOf(r.Customer), cost
+	return d
 }
 
 // candidate is a home and what is expected of it for one request.
@@ -98,24 +84,19 @@
 // stretch returns a time as it is at a target that takes longer.
 func stretch(d time.Duration, slow float64) time.Duration { return time.Duration(slow * float64(d)) }
 
-// admits reports whether a target is expected to make a limit. What waits is
-// bounded apart, so that short prompts leave room for long ones. Prompts too
-// long for any target to make the limit are admitted where little waits, and
-// all where nothing waits: a refusal would leave the target idle, and a router
-// that expects too much would learn nothing any more. Customers that are ahead of
-// others who are refused leave the room to those.
+// admits reports whether a target is expected to make a limit. Prompts too long
+// for any target to make it are admitted where little waits, and all where
+// nothing waits: a refusal would leave the target idle, and a router that expects
+// too much would learn nothing any more. Customers that are ahead of others who
+// are refused leave the room to those.
 func (s *service) admits(d Decision, limit time.Duration, st standing) bool {
-	if st.ahead {
+	switch {
+	case st.ahead:
 		return false
-	}
-	if d.Backlog == 0 {
+	case d.Backlog == 0, d.Predicted <= limit:
 		return true
 	}
-	waits := s.speed.predict(d.Backlog)
-	if d.Predicted <= limit {
-		return waits <= time.Duration(float64(limit)*waitShare)
-	}
-	return waits <= time.Duration(float64(limit)*longShare)
+	return s.speed.predict(0)+d.Wait <= time.Duration(float64(limit)*longShare)
 }
 
 // costOf is the size of a request in tokens, for comparing customers.
@@ -128,17 +109,9 @@
 }
 
 const (
-	// admitShare is the part of the objective that a prediction may take; the
-	// rest is for what is not seen, as reports of other routers lag.
-	admitShare = 0.8
-	// waitShare is the part of the limit that may wait before any prompt.
-	waitShare = 0.8
-	// holdShare is the part of the objective that a request may be held back: what
-	// is refused after a quarter of it counts as held for nothing.
-	holdShare = 0.22
-	// holdStep is the time between two looks for a request that is held back;
-	// targets read about a thousand tokens in it.
-	holdStep = 20 * time.Millisecond
+	// admitShare is the part of the objective that an expected time may take: 0.1
+	// of the objectives in use, 30 to 80 ms, is what expected times are off by.
+	admitShare = 0.9
 	// longShare is the part of the limit that may wait before a prompt that is
 	// too long to make it.
 	longShare = 0.3
--- a/place/place.go
+++ b/place/place.go
@@ -64,8 +64,6 @@
 	Call *message.Call
 	// Tried are the ids of targets that the request was sent to before.
 	Tried []string
-	// Waited is how long the request was held back before.
-	Waited time.Duration
 }
 
 // Reason says why a request was refused.
@@ -81,13 +79,10 @@
 
 // Decision is the choice for one request, with the inputs that decided it.
 type Decision struct {
-	// Run is nil if the request is refused or held back.
+	// Run is nil if the request is refused.
 	Run        *Run
 	Reason     Reason
 	RetryAfter time.Duration
-	// Hold is how long the request may be held back and asked for again, because
-	// room is expected soon; 0 if it is refused.
-	Hold time.Duration
 
 	// Rank is the place of the target in the order of homes, 0 for the first.
 	Rank int
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -386,6 +386,53 @@
 	assert.Equal(t, len(p.Uses()), 0)
 }
 
+// TestServiceIsTakenBackFromWhatDidNotRun ends runs in every way.
+func TestServiceIsTakenBackFromWhatDidNotRun(t *testing.T) {
+	tests := []struct {
+		result Result
+		counts bool
+	}{
+		{Answered, true}, {Faulty, true}, {Failed, true}, {Cancelled, true},
+		{Refused, false}, {Unreachable, false}, {Replaced, false}, {Withdrawn, false},
+	}
+	for _, tc := range tests {
+		p, clock := newTestPlacer(t)
+		c := call("part", 900, 100)
+		cost := costOf(c)
+		run := p.Place(ask(c, "c")).Run
+		clock.Advance(useSlot)
+		run.End(tc.result)
+		run.End(tc.result)
+		want := Use{Asked: cost}
+		if tc.counts {
+			want.Served = cost
+		}
+		assert.Equal(t, p.Uses()[HashOf("c")], want, "result %d", tc.result)
+	}
+}
+
+func TestServiceOfLongAgoIsNotTakenBackTwice(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	c := call("part", 900, 100)
+	run := p.Place(ask(c, "c")).Run
+	clock.Advance(useWindow)
+	assert.Equal(t, len(p.Uses()), 0)
+	p.Place(ask(c, "c"))
+	run.End(Refused)
+	assert.Equal(t, p.Uses()[HashOf("c")].Served, costOf(c))
+}
+
+func TestSecondAttemptAsksForNothingNew(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := call("part", 900, 100)
+	r := ask(c, "c")
+	run := p.Place(r).Run
+	run.End(Refused)
+	r.Tried = []string{run.Target.ID}
+	assert.Assert(t, p.Place(r).Run != nil)
+	assert.Equal(t, p.Uses()[HashOf("c")], Use{Asked: costOf(c), Served: costOf(c)})
+}
+
 func TestRankingKeepsTheGreatest(t *testing.T) {
 	var r ranking
 	for _, w := range []uint64{3, 9, 1, 7, 9, 8} {
--- a/place/run.go
+++ b/place/run.go
@@ -29,8 +29,11 @@
 	toRead    int
 	place     float64
 	predicted time.Duration
-	began     time.Time
-	ended     bool
+	// customer and cost are whom the run counts as service for, and how much.
+	customer Hash
+	cost     int
+	began    time.Time
+	ended    bool
 }
 
 // Leaving reports whether the target takes no new requests any more: it said so,
@@ -74,14 +77,27 @@
 	Faulty
 	// Refused: the target said that it does not run the request.
 	Refused
-	// Failed: the target could not be reached or broke off.
+	// Unreachable: the target could not be reached, so nothing was sent.
+	Unreachable
+	// Failed: the target broke off.
 	Failed
 	// Replaced: another run of the target answered, so this one has ended.
 	Replaced
+	// Withdrawn: nothing was sent, for reasons that say nothing of the target.
+	Withdrawn
 	// Cancelled: the run was ended for reasons that say nothing of the target.
 	Cancelled
 )
 
+// didNotRun reports whether a run that ended so has provably not run.
+func (r Result) didNotRun() bool {
+	switch r {
+	case Refused, Unreachable, Replaced, Withdrawn:
+		return true
+	}
+	return false
+}
+
 // End ends the run. Only the first call counts.
 func (r *Run) End(result Result) {
 	p := r.placer
@@ -95,6 +111,9 @@
 	r.unread = 0
 	r.state.own.Requests--
 	now := p.clock.Now()
+	if result.didNotRun() {
+		p.takeBack(r.customer, r.cost, r.began, now)
+	}
 	r.state.replaced = r.state.replaced || result == Replaced
 	r.state.circuit.note(result, now)
 	r.state.health.note(result, now)
--- a/place/use.go
+++ b/place/use.go
@@ -84,6 +84,21 @@
 	r.add(slotOf(now), u)
 }
 
+// takeBack takes the service of a run that began at a time, and provably did not
+// run, off its customer's use. Targets that crash refuse hundreds of requests in
+// a second; counted as service they made a customer look better served than
+// another that had half of its tokens.
+func (p *Placer) takeBack(customer Hash, cost int, began, now time.Time) {
+	r := p.uses[customer]
+	if r == nil {
+		return
+	}
+	r.advance(slotOf(now))
+	if at := slotOf(began); at > r.at-useSlots {
+		r.slots[at%useSlots].Served -= cost
+	}
+}
+
 // Uses returns the use of this router by each customer in the window.
 func (p *Placer) Uses() map[Hash]Use {
 	p.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,20 +52,12 @@
 	return ans, fail, nil
 }
 
-// place asks for a target, and again for a short time while room is expected.
+// place asks for a target.
 func (f *flight) place() place.Decision {
-	s := f.server
-	r := place.Request{Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried}
-	began := s.options.Clock.Now()
-	for {
-		d := s.options.Placer.Place(r)
-		if d.Run != nil || d.Hold == 0 || f.interrupted() != running {
-			f.held, f.decision = r.Waited, d
-			return d
-		}
-		s.options.Clock.Sleep(d.Hold)
-		r.Waited = s.options.Clock.Since(began)
-	}
+	f.decision = f.server.options.Placer.Place(place.Request{
+		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried,
+	})
+	return f.decision
 }
 
 // result is what a failed attempt tells about the target: nothing if it was
@@ -79,7 +71,7 @@
 
 // results tells the placer how an attempt failed.
 var results = map[target.Kind]place.Result{
-	target.NotSent:  place.Failed,
+	target.NotSent:  place.Unreachable,
 	target.Refused:  place.Refused,
 	target.Replaced: place.Replaced,
 	target.Broken:   place.Failed,
@@ -140,7 +132,7 @@
 	if f.run.Leaving() {
 		// That it left is no failure of the target's; the End in attempt has no
 		// effect after this one.
-		f.run.End(place.Cancelled)
+		f.run.End(place.Withdrawn)
 		f.detach()
 		c.Close() //nolint:errcheck // nothing was sent
 		return nil, f.fail(target.NotSent, 0, errLeft, "connect")
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -49,9 +49,7 @@
 	deadline time.Time
 	life     *request.Request
 	// tried are the ids of the targets of all attempts, the current one last.
-	tried []string
-	// held is how long the request was held back before the last decision.
-	held     time.Duration
+	tried    []string
 	decision place.Decision
 
 	// run is the current attempt.
