Leave only idle targets to others when a customer is ahead

Change: a customer a quarter above the even level does not get what is idle beyond its limit; what fits its limit it gets.

--- a/place/home.go
+++ b/place/home.go
@@ -84,17 +84,17 @@
 // stretch returns a time as it is at a target that takes longer.
 func stretch(d time.Duration, slow float64) time.Duration { return time.Duration(slow * float64(d)) }
 
-// admits reports whether a target is expected to make a limit. Prompts too long
-// for any target to make it are admitted where little waits, and all where
-// nothing waits: a refusal would leave the target idle, and a router that expects
-// too much would learn nothing any more. Customers that are ahead of others who
-// are refused leave the room to those.
+// admits reports whether a target is expected to make a limit. Where nothing
+// waits, prompts that take longer are admitted too: a refusal would leave the
+// target idle, and a router that expects too much would learn nothing any more.
+// Only customers that are ahead of others who are refused leave that to those.
+// Prompts too long for any target are also admitted where little waits.
 func (s *service) admits(d Decision, limit time.Duration, st standing) bool {
 	switch {
-	case st.ahead:
-		return false
-	case d.Backlog == 0, d.Predicted <= limit:
+	case d.Predicted <= limit:
 		return true
+	case d.Backlog == 0:
+		return !st.ahead
 	}
 	return s.speed.predict(0)+d.Wait <= time.Duration(float64(limit)*longShare)
 }
--- a/place/use.go
+++ b/place/use.go
@@ -23,9 +23,9 @@
 	// leastFactor is the smallest part of the usual limit, for a customer far above
 	// its share: it then gets little more than what would stay idle.
 	leastFactor = 0.25
-	// mostAhead is the part of the even level from which on a customer gets nothing
-	// more, not even what is idle, while others are refused: two customers that
-	// flood then stay within a ratio of two.
+	// mostAhead is the part of the even level from which on a customer does not get
+	// what is idle while others are refused: two customers that flood stay within a
+	// ratio of two with it.
 	mostAhead = 1.25
 	// heavyFactor is the part of the usual limit for customers that ask for more
 	// than heavyRatio times an even part: what they leave keeps waits short for the
