Sum up from logs which requests were refused, and why

Cause: on-call people ask why a minute refused so many; explain tells of one request.

Change: zinccove decisions LOG... prints refusals by reason, then placed and refused requests by second, route, customer and host with the waits at which they were refused and how many were above their share, and how far expected times to the first event were off. It reads lines with the reader of explain.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -128,6 +128,7 @@
 		{name: "status", text: "Show all routers and the versions in force", data: &statusCommand{command: c}},
 		{name: "load", text: "Send the load of an experiment file to a fleet on loopback and measure it", data: &loadCommand{command: c}},
 		{name: "explain", text: "Tell the life of a request from the logs of routers", data: &explainCommand{command: c}},
+		{name: "decisions", text: "Sum up from the logs of routers which requests were placed and refused, and why", data: &decisionsCommand{command: c}},
 		{name: "audit", text: "List accepted changes, newest first", data: &auditCommand{command: c}},
 	}
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -21,23 +21,51 @@
 // Execute reads all logs and prints the request's life.
 func (c *explainCommand) Execute([]string) error {
 	life := explain.New(c.Args.Request)
-	if len(c.Args.Files) == 0 {
-		if err := life.Read(os.Stdin); err != nil {
-			return err
-		}
+	if err := readLogs(c.Args.Files, life.Read); err != nil {
+		return err
 	}
-	for _, name := range c.Args.Files {
-		if err := readLog(name, life.Read); err != nil {
-			return err
-		}
+	return asUsage(life.Write(c.globals.out))
+}
+
+// decisionsCommand sums up which requests were placed and refused.
+type decisionsCommand struct {
+	command
+	Args struct {
+		Files []string `positional-arg-name:"LOG" description:"logs of routers; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+// Execute reads all logs and prints the summary.
+func (c *decisionsCommand) Execute([]string) error {
+	decisions := explain.NewDecisions()
+	if err := readLogs(c.Args.Files, decisions.Read); err != nil {
+		return err
 	}
-	err := life.Write(c.globals.out)
-	if errors.Is(err, explain.ErrNotFound) {
+	return asUsage(decisions.Write(c.globals.out))
+}
+
+// asUsage turns errors that say that the logs lack what was asked for into errors
+// of input.
+func asUsage(err error) error {
+	if errors.Is(err, explain.ErrNotFound) || errors.Is(err, explain.ErrNoDecisions) {
 		return usageError{err.Error()}
 	}
 	return err
 }
 
+// readLogs hands all logs, or standard input, to read.
+func readLogs(names []string, read func(io.Reader) error) error {
+	if len(names) == 0 {
+		return read(os.Stdin)
+	}
+	for _, name := range names {
+		if err := readLog(name, read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func readLog(name string, read func(io.Reader) error) error {
 	f, err := os.Open(name)
 	if err != nil {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -1,6 +1,7 @@
-// Package explain tells the life of one request from the logs of routers.
+// Package explain tells from the logs of routers the life of one request, and why
+// requests were refused.
 //
-// The lines of the request are put in order over all hosts. Before them stands
+// A Life: the lines of the request are put in order over all hosts. Before them stands
 // what the routers that handled it believed at the time: the last line before
 // the request about the configuration, about the targets it was sent to, and
 // about what was lost or cut off. Lines of that kind that fall into the life of
@@ -12,6 +13,10 @@
 //	err := l.Read(file) // any number of logs, in any order
 //	err = l.Write(os.Stdout) // ErrNotFound if no line names the request
 //
+//	d := explain.NewDecisions() // who was placed and refused, see its comment
+//	err = d.Read(file)
+//	err = d.Write(os.Stdout)
+//
 // # Limits
 //
 // Lines are ordered by the clocks of the hosts, which may differ. Lines that
@@ -55,7 +60,7 @@
 	request string
 	own     []line
 	state   []line
-	parser  fastjson.Parser
+	reader  reader
 }
 
 // New returns an empty life of a request.
@@ -69,7 +74,14 @@
 )
 
 // Read takes the lines of a log.
-func (l *Life) Read(r io.Reader) error {
+func (l *Life) Read(r io.Reader) error { return l.reader.read(r, l.take) }
+
+// reader reads the lines that routers wrote.
+type reader struct{ parser fastjson.Parser }
+
+// read hands the lines of a log to take. Lines that no router wrote are passed
+// over.
+func (d *reader) read(r io.Reader, take func(*line)) error {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLine)
 	for sc.Scan() {
@@ -77,33 +89,39 @@
 		if start < 0 {
 			continue
 		}
-		_ = l.take(sc.Bytes()[start:]) // an error means that no router wrote the line
+		if x, err := d.parse(sc.Bytes()[start:]); err == nil {
+			take(x)
+		}
 	}
 	return errs.Wrap(sc.Err(), "read log", "")
 }
 
-// subjects are the fields that say what a line without a request is about.
-var subjects = []string{"target", "table", "peer"}
-
-// take parses a line and keeps it if it may matter.
-func (l *Life) take(text []byte) error {
-	v, err := l.parser.ParseBytes(text)
+// parse reads one line; an error means that no router wrote it.
+func (d *reader) parse(text []byte) (*line, error) {
+	v, err := d.parser.ParseBytes(text)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	o, err := v.Object()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	var x line
+	x := new(line)
 	o.Visit(func(key []byte, v *fastjson.Value) { x.set(string(key), v) })
+	return x, nil
+}
+
+// subjects are the fields that say what a line without a request is about.
+var subjects = []string{"target", "table", "peer"}
+
+// take keeps a line if it may matter.
+func (l *Life) take(x *line) {
 	switch {
 	case x.request == l.request:
-		l.own = append(l.own, x)
+		l.own = append(l.own, *x)
 	case x.request == "" && len(l.state) < maxState:
-		l.state = append(l.state, x)
+		l.state = append(l.state, *x)
 	}
-	return nil
 }
 
 // set takes one value of a line.
