--- a/place/home.go
+++ b/place/home.go
@@ -58,7 +58,7 @@
 // cheapest returns the home with the least cost: the expected time to the
 // first event, the time that reading shared parts again takes from others, and
 // a margin for homes after the first, so that requests do not move for small
-// differences between reports.
+// differences.
 func (s *service) cheapest(homes []*target, pr *prompt, now time.Time) candidate {
 	var best candidate
 	for rank, t := range homes {
--- a/place/place.go
+++ b/place/place.go
@@ -5,14 +5,14 @@
 // with others is therefore sent to its home, the target that rendezvous hashing
 // gives for the last shared part, so that all routers agree without a message.
 // Load comes second: the tokens that wait to be read at a target predict the
-// time to the first event. A router counts what it and the others sent there, less
-// what the target must have read since (queue.go), and learns how long that takes
-// (speed.go, slowness.go). When the home cannot make the
-// objective, the next homes are asked, where the shared parts may have to be
-// read again; when none can, the request is refused with the time after which
-// the home is expected to have room. A home with free slots at which no tokens
-// wait takes a request whatever is expected, so that a router that expects too
-// long times learns better.
+// time to the first event. A router counts what it and the others sent there,
+// less what the target must have read since (queue.go), and learns how long that
+// takes (speed.go, slowness.go). When the home cannot make the objective, the next
+// homes are asked, where the shared parts may have to be read again; when none can,
+// the request is refused with the time after which the home is expected to have
+// room (admit.go). Customers above their share have less of the objective (use.go).
+// A home with free slots at which no tokens wait takes a request whatever is
+// expected, so that a router that expects too long times learns better.
 //
 // A router that starts into a fleet that runs does not know what the targets
 // keep. For a short time it takes it that homes keep what it has never seen.
