Drain queues once a decision; one way to the reachable routers

Cause, from a reading of the whole diff: each candidate of a placement worked out a target's slowness twice, and a first event drained a queue that it then overwrote; the reachable routers were picked by the same loop in three places; the package comment of explain was broken.

Change, none of behaviour: backlog takes the slowness that its caller has, reached sets the queue's time, loop.reachable serves heartbeats, news and introductions. The test of reached passes the time; its assertions are as they were.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -1,11 +1,11 @@
 // Package explain tells from the logs of routers the life of one request, and why
 // requests were refused.
 //
-// A Life: the lines of the request are put in order over all hosts. Before them stands
-// what the routers that handled it believed at the time: the last line before
-// the request about the configuration, about the targets it was sent to, and
-// about what was lost or cut off. Lines of that kind that fall into the life of
-// the request stand among its own.
+// A Life puts the lines of the request in order over all hosts. Before them stands
+// what the routers that handled it believed at the time: the last line before the
+// request about the configuration, about the targets it was sent to, and about
+// what was lost or cut off. Lines of that kind that fall into the life of the
+// request stand among its own.
 //
 // # Usage
 //
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -121,12 +121,7 @@
 
 // introductions names some reachable routers, by turns.
 func (l *loop) introductions() []*zinccovev1.HostInfo {
-	var reachable []*member.Host
-	for _, h := range l.members.Hosts() {
-		if h.Reachable && h.Peer.IsValid() {
-			reachable = append(reachable, h)
-		}
-	}
+	reachable := slices.DeleteFunc(l.reachable(), func(h *member.Host) bool { return !h.Peer.IsValid() })
 	var list []*zinccovev1.HostInfo
 	for range min(introductions, len(reachable)) {
 		h := reachable[l.introduced%len(reachable)]
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -177,16 +177,21 @@
 	}
 }
 
-// beatInterval grows with the number of routers, so that what each of them
-// receives stays the same.
-func (l *loop) beatInterval() time.Duration {
-	reachable := 0
+// reachable returns the other routers that are heard.
+func (l *loop) reachable() []*member.Host {
+	var hosts []*member.Host
 	for _, h := range l.members.Hosts() {
 		if h.Reachable {
-			reachable++
+			hosts = append(hosts, h)
 		}
 	}
-	return max(l.gateway.settings.HeartbeatInterval, time.Duration(reachable)*beatCost)
+	return hosts
+}
+
+// beatInterval grows with the number of routers, so that what each of them
+// receives stays the same.
+func (l *loop) beatInterval() time.Duration {
+	return max(l.gateway.settings.HeartbeatInterval, time.Duration(len(l.reachable()))*beatCost)
 }
 
 // expireTargets drops targets that did not come back after an outage of the
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -49,8 +49,8 @@
 	if len(hb.Readings) == 0 {
 		return
 	}
-	for _, h := range l.members.Hosts() {
-		if h.Reachable && h.Peer.IsValid() {
+	for _, h := range l.reachable() {
+		if h.Peer.IsValid() {
 			l.send(h.Peer, hb)
 		}
 	}
--- a/place/home.go
+++ b/place/home.go
@@ -67,7 +67,7 @@
 		assumeKept := rank == 0 && t.warm(now)
 		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens, assumeKept)}
 		c.slow = t.slow.factor(now)
-		c.backlog = s.backlog(t, now)
+		c.backlog = s.backlog(t, c.slow, now)
 		c.wait = stretch(s.speed.reading(c.backlog), c.slow)
 		c.predicted = stretch(s.speed.predict(c.backlog+c.unread), c.slow)
 		again := s.speed.reading(c.unread - pr.own)
--- a/place/peers.go
+++ b/place/peers.go
@@ -47,7 +47,7 @@
 	for _, reading := range r.Readings {
 		if t := p.byHash[reading.Target]; t != nil {
 			t.kept.touch(reading.Parts, reading.Unread)
-			p.service(t.Service).backlog(t, kept.at)
+			p.service(t.Service).backlog(t, t.slow.factor(kept.at), kept.at)
 			t.queue.add(reading.Unread)
 		}
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -180,9 +180,10 @@
 
 func (t *target) full() bool { return t.outstanding() >= t.Slots }
 
-// backlog is the number of tokens that wait to be read at a target.
-func (s *service) backlog(t *target, now time.Time) int {
-	t.queue.drain(now, s.speed.rate()/t.slow.factor(now))
+// backlog is the number of tokens that wait to be read at a target, which takes so
+// much longer than others.
+func (s *service) backlog(t *target, slow float64, now time.Time) int {
+	t.queue.drain(now, s.speed.rate()/slow)
 	return int(t.queue.waiting)
 }
 
--- a/place/queue.go
+++ b/place/queue.go
@@ -31,9 +31,11 @@
 	return q.sent
 }
 
-// reached notes that all tokens up to a place were read, and some after them.
-func (q *queue) reached(place, after float64) {
+// reached notes that all tokens up to a place were read by now, and some after
+// them.
+func (q *queue) reached(place, after float64, now time.Time) {
 	q.waiting = max(q.sent-place-after, 0)
+	q.at = now
 }
 
 // drop takes back tokens that will not be read.
--- a/place/queue_test.go
+++ b/place/queue_test.go
@@ -27,9 +27,10 @@
 	var q queue
 	place := q.add(4000)
 	q.add(9000)
-	q.reached(place, 2000)
+	now := time.Now()
+	q.reached(place, 2000, now)
 	assert.Equal(t, q.waiting, 7000.0, "what was sent after it waits, but for what was read meanwhile")
-	q.reached(q.sent, 2000)
+	q.reached(q.sent, 2000, now)
 	assert.Equal(t, q.waiting, 0.0)
 }
 
--- a/place/run.go
+++ b/place/run.go
@@ -60,8 +60,7 @@
 	s := p.service(r.Target.Service)
 	r.state.slow.note(took, s.speed.predict(r.toRead), now)
 	s.speed.learn(r.toRead, took)
-	s.backlog(r.state, now)
-	r.state.queue.reached(r.place, s.speed.after())
+	r.state.queue.reached(r.place, s.speed.after(), now)
 	r.unread = 0
 	return (took - r.predicted).Abs(), true
 }
