Show in logs and metrics how old the list of targets is

Cause: logs could not tell a router that knows of no change from one that hears nothing: lines of placed requests had the version of the target's entry only, and a lost store was told without how long it had been waited for.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -11,7 +11,7 @@
 //		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
 //		Whole:       func(b platform.Batch) { ... }, // all rows
 //		Changed:     func(b platform.Batch) { ... }, // rows written or removed since
-//		Lost:        func(err error) { ... }, Regained: func() { ... }, Alive: func() { ... },
+//		Lost:        func(l follow.Loss) { ... }, Regained: func() { ... }, Alive: func() { ... },
 //	})
 package follow
 
@@ -38,7 +38,7 @@
 	Changed func(B)
 	// Lost is called with the first of a series of failures, Regained with the
 	// first success after it.
-	Lost     func(error)
+	Lost     func(Loss)
 	Regained func()
 	// Alive is called with each success.
 	Alive func()
@@ -47,6 +47,17 @@
 	Settle func() time.Duration
 }
 
+// Loss is the first of a series of failures.
+type Loss struct {
+	Err error
+	// Since is the version that was followed from, 0 before the table was read.
+	Since uint64
+	// Waited is how long the call that failed had been under way, Unheard the time
+	// since the last answer; 0 if there was none.
+	Waited  time.Duration
+	Unheard time.Duration
+}
+
 const (
 	// feedWait is how long a feed is held open. Shorter than the platform allows
 	// (30 s), so that a dead connection is noticed in time; each call has its
@@ -80,6 +91,9 @@
 	// after the last failure.
 	lost  bool
 	pause time.Duration
+	// asked is when the last call was made, heard when one was last answered.
+	asked time.Time
+	heard time.Time
 }
 
 // step reads the table or waits for its next changes.
@@ -90,6 +104,7 @@
 		err   error
 	)
 	whole := !f.known
+	f.asked = f.options.Clock.Now()
 	if whole {
 		batch, since, err = f.options.Snapshot(ctx)
 	} else {
@@ -130,6 +145,7 @@
 
 func (f *follower[B]) succeeded() {
 	f.pause = 0
+	f.heard = f.options.Clock.Now()
 	if f.lost {
 		f.lost = false
 		f.options.Regained()
@@ -144,8 +160,18 @@
 	}
 	if !f.lost {
 		f.lost = true
-		f.options.Lost(err)
+		f.options.Lost(f.loss(err))
 	}
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
 	f.rest(ctx, f.pause/2+rand.N(f.pause))
 }
+
+// loss describes a failure of the last call.
+func (f *follower[B]) loss(err error) Loss {
+	now := f.options.Clock.Now()
+	l := Loss{Err: err, Since: f.since, Waited: now.Sub(f.asked)}
+	if !f.heard.IsZero() {
+		l.Unheard = now.Sub(f.heard)
+	}
+	return l
+}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -58,7 +58,7 @@
 			HistoryLost: func(err error) bool { return eris.Is(err, errForgotten) },
 			Whole:       func(b string) { s.log = append(s.log, "whole "+b) },
 			Changed:     func(b string) { s.log = append(s.log, "changed "+b) },
-			Lost:        func(error) { s.log = append(s.log, "lost") },
+			Lost:        func(Loss) { s.log = append(s.log, "lost") },
 			Regained:    func() { s.log = append(s.log, "regained") },
 			Alive:       func() {},
 		})
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -148,6 +148,12 @@
 	g.routers.Store(int64(reachable))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
 	g.metrics.Set(metric.HostsReachable, float64(reachable))
+	if age, ok := g.routesAnswered.age(now); ok {
+		g.metrics.Set(metric.RoutesAge, age.Seconds())
+	}
+	if age, ok := g.targetsAnswered.age(now); ok {
+		g.metrics.Set(metric.TargetsAge, age.Seconds())
+	}
 	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +18,22 @@
 	"zinccove.example/zinccove/route"
 )
 
-// source follows a table of the store.
-func (g *Gateway) source(table string, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
+// answered is when the store last answered about a table.
+type answered struct{ at atomic.Pointer[time.Time] }
+
+func (a *answered) set(now time.Time) { a.at.Store(&now) }
+
+// age is the time since the store answered. It reports whether it ever did.
+func (a *answered) age(now time.Time) (time.Duration, bool) {
+	at := a.at.Load()
+	if at == nil {
+		return 0, false
+	}
+	return now.Sub(*at), true
+}
+
+// source follows a table of the store and notes when it answered.
+func (g *Gateway) source(table string, a *answered, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
 	return follow.Options[platform.Batch]{
 		Clock: g.clock,
 		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
@@ -32,18 +47,19 @@
 		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
 		Whole:       func(b platform.Batch) { take(b, true) },
 		Changed:     func(b platform.Batch) { take(b, false) },
-		Lost: func(err error) {
+		Lost: func(loss follow.Loss) {
 			g.metrics.Inc(metric.PlatformErrors)
-			g.log.Warn().Err(err).Str("table", table).Msg("store lost")
+			g.log.Warn().Err(loss.Err).Str("table", table).Uint64("since", loss.Since).
+				Dur("waited_ms", loss.Waited).Dur("unheard_ms", loss.Unheard).Msg("store lost")
 		},
 		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
-		Alive:    func() {},
+		Alive:    func() { a.set(g.clock.Now()) },
 	}
 }
 
 // followRoutes follows the operators' configuration.
 func (g *Gateway) followRoutes(ctx context.Context) error {
-	o := g.source(wire.TableOperator, func(b platform.Batch, _ bool) {
+	o := g.source(wire.TableOperator, &g.routesAnswered, func(b platform.Batch, _ bool) {
 		for _, c := range b.Changes {
 			if c.Key == wire.ConfigKey && !c.Removed {
 				g.loop.post(ctx, func(l *loop) { l.adopt(c.Value, "store") })
@@ -51,9 +67,8 @@
 		}
 	})
 	lost, regained := o.Lost, o.Regained
-	o.Lost = func(err error) { g.storeLost.Store(true); lost(err) }
+	o.Lost = func(loss follow.Loss) { g.storeLost.Store(true); lost(loss) }
 	o.Regained = func() { g.storeLost.Store(false); regained() }
-	o.Alive = func() { now := g.clock.Now(); g.confirmed.Store(&now) }
 	return follow.Run(ctx, o)
 }
 
@@ -92,12 +107,12 @@
 
 // followTargets follows the targets' entries.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	o := g.source(wire.TableTargets, func(b platform.Batch, whole bool) {
+	o := g.source(wire.TableTargets, &g.targetsAnswered, func(b platform.Batch, whole bool) {
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
 	o.Settle = g.settle
-	o.Lost = func(err error) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(err) }
+	o.Lost = func(loss follow.Loss) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(loss) }
 	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
 	return follow.Run(ctx, o)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,10 +63,12 @@
 	loop      *loop
 
 	table atomic.Pointer[adopted]
-	// confirmed is when the store last confirmed that the table is the newest.
-	confirmed atomic.Pointer[time.Time]
-	storeLost atomic.Bool
-	stopping  atomic.Bool
+	// routesAnswered and targetsAnswered tell how old the configuration and the
+	// list of targets may be.
+	routesAnswered  answered
+	targetsAnswered answered
+	storeLost       atomic.Bool
+	stopping        atomic.Bool
 	// routers is the number of other routers that are reachable.
 	routers atomic.Int64
 
@@ -207,9 +209,11 @@
 	if a == nil {
 		return relay.View{}
 	}
-	confirmed := g.confirmed.Load()
-	fresh := confirmed != nil && !g.storeLost.Load() && g.clock.Since(*confirmed) < freshFor
-	return relay.View{Table: a.table, Fresh: fresh}
+	now := g.clock.Now()
+	age, ok := g.routesAnswered.age(now)
+	v := relay.View{Table: a.table, Fresh: ok && !g.storeLost.Load() && age < freshFor}
+	v.TargetsAge, _ = g.targetsAnswered.age(now)
+	return v
 }
 
 // config is what peers are given.
--- a/metric/names.go
+++ b/metric/names.go
@@ -90,6 +90,8 @@
 	RequestsRunning
 	HeartbeatsForged
 	ControlCPUSeconds
+	RoutesAge
+	TargetsAge
 	gauges
 )
 
@@ -100,6 +102,8 @@
 	RequestsRunning:   {"requests_running", "Requests of this router at targets."},
 	ControlCPUSeconds: {"control_cpu_seconds", "Time spent in the control loop and on heartbeats since the start; processor time is at most this."},
 	HeartbeatsForged:  {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
+	RoutesAge:         {"routes_age_seconds", "Time since the store last answered about the configuration; a held feed makes some seconds."},
+	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
 }
 
 // Histogram names a histogram of durations.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,8 @@
 	// Fresh tells that no newer table can have been accepted some seconds ago,
 	// so that what the table lacks does not exist.
 	Fresh bool
+	// TargetsAge is the time since the store answered about the targets.
+	TargetsAge time.Duration
 }
 
 // Options configure a server. All are required.
