Reproduce requests at targets that left after a silent store

Cause: a feed that is asked while the store takes calls and answers none is waited for as long as it may be held, ten seconds and the timeout. No router hears of a change meanwhile, and so none can tell the others. Test: three routers, the store's feed silent for 1 s around a change, a target that leaves 3 s after the store is back.

--- a/standin/proof/routes_test.go
+++ b/standin/proof/routes_test.go
@@ -257,3 +257,55 @@
 	}
 	assert.Assert(t, whole > len(answers)/2, "%d of %d answers are whole", whole, len(answers))
 }
+
+// TestTargetLeavesAfterTheStoreWasSilent tells of targets that got new requests
+// for seconds after they had said that they leave. The store had fallen silent
+// for two seconds: it took calls and never answered them, while connections stayed
+// up. Every router had asked for changes in that time. It waited for that answer for
+// as long as a feed may be held, with the store long back and answering all others:
+//
+//	store lost table=servers since=27 waited_ms=11000 unheard_ms=11400
+//	request placed target_version=11 targets_age_ms=7632
+//
+// Probes of the connection were answered all the while, and routers could not tell
+// each other what none of them had read.
+func TestTargetLeavesAfterTheStoreWasSilent(t *testing.T) {
+	const (
+		// silent is longer than routers collect changes, so all of them ask in it.
+		silent = time.Second
+		// settled is how long the store answers again before the target leaves.
+		settled = 3 * time.Second
+		// drain is the time after which a target that leaves gets nothing new.
+		drain = 2 * time.Second
+	)
+	s := newRouteSite(t, 3)
+	configure(t, s, routesite.Config(1, routeKey))
+	assert.NilError(t, s.AwaitReady(routeWait))
+	assert.NilError(t, s.AwaitMembers(routeWait))
+	leaving, err := s.AddWorker("leaving", routesite.Plain, "dc1", "--drain-time", "5s")
+	assert.NilError(t, err)
+	time.Sleep(time.Second) // all routers hold a feed again
+	assert.NilError(t, fleet.SetFaults(s.PlatformAddress, fault.Fault{Step: "feed", Mode: fault.Delay, Delay: time.Minute}))
+	_, err = s.AddWorker("another", routesite.Plain, "dc2")
+	assert.NilError(t, err)
+	time.Sleep(silent)
+	assert.NilError(t, fleet.SetFaults(s.PlatformAddress))
+	time.Sleep(settled)
+	calls := func() {
+		for range 10 {
+			for _, r := range s.Routers {
+				a := s.Call(r.Caller, "GET", "/lookup/", routeKey)
+				assert.Assert(t, a.Whole("/lookup/"), "%d %v", a.Status, a.Err)
+			}
+		}
+	}
+	calls()
+	assert.Assert(t, requestsRunBy(t, leaving) > 0)
+	var g errgroup.Group
+	g.Go(func() error { _, err := leaving.Stop(); return err })
+	time.Sleep(drain)
+	before := requestsRunBy(t, leaving)
+	calls()
+	assert.Equal(t, requestsRunBy(t, leaving), before)
+	assert.NilError(t, g.Wait())
+}
