Bound how long a call that the store never answers blinds the fleet

Cause: a feed was waited for as long as it may be held, ten seconds, plus the timeout, on every router alike. A store that took the calls in a silence and never answered them left all routers without news for 11 s. They asked in the same moment, as they collect changes for the same time, so none could tell the others. Ruled out: broken connections (probes were answered, none broke), collecting (nothing was read), another router's word that got lost (nobody had one). Change: routers hold feeds for 1.5 s and 0.5 s more for each router before them by name, 6 s at most; changes are collected for half to whole of the time, drawn.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -4,10 +4,18 @@
 // when rows change. A failure is retried after a pause that grows. When the
 // table does not know its history any more, it is read whole again.
 //
+// A store may take a call and never answer it, while its connections stay up and
+// it answers later calls. Such a call cannot be told from a feed without news until
+// the time is over for which it was to be held. This time is therefore the bound
+// on how old the news of a follower can be, and Options.Hold should give each
+// process of a fleet another one, so that the first finds out early and can tell
+// the others.
+//
 // # Usage
 //
 //	err := follow.Run(ctx, follow.Options[platform.Batch]{
 //		Clock: clock, Snapshot: snapshot, Feed: feed, // calls of the client, bound to a table
+//		Hold: func() time.Duration { return 2 * time.Second },
 //		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
 //		Whole:       func(b platform.Batch) { ... }, // all rows
 //		Changed:     func(b platform.Batch) { ... }, // rows written or removed since
@@ -42,8 +50,13 @@
 	Regained func()
 	// Alive is called with each success.
 	Alive func()
-	// Settle is how long to wait after changes before asking for more, so that
-	// changes in quick succession come in one answer; nil asks at once.
+	// Hold is how long the next feed is held open without news.
+	Hold func() time.Duration
+	// Settle is how long to wait at most after changes before asking for more, so
+	// that changes in quick succession come in one answer; nil asks at once. The
+	// wait is drawn from its second half: processes that read the same change would
+	// otherwise all ask again at the same moment, and all be without news if that
+	// moment is a bad one.
 	Settle func() time.Duration
 }
 
@@ -59,10 +72,6 @@
 }
 
 const (
-	// feedWait is how long a feed is held open. Shorter than the platform allows
-	// (30 s), so that a dead connection is noticed in time; each call has its
-	// price.
-	feedWait = 10 * time.Second
 	// firstPause is the time after the first failure; it doubles up to
 	// longestPause, which keeps below the second within which targets that lost
 	// their entries write them again.
@@ -121,11 +130,19 @@
 	}
 	f.options.Changed(batch)
 	if f.options.Settle != nil {
-		f.rest(ctx, f.options.Settle())
+		f.rest(ctx, settled(f.options.Settle()))
 	}
 	return nil
 }
 
+// settled draws how long to collect changes for at most so long.
+func settled(most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	return most/2 + rand.N(most/2+1)
+}
+
 // rest waits for d, or until ctx ends.
 func (f *follower[B]) rest(ctx context.Context, d time.Duration) {
 	select {
@@ -140,7 +157,7 @@
 	if f.lost {
 		return 0
 	}
-	return feedWait
+	return f.options.Hold()
 }
 
 func (f *follower[B]) succeeded() {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -16,11 +16,15 @@
 	errForgotten = eris.New("history lost")
 )
 
+const testHold = 3 * time.Second
+
 // script answers the calls of a follower in turn, then ends it.
 type script struct {
 	cancel context.CancelFunc
 	steps  []step
 	log    []string
+	// held are the times for which feeds were to be held.
+	held []time.Duration
 }
 
 type step struct {
@@ -51,8 +55,9 @@
 		return Run(ctx, Options[string]{
 			Clock:    clock,
 			Snapshot: func(context.Context) (string, uint64, error) { return s.take("snapshot") },
-			Feed: func(_ context.Context, from uint64, _ time.Duration) (string, uint64, error) {
+			Feed: func(_ context.Context, from uint64, wait time.Duration) (string, uint64, error) {
 				since = append(since, from)
+				s.held = append(s.held, wait)
 				return s.take("feed")
 			},
 			HistoryLost: func(err error) bool { return eris.Is(err, errForgotten) },
@@ -61,6 +66,7 @@
 			Lost:        func(Loss) { s.log = append(s.log, "lost") },
 			Regained:    func() { s.log = append(s.log, "regained") },
 			Alive:       func() {},
+			Hold:        func() time.Duration { return testHold },
 		})
 	})
 	g.Go(func() error {
@@ -94,3 +100,25 @@
 	s := script{steps: []step{{batch: "all", next: 5}, {err: errForgotten}, {batch: "again", next: 9}}}
 	assert.DeepEqual(t, s.run(t), []string{"snapshot", "whole all", "feed", "snapshot", "whole again", "feed"})
 }
+
+// TestFeedsAreHeldAsLongAsSaid holds the bound on how old the news of a follower
+// can be: a store that never answers a call is noticed when that time is over.
+func TestFeedsAreHeldAsLongAsSaid(t *testing.T) {
+	s := script{steps: []step{{batch: "all", next: 5}, {batch: "one", next: 6}, {err: errDown}, {batch: "two", next: 7}}}
+	s.run(t)
+	assert.DeepEqual(t, s.held, []time.Duration{testHold, testHold, 0, testHold})
+}
+
+// TestChangesAreNotCollectedInStep has processes that read the same change ask
+// again at different moments, never later than they may.
+func TestChangesAreNotCollectedInStep(t *testing.T) {
+	const most = time.Second
+	least, longest := most, time.Duration(0)
+	for range 1000 {
+		d := settled(most)
+		least, longest = min(least, d), max(longest, d)
+	}
+	assert.Assert(t, least >= most/2 && longest <= most, "%v to %v", least, longest)
+	assert.Assert(t, longest-least > most/4)
+	assert.Equal(t, settled(0), time.Duration(0))
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -54,6 +54,7 @@
 		},
 		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
 		Alive:    func() { a.set(g.clock.Now()) },
+		Hold:     func() time.Duration { return holdTime(int(g.rank.Load())) },
 	}
 }
 
@@ -72,6 +73,24 @@
 	return follow.Run(ctx, o)
 }
 
+const (
+	// leastHold is how long the first router by name holds feeds open, holdStep by
+	// how much longer each next one does. A call that the store never answers is
+	// given up after that and the store's timeout; the first router to ask again tells
+	// the others which targets leave. A target that leaves must be known of within
+	// the drain, 2 s in the smallest fleets, once the store is back.
+	leastHold = 1500 * time.Millisecond
+	holdStep  = 500 * time.Millisecond
+	// mostHold bounds the calls: each has its price, and 59 routers that all held
+	// feeds for leastHold would make three times as many.
+	mostHold = 6 * time.Second
+)
+
+// holdTime is how long the router of a rank holds feeds open.
+func holdTime(rank int) time.Duration {
+	return min(leastHold+time.Duration(rank)*holdStep, mostHold)
+}
+
 const (
 	// leastSettle is the least time for which changes of targets are collected.
 	leastSettle = 100 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,8 +69,10 @@
 	targetsAnswered answered
 	storeLost       atomic.Bool
 	stopping        atomic.Bool
-	// routers is the number of other routers that are reachable.
+	// routers is the number of other routers that are reachable, rank the number of
+	// those before this one by name.
 	routers atomic.Int64
+	rank    atomic.Int64
 
 	group errgroup.Group
 	stop  context.CancelFunc
@@ -200,8 +202,8 @@
 func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
 // freshFor is how long a confirmation of the store holds: a feed is held open
-// for a while, and a dead connection is noticed some seconds later.
-const freshFor = 14 * time.Second
+// for a while, and a store that does not answer is noticed later.
+const freshFor = mostHold + 4*time.Second
 
 // view is the table in force.
 func (g *Gateway) view() relay.View {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -99,6 +99,25 @@
 	assert.Equal(t, settleTime(58, 10*time.Second, heartbeat), 2900*time.Millisecond)
 }
 
+// TestSomeRouterHearsOfTargetsSoon bounds how long a store that answers again can
+// leave a whole fleet without news. A target that leaves when the store has been
+// back for a while must get nothing new after its drain, also if it is kept for a
+// renewal because it left unannounced.
+func TestSomeRouterHearsOfTargetsSoon(t *testing.T) {
+	const (
+		timeout = time.Second
+		// back is how long the store has answered again when the target leaves.
+		back = 3 * time.Second
+	)
+	for _, drain := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		blind := holdTime(0) + timeout + renewalTime(drain, 1200*time.Millisecond)
+		assert.Assert(t, blind < back+drain-drainMargin, "drain %v: %v", drain, blind)
+	}
+	for rank := 1; rank < 820; rank++ {
+		assert.Assert(t, holdTime(rank) >= holdTime(rank-1) && holdTime(rank) <= mostHold)
+	}
+}
+
 // TestFullReportFitsADatagram is the case of a grown site: work at 140 targets
 // for 60 customers does not fit, and a heartbeat that is too large is lost.
 func TestFullReportFitsADatagram(t *testing.T) {
