Reproduce two floods of which one gets less than half of what it may

At the least limit nothing tells them apart: what fits it goes to whoever asks more often. Ruled out: floors that add up over routers (both have the same floor, and the one at a single router gets less), the owed level and its age (both are above it).

--- /dev/null
+++ b/place/flood_test.go
@@ -0,0 +1,138 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// crowd is the traffic of one customer.
+type crowd struct {
+	customer string
+	// rate is in requests a second; router is where all of them arrive, everywhere
+	// if negative.
+	rate   float64
+	router int
+	// asked and got are in tokens, as customers are compared.
+	asked, got int
+}
+
+// floodPerToken makes engines that two floods fill several times over.
+const floodPerToken = 24 * time.Microsecond
+
+// routers drives several placers that tell each other what they do, and engines
+// that they share.
+type routers struct {
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	placers []*Placer
+	fleets  []*fleet
+}
+
+func newRouters(t *testing.T, n int, seed uint64) *routers {
+	t.Helper()
+	r := &routers{clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 2))}
+	engines := make(map[string]*engine)
+	for _, target := range targets("model", 9) {
+		engines[target.ID] = &engine{base: engineBase, perToken: floodPerToken}
+	}
+	for range n {
+		p := New(Options{Clock: r.clock})
+		p.SetTargets(targets("model", 9), table(t))
+		r.placers = append(r.placers, p)
+		r.fleets = append(r.fleets, &fleet{placer: p, clock: r.clock, engines: engines, random: r.random, pending: make(map[*Run]time.Time)})
+	}
+	return r
+}
+
+const (
+	// tellReadings and tellUses are how often routers tell each other of placed
+	// prompts and of customers' use.
+	tellReadings = 20 * time.Millisecond
+	tellUses     = 400 * time.Millisecond
+)
+
+// run plays the crowds' traffic.
+func (r *routers) run(d time.Duration, crowds ...*crowd) {
+	for ms := range d.Milliseconds() {
+		for _, c := range crowds {
+			if r.random.Float64() < c.rate/1000 {
+				r.place(c)
+			}
+		}
+		for _, f := range r.fleets {
+			f.events()
+		}
+		r.tell(time.Duration(ms) * time.Millisecond)
+		r.clock.Advance(time.Millisecond)
+	}
+}
+
+func (r *routers) place(c *crowd) {
+	router := c.router
+	if router < 0 {
+		router = r.random.IntN(len(r.fleets))
+	}
+	f := r.fleets[router]
+	q := ask(call(fmt.Sprint(r.random.IntN(40)), 4000, 500+r.random.IntN(4000)), c.customer)
+	c.asked += costOf(q.Call)
+	d := f.placer.Place(q)
+	if d.Run == nil {
+		return
+	}
+	c.got += costOf(q.Call)
+	f.pending[d.Run] = f.engines[d.Run.Target.ID].firstEvent(r.clock.Now(), d.Unread)
+}
+
+func (r *routers) tell(now time.Duration) {
+	if now%tellReadings != 0 {
+		return
+	}
+	for i, p := range r.placers {
+		var report Report
+		p.TakeReadings(func(x Reading) bool {
+			report.Readings = append(report.Readings, x)
+			return true
+		})
+		if now%tellUses == 0 {
+			report.Uses = p.Uses()
+		}
+		for j, other := range r.placers {
+			if i != j {
+				other.SetPeer(fmt.Sprint(i), report)
+			}
+		}
+	}
+}
+
+// TestFloodsAtDifferentNumbersOfRoutersGetTheSame has two customers flood. One of
+// them has connections to all routers and asks 3.6 times as often, the other has
+// all of its connections at one router. Both were far above what they were owed, so
+// both had the least limit, and what fitted it went to whoever asked more often: a
+// customer that asked for 2.2 million tokens in six seconds got 0.9 million, and
+// another one 2.5 million.
+func TestFloodsAtDifferentNumbersOfRoutersGetTheSame(t *testing.T) {
+	for seed := range uint64(3) {
+		wide := &crowd{customer: "wide", rate: 260, router: -1}
+		narrow := &crowd{customer: "narrow", rate: 72, router: 3}
+		crowds := []*crowd{wide, narrow}
+		for i := range 8 {
+			crowds = append(crowds, &crowd{customer: fmt.Sprint("small", i), rate: 4, router: -1})
+		}
+		r := newRouters(t, 9, seed)
+		r.run(5*time.Second, crowds...)
+		for _, c := range crowds {
+			c.asked, c.got = 0, 0
+		}
+		r.run(6*time.Second, crowds...)
+		t.Logf("seed %d: wide asked %d, got %d; narrow asked %d, got %d", seed, wide.asked, wide.got, narrow.asked, narrow.got)
+		assert.Assert(t, 2*narrow.got > min(narrow.asked, wide.got))
+		for _, c := range crowds[2:] {
+			assert.Assert(t, c.got > c.asked*8/10, "%s asked for %d, got %d", c.customer, c.asked, c.got)
+		}
+	}
+}
