Tell other routers the version at which a missing target's entry was gone

Cause: entries found missing when the whole table is read, after a lost history, had no version; other routers take a word on a target only if it is newer than its entry, so they never took these. Change: the roster keeps the version with the doubt and returns it.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -175,8 +175,7 @@
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
-			gone := l.roster.Remove(c.Key)
-			l.removed[c.Key] = c.Version
+			gone := l.roster.Remove(c.Key, c.Version)
 			l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Bool("gone", gone).Msg("target entry removed")
 			if gone {
 				l.leaves(c.Key, c.Version)
@@ -194,7 +193,6 @@
 			l.leaves(t.ID, t.Version)
 		} else {
 			delete(l.leaving, place.HashOf(t.ID))
-			delete(l.removed, t.ID)
 		}
 		if whole {
 			entries = append(entries, t)
@@ -203,7 +201,7 @@
 		}
 	}
 	if whole {
-		l.roster.Replace(entries)
+		l.depart(l.roster.Replace(entries, b.Version), "targets gone, their entries are missing")
 	}
 	l.roster.CaughtUp()
 	l.publishTargets()
@@ -218,10 +216,24 @@
 
 // leaves remembers a target to tell other routers of.
 func (l *loop) leaves(id string, version uint64) {
-	delete(l.removed, id)
 	l.leaving[place.HashOf(id)] = departure{at: l.gateway.clock.Now(), version: version}
 }
 
+// depart remembers targets that are gone, and says why. It reports whether there
+// are any.
+func (l *loop) depart(gone []roster.Departure, why string) bool {
+	if len(gone) == 0 {
+		return false
+	}
+	ids := make([]string, len(gone))
+	for i, d := range gone {
+		ids[i] = d.ID
+		l.leaves(d.ID, d.Version)
+	}
+	l.gateway.log.Info().Strs("targets", ids).Uint64("version", gone[0].Version).Msg(why)
+	return true
+}
+
 // publishTargets gives targets and engines to the placer.
 func (l *loop) publishTargets() {
 	var table *route.Table
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -81,9 +81,8 @@
 	lastUses   time.Time
 	introduced int
 	// leaving holds the targets of which the store said that they are leaving or
-	// gone, removed the versions at which entries went that may come back.
+	// gone.
 	leaving map[place.Hash]departure
-	removed map[string]uint64
 	// cut are the data centres that seem to be cut off.
 	cut []string
 	// behind is since when another router has a newer configuration.
@@ -99,7 +98,6 @@
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
 		leaving:     make(map[place.Hash]departure),
-		removed:     make(map[string]uint64),
 		incarnation: rand.Uint64(),
 		started:     g.clock.Now(),
 	}
@@ -197,15 +195,9 @@
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
-	gone := l.roster.Expire()
-	if len(gone) == 0 {
-		return
-	}
-	l.gateway.log.Info().Strs("targets", gone).Msg("targets gone, their entries did not come back")
-	for _, id := range gone {
-		l.leaves(id, l.removed[id])
+	if l.depart(l.roster.Expire(), "targets gone, their entries did not come back") {
+		l.publishTargets()
 	}
-	l.publishTargets()
 }
 
 func (l *loop) sweep() {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -14,10 +14,11 @@
 // # Usage
 //
 //	r := roster.New(roster.Options{Clock: clock, Return: 2 * time.Second})
-//	r.Replace(entries)           // the whole table
-//	r.Put(entry); r.Remove(id)   // single changes
-//	r.Interrupted()              // the table is away
-//	removed := r.Expire()        // from time to time
+//	gone := r.Replace(entries, version) // the whole table at a version
+//	r.Put(entry)                        // single changes
+//	if r.Remove(id, version) { ... }
+//	r.Interrupted()                     // the table is away
+//	gone = r.Expire()                   // from time to time
 //	for _, t := range r.Targets() { ... }
 package roster
 
@@ -45,6 +46,19 @@
 	Version uint64
 }
 
+// Departure is a target that is gone.
+type Departure struct {
+	ID string
+	// Version is that of the table at which its entry went or was missing.
+	Version uint64
+}
+
+// doubt is an entry that went and may come back.
+type doubt struct {
+	until   time.Time
+	version uint64
+}
+
 // Options configure a roster.
 type Options struct {
 	Clock clockwork.Clock
@@ -60,8 +74,8 @@
 type Roster struct {
 	options Options
 	targets map[string]*Target
-	// doubted holds when entries that went missing across an outage are removed.
-	doubted map[string]time.Time
+	// doubted holds the entries that went and may come back.
+	doubted map[string]doubt
 	away    bool
 	// catching is set until the changes made during an outage were taken.
 	catching bool
@@ -71,7 +85,7 @@
 
 // New returns an empty roster.
 func New(o Options) *Roster {
-	return &Roster{options: o, targets: make(map[string]*Target), doubted: make(map[string]time.Time)}
+	return &Roster{options: o, targets: make(map[string]*Target), doubted: make(map[string]doubt)}
 }
 
 // Interrupted notes that the table cannot be followed.
@@ -98,9 +112,9 @@
 	delete(r.doubted, t.ID)
 }
 
-// Remove notes that an entry went. It reports whether the target is gone; else
-// the entry may have lapsed only.
-func (r *Roster) Remove(id string) bool {
+// Remove notes that an entry went at a version of the table. It reports whether
+// the target is gone; else the entry may have lapsed only.
+func (r *Roster) Remove(id string, version uint64) bool {
 	t := r.targets[id]
 	if t == nil {
 		return false
@@ -112,11 +126,12 @@
 	if _, ok := r.doubted[id]; ok {
 		return false
 	}
-	r.doubted[id] = r.options.Clock.Now().Add(r.options.Renewal)
+	until := r.options.Clock.Now().Add(r.options.Renewal)
 	if r.catching {
 		// It went during the outage, so it has the whole time to come back.
-		r.doubted[id] = r.settled
+		until = r.settled
 	}
+	r.doubted[id] = doubt{until: until, version: version}
 	return false
 }
 
@@ -138,31 +153,34 @@
 	delete(r.doubted, id)
 }
 
-// Replace takes the whole table; entries that are not in it went.
-func (r *Roster) Replace(entries []Target) {
+// Replace takes the whole table as of a version; entries that are not in it went.
+// It returns the targets that are gone.
+func (r *Roster) Replace(entries []Target, version uint64) []Departure {
 	present := make(map[string]bool, len(entries))
 	for _, t := range entries {
 		present[t.ID] = true
 		r.Put(t)
 	}
+	var gone []Departure
 	for id := range r.targets {
-		if !present[id] {
-			r.Remove(id)
+		if !present[id] && r.Remove(id, version) {
+			gone = append(gone, Departure{ID: id, Version: version})
 		}
 	}
+	return gone
 }
 
 // Expire drops the entries that are still missing although the targets had
-// time to write them again, and returns their ids.
-func (r *Roster) Expire() []string {
+// time to write them again, and returns them.
+func (r *Roster) Expire() []Departure {
 	if r.away {
 		return nil
 	}
 	now := r.options.Clock.Now()
-	var gone []string
-	for id, until := range r.doubted {
-		if !now.Before(until) {
-			gone = append(gone, id)
+	var gone []Departure
+	for id, d := range r.doubted {
+		if !now.Before(d.until) {
+			gone = append(gone, Departure{ID: id, Version: d.version})
 			r.drop(id)
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -16,7 +16,7 @@
 func newTestRoster() (*Roster, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	r := New(Options{Clock: clock, Return: back, Renewal: renewal})
-	r.Replace([]Target{{ID: "a", Version: 1}, {ID: "b", Version: 2}})
+	r.Replace([]Target{{ID: "a", Version: 1}, {ID: "b", Version: 2}}, 2)
 	return r, clock
 }
 
@@ -30,13 +30,13 @@
 
 func TestRemovedEntryIsGoneUnlessItComesBack(t *testing.T) {
 	r, clock := newTestRoster()
-	assert.Assert(t, !r.Remove("a"))
-	assert.Assert(t, !r.Remove("b"))
+	assert.Assert(t, !r.Remove("a", 3))
+	assert.Assert(t, !r.Remove("b", 4))
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	clock.Advance(renewal / 2)
 	r.Put(Target{ID: "b", Version: 7})
 	clock.Advance(renewal / 2)
-	assert.DeepEqual(t, r.Expire(), []string{"a"})
+	assert.DeepEqual(t, r.Expire(), []Departure{{ID: "a", Version: 3}})
 	assert.DeepEqual(t, ids(r), []string{"b"})
 }
 
@@ -44,7 +44,7 @@
 	r, clock := newTestRoster()
 	r.Interrupted()
 	r.Resumed()
-	r.Replace([]Target{{ID: "b", Version: 2}})
+	r.Replace([]Target{{ID: "b", Version: 2}}, 8)
 	clock.Advance(back - time.Millisecond)
 	assert.Equal(t, len(r.Expire()), 0)
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
@@ -59,10 +59,10 @@
 	r.Interrupted()
 	clock.Advance(time.Minute)
 	r.Resumed()
-	r.Replace([]Target{{ID: "b", Version: 2}})
+	r.Replace([]Target{{ID: "b", Version: 2}}, 8)
 	assert.Equal(t, len(r.Expire()), 0)
 	clock.Advance(back)
-	assert.DeepEqual(t, r.Expire(), []string{"a"})
+	assert.DeepEqual(t, r.Expire(), []Departure{{ID: "a", Version: 8}})
 	assert.DeepEqual(t, ids(r), []string{"b"})
 }
 
@@ -82,9 +82,9 @@
 	r.Resumed()
 	r.CaughtUp()
 	clock.Advance(700 * time.Millisecond)
-	assert.Assert(t, !r.Remove("a"))
+	assert.Assert(t, !r.Remove("a", 3))
 	clock.Advance(renewal)
-	assert.DeepEqual(t, r.Expire(), []string{"a"})
+	assert.DeepEqual(t, r.Expire(), []Departure{{ID: "a", Version: 3}})
 }
 
 func TestDrainingEntryThatGoesIsGoneAtOnce(t *testing.T) {
@@ -92,7 +92,7 @@
 	r.Put(Target{ID: "a", Version: 3, Draining: true})
 	r.Interrupted()
 	r.Resumed()
-	assert.Assert(t, r.Remove("a"))
+	assert.Assert(t, r.Remove("a", 3))
 	assert.DeepEqual(t, ids(r), []string{"b"})
 }
 
