Hold the same promise for keys that are taken away after a silence

Cause: the feed of the configuration is the same code, so a call of it that the store never answered left keys in force that operators had taken away. Found by looking for the cause elsewhere; not reported.

--- a/standin/proof/routes_test.go
+++ b/standin/proof/routes_test.go
@@ -258,6 +258,21 @@
 	assert.Assert(t, whole > len(answers)/2, "%d of %d answers are whole", whole, len(answers))
 }
 
+// silenceFeeds has the store take calls for changes, and never answer them, while
+// something changes, so that every router has asked in that time. It returns when
+// the store has answered again for three seconds.
+func silenceFeeds(t *testing.T, s *routesite.Site, change func()) {
+	t.Helper()
+	// silent is longer than routers collect changes.
+	const silent = time.Second
+	time.Sleep(time.Second) // all routers hold a feed
+	assert.NilError(t, fleet.SetFaults(s.PlatformAddress, fault.Fault{Step: "feed", Mode: fault.Delay, Delay: time.Minute}))
+	change()
+	time.Sleep(silent)
+	assert.NilError(t, fleet.SetFaults(s.PlatformAddress))
+	time.Sleep(3 * time.Second)
+}
+
 // TestTargetLeavesAfterTheStoreWasSilent tells of targets that got new requests
 // for seconds after they had said that they leave. The store had fallen silent
 // for two seconds: it took calls and never answered them, while connections stayed
@@ -270,27 +285,18 @@
 // Probes of the connection were answered all the while, and routers could not tell
 // each other what none of them had read.
 func TestTargetLeavesAfterTheStoreWasSilent(t *testing.T) {
-	const (
-		// silent is longer than routers collect changes, so all of them ask in it.
-		silent = time.Second
-		// settled is how long the store answers again before the target leaves.
-		settled = 3 * time.Second
-		// drain is the time after which a target that leaves gets nothing new.
-		drain = 2 * time.Second
-	)
+	// drain is the time after which a target that leaves gets nothing new.
+	const drain = 2 * time.Second
 	s := newRouteSite(t, 3)
 	configure(t, s, routesite.Config(1, routeKey))
 	assert.NilError(t, s.AwaitReady(routeWait))
 	assert.NilError(t, s.AwaitMembers(routeWait))
 	leaving, err := s.AddWorker("leaving", routesite.Plain, "dc1", "--drain-time", "5s")
 	assert.NilError(t, err)
-	time.Sleep(time.Second) // all routers hold a feed again
-	assert.NilError(t, fleet.SetFaults(s.PlatformAddress, fault.Fault{Step: "feed", Mode: fault.Delay, Delay: time.Minute}))
-	_, err = s.AddWorker("another", routesite.Plain, "dc2")
-	assert.NilError(t, err)
-	time.Sleep(silent)
-	assert.NilError(t, fleet.SetFaults(s.PlatformAddress))
-	time.Sleep(settled)
+	silenceFeeds(t, s, func() {
+		_, err := s.AddWorker("another", routesite.Plain, "dc2")
+		assert.NilError(t, err)
+	})
 	calls := func() {
 		for range 10 {
 			for _, r := range s.Routers {
@@ -309,3 +315,20 @@
 	assert.Equal(t, requestsRunBy(t, leaving), before)
 	assert.NilError(t, g.Wait())
 }
+
+// TestKeyIsTakenAwayAfterTheStoreWasSilent has the same happen to the feed of the
+// configuration. Keys that operators take away must not work for the ten seconds
+// for which a feed may be held.
+func TestKeyIsTakenAwayAfterTheStoreWasSilent(t *testing.T) {
+	s := newRouteSite(t, 3)
+	configure(t, s, routesite.Config(1, routeKey, "second"))
+	assert.NilError(t, s.AwaitReady(routeWait))
+	assert.NilError(t, s.AwaitMembers(routeWait))
+	silenceFeeds(t, s, func() { configure(t, s, routesite.Config(2, routeKey, "second")) })
+	changed := time.Now()
+	configure(t, s, routesite.Config(3, routeKey))
+	for _, r := range s.Routers {
+		awaitStatus(t, s, r, "/record/", "second", 401)
+	}
+	assert.Assert(t, time.Since(changed) < 2*time.Second, "%v", time.Since(changed))
+}
