Soak: a store that is silent, and a target that leaves at the end

Cause: no run of the soak had a store that takes calls and never answers, and in none did a target leave while its work was looked at, so it could not have found requests at targets that had left. Change: a tenth kind of fault; when all is mended and 3 s have passed, a target leaves, and must run nothing new from 2 s after its word on. Seeds that once failed keep the kinds that they drew from.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -28,9 +28,10 @@
 	{"router killed", func(r *run) (func() error, error) { return r.endRouter(r.killRouter) }},
 	{"router stopped", func(r *run) (func() error, error) { return r.endRouter(r.stopRouter) }},
 	{"target frozen", (*run).freezeTarget},
-	{"target replaced", (*run).replaceTarget},
+	{"target added", (*run).addTarget},
 	{"configuration", (*run).reconfigure},
 	{"history forgotten", func(r *run) (func() error, error) { return nothing, r.site.Forget() }},
+	{"store silent", (*run).silenceStore},
 }
 
 func nothing() error { return nil }
@@ -46,14 +47,14 @@
 func (r *run) disturb() error {
 	var g errgroup.Group
 	busy := make(map[int]bool)
-	ended := make(chan int, len(kinds))
+	ended := make(chan int, r.options.Kinds)
 	stop := time.Now().Add(r.options.Duration)
 	for time.Now().Before(stop) {
 		time.Sleep(time.Duration(r.draw.Int64N(int64(longestPause))))
 		for len(ended) > 0 {
 			delete(busy, <-ended)
 		}
-		at := r.draw.IntN(len(kinds))
+		at := r.draw.IntN(r.options.Kinds)
 		lasts := time.Duration(r.draw.Int64N(int64(longestFault)))
 		if busy[at] {
 			continue
@@ -102,6 +103,16 @@
 	return mend, fleet.SetFaults(r.site.PlatformAddress, faults...)
 }
 
+// silenceStore has the store take calls and never answer them.
+func (r *run) silenceStore() (func() error, error) {
+	const never = time.Minute
+	var faults []fault.Fault
+	for _, step := range []string{"list", "feed"} {
+		faults = append(faults, fault.Fault{Step: step, Mode: fault.Delay, Delay: never})
+	}
+	return func() error { return fleet.SetFaults(r.site.PlatformAddress) }, fleet.SetFaults(r.site.PlatformAddress, faults...)
+}
+
 func (r *run) router() *fleet.Router { return r.site.Routers[r.draw.IntN(len(r.site.Routers))] }
 
 func (r *run) freezeRouter() (func() error, error) {
@@ -200,11 +211,11 @@
 	}
 }
 
-// replaceTarget starts a target and lets an older one of its service drain.
-// The old one keeps its process, so that it can still be asked what it ran.
-func (r *run) replaceTarget() (func() error, error) {
+// addTarget starts one more target.
+func (r *run) addTarget() (func() error, error) {
 	services := []string{routesite.Model, routesite.Plain}
-	return nothing, r.startTarget(services[r.draw.IntN(len(services))], r.draw.IntN(r.options.Routers))
+	_, err := r.startTarget(services[r.draw.IntN(len(services))], r.draw.IntN(r.options.Routers), shortDrain)
+	return nothing, err
 }
 
 // revokedFrom is the first version of the configuration without the revoked key.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -3,7 +3,7 @@
 //
 // Faults come in series and overlap: connections to targets that are slow,
 // silent, lose answers or are reset; routers and targets that are frozen,
-// killed, stopped and started again; a store that is slow, refuses, loses
+// killed, stopped and started again; a store that is slow, silent, refuses, loses
 // answers or forgets its history; configurations that change.
 //
 // # What is checked
@@ -14,7 +14,8 @@
 //   - a router that refused a revoked key never accepts it again in its life;
 //   - repeats stay inside the budget;
 //   - routers end by themselves only when stopped, with code 0;
-//   - after the last fault all routers serve within the recovery time.
+//   - after the last fault all routers serve within the recovery time;
+//   - then a target that leaves gets nothing new after its drain.
 //
 // # Usage
 //
@@ -29,6 +30,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -38,6 +40,7 @@
 
 	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
+	"zinccove.example/standin/worker"
 )
 
 // Options configure a run. All are required.
@@ -46,8 +49,14 @@
 	Seed     uint64
 	Routers  int
 	Duration time.Duration
+	// Kinds is the number of kinds of faults to draw from, in the order in which
+	// they were added, so that a seed keeps its meaning; at most AllKinds.
+	Kinds int
 }
 
+// AllKinds is the number of kinds of faults.
+var AllKinds = len(kinds)
+
 // Report is what a run found.
 type Report struct {
 	Requests   int
@@ -108,12 +117,11 @@
 	err = r.disturb()
 	r.mend()
 	recovered := r.recover()
+	err = errors.Join(err, r.checkLeaving())
 	r.mu.Lock()
 	r.stopped = true
 	r.mu.Unlock()
-	if gerr := g.Wait(); err == nil {
-		err = gerr
-	}
+	err = errors.Join(err, g.Wait())
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +142,7 @@
 func (r *run) start() error {
 	for i := range r.options.Routers {
 		for _, service := range []string{routesite.Model, routesite.Plain} {
-			if err := r.startTarget(service, i); err != nil {
+			if _, err := r.startTarget(service, i, shortDrain); err != nil {
 				return err
 			}
 		}
@@ -150,22 +158,25 @@
 	return r.site.AwaitReady(recovery)
 }
 
-// startTarget starts a target behind a proxy of its own. Each start has a new
-// id, as with real targets.
-func (r *run) startTarget(service string, dc int) error {
+// shortDrain is how long most targets serve on when they are stopped at the end.
+const shortDrain = "300ms"
+
+// startTarget starts a target behind a proxy of its own, which goes on serving for
+// drain when it leaves. Each start has a new id, as with real targets.
+func (r *run) startTarget(service string, dc int, drain string) (*fleet.Target, error) {
 	p, err := newProxy()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.lives++
 	id := fmt.Sprintf("%s-%d", service, r.lives)
-	w, err := r.site.AddWorker(id, service, fmt.Sprintf("dc%d", dc), "--advertise", p.address().String(), "--drain-time", "300ms")
+	w, err := r.site.AddWorker(id, service, fmt.Sprintf("dc%d", dc), "--advertise", p.address().String(), "--drain-time", drain)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.connect(w.Address)
 	r.proxies = append(r.proxies, p)
-	return nil
+	return w, nil
 }
 
 // call sends requests to one router until the soak stops.
@@ -190,6 +201,49 @@
 	}
 }
 
+// checkLeaving has a target leave once the store has been back for a while, and
+// compares what it ran when its drain was over and a second later.
+func (r *run) checkLeaving() error {
+	const (
+		back  = 3 * time.Second
+		known = time.Second
+		drain = 2 * time.Second
+		more  = time.Second
+	)
+	time.Sleep(back)
+	w, err := r.startTarget(routesite.Plain, 0, "6s")
+	if err != nil {
+		return err
+	}
+	time.Sleep(known)
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := w.Stop()
+		return err
+	})
+	time.Sleep(drain)
+	before, err := runsOf(w)
+	if err != nil {
+		return err
+	}
+	time.Sleep(more)
+	after, err := runsOf(w)
+	if err != nil {
+		return err
+	}
+	if after > before {
+		r.violate("%d requests reached a target %s after it had said that it leaves", after-before, drain)
+	}
+	return g.Wait()
+}
+
+// runsOf is the number of requests that a target ran.
+func runsOf(w *fleet.Target) (int, error) {
+	var runs map[string]worker.Run
+	err := fleet.GetJSON(w.Address, "/runs", &runs)
+	return len(runs), err
+}
+
 func (r *run) take(a *routesite.Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -11,12 +11,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// failed are seeds that once failed, with the cause that was mended.
+// failed are seeds that once failed, with the kinds of faults that there were and
+// the cause that was mended.
 var failed = []struct {
 	seed  uint64
+	kinds int
 	cause string
 }{
-	{100, "the soak itself: it killed a router during its planned stop and took the exit for a wrong one"},
+	{100, 9, "the soak itself: it killed a router during its planned stop and took the exit for a wrong one"},
 }
 
 // short is the seed of every test run.
@@ -34,18 +36,19 @@
 	build := exec.Command("go", "build", "-o", bin+"/", "zinccove.example/zinccove/cmd/...", "zinccove.example/standin/cmd/...")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, string(out))
-	seeds := []uint64{short}
+	runs := []Options{{Seed: short, Kinds: AllKinds}}
 	for _, f := range failed {
-		seeds = append(seeds, f.seed)
+		runs = append(runs, Options{Seed: f.seed, Kinds: f.kinds})
 	}
 	more, _ := strconv.Atoi(os.Getenv(seedsVariable)) // not set: none
 	first, _ := strconv.ParseUint(os.Getenv(firstVariable), 10, 64)
 	for i := range more {
-		seeds = append(seeds, first+uint64(i)+100)
+		runs = append(runs, Options{Seed: first + uint64(i) + 100, Kinds: AllKinds})
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			report, err := Run(Options{Bin: bin, Seed: seed, Routers: 3, Duration: 6 * time.Second})
+	for _, o := range runs {
+		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
+			o.Bin, o.Routers, o.Duration = bin, 3, 6*time.Second
+			report, err := Run(o)
 			assert.NilError(t, err)
 			t.Logf("%d requests, %d whole, faults %v", report.Requests, report.Whole, report.Faults)
 			for _, v := range report.Violations {
