--- a/cli/cli.go
+++ b/cli/cli.go
@@ -129,6 +129,7 @@
 		{name: "load", text: "Send the load of an experiment file to a fleet on loopback and measure it", data: &loadCommand{command: c}},
 		{name: "explain", text: "Tell the life of a request from the logs of routers", data: &explainCommand{command: c}},
 		{name: "decisions", text: "Sum up from the logs of routers which requests were placed and refused, and why", data: &decisionsCommand{command: c}},
+		{name: "departures", text: "Sum up from the logs of routers how late they knew of targets that left", data: &departuresCommand{command: c}},
 		{name: "audit", text: "List accepted changes, newest first", data: &auditCommand{command: c}},
 	}
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"time"
 
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/explain"
@@ -44,10 +45,28 @@
 	return asUsage(decisions.Write(c.globals.out))
 }
 
+// departuresCommand sums up how late routers knew of targets that left.
+type departuresCommand struct {
+	command
+	Drain time.Duration `long:"drain" default:"2s" description:"time after which a target that leaves must get nothing new"`
+	Args  struct {
+		Files []string `positional-arg-name:"LOG" description:"logs of routers; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+// Execute reads all logs and prints the summary.
+func (c *departuresCommand) Execute([]string) error {
+	departures := explain.NewDepartures(c.Drain)
+	if err := readLogs(c.Args.Files, departures.Read); err != nil {
+		return err
+	}
+	return asUsage(departures.Write(c.globals.out))
+}
+
 // asUsage turns errors that say that the logs lack what was asked for into errors
 // of input.
 func asUsage(err error) error {
-	if errors.Is(err, explain.ErrNotFound) || errors.Is(err, explain.ErrNoDecisions) {
+	if errors.Is(err, explain.ErrNotFound) || errors.Is(err, explain.ErrNoDecisions) || errors.Is(err, explain.ErrNoDepartures) {
 		return usageError{err.Error()}
 	}
 	return err
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -17,6 +17,8 @@
 //	err = d.Read(file)
 //	err = d.Write(os.Stdout)
 //
+//	e := explain.NewDepartures(2 * time.Second) // who knew late of targets that left
+//
 // # Limits
 //
 // Lines are ordered by the clocks of the hosts, which may differ. Lines that
