Follow evacuations of data centres, and spare cold targets that bear little

Cause: rows of operators that ask for a data centre to be evacuated were not read at all, and targets that say that they are cold got requests like any other. Change: the followed table of operators gives the evacuated data centres; their targets are unusable, also for a request that is about to be sent. Cold targets of services that state how little they bear are used only if there are no others. Tests: TestEvacuatedDataCentreGetsNothing, TestEvacuationsAreFollowed, TestColdTargetsThatBearLittleAreSpared.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,12 +62,8 @@
 
 // followRoutes follows the operators' configuration.
 func (g *Gateway) followRoutes(ctx context.Context) error {
-	o := g.source(wire.TableOperator, &g.routesAnswered, func(b platform.Batch, _ bool) {
-		for _, c := range b.Changes {
-			if c.Key == wire.ConfigKey && !c.Removed {
-				g.loop.post(ctx, func(l *loop) { l.adopt(c.Value, "store") })
-			}
-		}
+	o := g.source(wire.TableOperator, &g.routesAnswered, func(b platform.Batch, whole bool) {
+		g.loop.post(ctx, func(l *loop) { l.takeOperators(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
 	o.Lost = func(loss follow.Loss) { g.storeLost.Store(true); lost(loss) }
@@ -136,6 +134,30 @@
 	return follow.Run(ctx, o)
 }
 
+// takeOperators takes rows that operators wrote.
+func (l *loop) takeOperators(b platform.Batch, whole bool) {
+	evacuated := make(map[string]bool)
+	if !whole {
+		maps.Copy(evacuated, l.evacuated)
+	}
+	for _, c := range b.Changes {
+		if dc, ok := platform.EvacuatedDataCentre(c.Key); ok {
+			evacuated[dc] = !c.Removed
+		}
+		if c.Key == wire.ConfigKey && !c.Removed {
+			l.adopt(c.Value, "store")
+		}
+	}
+	maps.DeleteFunc(evacuated, func(_ string, asked bool) bool { return !asked })
+	if maps.Equal(evacuated, l.evacuated) {
+		return
+	}
+	l.evacuated = evacuated
+	l.gateway.placer.SetEvacuated(evacuated)
+	l.gateway.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(evacuated))).Uint64("version", b.Version).
+		Msg("data centres to be evacuated")
+}
+
 // adopt brings a configuration in force, unless it is not newer than the one
 // in force or not valid.
 func (l *loop) adopt(body []byte, from string) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -144,6 +144,30 @@
 	assert.Equal(t, told[0].Version, uint64(9))
 }
 
+// TestEvacuationsAreFollowed has operators ask for evacuations and take them back,
+// one of them while the history is lost.
+func TestEvacuationsAreFollowed(t *testing.T) {
+	g := &Gateway{settings: &settings.Settings{Host: "a"}, clock: clockwork.NewFakeClock(), log: zerolog.Nop(), placer: newPlacer(t)}
+	l := newLoop(g)
+	row := func(dc string, gone bool) platform.Change {
+		return platform.Change{Key: "evacuate/" + dc, Removed: gone}
+	}
+	for _, step := range []struct {
+		changes []platform.Change
+		whole   bool
+		want    map[string]bool
+	}{
+		{[]platform.Change{row("x", false)}, true, map[string]bool{"x": true}},
+		{[]platform.Change{row("y", false)}, false, map[string]bool{"x": true, "y": true}},
+		{nil, false, map[string]bool{"x": true, "y": true}},
+		{[]platform.Change{row("x", true)}, false, map[string]bool{"y": true}},
+		{nil, true, map[string]bool{}},
+	} {
+		l.takeOperators(platform.Batch{Changes: step.changes}, step.whole)
+		assert.DeepEqual(t, l.evacuated, step.want)
+	}
+}
+
 // TestFullReportFitsADatagram is the case of a grown site: work at 140 targets
 // for 60 customers does not fit, and a heartbeat that is too large is lost.
 func TestFullReportFitsADatagram(t *testing.T) {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -85,6 +85,8 @@
 	leaving map[place.Hash]departure
 	// cut are the data centres that seem to be cut off.
 	cut []string
+	// evacuated are the data centres that operators want evacuated.
+	evacuated map[string]bool
 	// behind is since when another router has a newer configuration.
 	behind   time.Time
 	fetching bool
--- a/place/place.go
+++ b/place/place.go
@@ -127,6 +127,8 @@
 	stated int
 	// cut holds the data centres that seem to be cut off.
 	cut map[string]bool
+	// evacuated holds the data centres whose targets are to get nothing new.
+	evacuated map[string]bool
 	// warm is set until the first targets are known, if the fleet ran before.
 	warm bool
 }
@@ -150,6 +152,9 @@
 	targets []*target
 	engine  *route.Engine
 	speed   *speed
+	// coldRate is the number of requests a second that a cold target bears; 0 if it
+	// bears as many as others.
+	coldRate float64
 }
 
 // target is the state of one target.
@@ -170,6 +175,8 @@
 	// replaced is set once another run of the target answered: this one has ended,
 	// also if its entry says nothing of it yet.
 	replaced bool
+	// coldUntil is until when the target is cold.
+	coldUntil time.Time
 	// warmUntil is until when parts of which nothing is known count as kept.
 	warmUntil time.Time
 }
@@ -211,6 +218,9 @@
 				t.warmUntil = p.clock.Now().Add(warmFor)
 			}
 		}
+		if t.Version != entry.Version {
+			t.coldUntil = p.clock.Now().Add(entry.ColdLeft)
+		}
 		t.Target = *entry
 		t.seed = xxhash.Sum64String(entry.Address.String())
 		p.targets[entry.ID] = t
@@ -225,11 +235,19 @@
 	p.sumPeers()
 }
 
+// SetEvacuated takes the data centres whose targets are to get nothing new.
+func (p *Placer) SetEvacuated(dataCentres map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = dataCentres
+}
+
 func (p *Placer) setEngines(table *route.Table) {
 	p.stated = int(table.Limits.TokensPerSecond * useWindow.Seconds())
 	for i := range table.Services {
 		s := p.service(table.Services[i].Name)
 		s.engine = table.Services[i].Engine
+		s.coldRate = table.Services[i].ColdRate
 		if s.engine != nil && len(s.targets) > 0 {
 			s.speed.guess(table.Limits.TokensPerSecond / float64(len(s.targets)))
 		}
@@ -268,19 +286,31 @@
 type grade int
 
 const (
-	// unusable targets leave, have ended or were tried before.
+	// unusable targets leave, have ended, were tried before or are in a data centre
+	// that is evacuated.
 	unusable grade = iota
-	// doubtful targets seem cut off or fail much; they are used only if there are
-	// no others.
+	// doubtful targets seem cut off, fail much or are cold and bear little; they are
+	// used only if there are no others.
 	doubtful
 	good
 )
 
+// leaves reports whether a target must get nothing new.
+func (p *Placer) leaves(t *target) bool {
+	return t.Draining || t.replaced || p.evacuated[t.DataCentre]
+}
+
+// spares reports whether a target is cold and bears little. All routers together
+// may send it only a few requests a second; they send none while there are others.
+func (s *service) spares(t *target, now time.Time) bool {
+	return s.coldRate > 0 && now.Before(t.coldUntil)
+}
+
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case t.Draining || t.replaced || slices.Contains(r.Tried, t.ID):
+	case p.leaves(t) || slices.Contains(r.Tried, t.ID):
 		return unusable
-	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now):
+	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now) || s.spares(t, now):
 		return doubtful
 	}
 	return good
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -473,3 +473,59 @@
 	even := computeShares(map[Hash]Use{HashOf("a"): {Asked: 90, Served: 90}, HashOf("b"): {Asked: 100, Served: 100}}, 0)
 	assert.Equal(t, even.standing("a").part, 1.0)
 }
+
+// TestEvacuatedDataCentreGetsNothing has operators evacuate the data centre of most
+// targets, also of one that was chosen before.
+func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	list := targets("model", 9)
+	for i, target := range list {
+		target.DataCentre = "evacuated"
+		if i == 4 {
+			target.DataCentre = "other"
+		}
+	}
+	p.SetTargets(list, table(t))
+	p.SetEvacuated(map[string]bool{"other": true})
+	before := p.Place(ask(call("part", 500, 100), "c")).Run
+	assert.Equal(t, before.Target.DataCentre, "evacuated")
+	assert.Assert(t, !before.Leaving())
+	p.SetEvacuated(map[string]bool{"evacuated": true})
+	assert.Assert(t, before.Leaving())
+	for i := range 20 {
+		d := p.Place(ask(call(fmt.Sprint("part", i), 500, 100), "c"))
+		assert.Equal(t, d.Run.Target.DataCentre, "other")
+	}
+	p.SetEvacuated(map[string]bool{"evacuated": true, "other": true})
+	assert.Equal(t, p.Place(ask(call("part", 500, 100), "c")).Reason, NoTarget)
+}
+
+// TestColdTargetsThatBearLittleAreSpared has half of the targets cold for a second.
+func TestColdTargetsThatBearLittleAreSpared(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	tab := table(t)
+	tab.Services[0].ColdRate = 6
+	list := targets("model", 8)
+	cold := make(map[string]bool)
+	for i, target := range list {
+		target.Version = 1
+		if i%2 == 0 {
+			target.ColdLeft = time.Second
+			cold[target.ID] = true
+		}
+	}
+	coldOnes := func() int {
+		n := 0
+		for i := range 40 {
+			if d := p.Place(ask(call(fmt.Sprint("part", i), 500, 100), "c")); cold[d.Run.Target.ID] {
+				n++
+			}
+		}
+		return n
+	}
+	p.SetTargets(list, tab)
+	assert.Equal(t, coldOnes(), 0)
+	clock.Advance(time.Second)
+	p.SetTargets(list, tab)
+	assert.Assert(t, coldOnes() > 0, "an entry that did not change does not make it cold again")
+}
--- a/place/run.go
+++ b/place/run.go
@@ -37,13 +37,13 @@
 }
 
 // Leaving reports whether the target takes no new requests any more: it said so,
-// went or was found replaced since it was chosen.
+// went, was found replaced or is to be evacuated since it was chosen.
 func (r *Run) Leaving() bool {
 	p := r.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[r.Target.ID]
-	return t == nil || t.Draining || t.replaced
+	return t == nil || p.leaves(t)
 }
 
 // FirstEvent notes that the target has read the prompt. It returns how far off
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -42,6 +42,8 @@
 	Slots int
 	// Draining targets take no new work.
 	Draining bool
+	// ColdLeft is how much longer the target is cold, as of its entry.
+	ColdLeft time.Duration
 	// Version grows with each change of the entry.
 	Version uint64
 }
--- a/route/route.go
+++ b/route/route.go
@@ -107,6 +107,9 @@
 	// MaxConns is the number of connections that one target accepts from all
 	// routers together.
 	MaxConns int
+	// ColdRate is the number of requests a second that a target bears just after
+	// its start; 0 if it bears as many as later.
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
