--- a/follow/follow.go
+++ b/follow/follow.go
@@ -54,7 +54,7 @@
 	Hold func() time.Duration
 	// Settle is how long to wait at most after changes before asking for more, so
 	// that changes in quick succession come in one answer; nil asks at once. The
-	// wait is drawn from its second half: processes that read the same change would
+	// wait is drawn from its last quarter: processes that read the same change would
 	// otherwise all ask again at the same moment, and all be without news if that
 	// moment is a bad one.
 	Settle func() time.Duration
@@ -140,7 +140,7 @@
 	if most <= 0 {
 		return 0
 	}
-	return most/2 + rand.N(most/2+1)
+	return most - rand.N(most/4+1)
 }
 
 // rest waits for d, or until ctx ends.
