Let routers of large fleets miss a heartbeat, and hold feeds longer there

Cause: with 295 routers the period of heartbeats is 2.4 s, and a router counts as not reachable after 2 s. Eleven routers wrote 16,791 lines 'router not reachable' in 36 s, about six a second each while nothing was wrong; word on leaving targets goes to reachable routers. Fleets of up to 125 routers keep their silence of 2 s. Test: TestRoutersMayMissAHeartbeat.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -79,9 +79,10 @@
 	// the drain, 2 s in the smallest fleets, once the store is back.
 	leastHold = 1500 * time.Millisecond
 	holdStep  = 500 * time.Millisecond
-	// mostHold bounds the calls: each has its price, and 59 routers that all held
-	// feeds for leastHold would make three times as many.
-	mostHold = 6 * time.Second
+	// mostHold bounds what a call costs that is never answered where no other router
+	// is heard; each call has its price, and 59 routers that all held feeds for
+	// leastHold would make five times as many.
+	mostHold = 10 * time.Second
 )
 
 // holdTime is how long the router of a rank holds feeds open.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// TestRoutersMayMissAHeartbeat has fleets in which heartbeats come less often than
+// the least silence.
+func TestRoutersMayMissAHeartbeat(t *testing.T) {
+	for _, routers := range []int{0, 8, 58, 294, 819} {
+		period := time.Duration(routers) * beatCost
+		assert.Assert(t, silenceTime(period) >= 2*period && silenceTime(period) >= silence, "%d routers: %v", routers, silenceTime(period))
+	}
+	assert.Equal(t, silenceTime(58*beatCost), silence)
+}
+
 // TestTargetMissingFromTheWholeTableIsToldOthers has a router read the whole table
 // after the store lost its history. Others take its word on a target only if that
 // has a version newer than their entry.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -23,9 +23,12 @@
 const (
 	// tickPeriod is the time between looks at what is due.
 	tickPeriod = 50 * time.Millisecond
-	// silence is how long a router may be silent before it counts as not
-	// reachable; what it announced is forgotten then.
-	silence = 2 * time.Second
+	// silence is how long a router may at least be silent before it counts as not
+	// reachable; what it announced is forgotten then. In large fleets it may be silent
+	// for missedBeats periods of heartbeats. With 295 routers, whose period is 2.4 s,
+	// each one lost six others a second that were well.
+	silence     = 2 * time.Second
+	missedBeats = 2
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
 	forgetAfter = time.Minute
 	// inbox holds what waits for the control loop.
@@ -151,8 +154,9 @@
 	l.findCuts()
 	l.expireTargets()
 	l.catchUp(ctx, now)
-	if now.Sub(l.lastBeat) >= l.beatInterval() {
+	if period := l.beatInterval(); now.Sub(l.lastBeat) >= period {
 		l.lastBeat = now
+		l.members.SetTimeout(silenceTime(period))
 		l.beat()
 	}
 	if l.ticks%sweepEvery == 0 {
@@ -194,6 +198,11 @@
 	return max(l.gateway.settings.HeartbeatInterval, time.Duration(len(l.reachable()))*beatCost)
 }
 
+// silenceTime is how long routers may be silent that send a heartbeat each period.
+func silenceTime(period time.Duration) time.Duration {
+	return max(silence, missedBeats*period)
+}
+
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
