--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -79,9 +79,9 @@
 	// the drain, 2 s in the smallest fleets, once the store is back.
 	leastHold = 1500 * time.Millisecond
 	holdStep  = 500 * time.Millisecond
-	// mostHold bounds what a call costs that is never answered where no other router
-	// is heard; each call has its price, and 59 routers that all held feeds for
-	// leastHold would make five times as many.
+	// mostHold bounds how late the last routers learn of new targets, which others do
+	// not tell them. Each call has its price: 59 routers that all held feeds for
+	// leastHold would make five times as many as with these holds.
 	mostHold = 10 * time.Second
 )
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -25,8 +25,8 @@
 	tickPeriod = 50 * time.Millisecond
 	// silence is how long a router may at least be silent before it counts as not
 	// reachable; what it announced is forgotten then. In large fleets it may be silent
-	// for missedBeats periods of heartbeats. With 295 routers, whose period is 2.4 s,
-	// each one lost six others a second that were well.
+	// for missedBeats periods of heartbeats: with 295 routers, whose period is 2.4 s,
+	// each one would lose six others a second that are well.
 	silence     = 2 * time.Second
 	missedBeats = 2
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
