--- /dev/null
+++ b/place/use_test.go
@@ -0,0 +1,137 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestShareLevelIsMaxMin(t *testing.T) {
+	uses := map[Hash]Use{1: {Asked: 100, Served: 100}, 2: {Asked: 1000, Served: 300}, 3: {Asked: 5000, Served: 1500}}
+	s := computeShares(uses, 0)
+	assert.Assert(t, s.pressed)
+	assert.Equal(t, s.even, 900)
+	assert.Equal(t, s.owed, 900)
+	s = computeShares(uses, 1100)
+	assert.Equal(t, s.even, 900)
+	assert.Equal(t, s.owed, 500)
+	assert.Equal(t, computeShares(uses, 5000).owed, 900, "no more is owed than is served")
+	calm := computeShares(map[Hash]Use{1: {Asked: 100, Served: 100}, 2: {Asked: 5000, Served: 5000}}, 1000)
+	assert.Assert(t, !calm.pressed)
+}
+
+// TestLimitShrinksFromTheOwedLevelOn has three customers that flood: one within
+// what it is owed, one above it, one also far ahead of the others.
+func TestLimitShrinksFromTheOwedLevelOn(t *testing.T) {
+	s := computeShares(map[Hash]Use{
+		HashOf("within"): {Asked: 5000, Served: 450}, HashOf("above"): {Asked: 5000, Served: 800}, HashOf("ahead"): {Asked: 5000, Served: 1450},
+	}, 1500)
+	assert.Equal(t, s.owed, 500)
+	assert.Equal(t, s.even, 900)
+	assert.Equal(t, s.standing("within"), standing{part: 1})
+	above, ahead := s.standing("above"), s.standing("ahead")
+	assert.Assert(t, above.above && !above.ahead && ahead.above && ahead.ahead)
+	assert.Assert(t, above.part < 0.5 && above.part >= leastFactor, "%v", above)
+	assert.Assert(t, ahead.part < leastFactor && ahead.part > leastFactor/4, "%v", ahead)
+	assert.Equal(t, s.standing("new").part, lightFactor)
+}
+
+// TestFloodThatIsAheadLeavesIdleTargetsToOthers has two customers that flood, of
+// which one had three times as much.
+func TestFloodThatIsAheadLeavesIdleTargetsToOthers(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	p.SetPeer("other", Report{Uses: map[Hash]Use{
+		HashOf("ahead"): {Asked: 9_000_000, Served: 3_000_000}, HashOf("behind"): {Asked: 9_000_000, Served: 1_000_000},
+	}})
+	c := call("part", 500, 9000)
+	assert.Equal(t, p.Place(ask(c, "ahead")).Reason, Overloaded)
+	assert.Assert(t, p.Place(ask(c, "behind")).Run != nil)
+}
+
+func TestCustomerAboveItsShareIsRefusedFirst(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	p.SetPeer("other", Report{Uses: map[Hash]Use{
+		HashOf("flood"): {Asked: 10_000_000, Served: 1_000_000}, HashOf("small"): {Asked: 500_000, Served: 10_000},
+	}})
+	c := call("part", 500, 3000)
+	home := p.Place(ask(c, "small")).Run
+	for _, target := range p.targets {
+		target.queue.add(10_000)
+	}
+	assert.Equal(t, p.Place(ask(c, "flood")).Reason, Overloaded)
+	d := p.Place(ask(c, "small"))
+	assert.Equal(t, d.Share, lightFactor)
+	assert.Assert(t, d.Run != nil, "places are left for customers below their share")
+	home.End(Answered)
+}
+
+func TestUseSlidesOutOfTheWindow(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	p.note("c", Use{Asked: 10, Served: 5}, clock.Now())
+	clock.Advance((useSlots - 1) * useSlot)
+	assert.Equal(t, p.Uses()[HashOf("c")], Use{Asked: 10, Served: 5})
+	clock.Advance(2 * useSlot)
+	assert.Equal(t, len(p.Uses()), 0)
+}
+
+// TestServiceIsTakenBackFromWhatDidNotRun ends runs in every way.
+func TestServiceIsTakenBackFromWhatDidNotRun(t *testing.T) {
+	tests := []struct {
+		result Result
+		counts bool
+	}{
+		{Answered, true}, {Faulty, true}, {Failed, true}, {Cancelled, true},
+		{Refused, false}, {Unreachable, false}, {Replaced, false}, {Withdrawn, false},
+	}
+	for _, tc := range tests {
+		p, clock := newTestPlacer(t)
+		c := call("part", 900, 100)
+		cost := costOf(c)
+		run := p.Place(ask(c, "c")).Run
+		clock.Advance(useSlot)
+		run.End(tc.result)
+		run.End(tc.result)
+		want := Use{Asked: cost}
+		if tc.counts {
+			want.Served = cost
+		}
+		assert.Equal(t, p.Uses()[HashOf("c")], want, "result %d", tc.result)
+	}
+}
+
+func TestServiceOfLongAgoIsNotTakenBackTwice(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	c := call("part", 900, 100)
+	run := p.Place(ask(c, "c")).Run
+	clock.Advance(useWindow)
+	assert.Equal(t, len(p.Uses()), 0)
+	p.Place(ask(c, "c"))
+	run.End(Refused)
+	assert.Equal(t, p.Uses()[HashOf("c")].Served, costOf(c))
+}
+
+func TestSecondAttemptAsksForNothingNew(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := call("part", 900, 100)
+	r := ask(c, "c")
+	run := p.Place(r).Run
+	run.End(Refused)
+	r.Tried = []string{run.Target.ID}
+	assert.Assert(t, p.Place(r).Run != nil)
+	assert.Equal(t, p.Uses()[HashOf("c")], Use{Asked: costOf(c), Served: costOf(c)})
+}
+
+func TestCustomerThatAsksForMuchLeavesRoomForOthers(t *testing.T) {
+	uses := map[Hash]Use{HashOf("heavy"): {Asked: 800, Served: 800}}
+	for i := range 9 {
+		uses[HashOf(fmt.Sprint(i))] = Use{Asked: 20, Served: 20}
+	}
+	s := computeShares(uses, 0)
+	assert.Assert(t, !s.pressed)
+	assert.Equal(t, s.standing("heavy"), standing{part: heavyFactor})
+	assert.Equal(t, s.standing("3"), standing{part: lightFactor})
+	assert.Equal(t, s.standing("new"), standing{part: lightFactor})
+	even := computeShares(map[Hash]Use{HashOf("a"): {Asked: 90, Served: 90}, HashOf("b"): {Asked: 100, Served: 100}}, 0)
+	assert.Equal(t, even.standing("a").part, 1.0)
+}
