Take stated quantities and times with fractions

Looked at: every key that the template fills. Slack and memory were whole numbers; times in ms and s and the ratio took fractions already. A value that the platform does not state was refused where a default exists.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -94,6 +94,8 @@
 // so at the default the collector runs many times a second under load.
 const gcPercent = 400
 
+const bytesPerMB = 1 << 20
+
 // memoryPart is the part of the allowed memory at which the collector works
 // harder; the rest is for sockets and what is freed late. A busy router of a
 // grown site needs more than half of 184 MB: with 0.5 the collector took its
@@ -105,7 +107,7 @@
 func serveRoutes(s *settings.Settings, out io.Writer) int {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryPart))
+		debug.SetMemoryLimit(int64(s.MemoryMB * bytesPerMB * memoryPart))
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links,
-		Retries: request.NewBudget(s.RetryRatio*retryPart, float64(s.RetrySlack)*retryPart/usualRouters),
+		Retries: request.NewBudget(s.RetryRatio*retryPart, s.RetrySlack*retryPart/usualRouters),
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
@@ -170,7 +170,7 @@
 	g.group.Go(func() error { return g.followTargets(ctx) })
 	g.group.Go(func() error { return g.announce(ctx) })
 	g.log.Info().Stringer("caller", g.relay.Address()).Stringer("control", g.control.Address()).Stringer("peer", g.transport.Address()).
-		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Int("memory_mb", s.MemoryMB).Bool("first_start", s.FirstStart).Msg("started")
+		Stringer("platform", s.PlatformAddress).Str("data_centre", s.DataCentre).Float64("memory_mb", s.MemoryMB).Bool("first_start", s.FirstStart).Msg("started")
 	return nil
 }
 
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -63,13 +63,13 @@
 	duration("limits", "stop-delay", 2*time.Second, 0, time.Minute, "Time that a planned stop gives the balancer to see that this router is not ready.", func(s *Settings) *time.Duration { return &s.StopDelay }),
 	duration("limits", "stop-timeout", 15*time.Minute, time.Second, 24*time.Hour, "Longest time that a planned stop waits for accepted requests.", func(s *Settings) *time.Duration { return &s.StopTimeout }),
 
-	number("limits", "memory-mb", 0, 0, 1<<20, "Memory of the process in MB, which the collector keeps well below; 0 leaves it open.", func(s *Settings) *int { return &s.MemoryMB }),
+	decimal("limits", "memory-mb", 0, 0, 1<<20, "Memory of the process in MB, which the collector keeps well below; 0 leaves it open.", func(s *Settings) *float64 { return &s.MemoryMB }),
 
 	duration("targets", "drain", 2*time.Second, time.Second, time.Minute, "Time after which a target that said that it leaves, or whose entry went, must get nothing new.", func(s *Settings) *time.Duration { return &s.TargetDrain }),
 	duration("targets", "heartbeat", 1200*time.Millisecond, 100*time.Millisecond, time.Minute, "Time between two writes of a target's entry; an entry that goes is gone unless it is back by then.", func(s *Settings) *time.Duration { return &s.TargetHeartbeat }),
 
-	fraction("retry", "ratio", 0.2, 0, 1, "Most second attempts at a service over the requests for it, of all routers together.", func(s *Settings) *float64 { return &s.RetryRatio }),
-	number("retry", "slack", 50, 0, 1<<20, "Second attempts that all routers together may make beyond the ratio, in one window.", func(s *Settings) *int { return &s.RetrySlack }),
+	decimal("retry", "ratio", 0.2, 0, 1, "Most second attempts at a service over the requests for it, of all routers together.", func(s *Settings) *float64 { return &s.RetryRatio }),
+	decimal("retry", "slack", 50, 0, 1<<20, "Second attempts that all routers together may make beyond the ratio, in one window.", func(s *Settings) *float64 { return &s.RetrySlack }),
 	duration("retry", "window", 10*time.Second, time.Second, time.Minute, "Window of the retry limits.", func(s *Settings) *time.Duration { return &s.RetryWindow }),
 
 	number("fair", "debt-requests", 4, 2, 1000, "Most that a waiting customer can be ahead of the least served one, in requests of the largest recent cost. What it got beyond that, as in a partition, is forgiven.", func(s *Settings) *int { return &s.DebtRequests }),
@@ -177,7 +177,8 @@
 	return key{section: section, name: name, def: "false", allowed: "true or false", doc: doc, set: set}
 }
 
-func fraction(section, name string, def, least, most float64, doc string, field func(*Settings) *float64) key {
+// decimal is a key for a quantity that platforms may state with a fraction.
+func decimal(section, name string, def, least, most float64, doc string, field func(*Settings) *float64) key {
 	set := func(s *Settings, v string) error {
 		n, err := strconv.ParseFloat(v, 64)
 		// The comparison is false for what is not a number.
@@ -187,9 +188,12 @@
 		*field(s) = n
 		return nil
 	}
-	return key{section: section, name: name, def: strconv.FormatFloat(def, 'g', -1, 64), allowed: fmt.Sprintf("%g to %g", least, most), doc: doc, set: set}
+	return key{section: section, name: name, def: plain(def), allowed: plain(least) + " to " + plain(most), doc: doc, set: set}
 }
 
+// plain writes a number without an exponent.
+func plain(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 func number(section, name string, def, least, most int, doc string, field func(*Settings) *int) key {
 	set := func(s *Settings, v string) error {
 		n, err := strconv.Atoi(v)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,7 +66,7 @@
 	StopDelay   time.Duration
 	StopTimeout time.Duration
 
-	MemoryMB int
+	MemoryMB float64
 
 	// TargetDrain is the time after which a target that said that it leaves, or
 	// whose entry went, must get nothing new.
@@ -77,7 +77,7 @@
 	// RetryRatio and RetrySlack bound the second attempts of all routers in a
 	// RetryWindow.
 	RetryRatio  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 
 	DebtRequests int
@@ -221,6 +221,10 @@
 		if s, err := p.ini.GetSection(k.section); err == nil && s.HasKey(k.name) {
 			text = s.Key(k.name).String()
 		}
+		// A template leaves a value empty that the platform does not state.
+		if text == "" {
+			text = k.def
+		}
 		if text == "" && k.required {
 			p.fail(k.section, k.name, "is required: "+k.allowed)
 			continue
--- /dev/null
+++ b/settings/template_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// gap is a place in a template that a platform fills.
+var gap = regexp.MustCompile(`\{\{[^}]*\}\}`)
+
+// fill fills the template of deployments with values by their names, as a platform
+// does. The list of contacts is filled as one value.
+func fill(t *testing.T, values map[string]string) string {
+	t.Helper()
+	body, err := os.ReadFile("../deploy/zinccoved.ini")
+	assert.NilError(t, err)
+	text := strings.Replace(string(body), "{{#seeds}}{{.}}{{,}}{{/seeds}}", values["seeds"], 1)
+	return gap.ReplaceAllStringFunc(text, func(g string) string { return values[strings.Trim(g, "{}")] })
+}
+
+// stated is what a platform states, all quantities as fractions.
+func stated() map[string]string {
+	return map[string]string{
+		"nodeName": "front-1", "zone": "hall-a", "ip": "10.1.0.33", "portRange.0": "7400",
+		"listen.front": "10.1.0.33:8783", "listen.ready": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
+		"seeds": "10.1.0.33:8785,10.2.0.18:8785", "bootstrap": "true", "platform.address": "10.200.1.7:8781",
+		"limits.memoryMb": "184.5", "heartbeatMs": "1200.25", "bounds.graceS": "8.5", "bounds.drainMs": "4000.75",
+		"bounds.retryRatio": "0.2", "bounds.retrySlack": "33.1578947368421", "bounds.retryWindowS": "9.5",
+	}
+}
+
+func TestTemplateTakesFractions(t *testing.T) {
+	s, err := Parse("filled", []byte(fill(t, stated())))
+	assert.NilError(t, err)
+	assert.Equal(t, s.RetrySlack, 33.1578947368421)
+	assert.Equal(t, s.MemoryMB, 184.5)
+	assert.Equal(t, s.StopTimeout, 8500*time.Millisecond)
+	assert.Equal(t, s.TargetDrain, 4000750*time.Microsecond)
+	assert.Equal(t, s.TargetHeartbeat, 1200250*time.Microsecond)
+	assert.Equal(t, s.RetryWindow, 9500*time.Millisecond)
+}
+
+// TestTemplateTakesMissingValues leaves out what has a default.
+func TestTemplateTakesMissingValues(t *testing.T) {
+	values := stated()
+	for _, name := range []string{"limits.memoryMb", "bounds.retryRatio", "bounds.retrySlack"} {
+		values[name] = ""
+	}
+	s, err := Parse("filled", []byte(fill(t, values)))
+	assert.NilError(t, err)
+	assert.Equal(t, s.RetrySlack, 50.0)
+	assert.Equal(t, s.RetryRatio, 0.2)
+	assert.Equal(t, s.MemoryMB, 0.0)
+}
