Spend less processor time on what other routers say

In benchmarks with 294 other routers: comparing customers sums up 294 reports anew, 1,016 us each 50 ms, 2 % of a core; the control loop sorts the list of routers some five times a tick, 176 us each 50 ms; a heartbeat is encoded and authenticated for each receiver, 2.26 ms. Ruled out: taking a heartbeat (3 us). Change: sums of uses are kept as reports come and go; the list of routers is kept in order; a datagram is made once for all receivers. Figures: 9 us, 26 us, 1.12 ms (what is left are 294 calls of the kernel).

--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -316,19 +316,14 @@
 
 // beat sends a heartbeat to every router and returns its cost in bytes.
 func (l *loop) beat() int {
-	hb := l.heartbeat()
-	sent := 0
-	for _, to := range l.destinations() {
-		size, err := l.daemon.transport.Send(to, hb)
-		if err != nil {
-			l.daemon.metrics.Inc(metric.PeerErrors)
-			continue
-		}
-		sent += size
-		l.daemon.metrics.Inc(metric.HeartbeatsSent)
-	}
-	l.daemon.metrics.Add(metric.ControlBytesSent, sent)
-	return sent
+	to := l.destinations()
+	size, sent, err := l.daemon.transport.Send(l.heartbeat(), to...)
+	if err != nil {
+		l.daemon.metrics.Add(metric.PeerErrors, len(to)-sent)
+	}
+	l.daemon.metrics.Add(metric.HeartbeatsSent, sent)
+	l.daemon.metrics.Add(metric.ControlBytesSent, size*sent)
+	return size * sent
 }
 
 // destinations returns the addresses of all known routers and, while there are
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -16,24 +16,19 @@
 
 // beat sends a heartbeat to every known router.
 func (l *loop) beat() {
-	hb := l.heartbeat()
-	for _, to := range l.destinations() {
-		if l.send(to, hb) {
-			l.gateway.metrics.Inc(metric.HeartbeatsSent)
-		}
-	}
+	sent := l.send(l.heartbeat(), l.destinations())
+	l.gateway.metrics.Add(metric.HeartbeatsSent, sent)
 }
 
-// send sends a heartbeat to one router and reports whether it left.
-func (l *loop) send(to netip.AddrPort, hb *zinccovev1.Heartbeat) bool {
+// send sends a datagram to some routers and returns for how many it left.
+func (l *loop) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) int {
 	g := l.gateway
-	size, err := g.transport.Send(to, hb)
+	size, sent, err := g.transport.Send(hb, to...)
 	if err != nil {
-		g.metrics.Inc(metric.PeerErrors)
-		return false
+		g.metrics.Add(metric.PeerErrors, len(to)-sent)
 	}
-	g.metrics.Add(metric.ControlBytesSent, size)
-	return true
+	g.metrics.Add(metric.ControlBytesSent, size*sent)
+	return sent
 }
 
 // usesPeriod is the time between heartbeats that carry the use by customers,
--- /dev/null
+++ b/gateway/control_bench_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"zinccove.example/zinccove/control"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/relay"
+	"zinccove.example/zinccove/settings"
+)
+
+// manyRouters and manyCustomers are the size of a large fleet.
+const (
+	manyRouters   = 295
+	manyCustomers = 60
+)
+
+// newControl returns the control loop of one router of a large fleet, without
+// callers and store.
+func newControl(b *testing.B) *loop {
+	b.Helper()
+	m, err := metric.New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { m.Close() }) //nolint:errcheck // nothing is written
+	clock := clockwork.NewFakeClock()
+	g := &Gateway{
+		settings: &settings.Settings{Host: "front-0", DataCentre: "dc-0"}, clock: clock, metrics: m, log: zerolog.Nop(),
+		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
+	}
+	g.transport, err = peer.Listen(peer.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Key: []byte("0123456789abcdef"), Receive: func(*zinccovev1.Heartbeat, int) {},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { g.transport.Close() }) //nolint:errcheck // nothing is sent
+	g.control, err = control.Listen(control.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), FleetKey: "0123456789abcdef", Ready: func() bool { return true }, Metrics: m.Handler(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { g.control.Close() }) //nolint:errcheck // nobody calls it
+	return newLoop(g)
+}
+
+// heartbeatOf is a heartbeat of another router with the use of all customers.
+func heartbeatOf(i int, sequence uint64) *zinccovev1.Heartbeat {
+	hb := &zinccovev1.Heartbeat{Incarnation: uint64(i + 1), Sequence: sequence, Host: &zinccovev1.HostInfo{
+		Name: fmt.Sprintf("front-%d", i+1), DataCentre: fmt.Sprintf("dc-%d", i%5), Control: "127.0.0.1:1", Peer: "127.0.0.1:9",
+	}}
+	for c := range manyCustomers {
+		hb.Uses = append(hb.Uses, &zinccovev1.CustomerUse{Customer: uint32(place.HashOf(fmt.Sprint(c))), Served: 1000, Asked: 1200})
+	}
+	return hb
+}
+
+func hearAll(l *loop, sequence uint64) {
+	for i := range manyRouters - 1 {
+		l.hear(received{heartbeatOf(i, sequence), 900})
+	}
+}
+
+// BenchmarkTickOfLargeFleet is a look of the control loop at what is due, 20 times a
+// second: 176 us when the list of routers was sorted for each use, 26 us since it is
+// kept in order.
+func BenchmarkTickOfLargeFleet(b *testing.B) {
+	l := newControl(b)
+	hearAll(l, 1)
+	l.lastBeat = l.gateway.clock.Now()
+	for b.Loop() {
+		l.tick(context.Background())
+	}
+}
+
+// BenchmarkHearInLargeFleet takes one heartbeat.
+func BenchmarkHearInLargeFleet(b *testing.B) {
+	l := newControl(b)
+	hearAll(l, 1)
+	r := received{heartbeatOf(7, 2), 900}
+	for b.Loop() {
+		r.heartbeat.Sequence++
+		l.hear(r)
+	}
+}
+
+// BenchmarkBeatOfLargeFleet sends one heartbeat to all others: 2.26 ms when the
+// datagram was made for each of them, 1.12 ms since it is made once.
+func BenchmarkBeatOfLargeFleet(b *testing.B) {
+	l := newControl(b)
+	hearAll(l, 1)
+	for b.Loop() {
+		l.beat()
+	}
+}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -49,11 +50,13 @@
 	if len(hb.Readings) == 0 {
 		return
 	}
+	var to []netip.AddrPort
 	for _, h := range l.reachable() {
 		if h.Peer.IsValid() {
-			l.send(h.Peer, hb)
+			to = append(to, h.Peer)
 		}
 	}
+	l.send(hb, to)
 }
 
 // header begins a heartbeat.
--- a/member/member.go
+++ b/member/member.go
@@ -23,6 +23,7 @@
 package member
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -89,6 +90,10 @@
 	hosts   map[string]*Host
 	runs    map[uint64]*Host
 	ticked  time.Time
+	// sorted holds hosts by name; nil after one was added or removed. The control loop
+	// of a fleet of 295 routers asks for it some 100 times a second: sorting it each
+	// time took 0.35 % of a core.
+	sorted []*Host
 }
 
 // New returns an empty table.
@@ -113,8 +118,7 @@
 	}
 	h := t.hosts[a.Name]
 	if h == nil {
-		h = &Host{Name: a.Name, DataCentre: a.DataCentre, Peer: a.Peer}
-		t.hosts[a.Name] = h
+		h = t.add(&Host{Name: a.Name, DataCentre: a.DataCentre, Peer: a.Peer})
 	}
 	if !h.Reachable {
 		h.Peer = a.Peer
@@ -152,8 +156,7 @@
 	h := t.hosts[hb.Host.Name]
 	started := time.UnixMilli(hb.Host.StartedUnixMs)
 	if h == nil {
-		h = &Host{Name: hb.Host.Name}
-		t.hosts[h.Name] = h
+		h = t.add(&Host{Name: hb.Host.Name})
 	}
 	if h.Incarnation != 0 && h.Reachable && started.Before(h.Started) {
 		return nil
@@ -217,6 +220,7 @@
 		if !h.Reachable && h.Incarnation != 0 && h.Heard.Before(before) {
 			delete(t.hosts, name)
 			delete(t.runs, h.Incarnation)
+			t.sorted = nil
 			gone = append(gone, h)
 		}
 	}
@@ -227,12 +231,18 @@
 // come less often in large fleets.
 func (t *Table) SetTimeout(d time.Duration) { t.options.Timeout = d }
 
-// Hosts returns all known hosts by name. The entries stay owned by the table.
+// add makes h a member.
+func (t *Table) add(h *Host) *Host {
+	t.hosts[h.Name] = h
+	t.sorted = nil
+	return h
+}
+
+// Hosts returns all known hosts by name. The list and its entries stay owned by the
+// table.
 func (t *Table) Hosts() []*Host {
-	hosts := make([]*Host, 0, len(t.hosts))
-	for _, h := range t.hosts {
-		hosts = append(hosts, h)
+	if t.sorted == nil {
+		t.sorted = slices.SortedFunc(maps.Values(t.hosts), func(a, b *Host) int { return strings.Compare(a.Name, b.Name) })
 	}
-	slices.SortFunc(hosts, func(a, b *Host) int { return strings.Compare(a.Name, b.Name) })
-	return hosts
+	return t.sorted
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,7 +14,7 @@
 //		Receive: func(hb *zinccovev1.Heartbeat, size int) { loop.Post(hb) },
 //	})
 //	defer t.Close()
-//	size, err := t.Send(to, hb)
+//	size, sent, err := t.Send(hb, to...)
 package peer
 
 import (
@@ -156,17 +156,27 @@
 // Forged returns the number of datagrams that were not authentic.
 func (t *Transport) Forged() uint64 { return t.forged.Load() }
 
-// Send sends a heartbeat and returns its size on the wire in bytes, headers
-// included. It does not wait for the receiver.
-func (t *Transport) Send(to netip.AddrPort, hb *zinccovev1.Heartbeat) (int, error) {
+// Send sends a heartbeat to some routers. It returns its size on the wire in bytes,
+// headers included, the number of routers it left for, and the last error. It does
+// not wait for the receivers. The datagram is made once for all: made for each of 294
+// routers it took two thirds of the time.
+func (t *Transport) Send(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (size, sent int, err error) {
 	datagram, err := Seal(t.options.Key, hb)
 	if err != nil {
-		return 0, errs.Wrap(err, "encode heartbeat", to.String())
-	}
-	if t.options.Reachable == nil || t.options.Reachable(to) {
-		_, err = t.socket.WriteToUDPAddrPort(datagram, to)
-	}
-	return len(datagram) + HeaderSize, errs.Wrap(err, "send heartbeat", to.String())
+		return 0, 0, errs.Wrap(err, "encode heartbeat", "")
+	}
+	for _, addr := range to {
+		if t.options.Reachable != nil && !t.options.Reachable(addr) {
+			sent++ // lost on the way
+			continue
+		}
+		if _, werr := t.socket.WriteToUDPAddrPort(datagram, addr); werr != nil {
+			err = errs.Wrap(werr, "send heartbeat", addr.String())
+			continue
+		}
+		sent++
+	}
+	return len(datagram) + HeaderSize, sent, err
 }
 
 // Close stops receiving and waits for the event loop.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -36,8 +36,9 @@
 	t.Run("pair", func(t *testing.T) {
 		a, _ := listen(t, testKey)
 		b, got := listen(t, testKey)
-		size, err := a.Send(b.Address(), &zinccovev1.Heartbeat{Incarnation: 3, Sequence: 7})
+		size, sent, err := a.Send(&zinccovev1.Heartbeat{Incarnation: 3, Sequence: 7}, b.Address())
 		assert.NilError(t, err)
+		assert.Equal(t, sent, 1)
 		hb := <-got
 		assert.Equal(t, hb.Incarnation, uint64(3))
 		assert.Equal(t, hb.Sequence, uint64(7))
@@ -48,7 +49,7 @@
 func TestForgedDatagramIsDropped(t *testing.T) {
 	a, _ := listen(t, []byte("another-key-entirely"))
 	b, got := listen(t, testKey)
-	_, err := a.Send(b.Address(), &zinccovev1.Heartbeat{Incarnation: 3})
+	_, _, err := a.Send(&zinccovev1.Heartbeat{Incarnation: 3}, b.Address())
 	assert.NilError(t, err)
 	raw, err := net.Dial("udp", b.Address().String())
 	assert.NilError(t, err)
--- a/place/peers.go
+++ b/place/peers.go
@@ -33,17 +33,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.peers[router]; old != nil {
-		p.count(old, -1)
 		if r.Uses == nil {
 			r.Uses = old.Uses
 		}
 		if r.Loads == nil {
 			r.Loads = old.Loads
 		}
+		p.drop(old)
 	}
 	kept := &report{Report: r, at: p.clock.Now()}
 	p.peers[router] = kept
 	p.count(kept, 1)
+	p.othersUses.add(kept.Uses)
 	for _, reading := range r.Readings {
 		if t := p.byHash[reading.Target]; t != nil {
 			t.kept.touch(reading.Parts, reading.Unread)
@@ -58,11 +59,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.peers[router]; old != nil {
-		p.count(old, -1)
+		p.drop(old)
 	}
 	delete(p.peers, router)
 }
 
+// drop takes a report out of all sums.
+func (p *Placer) drop(r *report) {
+	p.count(r, -1)
+	p.othersUses.remove(r.Uses)
+}
+
 // count adds a report's loads to those of the targets, or takes them away.
 func (p *Placer) count(r *report, sign int) {
 	for h, load := range r.Loads {
@@ -82,14 +89,22 @@
 	}
 }
 
+// oldestReport is the age of the oldest report of another router.
 func (p *Placer) oldestReport(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, r := range p.peers {
-		oldest = max(oldest, now.Sub(r.at))
+	if p.oldest.at.IsZero() || now.Sub(p.oldest.at) >= sharesFor {
+		p.oldest.at, p.oldest.made = now, now
+		for _, r := range p.peers {
+			if r.at.Before(p.oldest.made) {
+				p.oldest.made = r.at
+			}
+		}
 	}
-	return oldest
+	return now.Sub(p.oldest.made)
 }
 
+// oldest is when the oldest report was made, as found at a time.
+type oldest struct{ at, made time.Time }
+
 // Own returns what this router has outstanding at targets.
 func (p *Placer) Own() map[Hash]Load {
 	p.mu.Lock()
--- a/place/place.go
+++ b/place/place.go
@@ -118,7 +118,11 @@
 	byHash   map[Hash]*target
 	peers    map[string]*report
 	uses     map[Hash]*ring
-	shares   shares
+	// othersUses are the sums over the reports of all peers. Summing up 294 reports
+	// anew for each comparison of customers took 1.0 ms, 2 % of a core.
+	othersUses useSums
+	oldest     oldest
+	shares     shares
 	readings []Reading
 	// placed is signalled when there are new readings.
 	placed chan struct{}
@@ -142,7 +146,7 @@
 func New(o Options) *Placer {
 	return &Placer{
 		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
-		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring),
+		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring), othersUses: make(useSums),
 		cut: make(map[string]bool), warm: o.Warm, placed: make(chan struct{}, 1),
 	}
 }
--- a/place/use.go
+++ b/place/use.go
@@ -13,6 +13,32 @@
 	Served int
 }
 
+// useSums are sums of uses by customer.
+type useSums map[Hash]Use
+
+func (s useSums) add(uses map[Hash]Use) {
+	for h, u := range uses {
+		sum := s[h]
+		sum.Asked += u.Asked
+		sum.Served += u.Served
+		s[h] = sum
+	}
+}
+
+// remove takes uses off that were added before.
+func (s useSums) remove(uses map[Hash]Use) {
+	for h, u := range uses {
+		sum := s[h]
+		sum.Asked -= u.Asked
+		sum.Served -= u.Served
+		if sum == (Use{}) {
+			delete(s, h)
+		} else {
+			s[h] = sum
+		}
+	}
+}
+
 const (
 	// useSlots of useSlot make the sliding window in which customers are compared:
 	// four seconds, as the deployments state for their shares.
@@ -144,14 +170,7 @@
 		return &p.shares
 	}
 	uses := p.ownUses(now)
-	for _, r := range p.peers {
-		for h, u := range r.Uses {
-			sum := uses[h]
-			sum.Asked += u.Asked
-			sum.Served += u.Served
-			uses[h] = sum
-		}
-	}
+	useSums(uses).add(p.othersUses)
 	p.shares = computeShares(uses, p.stated)
 	p.shares.at = now
 	return &p.shares
--- a/place/use_test.go
+++ b/place/use_test.go
@@ -135,3 +135,20 @@
 	even := computeShares(map[Hash]Use{HashOf("a"): {Asked: 90, Served: 90}, HashOf("b"): {Asked: 100, Served: 100}}, 0)
 	assert.Equal(t, even.standing("a").part, 1.0)
 }
+
+// TestSumsOfOthersUsesFollowEveryReport holds the kept sums equal to the reports.
+func TestSumsOfOthersUsesFollowEveryReport(t *testing.T) {
+	p, _ := newTestPlacer(t)
+	c := HashOf("c")
+	p.SetPeer("a", Report{Uses: map[Hash]Use{c: {Asked: 5, Served: 3}}})
+	p.SetPeer("b", Report{Uses: map[Hash]Use{c: {Asked: 7, Served: 7}}})
+	assert.Equal(t, p.othersUses[c], Use{Asked: 12, Served: 10})
+	p.SetPeer("a", Report{})
+	assert.Equal(t, p.othersUses[c], Use{Asked: 12, Served: 10}, "a report without uses leaves them")
+	p.SetPeer("a", Report{Uses: map[Hash]Use{c: {Asked: 1, Served: 1}}})
+	assert.Equal(t, p.othersUses[c], Use{Asked: 8, Served: 8})
+	p.ForgetPeer("b")
+	assert.Equal(t, p.othersUses[c], Use{Asked: 1, Served: 1})
+	p.ForgetPeer("a")
+	assert.Equal(t, len(p.othersUses), 0)
+}
