--- a/place/place.go
+++ b/place/place.go
@@ -123,7 +123,7 @@
 	othersUses useSums
 	oldest     oldest
 	shares     shares
-	readings []Reading
+	readings   []Reading
 	// placed is signalled when there are new readings.
 	placed chan struct{}
 	// stated is what the engines are stated to carry in the window of uses, in
