Bound what connecting costs a caller, and know whose fault it is

The lag of timers stayed at 46 ms, below what refuses, while connecting took over 150 ms. Requests whose callers had left were still sent. Change: connecting takes an eighth of the objective in sum, then the caller is refused with a short Retry-After; the median time of connections to nine targets tells a router's own trouble, in which streams are refused before they are placed and failed connections say nothing of targets; the caller is looked at right before sending. The test of refusals by lag takes the part itself in place of 1,000 draws of it: the same bounds.

--- a/link/link.go
+++ b/link/link.go
@@ -11,7 +11,7 @@
 //
 //	p := link.NewPool(link.Options{Clock: clock})
 //	defer p.Close()
-//	c, err := p.Get(target.ID, target.Address, link.Recent)
+//	c, err := p.Get(target.ID, target.Address, link.Recent, link.LongestDial)
 //	...
 //	p.Put(c, idle) // or c.Close()
 package link
@@ -44,9 +44,9 @@
 )
 
 const (
-	// dialTimeout bounds connecting; inside a region it takes a few milliseconds,
+	// LongestDial bounds connecting; inside a region it takes a few milliseconds,
 	// also when a target is busy.
-	dialTimeout = 150 * time.Millisecond
+	LongestDial = 150 * time.Millisecond
 	// deadPeer is how long sent bytes may stay unacknowledged, and how long a
 	// silent peer is probed, before the connection counts as broken.
 	deadPeer = 2 * time.Second
@@ -64,9 +64,9 @@
 // Options configure a pool.
 type Options struct {
 	Clock clockwork.Clock
-	// Dial connects to an address; the default is TCP with the limits of this
-	// package.
-	Dial func(netip.AddrPort) (net.Conn, error)
+	// Dial connects to an address within a time; the default is TCP with the limits of
+	// this package.
+	Dial func(netip.AddrPort, time.Duration) (net.Conn, error)
 }
 
 // Pool holds idle connections by the id of the target. It is safe for
@@ -86,14 +86,16 @@
 	return &Pool{options: o, idle: make(map[string][]*Conn)}
 }
 
-func dial(addr netip.AddrPort) (net.Conn, error) { return DialTimeout(addr.String(), dialTimeout) }
+func dial(addr netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	return DialTimeout(addr.String(), timeout)
+}
 
-// DialTimeout connects to an address within a timeout, at most dialTimeout. The
+// DialTimeout connects to an address within a timeout, at most LongestDial. The
 // connection breaks when the peer is silent for some seconds while it is probed
 // or sent to.
 func DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:         min(timeout, dialTimeout),
+		Timeout:         min(timeout, LongestDial),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: int(deadPeer / probeAfter)},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
@@ -123,9 +125,9 @@
 	until  time.Time
 }
 
-// Get returns a connection to a target. Only a failure to connect is an error,
-// so nothing was sent then.
-func (p *Pool) Get(target string, addr netip.AddrPort, fresh Freshness) (*Conn, error) {
+// Get returns a connection to a target, a new one within a timeout. Only a failure
+// to connect is an error, so nothing was sent then.
+func (p *Pool) Get(target string, addr netip.AddrPort, fresh Freshness, timeout time.Duration) (*Conn, error) {
 	for {
 		c := p.take(target, fresh)
 		if c == nil {
@@ -137,7 +139,7 @@
 		}
 		c.Close() //nolint:errcheck // the connection is of no use
 	}
-	nc, err := p.options.Dial(addr)
+	nc, err := p.options.Dial(addr, timeout)
 	if err != nil {
 		return nil, errs.Wrap(err, "connect to target", addr.String())
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -19,7 +19,7 @@
 	assert.NilError(t, err)
 	var far []net.Conn
 	clock := clockwork.NewFakeClock()
-	p := NewPool(Options{Clock: clock, Dial: func(netip.AddrPort) (net.Conn, error) {
+	p := NewPool(Options{Clock: clock, Dial: func(netip.AddrPort, time.Duration) (net.Conn, error) {
 		near, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			return nil, err
@@ -40,7 +40,7 @@
 
 func get(t *testing.T, p *Pool, target string, fresh Freshness) *Conn {
 	t.Helper()
-	c, err := p.Get(target, addr, fresh)
+	c, err := p.Get(target, addr, fresh, LongestDial)
 	assert.NilError(t, err)
 	return c
 }
@@ -94,6 +94,6 @@
 
 func TestFailureToConnectIsAnError(t *testing.T) {
 	p := NewPool(Options{Clock: clockwork.NewFakeClock()})
-	_, err := p.Get("a", addr, Rested)
+	_, err := p.Get("a", addr, Rested, LongestDial)
 	assert.ErrorContains(t, err, "connect to target (127.0.0.1:1)")
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -132,7 +132,7 @@
 		}
 	}
 	f.plan(view.Table)
-	if f.engine && s.lag.refuses() {
+	if f.engine && s.sheds() {
 		s.options.Metrics.Inc(metric.RequestsShed)
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: routerBusyRetry}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -88,6 +88,7 @@
 var (
 	errInterrupted = eris.New("request ended before it was sent")
 	errLeft        = eris.New("target left before the request was sent")
+	errCallerLeft  = eris.New("caller left before the request was sent")
 	errUnsigned    = eris.New("answer without signature")
 	errCrossed     = eris.New("answer of another request")
 	errReplaced    = eris.New("another run of the target answered")
@@ -111,35 +112,6 @@
 	return ans, fail
 }
 
-// connect returns a connection to the target on which the request may still be
-// sent. Nothing was sent if it fails.
-func (f *flight) connect() (*link.Conn, *target.Failure) {
-	freshness := link.Recent
-	if f.route.Repeats() {
-		freshness = link.Rested
-	}
-	t := &f.run.Target
-	c, err := f.server.options.Links.Get(t.ID, t.Address, freshness)
-	if err != nil {
-		return nil, f.fail(target.NotSent, 0, err, "connect")
-	}
-	if !f.attach(c) {
-		c.Close() //nolint:errcheck // nothing was sent
-		return nil, f.fail(target.NotSent, 0, errInterrupted, "connect")
-	}
-	// The target may have left since it was chosen: on a busy host some time can
-	// pass until there is a connection.
-	if f.run.Leaving() {
-		// That it left is no failure of the target's; the End in attempt has no
-		// effect after this one.
-		f.run.End(place.Withdrawn)
-		f.detach()
-		c.Close() //nolint:errcheck // nothing was sent
-		return nil, f.fail(target.NotSent, 0, errLeft, "connect")
-	}
-	return c, nil
-}
-
 // sending tells whether the request was sent whole.
 type sending struct {
 	done atomic.Bool
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -224,7 +224,7 @@
 
 // newSiteDialling returns a site that connects to targets in its own way; nil
 // is the usual one.
-func newSiteDialling(t *testing.T, dial func(netip.AddrPort) (net.Conn, error), targets ...*fakeTarget) *site {
+func newSiteDialling(t *testing.T, dial func(netip.AddrPort, time.Duration) (net.Conn, error), targets ...*fakeTarget) *site {
 	t.Helper()
 	s := &site{table: newTable(t, spec()), fresh: true}
 	clock := clockwork.NewRealClock()
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -54,6 +54,8 @@
 
 	// run is the current attempt.
 	run *place.Run
+	// connecting is how long connecting to targets has taken.
+	connecting time.Duration
 	// firstEvent is the time from acceptance to the first event of a stream.
 	firstEvent time.Duration
 
@@ -122,6 +124,10 @@
 		f.life.GiveUp(!fail.Kind.NotRun())
 		return false
 	}
+	if fail.Kind == target.NotSent && f.firstEvent == 0 && f.connectLeft() < leastConnect {
+		f.life.GiveUp(false) // another router may be faster
+		return false
+	}
 	take := f.server.options.Retries.Take
 	if fail.Kind == target.NotSent {
 		// The budget is for second arrivals at a service. Replaced attempts did
@@ -155,6 +161,8 @@
 		f.end(ctx, &refusal{status: fasthttp.StatusBadGateway, reason: reasonCallerGone})
 		ctx.SetConnectionClose()
 		return
+	case f.life.Outcome() == request.NotRun && fail.Kind == target.NotSent:
+		r.status, r.retryAfter = fasthttp.StatusServiceUnavailable, routerBusyRetry
 	case f.life.Outcome() == request.NotRun:
 		r.status, r.retryAfter = fasthttp.StatusServiceUnavailable, busyRetry
 	case f.interrupted() == timeUp:
--- a/relay/lag.go
+++ b/relay/lag.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -59,9 +58,6 @@
 // and does not come.
 func (l *lag) current() time.Duration { return max(time.Duration(l.last.Load()), l.overdue()) }
 
-// refuses draws whether a stream is refused: none up to leastLag, all from
-// mostLag on.
-func (l *lag) refuses() bool {
-	over := l.current() - leastLag
-	return over > 0 && rand.Float64() < over.Seconds()/(mostLag-leastLag).Seconds()
-}
+// excess is the part of streams that this router cannot take by its lag: 0 up to
+// leastLag, 1 from mostLag on.
+func (l *lag) excess() float64 { return excess(l.current(), leastLag, mostLag) }
--- a/relay/lag_test.go
+++ b/relay/lag_test.go
@@ -29,12 +29,7 @@
 	} {
 		l, clock := newTestLag()
 		clock.Advance(tc.late)
-		refused := 0
-		for range 1000 {
-			if l.refuses() {
-				refused++
-			}
-		}
+		refused := int(1000 * l.excess())
 		assert.Assert(t, refused >= tc.least && refused <= tc.most, "%v late: %d of 1000 refused", tc.late, refused)
 	}
 }
@@ -49,7 +44,7 @@
 	for range 10 {
 		l.looked()
 	}
-	assert.Assert(t, !l.refuses())
+	assert.Equal(t, l.excess(), 0.0)
 }
 
 // TestLagCountsBeforeTheLateLook has a process that does not come to look at all.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,9 +10,9 @@
 //
 //	fasthttp reads it            handle (relay.go)
 //	route, key, deadline         admit (admit.go)
-//	refusal of streams by lag    lag (lag.go), which admit asks
+//	refusal of streams           sheds (shed.go), by lag and slow connections
 //	target, or refusal           place.Placer
-//	connection                   link.Pool
+//	connection                   dial (connect.go), link.Pool
 //	send, read the answer's head attempt (attempt.go)
 //	another target, if allowed   next, nextAfterAnswer (flight.go)
 //	answer or events             passWhole, passStream (answer.go, stream.go)
@@ -99,6 +99,8 @@
 	stop    chan struct{}
 	pace    pace
 	lag     lag
+	// connects are the latest new connections to targets.
+	connects connects
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
@@ -121,7 +123,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}}
+	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connects: connects{clock: o.Clock}}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		Concurrency:                  o.Limits.Connections,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -171,7 +171,7 @@
 	targets := []*fakeTarget{newTarget(t, "t1", answers), newTarget(t, "t2", answers)}
 	var s *site
 	var left netip.AddrPort
-	s = newSiteDialling(t, func(to netip.AddrPort) (net.Conn, error) {
+	s = newSiteDialling(t, func(to netip.AddrPort, _ time.Duration) (net.Conn, error) {
 		if !left.IsValid() {
 			left = to
 			s.leave(to)
