Follow the store through a few routers of each data centre

Cause: every router follows two tables by itself. Weighed: changes pushed in datagrams (gaps, losses and sizes to be dealt with) or a call that lasts; the latter keeps package follow as it is. Change: the first three routers of a data centre by name follow the store; the others hold a call open at one of them (feed, gateway/handon.go, through.go), which hands on each change at once with its age and says each 200 ms that it is there. One that is silent for 700 ms, does not lead any more, or does not reach the store is left for the next; who finds none asks the store, at most each 3 s. Rows keep the store's versions, so that nothing goes back; a reader behind the log reads the table whole from the store. Found while testing: a router that stands still half way was asked again and again, and one of two that regain the store was not found for 3 s; both mended with a test.

--- a/control/auth.go
+++ b/control/auth.go
@@ -40,13 +40,32 @@
 // Authorize returns the option of a connect client that sends the credential
 // of an operator or, with an empty name, of a router.
 func Authorize(name, key string) connect.ClientOption {
-	add := func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set("Authorization", credential(name, key))
-			return next(ctx, req)
-		}
+	return connect.WithInterceptors(sender{credential(name, key)})
+}
+
+// sender adds a credential to the calls of a client.
+type sender struct{ credential string }
+
+// WrapUnary implements connect.Interceptor.
+func (s sender) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		req.Header().Set("Authorization", s.credential)
+		return next(ctx, req)
 	}
-	return connect.WithInterceptors(connect.UnaryInterceptorFunc(add))
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (s sender) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		conn.RequestHeader().Set("Authorization", s.credential)
+		return conn
+	}
+}
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (s sender) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
 }
 
 var (
@@ -93,14 +112,41 @@
 	return found
 }
 
-// authenticateRouter checks the fleet key before each call between routers.
-func (s *Server) authenticateRouter(next connect.UnaryFunc) connect.UnaryFunc {
-	want := []byte(credential("", s.options.FleetKey))
+// routerCheck checks the fleet key before each call between routers.
+type routerCheck struct {
+	want     []byte
+	wrongKey func()
+}
+
+func (c routerCheck) check(header string) error {
+	if subtle.ConstantTimeCompare([]byte(header), c.want) == 1 {
+		return nil
+	}
+	c.wrongKey()
+	return connect.NewError(connect.CodeUnauthenticated, errWrongKey)
+}
+
+// WrapUnary implements connect.Interceptor.
+func (c routerCheck) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-		if subtle.ConstantTimeCompare([]byte(req.Header().Get("Authorization")), want) != 1 {
-			s.options.WrongKey()
-			return nil, connect.NewError(connect.CodeUnauthenticated, errWrongKey)
+		if err := c.check(req.Header().Get("Authorization")); err != nil {
+			return nil, err
 		}
 		return next(ctx, req)
 	}
 }
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (c routerCheck) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
+		if err := c.check(conn.RequestHeader().Get("Authorization")); err != nil {
+			return err
+		}
+		return next(ctx, conn)
+	}
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (c routerCheck) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,9 @@
 	Syncer *confsync.Syncer
 	// Config returns the configuration that peers are given, or nil.
 	Config func() *zinccovev1.FetchConfigResponse
+	// Follow hands a table of the store on to a router until the call ends; nil where
+	// there is none.
+	Follow func(context.Context, *zinccovev1.FollowTableRequest, func(*zinccovev1.FollowTableResponse) error) error
 	// Levels returns the service levels of all pools; nil where there are none.
 	Levels func() []dispatch.PoolLevels
 	// Status returns what is known of all routers.
@@ -103,7 +106,7 @@
 	mux := http.NewServeMux()
 	limit := connect.WithReadMaxBytes(maxMessage)
 	operators := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateOperator))
-	routers := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.authenticateRouter))
+	routers := connect.WithInterceptors(routerCheck{want: []byte(credential("", s.options.FleetKey)), wrongKey: s.options.WrongKey})
 	if s.options.Store != nil {
 		mux.Handle(zinccovev1connect.NewIntentServiceHandler(&intentHandler{s}, limit, operators))
 	}
@@ -132,6 +135,14 @@
 	return config, nil
 }
 
+// FollowTable implements the PeerService.
+func (h *peerHandler) FollowTable(ctx context.Context, req *zinccovev1.FollowTableRequest, out *connect.ServerStream[zinccovev1.FollowTableResponse]) error {
+	if h.server.options.Follow == nil {
+		return connect.NewError(connect.CodeUnimplemented, errNoTables)
+	}
+	return h.server.options.Follow(ctx, req, out.Send)
+}
+
 // FetchService implements the PeerService.
 func (h *peerHandler) FetchService(context.Context, *zinccovev1.FetchServiceRequest) (*zinccovev1.FetchServiceResponse, error) {
 	resp := new(zinccovev1.FetchServiceResponse)
--- a/control/intent.go
+++ b/control/intent.go
@@ -13,7 +13,10 @@
 	"zinccove.example/zinccove/platform"
 )
 
-var errNoConfig = eris.New("no configuration is in force here")
+var (
+	errNoConfig = eris.New("no configuration is in force here")
+	errNoTables = eris.New("no tables of the store are followed here")
+)
 
 // intentHandler answers operators.
 type intentHandler struct{ server *Server }
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,181 @@
+// Package feed hands on what one router reads of a table of the platform's store.
+//
+// A store prices each call, and a fleet whose routers all follow it by themselves
+// makes as many calls for each change as it has routers: 12,895 on a day of 295. So a
+// few routers of each data centre follow the store (Leaders) and the others follow
+// them. A Log keeps the newest state of each row that changed since the router read
+// the table whole, so that a reader can go on from any version since then, also when
+// it followed another router before. Nobody is elected: two routers that both follow
+// cost calls, not truth, as rows carry the store's versions.
+//
+// The package has no I/O. A Log is safe for concurrent use.
+//
+// # Usage
+//
+//	l := feed.NewLog[platform.Change](clock)
+//	l.Reset(version)                     // after reading the table whole
+//	l.Append(version, rows...)           // each change
+//	l.Confirm()                          // the store answered without changes
+//	l.SetLost(true)                      // it does not answer
+//	news, changed, err := l.Since(known) // for a reader
+package feed
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of a log.
+var (
+	// ErrHistoryLost means that the log does not reach back to a version.
+	ErrHistoryLost = eris.New("log does not reach back")
+	// ErrClosed means that the log was closed.
+	ErrClosed = eris.New("log closed")
+)
+
+// Row is a row of type R with what the log needs to know of it.
+type Row[R any] struct {
+	Key     string
+	Version uint64
+	// Size is about the memory that it takes in bytes.
+	Size  int
+	Value R
+}
+
+// Dated is a row and when it was read.
+type Dated[R any] struct {
+	Row[R]
+	At time.Time
+}
+
+// News is what a log knows beyond a version.
+type News[R any] struct {
+	// Rows are the newest states of the rows that changed since, by version.
+	Rows []Dated[R]
+	// Version is that up to which the log knows the table.
+	Version uint64
+	// Lost tells that the store does not answer the router.
+	Lost bool
+	// Answered is when the store last answered.
+	Answered time.Time
+}
+
+// Log keeps the changes of a table.
+type Log[R any] struct {
+	clock clockwork.Clock
+
+	mu   sync.Mutex
+	rows map[string]Dated[R]
+	size int
+	// known is set once the table was read whole, at version base or later.
+	known         bool
+	base, version uint64
+	answered      time.Time
+	lost          bool
+	closed        bool
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+// maxSize bounds the rows kept in bytes. A reader that is behind more than that reads
+// the table whole.
+const maxSize = 1 << 20
+
+// NewLog returns a log that knows nothing yet.
+func NewLog[R any](clock clockwork.Clock) *Log[R] {
+	return &Log[R]{clock: clock, rows: make(map[string]Dated[R]), changed: make(chan struct{})}
+}
+
+// Reset notes that the table was read whole at a version. What changed before is not
+// known row by row.
+func (l *Log[R]) Reset(version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.rows)
+	l.size = 0
+	l.known, l.base, l.version = true, version, version
+	l.answer()
+}
+
+// Append notes rows that changed, up to a version.
+func (l *Log[R]) Append(version uint64, rows ...Row[R]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, r := range rows {
+		l.size += r.Size - l.rows[r.Key].Size
+		l.rows[r.Key] = Dated[R]{Row: r, At: now}
+	}
+	l.version = max(l.version, version)
+	if l.size > maxSize {
+		clear(l.rows)
+		l.size, l.base = 0, l.version
+	}
+	l.answer()
+}
+
+// Confirm notes that the store answered.
+func (l *Log[R]) Confirm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered = l.clock.Now()
+	if l.lost {
+		l.answer()
+	}
+}
+
+// answer notes an answer of the store and wakes the readers.
+func (l *Log[R]) answer() {
+	l.answered = l.clock.Now()
+	l.lost = false
+	l.wake()
+}
+
+// SetLost notes that the store does not answer.
+func (l *Log[R]) SetLost() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.lost {
+		l.lost = true
+		l.wake()
+	}
+}
+
+// Close ends the reading of all readers.
+func (l *Log[R]) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.wake()
+}
+
+func (l *Log[R]) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Since returns what is known beyond a version, and a channel that is closed when
+// that changes. A log that knows nothing yet counts as lost.
+func (l *Log[R]) Since(version uint64) (News[R], <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.closed:
+		return News[R]{}, nil, ErrClosed
+	case l.known && version < l.base:
+		return News[R]{}, nil, ErrHistoryLost
+	}
+	n := News[R]{Version: max(l.version, version), Lost: l.lost || !l.known, Answered: l.answered}
+	for _, r := range l.rows {
+		if r.Version > version {
+			n.Rows = append(n.Rows, r)
+		}
+	}
+	slices.SortFunc(n.Rows, func(a, b Dated[R]) int { return cmp.Compare(a.Version, b.Version) })
+	return n, l.changed, nil
+}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -132,19 +132,15 @@
 	all := []*zinccovev1.RouterStatus{{
 		Host: g.settings.Host, DataCentre: g.settings.DataCentre, ConfigVersion: l.version(), Reachable: true, Leaving: g.stopping.Load(),
 	}}
-	reachable, before := 0, 0
+	reachable := 0
 	for _, h := range l.members.Hosts() {
 		if h.Reachable {
 			reachable++
 		}
-		if h.Reachable && h.Name < g.settings.Host {
-			before++
-		}
 		all = append(all, h.Status(now))
 	}
 	l.published.Store(&all)
 	g.routers.Store(int64(reachable))
-	g.rank.Store(int64(before))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
 	g.metrics.Set(metric.HostsReachable, float64(reachable))
 	if age, ok := g.routesAnswered.age(now); ok {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -34,8 +34,18 @@
 	return now.Sub(*at), true
 }
 
-// source follows a table of the store and notes when it answered.
-func (g *Gateway) source(table string, a *answered, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
+// heardOf returns when the store last answered about a table.
+func (g *Gateway) heardOf(table string) *answered {
+	if table == wire.TableOperator {
+		return &g.routesAnswered
+	}
+	return &g.targetsAnswered
+}
+
+// source follows a table of the store, by itself or through another router, and notes
+// when the store answered.
+func (g *Gateway) source(t *through, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
+	table, log := t.table, g.logs[t.table]
 	return follow.Options[platform.Batch]{
 		Clock: g.clock,
 		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
@@ -43,26 +53,43 @@
 			return b, b.Version, err
 		},
 		Feed: func(ctx context.Context, since uint64, wait time.Duration) (platform.Batch, uint64, error) {
-			b, err := g.store.Feed(ctx, table, since, wait)
+			b, ask, err := t.next(ctx, since, wait)
+			if ask {
+				b, err = g.store.Feed(ctx, table, since, wait)
+			}
 			return b, b.Version, err
 		},
 		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
-		Whole:       func(b platform.Batch) { take(b, true) },
-		Changed:     func(b platform.Batch) { take(b, false) },
+		Whole: func(b platform.Batch) {
+			log.Reset(b.Version)
+			take(b, true)
+		},
+		Changed: func(b platform.Batch) {
+			log.Append(b.Version, rowsOf(b)...)
+			take(b, false)
+		},
 		Lost: func(loss follow.Loss) {
+			log.SetLost()
 			g.metrics.Inc(metric.PlatformErrors)
 			g.log.Warn().Err(loss.Err).Str("table", table).Uint64("since", loss.Since).
 				Dur("waited_ms", loss.Waited).Dur("unheard_ms", loss.Unheard).Msg("store lost")
 		},
 		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
-		Alive:    func() { a.set(g.clock.Now()) },
-		Hold:     func() time.Duration { return holdTime(int(g.rank.Load())) },
+		Alive: func() {
+			if !t.active() { // else the other router says when the store answered
+				g.heardOf(table).set(g.clock.Now())
+			}
+			log.Confirm()
+		},
+		Hold: func() time.Duration { return holdTime(int(g.rank.Load())) },
 	}
 }
 
 // followRoutes follows the operators' configuration.
 func (g *Gateway) followRoutes(ctx context.Context) error {
-	o := g.source(wire.TableOperator, &g.routesAnswered, func(b platform.Batch, whole bool) {
+	t := &through{gateway: g, table: wire.TableOperator}
+	defer t.close("stopping")
+	o := g.source(t, func(b platform.Batch, whole bool) {
 		g.loop.post(ctx, func(l *loop) { l.takeOperators(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
@@ -93,9 +120,9 @@
 const (
 	// leastSettle is the least time for which changes of targets are collected.
 	leastSettle = 100 * time.Millisecond
-	// routerSettle is that time for each router: each answer of the store has its
-	// price, and each change would have one for every router. All routers together
-	// so ask for changes about 20 times a second, and more often only where the
+	// routerSettle is that time for each router that follows the store: each answer
+	// has its price, and each change would have one for every such router. Together
+	// they so ask for changes about 20 times a second, and more often only where the
 	// drain leaves less time.
 	routerSettle = 50 * time.Millisecond
 	// drainMargin is what is left of the time in which a target that left must be
@@ -103,8 +130,8 @@
 	drainMargin = 400 * time.Millisecond
 )
 
-// settleTime is how long a fleet of so many other routers collects changes of
-// targets. An entry that goes is kept for a heartbeat of its target; together
+// settleTime is how long a router collects changes of targets in a fleet in which so
+// many others follow the store. An entry that goes is kept for a heartbeat of its target; together
 // they stay below the drain, the time after which the target must get nothing
 // new, unless the drain leaves less than leastSettle.
 func settleTime(routers int, drain, heartbeat time.Duration) time.Duration {
@@ -120,16 +147,23 @@
 
 // settle is how long this router collects changes of targets.
 func (g *Gateway) settle() time.Duration {
-	return settleTime(int(g.routers.Load()), g.settings.TargetDrain, g.settings.TargetHeartbeat)
+	return settleTime(int(g.followers.Load()), g.settings.TargetDrain, g.settings.TargetHeartbeat)
 }
 
 // followTargets follows the targets' entries.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	o := g.source(wire.TableTargets, &g.targetsAnswered, func(b platform.Batch, whole bool) {
+	t := &through{gateway: g, table: wire.TableTargets}
+	defer t.close("stopping")
+	o := g.source(t, func(b platform.Batch, whole bool) {
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
-	o.Settle = g.settle
+	o.Settle = func() time.Duration {
+		if t.active() {
+			return 0 // the other router collects changes
+		}
+		return g.settle()
+	}
 	o.Lost = func(loss follow.Loss) { g.loop.post(ctx, func(l *loop) { l.roster.Interrupted() }); lost(loss) }
 	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
 	return follow.Run(ctx, o)
@@ -198,7 +232,7 @@
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
-			gone := l.roster.Remove(c.Key, c.Version)
+			gone := l.roster.Remove(c.Key, c.Version, c.Age)
 			l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Bool("gone", gone).Msg("target entry removed")
 			if gone {
 				l.leaves(c.Key, c.Version)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -60,7 +61,11 @@
 	readiness *readiness
 	transport *peer.Transport
 	peers     *http.Client
-	loop      *loop
+	// streams is for calls that last, which have no time-out.
+	streams *http.Client
+	// logs are what this router reads of the store's tables, for those that follow it.
+	logs tableLogs
+	loop *loop
 
 	table atomic.Pointer[adopted]
 	// routesAnswered and targetsAnswered tell how old the configuration and the
@@ -69,10 +74,15 @@
 	targetsAnswered answered
 	storeLost       atomic.Bool
 	stopping        atomic.Bool
-	// routers is the number of other routers that are reachable, rank the number of
-	// those before this one by name.
-	routers atomic.Int64
-	rank    atomic.Int64
+	// routers is the number of other routers that are reachable, followers that of
+	// those that follow the store, rank the number of the latter before this one by name.
+	routers   atomic.Int64
+	followers atomic.Int64
+	rank      atomic.Int64
+	// leads is set while this router follows the store for others; else leaders are
+	// those through which it does, in the order to try them.
+	leads   atomic.Bool
+	leaders atomic.Pointer[[]leader]
 
 	group errgroup.Group
 	stop  context.CancelFunc
@@ -118,11 +128,17 @@
 		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}),
 		peers:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
+		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
+			return link.DialTimeout(addr, link.LongestDial)
+		}}},
 		store: platform.New(platform.Options{
 			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: link.DialTimeout,
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 	}
+	g.logs = g.newLogs()
+	g.leaders.Store(new([]leader))
+	g.leads.Store(true)
 	g.loop = newLoop(g)
 	if err := g.start(); err != nil {
 		return nil, errors.Join(err, g.metrics.Close(), l.Close())
@@ -140,7 +156,7 @@
 		return err
 	}
 	g.control, err = control.Listen(control.Options{
-		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Config: g.config,
+		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Config: g.config, Follow: g.handOn,
 		Status: g.loop.statuses, Ready: g.ready, WrongKey: func() { g.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: g.metrics.Handler(),
 	})
 	if err != nil {
@@ -181,6 +197,7 @@
 	g.log.Info().Int("running", g.relay.Running()).Msg("stopping")
 	err := g.relay.Close()
 	g.stop()
+	g.logs.close()
 	g.store.Close()
 	err = errors.Join(err, g.group.Wait(), g.control.Close(), g.transport.Close())
 	if g.readiness != nil {
@@ -188,6 +205,7 @@
 	}
 	g.links.Close()
 	g.peers.CloseIdleConnections()
+	g.streams.CloseIdleConnections()
 	g.log.Info().Err(err).Msg("stopped")
 	return errors.Join(err, g.metrics.Close(), g.lines.Close())
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -52,6 +52,8 @@
 	// beatCost is the least time for each heartbeat received: 125 a second cost
 	// about a hundredth of a core.
 	beatCost = 8 * time.Millisecond
+	// leadEvery is the number of ticks between looks at who follows the store.
+	leadEvery = 4
 	// sweepEvery is the number of ticks between sweeps of idle connections.
 	sweepEvery = 10
 )
@@ -159,6 +161,9 @@
 		l.members.SetTimeout(silenceTime(period))
 		l.beat()
 	}
+	if l.ticks%leadEvery == 0 {
+		l.findLeaders(now)
+	}
 	if l.ticks%sweepEvery == 0 {
 		l.sweep()
 		l.publish(now)
@@ -279,6 +284,7 @@
 		}
 	}
 	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
+	l.findLeaders(l.gateway.clock.Now())
 }
 
 func (l *loop) expire(now time.Time) {
--- /dev/null
+++ b/gateway/through.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/control"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/platform"
+)
+
+// leader is a router that follows the store for others.
+type leader struct {
+	name    string
+	control netip.AddrPort
+}
+
+const (
+	// leaderSilence is how long a router that follows the store may say nothing: some
+	// keepalives, and longer than a busy host stands still. With the connection to the
+	// next one it is the time by which the loss of a host delays news.
+	leaderSilence = 700 * time.Millisecond
+	// askStoreEvery is the least time between calls to the store of a router that
+	// reaches none that follows it. An outage of the store that all 295 routers tried
+	// to end would cost 250 calls a second.
+	askStoreEvery = 3 * time.Second
+	// lookAroundEvery is the least time between looks for a router that reaches it.
+	lookAroundEvery = time.Second
+)
+
+var (
+	errNoLeader   = eris.New("no router that follows the store answers")
+	errLeaderLost = eris.New("routers that follow the store do not reach it")
+	errLookAround = eris.New("another router that follows the store may reach it")
+	errAskStore   = eris.New("routers that follow the store have not reached it for long")
+)
+
+// through follows a table through other routers. One goroutine uses it.
+type through struct {
+	gateway *Gateway
+	table   string
+	// from is the router that is followed, stream what it says; nil if there is none.
+	from   leader
+	stream *connect.ServerStreamForClient[zinccovev1.FollowTableResponse]
+	end    context.CancelFunc
+	// first is the first message of the stream until it is taken.
+	first *zinccovev1.FollowTableResponse
+	// left is the router that was left last: the others are tried before it.
+	left leader
+	// lost is set once it was told that the routers do not reach the store.
+	lost bool
+	// looked is when another router was last looked for that reaches the store.
+	looked time.Time
+	// asked is when the store was asked last for want of a router.
+	asked time.Time
+}
+
+// active reports whether the table is followed through another router.
+func (t *through) active() bool { return t.stream != nil }
+
+// next returns what changed in the table since a version, as another router says. It
+// waits for changes as long as wait. Ask tells that the store is to be asked instead.
+func (t *through) next(ctx context.Context, since uint64, wait time.Duration) (b platform.Batch, ask bool, err error) {
+	leaders := *t.gateway.leaders.Load()
+	if len(leaders) == 0 {
+		t.close("this router follows the store")
+		return b, true, nil
+	}
+	until := t.gateway.clock.Now().Add(wait)
+	err = errNoLeader
+	for failures := 0; failures < len(leaders) && t.find(ctx, since, leaders); {
+		b, err = t.receive(since, until)
+		switch {
+		case err == nil, eris.Is(err, errLeaderLost):
+			return b, false, err
+		case eris.Is(err, errAskStore):
+			return b, t.mayAsk(), err
+		case eris.Is(err, errLookAround):
+			t.close("it does not reach the store")
+			continue
+		case eris.Is(err, platform.ErrHistoryLost):
+			t.close(err.Error())
+			return b, false, err
+		}
+		failures++
+		t.close(err.Error())
+	}
+	return b, t.mayAsk(), err
+}
+
+// mayAsk reports whether the store may be asked for want of a router.
+func (t *through) mayAsk() bool {
+	now := t.gateway.clock.Now()
+	if now.Sub(t.asked) < askStoreEvery {
+		return false
+	}
+	t.asked = now
+	return true
+}
+
+// find begins to follow a router if none is followed: the first that answers and
+// reaches the store, or else the first that answers.
+func (t *through) find(ctx context.Context, since uint64, leaders []leader) bool {
+	if t.stream != nil {
+		return true
+	}
+	order := slices.Clone(leaders)
+	slices.SortStableFunc(order, func(a, b leader) int { return cmp.Compare(t.standing(a), t.standing(b)) })
+	var without *leader
+	for i := range order {
+		if !t.open(ctx, since, order[i]) {
+			continue
+		}
+		if t.first == nil || !t.first.Lost {
+			return true
+		}
+		if without == nil {
+			without = &order[i]
+		}
+		t.close("it does not reach the store")
+	}
+	return without != nil && t.open(ctx, since, *without)
+}
+
+// standing orders routers: the one that was left last comes last.
+func (t *through) standing(l leader) int {
+	if l == t.left {
+		return 1
+	}
+	return 0
+}
+
+// open begins to follow a router and waits for its first message.
+func (t *through) open(ctx context.Context, since uint64, l leader) bool {
+	g := t.gateway
+	client := zinccovev1connect.NewPeerServiceClient(g.streams, "http://"+l.control.String(), control.Authorize("", g.settings.FleetKey),
+		connect.WithReadMaxBytes(maxNews))
+	ctx, cancel := context.WithCancel(ctx)
+	watch := g.clock.AfterFunc(leaderSilence, cancel)
+	stream, err := client.FollowTable(ctx, &zinccovev1.FollowTableRequest{Table: t.table, Since: since})
+	if err != nil || !watch.Stop() {
+		cancel()
+		g.metrics.Inc(metric.PeerErrors)
+		return false
+	}
+	t.from, t.stream, t.end = l, stream, cancel
+	g.log.Info().Str("table", t.table).Str("peer", l.name).Uint64("since", since).Msg("follows a table through a router")
+	if t.first, err = t.message(); err != nil && !eris.Is(err, platform.ErrHistoryLost) {
+		t.close(err.Error())
+		return false
+	}
+	return true
+}
+
+// maxNews bounds one message of another router in bytes.
+const maxNews = 8 << 20
+
+// receive waits for changes until a time. While the router that is followed does not
+// reach the store it waits longer, as long as the store need not be asked.
+func (t *through) receive(since uint64, until time.Time) (platform.Batch, error) {
+	g := t.gateway
+	for {
+		msg, err := t.message()
+		if err != nil {
+			return platform.Batch{}, err
+		}
+		now := g.clock.Now()
+		if len(msg.Rows) > 0 {
+			return decodeNews(msg), nil
+		}
+		if msg.Lost {
+			if err := t.withoutStore(now); err != nil {
+				return platform.Batch{}, err
+			}
+			continue
+		}
+		g.heardOf(t.table).set(now.Add(-time.Duration(msg.AgeMs) * time.Millisecond))
+		if t.lost || !now.Before(until) {
+			t.lost = false
+			return platform.Batch{Version: max(since, msg.Version)}, nil
+		}
+	}
+}
+
+// withoutStore decides what follows when the router that is followed does not reach
+// the store: others are looked for that do, the loss is told once, and the store is
+// asked from time to time, in case only the others do not reach it.
+func (t *through) withoutStore(now time.Time) error {
+	switch {
+	case now.Sub(t.looked) >= lookAroundEvery:
+		t.looked = now
+		return errLookAround
+	case !t.lost:
+		t.lost = true
+		t.asked = now
+		return errLeaderLost
+	case now.Sub(t.asked) >= askStoreEvery:
+		return errAskStore
+	}
+	return nil
+}
+
+// message returns the next message, or why there is none.
+func (t *through) message() (*zinccovev1.FollowTableResponse, error) {
+	if msg := t.first; msg != nil {
+		t.first = nil
+		return msg, nil
+	}
+	watch := t.gateway.clock.AfterFunc(leaderSilence, t.end)
+	received := t.stream.Receive()
+	watch.Stop()
+	if received {
+		return t.stream.Msg(), nil
+	}
+	err := t.stream.Err()
+	switch {
+	case err == nil:
+		return nil, errNoLeader
+	case connect.CodeOf(err) == connect.CodeOutOfRange:
+		return nil, platform.ErrHistoryLost
+	}
+	return nil, err
+}
+
+// close ends following a router, if one is followed.
+func (t *through) close(why string) {
+	if t.stream == nil {
+		return
+	}
+	t.end()
+	t.stream.Close() //nolint:errcheck // nothing more is read
+	t.stream, t.first, t.left = nil, nil, t.from
+	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
+}
--- /dev/null
+++ b/gateway/through_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/control"
+	"zinccove.example/zinccove/feed"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/platform/wire"
+	"zinccove.example/zinccove/settings"
+)
+
+const testFleetKey = "0123456789abcdef"
+
+// newReader returns a gateway without addresses, which follows and hands on tables.
+func newReader(t *testing.T, name string) *Gateway {
+	t.Helper()
+	m, err := metric.New()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, m.Close()) })
+	g := &Gateway{
+		settings: &settings.Settings{Host: name, DataCentre: "dc", FleetKey: testFleetKey, TargetDrain: 4 * time.Second, TargetHeartbeat: time.Second},
+		clock:    clockwork.NewRealClock(), metrics: m, log: zerolog.New(io.Discard), streams: &http.Client{}, placer: newPlacer(t),
+	}
+	g.logs = g.newLogs()
+	g.leaders.Store(new([]leader))
+	return g
+}
+
+// serveTables makes a gateway hand on its tables at an address.
+func serveTables(t *testing.T, g *Gateway) leader {
+	t.Helper()
+	g.leads.Store(true)
+	s, err := control.Listen(control.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), FleetKey: testFleetKey, Follow: g.handOn, WrongKey: func() {},
+		Ready: func() bool { return true }, Metrics: http.NotFoundHandler(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		g.logs.close()
+		assert.NilError(t, s.Close())
+	})
+	return leader{name: g.settings.Host, control: s.Address()}
+}
+
+func change(key string, version uint64) feed.Row[platform.Change] {
+	return rowsOf(platform.Batch{Changes: []platform.Change{{Key: key, Version: version, Value: []byte("v")}}})[0]
+}
+
+// followTwo returns a router that follows the targets through two others, the first
+// with a clock of its own.
+func followTwo(t *testing.T, clock clockwork.Clock) (r *through, first, second *Gateway) {
+	t.Helper()
+	first, second = newReader(t, "a"), newReader(t, "b")
+	first.clock = clock
+	g := newReader(t, "z")
+	g.leaders.Store(&[]leader{serveTables(t, first), serveTables(t, second)})
+	for _, l := range []*Gateway{first, second} {
+		l.logs[wire.TableTargets].Reset(5)
+	}
+	r = &through{gateway: g, table: wire.TableTargets}
+	t.Cleanup(func() { r.close("test ends") })
+	return r, first, second
+}
+
+func TestChangesArriveThroughAnotherRouterAtOnce(t *testing.T) {
+	r, first, _ := followTwo(t, clockwork.NewRealClock())
+	ctx := context.Background()
+	b, ask, err := r.next(ctx, 5, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, !ask && len(b.Changes) == 0)
+	began := time.Now()
+	first.logs[wire.TableTargets].Append(8, change("t", 8))
+	b, _, err = r.next(ctx, 5, time.Minute)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(began) < keepalive, "not with the next keepalive only")
+	assert.Equal(t, b.Version, uint64(8))
+	assert.Equal(t, b.Changes[0].Key, "t")
+}
+
+// TestSilentLeaderIsLeftInTime has the router that is followed stand still while a
+// target leaves. The news must arrive through the other one long before the shortest
+// drain, 2 s, is over.
+func TestSilentLeaderIsLeftInTime(t *testing.T) {
+	// The clock of the first stands still: it says how things are and then nothing.
+	r, _, second := followTwo(t, clockwork.NewFakeClock())
+	ctx := context.Background()
+	_, _, err := r.next(ctx, 5, 0)
+	assert.NilError(t, err)
+	second.logs[wire.TableTargets].Append(8, change("t", 8))
+	began := time.Now()
+	b, ask, err := r.next(ctx, 5, time.Minute)
+	assert.NilError(t, err)
+	assert.Assert(t, !ask)
+	assert.Equal(t, b.Changes[0].Key, "t")
+	assert.Assert(t, b.Changes[0].Age >= leaderSilence-keepalive, "it says how old the news is: %v", b.Changes[0].Age)
+	assert.Assert(t, time.Since(began) < leaderSilence+500*time.Millisecond, time.Since(began))
+}
+
+// TestLeaderThatLosesTheStoreIsLeft has the store turn one router away and serve the
+// other one.
+func TestLeaderThatLosesTheStoreIsLeft(t *testing.T) {
+	r, first, second := followTwo(t, clockwork.NewRealClock())
+	ctx := context.Background()
+	_, _, err := r.next(ctx, 5, 0)
+	assert.NilError(t, err)
+	first.logs[wire.TableTargets].SetLost()
+	second.logs[wire.TableTargets].Append(8, change("t", 8))
+	b, ask, err := r.next(ctx, 5, time.Minute)
+	assert.NilError(t, err)
+	assert.Assert(t, !ask)
+	assert.Equal(t, b.Changes[0].Key, "t")
+}
+
+// TestLostStoreIsToldOnceAndNotAskedByAll has both routers that follow the store lose
+// it, and one of them reach it again.
+func TestLostStoreIsToldOnceAndNotAskedByAll(t *testing.T) {
+	r, first, second := followTwo(t, clockwork.NewRealClock())
+	ctx := context.Background()
+	_, _, err := r.next(ctx, 5, 0)
+	assert.NilError(t, err)
+	first.logs[wire.TableTargets].SetLost()
+	second.logs[wire.TableTargets].SetLost()
+	_, ask, err := r.next(ctx, 5, time.Minute)
+	assert.Assert(t, eris.Is(err, errLeaderLost))
+	assert.Assert(t, !ask)
+	// The store itself is asked after a while, in case only the others do not reach it.
+	r.asked = r.asked.Add(-askStoreEvery)
+	_, ask, err = r.next(ctx, 5, time.Minute)
+	assert.Assert(t, eris.Is(err, errAskStore))
+	assert.Assert(t, ask)
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(2 * keepalive)
+		first.logs[wire.TableTargets].Confirm()
+		return nil
+	})
+	_, ask, err = r.next(ctx, 5, time.Minute)
+	assert.NilError(t, err)
+	assert.Assert(t, !ask, "it hears of the return of the store")
+	assert.NilError(t, group.Wait())
+}
+
+// TestStoreIsAskedForWantOfRouters has no router that follows the store answer.
+func TestStoreIsAskedForWantOfRouters(t *testing.T) {
+	g := newReader(t, "z")
+	g.leaders.Store(&[]leader{{name: "a", control: netip.MustParseAddrPort("127.0.0.1:1")}})
+	r := &through{gateway: g, table: wire.TableTargets}
+	_, ask, err := r.next(context.Background(), 5, time.Second)
+	assert.Assert(t, ask && err != nil)
+	_, ask, err = r.next(context.Background(), 5, time.Second)
+	assert.Assert(t, eris.Is(err, errNoLeader) && !ask, "not again at once")
+}
+
+func TestReaderBehindTheLogReadsTheTableWhole(t *testing.T) {
+	r, _, _ := followTwo(t, clockwork.NewRealClock())
+	_, ask, err := r.next(context.Background(), 3, time.Second)
+	assert.Assert(t, eris.Is(err, platform.ErrHistoryLost) && !ask)
+}
+
+func TestRouterThatDoesNotFollowTheStoreHandsNothingOn(t *testing.T) {
+	g := newReader(t, "a")
+	g.logs[wire.TableTargets].Reset(5)
+	sent := 0
+	err := g.handOn(context.Background(), &zinccovev1.FollowTableRequest{Table: wire.TableTargets, Since: 5}, func(*zinccovev1.FollowTableResponse) error {
+		sent++
+		return nil
+	})
+	assert.Assert(t, eris.Is(err, errNotLeading))
+	assert.Equal(t, sent, 0)
+}
--- a/gen/zinccove/v1/zinccovev1connect/peer.connect.go
+++ b/gen/zinccove/v1/zinccovev1connect/peer.connect.go
@@ -38,6 +38,8 @@
 	// PeerServiceFetchServiceProcedure is the fully-qualified name of the PeerService's FetchService
 	// RPC.
 	PeerServiceFetchServiceProcedure = "/zinccove.v1.PeerService/FetchService"
+	// PeerServiceFollowTableProcedure is the fully-qualified name of the PeerService's FollowTable RPC.
+	PeerServiceFollowTableProcedure = "/zinccove.v1.PeerService/FollowTable"
 )
 
 // PeerServiceClient is a client for the zinccove.v1.PeerService service.
@@ -46,6 +48,9 @@
 	FetchConfig(context.Context, *v1.FetchConfigRequest) (*v1.FetchConfigResponse, error)
 	// FetchService returns all service counters the answering router knows.
 	FetchService(context.Context, *v1.FetchServiceRequest) (*v1.FetchServiceResponse, error)
+	// FollowTable hands on what the answering router reads of a table of the store.
+	// The first message comes at once, others with each change and in short intervals.
+	FollowTable(context.Context, *v1.FollowTableRequest) (*connect.ServerStreamForClient[v1.FollowTableResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the zinccove.v1.PeerService service. By default, it
@@ -71,6 +76,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchService")),
 			connect.WithClientOptions(opts...),
 		),
+		followTable: connect.NewClient[v1.FollowTableRequest, v1.FollowTableResponse](
+			httpClient,
+			baseURL+PeerServiceFollowTableProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FollowTable")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -78,6 +89,7 @@
 type peerServiceClient struct {
 	fetchConfig  *connect.Client[v1.FetchConfigRequest, v1.FetchConfigResponse]
 	fetchService *connect.Client[v1.FetchServiceRequest, v1.FetchServiceResponse]
+	followTable  *connect.Client[v1.FollowTableRequest, v1.FollowTableResponse]
 }
 
 // FetchConfig calls zinccove.v1.PeerService.FetchConfig.
@@ -98,12 +110,20 @@
 	return nil, err
 }
 
+// FollowTable calls zinccove.v1.PeerService.FollowTable.
+func (c *peerServiceClient) FollowTable(ctx context.Context, req *v1.FollowTableRequest) (*connect.ServerStreamForClient[v1.FollowTableResponse], error) {
+	return c.followTable.CallServerStream(ctx, connect.NewRequest(req))
+}
+
 // PeerServiceHandler is an implementation of the zinccove.v1.PeerService service.
 type PeerServiceHandler interface {
 	// FetchConfig returns the configuration the answering router has in force.
 	FetchConfig(context.Context, *v1.FetchConfigRequest) (*v1.FetchConfigResponse, error)
 	// FetchService returns all service counters the answering router knows.
 	FetchService(context.Context, *v1.FetchServiceRequest) (*v1.FetchServiceResponse, error)
+	// FollowTable hands on what the answering router reads of a table of the store.
+	// The first message comes at once, others with each change and in short intervals.
+	FollowTable(context.Context, *v1.FollowTableRequest, *connect.ServerStream[v1.FollowTableResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -125,12 +145,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchService")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFollowTableHandler := connect.NewServerStreamHandlerSimple(
+		PeerServiceFollowTableProcedure,
+		svc.FollowTable,
+		connect.WithSchema(peerServiceMethods.ByName("FollowTable")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/zinccove.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceFetchConfigProcedure:
 			peerServiceFetchConfigHandler.ServeHTTP(w, r)
 		case PeerServiceFetchServiceProcedure:
 			peerServiceFetchServiceHandler.ServeHTTP(w, r)
+		case PeerServiceFollowTableProcedure:
+			peerServiceFollowTableHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -147,3 +175,7 @@
 func (UnimplementedPeerServiceHandler) FetchService(context.Context, *v1.FetchServiceRequest) (*v1.FetchServiceResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("zinccove.v1.PeerService.FetchService is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) FollowTable(context.Context, *v1.FollowTableRequest, *connect.ServerStream[v1.FollowTableResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("zinccove.v1.PeerService.FollowTable is not implemented"))
+}
--- a/metric/names.go
+++ b/metric/names.go
@@ -42,6 +42,7 @@
 	ConfigRejected
 	LogLinesDropped
 	RequestsShed
+	FollowersServed
 	counters
 )
 
@@ -76,6 +77,7 @@
 	ConfigRejected:       {"config_rejected", "*alarm* Configurations that were not valid and did not come in force."},
 	LogLinesDropped:      {"log_lines_dropped", "Log lines that were not written because there were too many."},
 	RequestsShed:         {"requests_shed", "*alarm* Streams refused because this process was behind."},
+	FollowersServed:      {"followers_served", "Calls of other routers that follow a table of the store through this one."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,7 +16,7 @@
 //	r := roster.New(roster.Options{Clock: clock, Return: 2 * time.Second})
 //	gone := r.Replace(entries, version) // the whole table at a version
 //	r.Put(entry)                        // single changes
-//	if r.Remove(id, version) { ... }
+//	if r.Remove(id, version, 0) { ... }
 //	r.Interrupted()                     // the table is away
 //	gone = r.Expire()                   // from time to time
 //	for _, t := range r.Targets() { ... }
@@ -114,9 +114,9 @@
 	delete(r.doubted, t.ID)
 }
 
-// Remove notes that an entry went at a version of the table. It reports whether
-// the target is gone; else the entry may have lapsed only.
-func (r *Roster) Remove(id string, version uint64) bool {
+// Remove notes that an entry went at a version of the table, which was read some
+// time ago. It reports whether the target is gone; else the entry may have lapsed only.
+func (r *Roster) Remove(id string, version uint64, age time.Duration) bool {
 	t := r.targets[id]
 	if t == nil {
 		return false
@@ -128,7 +128,7 @@
 	if _, ok := r.doubted[id]; ok {
 		return false
 	}
-	until := r.options.Clock.Now().Add(r.options.Renewal)
+	until := r.options.Clock.Now().Add(r.options.Renewal - age)
 	if r.catching {
 		// It went during the outage, so it has the whole time to come back.
 		until = r.settled
@@ -165,7 +165,7 @@
 	}
 	var gone []Departure
 	for id := range r.targets {
-		if !present[id] && r.Remove(id, version) {
+		if !present[id] && r.Remove(id, version, 0) {
 			gone = append(gone, Departure{ID: id, Version: version})
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -30,8 +30,8 @@
 
 func TestRemovedEntryIsGoneUnlessItComesBack(t *testing.T) {
 	r, clock := newTestRoster()
-	assert.Assert(t, !r.Remove("a", 3))
-	assert.Assert(t, !r.Remove("b", 4))
+	assert.Assert(t, !r.Remove("a", 3, 0))
+	assert.Assert(t, !r.Remove("b", 4, 0))
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	clock.Advance(renewal / 2)
 	r.Put(Target{ID: "b", Version: 7})
@@ -82,7 +82,7 @@
 	r.Resumed()
 	r.CaughtUp()
 	clock.Advance(700 * time.Millisecond)
-	assert.Assert(t, !r.Remove("a", 3))
+	assert.Assert(t, !r.Remove("a", 3, 0))
 	clock.Advance(renewal)
 	assert.DeepEqual(t, r.Expire(), []Departure{{ID: "a", Version: 3}})
 }
@@ -92,7 +92,7 @@
 	r.Put(Target{ID: "a", Version: 3, Draining: true})
 	r.Interrupted()
 	r.Resumed()
-	assert.Assert(t, r.Remove("a", 3))
+	assert.Assert(t, r.Remove("a", 3, 0))
 	assert.DeepEqual(t, ids(r), []string{"b"})
 }
 
