--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -93,7 +93,7 @@
 
 // receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
 // is dropped like a lost one.
-func (l *loop) receive(hb *zinccovev1.Heartbeat, size int) {
+func (l *loop) receive(hb *zinccovev1.Heartbeat, _ netip.AddrPort, size int) {
 	select {
 	case l.heartbeats <- received{hb, size}:
 	default:
--- /dev/null
+++ b/gateway/ask.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/owner"
+	"zinccove.example/zinccove/place"
+)
+
+const (
+	// askTime is how long answers are awaited: some times the way to another data
+	// centre and back, and a hundredth of the shortest objective of streams.
+	askTime = 8 * time.Millisecond
+	// silentAfter is the number of questions in a row that a router may leave open
+	// before the next one is asked for its targets, silentTime how long it is then.
+	silentAfter = 3
+	silentTime  = 2 * time.Second
+)
+
+// asker asks the routers that answer for targets.
+type asker struct {
+	gateway *Gateway
+	number  atomic.Uint64
+
+	mu sync.Mutex
+	// open are the questions that wait for answers.
+	open map[uint64]*question
+	// missed counts the questions in a row that a router left open; since is when it
+	// was asked last.
+	missed map[string]miss
+}
+
+type miss struct {
+	count int
+	until time.Time
+}
+
+// question is a call of ask that waits for the answers of some routers.
+type question struct {
+	answers []place.Answer
+	// missing is the number of routers that have not answered, done is closed when it
+	// is 0.
+	missing map[uint64]string
+	done    chan struct{}
+}
+
+func newAsker(g *Gateway) *asker {
+	return &asker{gateway: g, open: make(map[uint64]*question), missed: make(map[string]miss)}
+}
+
+// ownerOf returns the router that answers for a target: the next one if the first has
+// been silent.
+func (a *asker) ownerOf(target place.Hash) *owner.Router {
+	first, second := a.gateway.owners.Load().Of(target)
+	if first == nil || second == nil || first.Name == a.gateway.settings.Host {
+		return first
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if m := a.missed[first.Name]; m.count >= silentAfter && a.gateway.clock.Now().Before(m.until) {
+		return second
+	}
+	return first
+}
+
+// ask returns the answers that come in time. Targets that this router answers for need
+// no question.
+func (a *asker) ask(list []place.Question) []place.Answer {
+	byRouter := make(map[*owner.Router]*zinccovev1.Question)
+	for _, q := range list {
+		r := a.ownerOf(q.Target)
+		if r == nil || r.Name == a.gateway.settings.Host {
+			continue
+		}
+		if byRouter[r] == nil {
+			byRouter[r] = new(zinccovev1.Question)
+		}
+		byRouter[r].Targets = append(byRouter[r].Targets, encodeQuestion(q))
+	}
+	if len(byRouter) == 0 {
+		return nil
+	}
+	g := a.gateway
+	q := &question{missing: make(map[uint64]string), done: make(chan struct{})}
+	a.register(q, byRouter)
+	for r, ask := range byRouter {
+		g.post(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
+	}
+	began := g.clock.Now()
+	timer := g.clock.NewTimer(askTime)
+	defer timer.Stop()
+	select {
+	case <-q.done:
+	case <-timer.Chan():
+	}
+	g.metrics.Observe(metric.AskTime, g.clock.Since(began))
+	return a.settle(q)
+}
+
+// register numbers the questions and notes that their answers are awaited.
+func (a *asker) register(q *question, byRouter map[*owner.Router]*zinccovev1.Question) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for r, ask := range byRouter {
+		ask.Number = a.number.Add(1)
+		q.missing[ask.Number] = r.Name
+		a.open[ask.Number] = q
+	}
+}
+
+// take takes an answer. One that is late or unknown is dropped.
+func (a *asker) take(reply *zinccovev1.Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q := a.open[reply.Number]
+	if q == nil {
+		return
+	}
+	delete(a.open, reply.Number)
+	delete(a.missed, q.missing[reply.Number])
+	delete(q.missing, reply.Number)
+	for _, t := range reply.Targets {
+		q.answers = append(q.answers, decodeAnswer(t))
+	}
+	if len(q.missing) == 0 {
+		close(q.done)
+	}
+}
+
+// settle ends the waiting for answers and returns those that came.
+func (a *asker) settle(q *question) []place.Answer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.gateway.clock.Now()
+	for number, router := range q.missing {
+		delete(a.open, number)
+		a.gateway.metrics.Inc(metric.QuestionsOpen)
+		m := a.missed[router]
+		if m.count >= silentAfter && now.After(m.until) {
+			m = miss{} // it was tried again after a while
+		}
+		m.count++
+		if m.count == silentAfter {
+			m.until = now.Add(silentTime)
+			a.gateway.log.Info().Str("peer", router).Int("questions", m.count).Dur("for_ms", silentTime).Msg("router leaves questions open, the next one is asked")
+		}
+		a.missed[router] = m
+	}
+	return q.answers
+}
+
+// post sends a datagram that stands by itself.
+func (g *Gateway) post(hb *zinccovev1.Heartbeat, to netip.AddrPort) {
+	size, sent, err := g.transport.Send(hb, to)
+	if err != nil {
+		g.metrics.Inc(metric.PeerErrors)
+	}
+	g.metrics.Add(metric.ControlBytesSent, size*sent)
+}
--- /dev/null
+++ b/gateway/ask_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/owner"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
+)
+
+// newAskers returns routers that answer each other's questions on loopback. The ones
+// named in silent get questions and leave them open.
+func newAskers(t *testing.T, n int, silent *sync.Map) []*Gateway {
+	t.Helper()
+	var (
+		all     []*Gateway
+		routers []owner.Router
+	)
+	for i := range n {
+		g := newReader(t, fmt.Sprintf("r%d", i))
+		g.asker = newAsker(g)
+		var err error
+		g.transport, err = peer.Listen(peer.Options{
+			Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: g.clock, Key: []byte(testFleetKey),
+			Receive: func(hb *zinccovev1.Heartbeat, from netip.AddrPort, _ int) {
+				switch {
+				case hb.Question != nil:
+					if _, ok := silent.Load(g.settings.Host); !ok {
+						g.answer(hb.Question, from)
+					}
+				case hb.Answer != nil:
+					g.asker.take(hb.Answer)
+				}
+			},
+		})
+		assert.NilError(t, err)
+		t.Cleanup(func() { assert.NilError(t, g.transport.Close()) })
+		all = append(all, g)
+		routers = append(routers, owner.Router{Name: g.settings.Host, DataCentre: "dc", Peer: g.transport.Address()})
+	}
+	table := owner.New([]owner.Target{{Hash: place.HashOf("t"), DataCentre: "dc"}}, routers)
+	for _, g := range all {
+		g.owners.Store(table)
+	}
+	return all
+}
+
+// byName returns the router with a name.
+func byName(all []*Gateway, r *owner.Router) *Gateway {
+	for _, g := range all {
+		if g.settings.Host == r.Name {
+			return g
+		}
+	}
+	return nil
+}
+
+// another returns a router that is none of the two that may answer.
+func another(all []*Gateway, first, second *owner.Router) *Gateway {
+	for _, g := range all {
+		if g.settings.Host != first.Name && g.settings.Host != second.Name {
+			return g
+		}
+	}
+	return nil
+}
+
+func TestRouterThatAnswersForATargetKnowsWhatOthersPlacedThere(t *testing.T) {
+	all := newAskers(t, 4, new(sync.Map))
+	first, second := all[0].owners.Load().Of(place.HashOf("t"))
+	byName(all, first).placer.Place(ask("a"))
+	g := another(all, first, second)
+	r := ask("b")
+	answers := g.asker.ask(g.placer.Questions(r))
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Requests, 1)
+	assert.Equal(t, answers[0].Waiting, 1000)
+	assert.Equal(t, len(byName(all, first).asker.ask(g.placer.Questions(r))), 0, "nobody asks itself")
+}
+
+// TestSilentRouterDelaysFewRequests has the router that answers for a target stand
+// still: each question costs some milliseconds, and soon the next router is asked.
+func TestSilentRouterDelaysFewRequests(t *testing.T) {
+	silent := new(sync.Map)
+	all := newAskers(t, 4, silent)
+	first, second := all[0].owners.Load().Of(place.HashOf("t"))
+	silent.Store(first.Name, true)
+	byName(all, second).placer.Place(ask("a"))
+	g := another(all, first, second)
+	questions := g.placer.Questions(ask("b"))
+	for range silentAfter {
+		began := time.Now()
+		assert.Equal(t, len(g.asker.ask(questions)), 0)
+		assert.Assert(t, time.Since(began) < 10*askTime)
+	}
+	answers := g.asker.ask(questions)
+	assert.Equal(t, len(answers), 1, "the next one answers")
+	assert.Equal(t, answers[0].Requests, 1)
+	assert.Equal(t, g.asker.ownerOf(place.HashOf("t")).Name, second.Name, "it is told of what is placed, too")
+	assert.Equal(t, len(g.asker.open), 0, "nothing is left of open questions")
+}
+
+func TestLateAnswersAreDropped(t *testing.T) {
+	g := newAskers(t, 1, new(sync.Map))[0]
+	g.asker.take(&zinccovev1.Answer{Number: 77})
+	assert.Equal(t, len(g.asker.open), 0)
+}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -83,7 +83,9 @@
 		hb.Host = l.identity()
 		hb.Introduced = l.introductions()
 	}
-	encodeReport(hb, l.gateway.placer, l.usesDue())
+	if l.usesDue() {
+		encodeUses(hb, l.gateway.placer)
+	}
 	return hb
 }
 
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -40,7 +40,7 @@
 		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
 	}
 	g.transport, err = peer.Listen(peer.Options{
-		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Key: []byte("0123456789abcdef"), Receive: func(*zinccovev1.Heartbeat, int) {},
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Key: []byte("0123456789abcdef"), Receive: func(*zinccovev1.Heartbeat, netip.AddrPort, int) {},
 	})
 	if err != nil {
 		b.Fatal(err)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -299,6 +299,7 @@
 	}
 	l.targets = l.roster.Targets()
 	l.gateway.placer.SetTargets(l.targets, table)
+	l.findOwners(l.gateway.clock.Now())
 }
 
 // announce writes this router's entry and learns the others'. Routers that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
@@ -65,7 +66,10 @@
 	streams *http.Client
 	// logs are what this router reads of the store's tables, for those that follow it.
 	logs tableLogs
-	loop *loop
+	// owners says which routers answer for the targets, asker asks them.
+	owners atomic.Pointer[owner.Table]
+	asker  *asker
+	loop   *loop
 
 	table atomic.Pointer[adopted]
 	// routesAnswered and targetsAnswered tell how old the configuration and the
@@ -137,6 +141,8 @@
 		}),
 	}
 	g.logs = g.newLogs()
+	g.owners.Store(new(owner.Table))
+	g.asker = newAsker(g)
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
 	g.loop = newLoop(g)
@@ -164,7 +170,7 @@
 	}
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
-		View: g.view, Placer: g.placer, Links: g.links,
+		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
 		Retries: request.NewBudget(s.RetryRatio*retryPart, s.RetrySlack*retryPart/usualRouters),
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -43,21 +43,62 @@
 	}}
 }
 
-func TestReportCrossesTheWire(t *testing.T) {
-	sender, receiver := newPlacer(t), newPlacer(t)
-	assert.Assert(t, sender.Place(ask("a")).Run != nil)
-	hb := &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1}
-	encodeReport(hb, sender, true)
+// crosses returns a datagram as its receiver reads it.
+func crosses(t *testing.T, hb *zinccovev1.Heartbeat) *zinccovev1.Heartbeat {
+	t.Helper()
 	datagram, err := peer.Seal([]byte("key"), hb)
 	assert.NilError(t, err)
 	opened, err := peer.Open([]byte("key"), datagram)
 	assert.NilError(t, err)
 	assert.Assert(t, proto.Equal(hb, opened))
-	receiver.SetPeer("sender", decodeReport(opened))
+	return opened
+}
+
+// newsOf returns what a placer has to tell, in one datagram.
+func newsOf(p *place.Placer) *zinccovev1.Heartbeat {
+	hb := &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, Partial: true}
+	news := p.TakeNews()
+	encodeNews(hb, &news)
+	return hb
+}
+
+func TestNewsCrossTheWire(t *testing.T) {
+	sender, receiver := newPlacer(t), newPlacer(t)
+	run := sender.Place(ask("a")).Run
+	assert.Assert(t, run != nil)
+	receiver.SetPeer("sender", decodeReport(crosses(t, newsOf(sender))))
 	d := receiver.Place(ask("b"))
 	assert.Equal(t, d.Outstanding, 1)
 	assert.Equal(t, d.Backlog, 1000)
 	assert.Equal(t, d.Unread, 100, "the shared part was read by the sender's request")
+	run.FirstEvent(true)
+	run.End(place.Answered)
+	last := crosses(t, newsOf(sender))
+	assert.Equal(t, len(last.FirstEvents), 1)
+	receiver.SetPeer("sender", decodeReport(last))
+	d.Run.End(place.Cancelled)
+	assert.Equal(t, receiver.Place(ask("c")).Outstanding, 0)
+}
+
+// TestAnswersCrossTheWire has a router ask about a target of which only the one asked
+// knows.
+func TestAnswersCrossTheWire(t *testing.T) {
+	asker, asked := newPlacer(t), newPlacer(t)
+	assert.Assert(t, asked.Place(ask("a")).Run != nil)
+	r := ask("b")
+	var answers []place.Answer
+	for _, q := range asker.Questions(r) {
+		hb := crosses(t, &zinccovev1.Heartbeat{Question: &zinccovev1.Question{Number: 1, Targets: []*zinccovev1.TargetQuestion{encodeQuestion(q)}}})
+		a, ok := asked.Answer(decodeQuestion(hb.Question.Targets[0]))
+		assert.Assert(t, ok)
+		reply := crosses(t, &zinccovev1.Heartbeat{Answer: &zinccovev1.Answer{Number: 1, Targets: []*zinccovev1.TargetAnswer{encodeAnswer(a)}}})
+		answers = append(answers, decodeAnswer(reply.Answer.Targets[0]))
+	}
+	d := asker.Place(r, answers...)
+	assert.Equal(t, d.Told, 1)
+	assert.Equal(t, d.Outstanding, 1)
+	assert.Equal(t, d.Backlog, 1000)
+	assert.Equal(t, d.Unread, 100)
 }
 
 // TestRouterWithoutConfigurationAsksAtOnce has a router hear of another one that
@@ -178,10 +219,10 @@
 	}
 }
 
-// TestFullReportFitsADatagram is the case of a grown site: work at 140 targets
-// for 60 customers does not fit, and a heartbeat that is too large is lost.
-func TestFullReportFitsADatagram(t *testing.T) {
-	const targets, customers, requests = 140, 30, 600
+// TestNewsFitDatagrams is the case of a flooded router of a grown site: work at 140
+// targets for 30 customers does not fit a datagram, and one that is too large is lost.
+func TestNewsFitDatagrams(t *testing.T) {
+	const targets, customers, requests = 140, 30, 150
 	table, err := route.New(route.Spec{Version: 1, Services: []route.Service{{Name: "m", Engine: &route.Engine{Slots: 64, MemoryTokens: 100_000}}}})
 	assert.NilError(t, err)
 	p := place.New(place.Options{Clock: clockwork.NewFakeClock()})
@@ -191,23 +232,32 @@
 		list = append(list, &roster.Target{ID: fmt.Sprint(i), Service: "m", Slots: 64, Address: addr})
 	}
 	p.SetTargets(list, table)
+	placed := 0
 	for i := range requests {
 		r := ask("x")
 		r.Customer = fmt.Sprint(i % customers)
 		r.Call.Parts[0].ID = fmt.Sprint(i)
-		p.Place(r)
-	}
-	for range 40 {
-		hb := &zinccovev1.Heartbeat{Incarnation: 1 << 60, Sequence: 1 << 40}
-		for range maxLeaving {
-			hb.LeavingTargets = append(hb.LeavingTargets, &zinccovev1.LeavingTarget{Target: 1, Version: 1 << 40})
+		if p.Place(r).Run != nil {
+			placed++
 		}
-		encodeReport(hb, p, true)
-		assert.Equal(t, len(hb.Uses), customers, "all uses come first")
-		assert.Assert(t, len(hb.Loads) > 0)
-		_, err = peer.Seal([]byte("key"), hb)
-		assert.NilError(t, err)
 	}
+	news := p.TakeNews()
+	readings, datagrams := 0, 0
+	for ; !news.Empty(); datagrams++ {
+		hb := &zinccovev1.Heartbeat{Incarnation: 1 << 60, Sequence: 1 << 40, Partial: true}
+		encodeNews(hb, &news)
+		readings += len(hb.Readings)
+		crosses(t, hb)
+	}
+	assert.Equal(t, readings, placed)
+	assert.Assert(t, datagrams > 1)
+	hb := &zinccovev1.Heartbeat{Incarnation: 1 << 60, Sequence: 1 << 40}
+	for range maxLeaving {
+		hb.LeavingTargets = append(hb.LeavingTargets, &zinccovev1.LeavingTarget{Target: 1, Version: 1 << 40})
+	}
+	encodeUses(hb, p)
+	assert.Equal(t, len(hb.Uses), customers)
+	crosses(t, hb)
 }
 
 // blocked is an output that takes nothing until it is released.
@@ -256,48 +306,14 @@
 	assert.Assert(t, written <= ringLines+collected+2, written)
 }
 
-// TestNewsOfPlacedPromptsLeaveTheRestAsItWas has a partial heartbeat follow a
-// whole one.
-func TestNewsOfPlacedPromptsLeaveTheRestAsItWas(t *testing.T) {
-	sender, receiver := newPlacer(t), newPlacer(t)
-	sender.Place(ask("a"))
-	whole := new(zinccovev1.Heartbeat)
-	encodeReport(whole, sender, true)
-	receiver.SetPeer("sender", decodeReport(whole))
-	sender.Place(ask("b"))
-	select {
-	case <-sender.Placed():
-	default:
-		t.Fatal("not told of the placed prompt")
-	}
-	partial := &zinccovev1.Heartbeat{Partial: true}
-	encodeReadings(partial, sender, &room{left: peer.MaxBody})
-	assert.Equal(t, len(partial.Readings), 1)
-	assert.Assert(t, decodeReport(partial).Loads == nil && decodeReport(partial).Uses == nil)
-	receiver.SetPeer("sender", decodeReport(partial))
-	d := receiver.Place(ask("c"))
-	assert.Equal(t, d.Outstanding, 1, "the count of requests comes with whole heartbeats")
-	assert.Equal(t, d.Backlog, 1100)
-}
-
-// TestNewsArePacedByTheNumberOfRouters has prompts placed without a pause.
-func TestNewsArePacedByTheNumberOfRouters(t *testing.T) {
-	for _, tc := range []struct {
-		routers int64
-		pause   time.Duration
-	}{{1, newsPeriod}, {8, 8 * newsCost}, {84, 84 * newsCost}} {
-		clock := clockwork.NewFakeClock()
-		g := &Gateway{settings: &settings.Settings{Host: "a"}, clock: clock}
-		g.routers.Store(tc.routers)
-		l := newLoop(g)
-		l.news.told = clock.Now()
-		l.placed()
-		due := l.news.due
-		l.placed()
-		assert.Assert(t, l.news.due == due, "one timer at a time")
-		clock.Advance(tc.pause - time.Millisecond)
-		assert.Equal(t, len(due), 0, tc.routers)
-		clock.Advance(time.Millisecond)
-		assert.Equal(t, len(due), 1, tc.routers)
-	}
+// TestNewsAreToldSoon has prompts placed without a pause.
+func TestNewsAreToldSoon(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := newLoop(&Gateway{settings: &settings.Settings{Host: "a"}, clock: clock})
+	l.placed()
+	due := l.news.due
+	l.placed()
+	assert.Assert(t, l.news.due == due, "one timer at a time")
+	clock.Advance(newsPeriod)
+	assert.Equal(t, len(due), 1)
 }
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -57,7 +57,7 @@
 		case !g.leads.Load():
 			return connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
 		}
-		if err := send(encodeNews(news, g.clock.Now())); err != nil {
+		if err := send(encodeRows(news, g.clock.Now())); err != nil {
 			return err
 		}
 		since = news.Version
@@ -70,7 +70,7 @@
 	}
 }
 
-func encodeNews(n feed.News[platform.Change], now time.Time) *zinccovev1.FollowTableResponse {
+func encodeRows(n feed.News[platform.Change], now time.Time) *zinccovev1.FollowTableResponse {
 	resp := &zinccovev1.FollowTableResponse{Version: n.Version, Lost: n.Lost, AgeMs: sinceMs(n.Answered, now)}
 	for _, r := range n.Rows {
 		resp.Rows = append(resp.Rows, &zinccovev1.TableRow{
@@ -82,8 +82,8 @@
 
 func sinceMs(t, now time.Time) uint64 { return uint64(max(now.Sub(t), 0).Milliseconds()) }
 
-// decodeNews returns the changes of a message.
-func decodeNews(resp *zinccovev1.FollowTableResponse) platform.Batch {
+// decodeRows returns the changes of a message.
+func decodeRows(resp *zinccovev1.FollowTableResponse) platform.Batch {
 	b := platform.Batch{Version: resp.Version}
 	for _, r := range resp.Rows {
 		b.Changes = append(b.Changes, platform.Change{
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,6 +15,7 @@
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/roster"
@@ -71,6 +72,11 @@
 	heartbeats chan received
 	tasks      chan func(*loop)
 	published  atomic.Pointer[[]*zinccovev1.RouterStatus]
+	// routers and ownedOf are those from which it was last found out who answers for
+	// which target, owned is the number of targets that this router answers for.
+	routers []owner.Router
+	ownedOf []*roster.Target
+	owned   int
 
 	members     *member.Table
 	roster      *roster.Roster
@@ -110,9 +116,17 @@
 	}
 }
 
-// receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
-// is dropped like a lost one.
-func (l *loop) receive(hb *zinccovev1.Heartbeat, size int) {
+// receive answers a question, takes an answer, or hands a heartbeat to the loop. A
+// heartbeat that finds the inbox full is dropped like a lost one.
+func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
+	switch {
+	case hb.Question != nil:
+		l.gateway.answer(hb.Question, from)
+		return
+	case hb.Answer != nil:
+		l.gateway.asker.take(hb.Answer)
+		return
+	}
 	select {
 	case l.heartbeats <- received{hb, size}:
 	default:
@@ -141,7 +155,7 @@
 		case <-l.gateway.placer.Placed():
 			l.placed()
 		case <-l.news.due:
-			l.tellPlaced()
+			l.tellNews()
 		case <-tick.Chan():
 			l.tick(ctx)
 		}
@@ -163,8 +177,11 @@
 	}
 	if l.ticks%leadEvery == 0 {
 		l.findLeaders(now)
+		l.findOwners(now)
 	}
+	l.tellNews()
 	if l.ticks%sweepEvery == 0 {
+		l.gateway.placer.ForgetLoads()
 		l.sweep()
 		l.publish(now)
 	}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"cmp"
-	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,42 +10,65 @@
 	"zinccove.example/zinccove/place"
 )
 
-// encodeReport writes what this router announces about its requests, as far as
-// it fits a datagram: uses by customer if they are due, then the targets with
-// the most requests, then prompts placed; those that do not fit wait for
-// the next heartbeat. Uses come first, as shares computed without some routers'
-// uses are wrong for everybody.
-func encodeReport(hb *zinccovev1.Heartbeat, p *place.Placer, uses bool) {
+// encodeUses writes the use of this router by customers, as far as it fits a datagram.
+func encodeUses(hb *zinccovev1.Heartbeat, p *place.Placer) {
 	room := room{left: peer.MaxBody - proto.Size(hb)}
-	if uses {
-		for customer, use := range p.Uses() {
-			u := &zinccovev1.CustomerUse{Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked)}
-			if room.takes(u) {
-				hb.Uses = append(hb.Uses, u)
-			}
+	for customer, use := range p.Uses() {
+		u := &zinccovev1.CustomerUse{Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked)}
+		if room.takes(u) {
+			hb.Uses = append(hb.Uses, u)
 		}
 	}
-	for _, load := range heaviest(p.Own()) {
-		if room.takes(load) {
-			hb.Loads = append(hb.Loads, load)
-		}
-	}
-	encodeReadings(hb, p, &room)
 }
 
-// encodeReadings writes the prompts that were placed, as far as there is room.
-func encodeReadings(hb *zinccovev1.Heartbeat, p *place.Placer, room *room) {
-	p.TakeReadings(func(r place.Reading) bool {
-		reading := &zinccovev1.Reading{Target: uint32(r.Target), Unread: uint32(r.Unread)}
-		for _, part := range r.Parts {
-			reading.Parts = append(reading.Parts, uint32(part))
-		}
+// encodeNews moves news to a datagram as far as they fit.
+func encodeNews(hb *zinccovev1.Heartbeat, n *place.News) {
+	room := room{left: peer.MaxBody - proto.Size(hb)}
+	for len(n.Readings) > 0 {
+		reading := encodeReading(n.Readings[0])
 		if !room.takes(reading) {
-			return false
+			return
 		}
 		hb.Readings = append(hb.Readings, reading)
-		return true
-	})
+		n.Readings = n.Readings[1:]
+	}
+	for target, load := range n.Loads {
+		l := &zinccovev1.TargetLoad{Target: uint32(target), Requests: uint32(load.Requests)}
+		if !room.takes(l) {
+			return
+		}
+		hb.Loads = append(hb.Loads, l)
+		delete(n.Loads, target)
+	}
+	for len(n.FirstEvents) > 0 {
+		e := n.FirstEvents[0]
+		event := &zinccovev1.FirstEvent{Target: uint32(e.Target), Number: e.Number, TookUs: uint32(e.Took.Microseconds()), ToRead: uint32(e.ToRead)}
+		if !room.takes(event) {
+			return
+		}
+		hb.FirstEvents = append(hb.FirstEvents, event)
+		n.FirstEvents = n.FirstEvents[1:]
+	}
+}
+
+func encodeReading(r place.Reading) *zinccovev1.Reading {
+	return &zinccovev1.Reading{Target: uint32(r.Target), Number: r.Number, Unread: uint32(r.Unread), Parts: numbers(r.Parts)}
+}
+
+func numbers(hashes []place.Hash) []uint32 {
+	list := make([]uint32, len(hashes))
+	for i, h := range hashes {
+		list[i] = uint32(h)
+	}
+	return list
+}
+
+func hashes(numbers []uint32) []place.Hash {
+	list := make([]place.Hash, len(numbers))
+	for i, n := range numbers {
+		list[i] = place.Hash(n)
+	}
+	return list
 }
 
 // room is what is left of a datagram in bytes.
@@ -65,35 +87,24 @@
 	return true
 }
 
-// heaviest returns loads, those with the most requests first.
-func heaviest(own map[place.Hash]place.Load) []*zinccovev1.TargetLoad {
-	loads := make([]*zinccovev1.TargetLoad, 0, len(own))
-	for target, load := range own {
-		loads = append(loads, &zinccovev1.TargetLoad{
-			Target: uint32(target), Requests: uint32(load.Requests),
-		})
-	}
-	slices.SortFunc(loads, func(a, b *zinccovev1.TargetLoad) int {
-		return cmp.Compare(b.Requests, a.Requests)
-	})
-	return loads
-}
-
 // decodeReport reads what another router announces.
 func decodeReport(hb *zinccovev1.Heartbeat) place.Report {
 	var r place.Report
-	if !hb.Partial {
-		r.Loads = make(map[place.Hash]place.Load, len(hb.Loads))
+	if len(hb.Loads) > 0 {
+		r.News.Loads = make(map[place.Hash]place.Load, len(hb.Loads))
 	}
 	for _, t := range hb.Loads {
-		r.Loads[place.Hash(t.Target)] = place.Load{Requests: int(t.Requests)}
+		r.News.Loads[place.Hash(t.Target)] = place.Load{Requests: int(t.Requests)}
 	}
-	for _, reading := range hb.Readings {
-		parts := make([]place.Hash, len(reading.Parts))
-		for i, part := range reading.Parts {
-			parts[i] = place.Hash(part)
-		}
-		r.Readings = append(r.Readings, place.Reading{Target: place.Hash(reading.Target), Parts: parts, Unread: int(reading.Unread)})
+	for _, x := range hb.Readings {
+		r.News.Readings = append(r.News.Readings, place.Reading{
+			Target: place.Hash(x.Target), Number: x.Number, Parts: hashes(x.Parts), Unread: int(x.Unread),
+		})
+	}
+	for _, e := range hb.FirstEvents {
+		r.News.FirstEvents = append(r.News.FirstEvents, place.FirstEvent{
+			Target: place.Hash(e.Target), Number: e.Number, Took: time.Duration(e.TookUs) * time.Microsecond, ToRead: int(e.ToRead),
+		})
 	}
 	if len(hb.Uses) > 0 {
 		r.Uses = make(map[place.Hash]place.Use, len(hb.Uses))
@@ -103,3 +114,33 @@
 	}
 	return r
 }
+
+func encodeQuestion(q place.Question) *zinccovev1.TargetQuestion {
+	t := &zinccovev1.TargetQuestion{Target: uint32(q.Target), Parts: numbers(q.Parts), Total: uint32(q.Total), First: q.First}
+	for _, size := range q.Sizes {
+		t.Sizes = append(t.Sizes, uint32(size))
+	}
+	return t
+}
+
+// decodeQuestion reads a question. Parts without a size are left out.
+func decodeQuestion(t *zinccovev1.TargetQuestion) place.Question {
+	q := place.Question{Target: place.Hash(t.Target), Total: int(t.Total), First: t.First}
+	q.Parts = hashes(t.Parts[:min(len(t.Parts), len(t.Sizes))])
+	for i := range q.Parts {
+		q.Sizes = append(q.Sizes, int(t.Sizes[i]))
+	}
+	return q
+}
+
+func encodeAnswer(a place.Answer) *zinccovev1.TargetAnswer {
+	return &zinccovev1.TargetAnswer{
+		Target: uint32(a.Target), Waiting: uint32(a.Waiting), Requests: uint32(a.Requests), Unread: uint32(a.Unread), Slowness: float32(a.Slowness),
+	}
+}
+
+func decodeAnswer(t *zinccovev1.TargetAnswer) place.Answer {
+	return place.Answer{
+		Target: place.Hash(t.Target), Waiting: int(t.Waiting), Requests: int(t.Requests), Unread: int(t.Unread), Slowness: float64(t.Slowness),
+	}
+}
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -174,7 +174,7 @@
 		}
 		now := g.clock.Now()
 		if len(msg.Rows) > 0 {
-			return decodeNews(msg), nil
+			return decodeRows(msg), nil
 		}
 		if msg.Lost {
 			if err := t.withoutStore(now); err != nil {
--- a/metric/names.go
+++ b/metric/names.go
@@ -43,6 +43,7 @@
 	LogLinesDropped
 	RequestsShed
 	FollowersServed
+	QuestionsOpen
 	counters
 )
 
@@ -78,6 +79,7 @@
 	LogLinesDropped:      {"log_lines_dropped", "Log lines that were not written because there were too many."},
 	RequestsShed:         {"requests_shed", "*alarm* Streams refused because this process was behind."},
 	FollowersServed:      {"followers_served", "Calls of other routers that follow a table of the store through this one."},
+	QuestionsOpen:        {"questions_open", "Questions about targets that another router did not answer in time."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -118,6 +120,7 @@
 	RequestTime
 	ProcessLag
 	PredictionError
+	AskTime
 	histograms
 )
 
@@ -126,5 +129,6 @@
 	FirstToken:      {"first_token", "Time from acceptance to the first output token."},
 	RequestTime:     {"request_time", "Time from acceptance to the end of the request."},
 	ProcessLag:      {"process_lag", "How late the looks at running requests were, ten a second: the lag of this process."},
+	AskTime:         {"ask_time", "Time that a request waited for other routers' answers about targets."},
 	PredictionError: {"prediction_error", "Distance between the expected and the actual time from placement to the first event."},
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,7 +11,7 @@
 //	t, err := peer.Listen(peer.Options{
 //		Address: addr,
 //		Key:     key,
-//		Receive: func(hb *zinccovev1.Heartbeat, size int) { loop.Post(hb) },
+//		Receive: func(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) { loop.Post(hb) },
 //	})
 //	defer t.Close()
 //	size, sent, err := t.Send(hb, to...)
@@ -58,9 +58,9 @@
 	Clock   clockwork.Clock
 	// Key authenticates messages in both directions.
 	Key []byte
-	// Receive is called on the event loop with each authentic heartbeat and
-	// its size on the wire in bytes. It must not block.
-	Receive func(hb *zinccovev1.Heartbeat, size int)
+	// Receive is called on the event loop with each authentic heartbeat, whom it comes
+	// from and its size on the wire in bytes. It must not block.
+	Receive func(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int)
 	// Reachable tells which addresses heartbeats get to; nil is all. Proofs use
 	// it to cut networks.
 	Reachable func(netip.AddrPort) bool
@@ -141,7 +141,11 @@
 		t.forged.Add(1)
 		return gnet.None
 	}
-	t.options.Receive(hb, len(datagram)+HeaderSize)
+	var from netip.AddrPort
+	if a, ok := c.RemoteAddr().(*net.UDPAddr); ok {
+		from = a.AddrPort()
+	}
+	t.options.Receive(hb, from, len(datagram)+HeaderSize)
 	return gnet.None
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,7 +22,7 @@
 func listen(t *testing.T, key []byte) (*Transport, chan *zinccovev1.Heartbeat) {
 	t.Helper()
 	got := make(chan *zinccovev1.Heartbeat, 16)
-	tr, err := Listen(Options{Address: loopback, Clock: clockwork.NewRealClock(), Key: key, Receive: func(hb *zinccovev1.Heartbeat, _ int) { got <- hb }})
+	tr, err := Listen(Options{Address: loopback, Clock: clockwork.NewRealClock(), Key: key, Receive: func(hb *zinccovev1.Heartbeat, _ netip.AddrPort, _ int) { got <- hb }})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, tr.Close()) })
 	return tr, got
--- a/place/admit.go
+++ b/place/admit.go
@@ -22,13 +22,14 @@
 // admits reports whether a target is expected to make a limit. Where nothing
 // waits, prompts that take longer are admitted too: a refusal would leave the
 // target idle, and a router that expects too much would learn nothing any more.
+// Something waits also where all slots are taken, however little there is to read.
 // Only customers that are ahead of others who are refused leave that to those.
 // Prompts too long for any target are also admitted where little waits.
 func (s *service) admits(d Decision, limit time.Duration, st standing) bool {
 	switch {
 	case d.Predicted <= limit:
 		return true
-	case d.Backlog == 0:
+	case d.Backlog == 0 && d.Free:
 		return !st.ahead
 	}
 	return s.speed.predict(0)+d.Wait <= time.Duration(float64(limit)*longShare)
--- /dev/null
+++ b/place/ask.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Question asks the router that answers for a target how things are there. All
+// routers tell that one what they place at the target, so that it alone knows what
+// waits: in a fleet of 295 each of them sees one in 295 requests, and a queue at an
+// engine lives for some 100 ms.
+type Question struct {
+	Target Hash
+	// Parts are the shared parts of the prompt, Sizes their tokens, Total those of the
+	// whole prompt; none for plain services.
+	Parts []Hash
+	Sizes []int
+	Total int
+	// First tells that the target is the prompt's first home.
+	First bool
+}
+
+// Answer is how things are at a target.
+type Answer struct {
+	Target Hash
+	// Waiting is the number of tokens that wait to be read, Requests that of requests.
+	Waiting  int
+	Requests int
+	// Unread is the number of tokens that the prompt adds.
+	Unread int
+	// Slowness is the part by which the target takes longer than others.
+	Slowness float64
+}
+
+// plainChoices is the number of targets of a plain service that a request is placed
+// among: two by chance are nearly as good as all, and cost their routers less.
+const plainChoices = 2
+
+// Questions returns what should be known before a request is placed.
+func (p *Placer) Questions(r Request) []Question {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[r.Service]
+	if s == nil {
+		return nil
+	}
+	now := p.clock.Now()
+	if s.engine == nil {
+		return p.plainQuestions(s, r, now)
+	}
+	pr := newPrompt(r.Call)
+	var list []Question
+	for rank, t := range p.homes(s, r, now) {
+		list = append(list, Question{Target: t.hash, Parts: pr.shared, Sizes: pr.sizes, Total: pr.total, First: rank == 0})
+	}
+	return list
+}
+
+// plainQuestions draws some targets of the best grade.
+func (p *Placer) plainQuestions(s *service, r Request, now time.Time) []Question {
+	var best []*target
+	graded := doubtful
+	for _, t := range s.targets {
+		g := p.grade(s, t, r, now)
+		if g > graded {
+			best, graded = nil, g
+		}
+		if g == graded {
+			best = append(best, t)
+		}
+	}
+	rand.Shuffle(len(best), func(i, j int) { best[i], best[j] = best[j], best[i] })
+	var list []Question
+	for _, t := range best[:min(plainChoices, len(best))] {
+		list = append(list, Question{Target: t.hash})
+	}
+	return list
+}
+
+// Answer answers a question of another router; ok is false if the target is not known.
+func (p *Placer) Answer(q Question) (a Answer, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.byHash[q.Target]
+	if t == nil {
+		return Answer{}, false
+	}
+	now := p.clock.Now()
+	s := p.service(t.Service)
+	slow := t.slow.factor(now)
+	a = Answer{Target: q.Target, Waiting: s.backlog(t, slow, now), Requests: t.outstanding(), Slowness: slow}
+	if s.engine != nil {
+		pr := prompt{shared: q.Parts, sizes: q.Sizes, total: max(q.Total, 1)}
+		a.Unread = pr.unread(&t.kept, s.engine.MemoryTokens, q.First && t.warm(now))
+	}
+	return a, true
+}
+
+// told are answers by target.
+type told map[Hash]Answer
+
+// take makes answers what is known of their targets.
+func (p *Placer) take(answers []Answer, now time.Time) told {
+	known := make(told, len(answers))
+	for _, a := range answers {
+		t := p.byHash[a.Target]
+		if t == nil {
+			continue
+		}
+		known[a.Target] = a
+		t.slow = slowness{log: math.Log(min(max(a.Slowness, 1/mostSlowness), mostSlowness)), at: now}
+		t.queue.set(a.Waiting, now)
+		t.others.Requests = max(a.Requests-t.own.Requests, 0)
+	}
+	return known
+}
+
+// SetOwned takes the targets for which this router answers. What one that it did not
+// answer for before keeps is not known yet.
+func (p *Placer) SetOwned(targets map[Hash]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	// At the first start of a fleet its targets keep nothing.
+	began := p.fresh && now.Sub(p.started) < warmFor
+	for h := range targets {
+		if t := p.byHash[h]; t != nil && !p.owned[h] && !began {
+			t.warmUntil = now.Add(warmFor)
+		}
+	}
+	p.owned = targets
+}
--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -52,7 +52,7 @@
 const (
 	// tellReadings and tellUses are how often routers tell each other of placed
 	// prompts and of customers' use.
-	tellReadings = 20 * time.Millisecond
+	tellReadings = 5 * time.Millisecond
 	tellUses     = 400 * time.Millisecond
 )
 
@@ -80,7 +80,7 @@
 	f := r.fleets[router]
 	q := ask(call(fmt.Sprint(r.random.IntN(40)), 4000, 500+r.random.IntN(4000)), c.customer)
 	c.asked += costOf(q.Call)
-	d := f.placer.Place(q)
+	d := f.placer.Place(q, r.answers(router, q)...)
 	if d.Run == nil {
 		return
 	}
@@ -88,21 +88,55 @@
 	f.pending[d.Run] = f.engines[d.Run.Target.ID].firstEvent(r.clock.Now(), d.Unread)
 }
 
+// owner returns the router that answers for a target.
+func (r *routers) owner(target Hash) int { return int(target) % len(r.placers) }
+
+// answers has the routers answer that a request's targets belong to.
+func (r *routers) answers(router int, q Request) []Answer {
+	var list []Answer
+	for _, question := range r.placers[router].Questions(q) {
+		owner := r.owner(question.Target)
+		if a, ok := r.placers[owner].Answer(question); ok && owner != router {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// newsFor is the part of a router's news that concerns another one.
+func (r *routers) newsFor(owner int, n News) News {
+	part := News{Loads: make(map[Hash]Load)}
+	for _, x := range n.Readings {
+		if r.owner(x.Target) == owner {
+			part.Readings = append(part.Readings, x)
+		}
+	}
+	for _, x := range n.FirstEvents {
+		if r.owner(x.Target) == owner {
+			part.FirstEvents = append(part.FirstEvents, x)
+		}
+	}
+	for h, load := range n.Loads {
+		if r.owner(h) == owner {
+			part.Loads[h] = load
+		}
+	}
+	return part
+}
+
 func (r *routers) tell(now time.Duration) {
 	if now%tellReadings != 0 {
 		return
 	}
 	for i, p := range r.placers {
+		news := p.TakeNews()
 		var report Report
-		p.TakeReadings(func(x Reading) bool {
-			report.Readings = append(report.Readings, x)
-			return true
-		})
 		if now%tellUses == 0 {
 			report.Uses = p.Uses()
 		}
 		for j, other := range r.placers {
 			if i != j {
+				report.News = r.newsFor(j, news)
 				other.SetPeer(fmt.Sprint(i), report)
 			}
 		}
--- a/place/home.go
+++ b/place/home.go
@@ -10,21 +10,22 @@
 
 // home chooses among the first homes of a prompt the one with the least cost, and
 // says whether it takes the request.
-func (p *Placer) home(s *service, r Request, now time.Time) Decision {
+func (p *Placer) home(s *service, r Request, known told, now time.Time) Decision {
 	homes := p.homes(s, r, now)
 	if len(homes) == 0 {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
 	pr := newPrompt(r.Call)
 	st := p.currentShares(now).standing(r.Customer)
-	best := s.cheapest(homes, &pr, now)
+	best := s.cheapest(homes, &pr, known, now)
 	d := Decision{
 		Rank: best.rank, Share: st.part, Above: st.above,
 		Backlog: best.backlog, Unread: best.unread, Shared: best.unread - pr.own, Outstanding: best.target.outstanding(),
-		Wait: best.wait, Predicted: best.predicted, Slowness: best.slow, Age: p.oldestReport(now),
+		Wait: best.wait, Predicted: best.predicted, Slowness: best.slow, Told: len(known), Age: p.oldestReport(now),
+		Free: best.target.outstanding() < best.target.Slots,
 	}
 	limit := time.Duration(float64(r.Objective) * admitShare * st.part)
-	if best.target.full() || !s.admits(d, limit, st) {
+	if !s.admits(d, limit, st) {
 		return p.refuse(r, d, limit, now)
 	}
 	return p.accept(s, r, &pr, best.target, d, now)
@@ -37,8 +38,10 @@
 	p.note(r.Customer, use, now)
 	t.kept.touch(pr.shared, d.Unread)
 	t.kept.trim(s.engine.MemoryTokens)
-	p.announce(Reading{Target: t.hash, Parts: pr.shared, Unread: d.Unread})
 	d = p.begin(t, d, now)
+	p.numbered++
+	d.Run.number = p.numbered
+	p.announce(Reading{Target: t.hash, Number: p.numbered, Parts: pr.shared, Unread: d.Unread})
 	d.Run.customer, d.Run.cost = HashOf(r.Customer), use.Served
 	return d
 }
@@ -59,17 +62,22 @@
 // first event, the time that reading shared parts again takes from others, and
 // a margin for homes after the first, so that requests do not move for small
 // differences.
-func (s *service) cheapest(homes []*target, pr *prompt, now time.Time) candidate {
+func (s *service) cheapest(homes []*target, pr *prompt, known told, now time.Time) candidate {
 	var best candidate
 	for rank, t := range homes {
-		// All routers prefer a prompt's first home, so only that one is likely to keep
-		// parts of which nothing is known here.
-		assumeKept := rank == 0 && t.warm(now)
-		c := candidate{target: t, rank: rank, unread: pr.unread(&t.kept, s.engine.MemoryTokens, assumeKept)}
+		c := candidate{target: t, rank: rank}
+		if a, ok := known[t.hash]; ok {
+			c.unread = min(a.Unread, pr.unread(&t.kept, s.engine.MemoryTokens, false))
+		} else {
+			// All routers prefer a prompt's first home, so only that one is likely to keep
+			// parts of which nothing is known here.
+			c.unread = pr.unread(&t.kept, s.engine.MemoryTokens, rank == 0 && t.warm(now))
+		}
 		c.slow = t.slow.factor(now)
 		c.backlog = s.backlog(t, c.slow, now)
-		c.wait = stretch(s.speed.reading(c.backlog), c.slow)
-		c.predicted = stretch(s.speed.predict(c.backlog+c.unread), c.slow)
+		slot := s.holds.untilFree(t.outstanding(), t.Slots)
+		c.wait = max(stretch(s.speed.reading(c.backlog), c.slow), slot)
+		c.predicted = max(stretch(s.speed.predict(c.backlog+c.unread), c.slow), slot+stretch(s.speed.predict(c.unread), c.slow))
 		again := s.speed.reading(c.unread - pr.own)
 		c.cost = c.predicted + time.Duration(againWeight*float64(again)) + time.Duration(rank)*moveMargin
 		if best.target == nil || c.cost < best.cost {
@@ -115,7 +123,7 @@
 	key := xxhash.Sum64String(homeKey(r.Call))
 	var first [good + 1]ranking
 	for _, t := range s.targets {
-		weight := mix(key ^ t.seed)
+		weight := Mix(key ^ t.seed)
 		if !first[good].takes(weight) {
 			continue
 		}
@@ -153,9 +161,9 @@
 
 func (r *ranking) list() []*target { return r.targets[:r.n] }
 
-// mix spreads the bits of a hash: the finaliser of MurmurHash3 by Austin
+// Mix spreads the bits of a hash: the finaliser of MurmurHash3 by Austin
 // Appleby.
-func mix(h uint64) uint64 {
+func Mix(h uint64) uint64 {
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
--- a/place/kept.go
+++ b/place/kept.go
@@ -1,10 +1,6 @@
 package place
 
-import (
-	"slices"
-
-	"zinccove.example/zinccove/message"
-)
+import "zinccove.example/zinccove/message"
 
 // kept remembers which shared parts of prompts a target has read. Engines
 // forget the parts that were not used for longest, so a part counts as kept
@@ -96,44 +92,3 @@
 	}
 	return max(left, 1)
 }
-
-// Reading is a prompt that was placed at a target.
-type Reading struct {
-	Target Hash
-	Parts  []Hash
-	Unread int
-}
-
-// maxReadings bounds the readings that wait to be announced: what a router
-// places in some heartbeats at its full load.
-const maxReadings = 200
-
-// announce keeps a reading for other routers.
-func (p *Placer) announce(r Reading) {
-	if len(p.readings) < maxReadings {
-		p.readings = append(p.readings, r)
-	}
-	select {
-	case p.placed <- struct{}{}:
-	default: // a signal waits already
-	}
-}
-
-// Placed is signalled after prompts were placed, which TakeReadings then hands
-// over.
-func (p *Placer) Placed() <-chan struct{} { return p.placed }
-
-// TakeReadings hands the prompts placed since the last call to take, in order.
-// Those from the first that take does not want wait for the next call.
-func (p *Placer) TakeReadings(take func(Reading) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	taken := 0
-	for _, r := range p.readings {
-		if !take(r) {
-			break
-		}
-		taken++
-	}
-	p.readings = slices.Delete(p.readings, 0, taken)
-}
--- a/place/peers.go
+++ b/place/peers.go
@@ -14,17 +14,22 @@
 
 // Report is what another router announces.
 type Report struct {
-	// Loads is the router's work at targets; nil leaves the last one.
-	Loads map[Hash]Load
 	// Uses is the use of the router by customers; nil leaves the last one.
 	Uses map[Hash]Use
-	// Readings are prompts that the router placed since its last report.
-	Readings []Reading
+	// News is what it did at targets for which this router answers.
+	News News
 }
 
-// report is the last report of a router.
+// report is what is known of another router.
 type report struct {
-	Report
+	uses  map[Hash]Use
+	loads map[Hash]loadAt
+	at    time.Time
+}
+
+// loadAt is a load as told at a time.
+type loadAt struct {
+	Load
 	at time.Time
 }
 
@@ -32,61 +37,34 @@
 func (p *Placer) SetPeer(router string, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.peers[router]; old != nil {
-		if r.Uses == nil {
-			r.Uses = old.Uses
-		}
-		if r.Loads == nil {
-			r.Loads = old.Loads
-		}
-		p.drop(old)
+	known := p.peers[router]
+	if known == nil {
+		known = &report{loads: make(map[Hash]loadAt)}
+		p.peers[router] = known
 	}
-	kept := &report{Report: r, at: p.clock.Now()}
-	p.peers[router] = kept
-	p.count(kept, 1)
-	p.othersUses.add(kept.Uses)
-	for _, reading := range r.Readings {
-		if t := p.byHash[reading.Target]; t != nil {
-			t.kept.touch(reading.Parts, reading.Unread)
-			p.service(t.Service).backlog(t, t.slow.factor(kept.at), kept.at)
-			t.queue.add(reading.Unread)
-		}
+	now := p.clock.Now()
+	known.at = now
+	if r.Uses != nil {
+		p.othersUses.remove(known.uses)
+		known.uses = r.Uses
+		p.othersUses.add(known.uses)
 	}
+	p.hear(HashOf(router), r.News, known, now)
 }
 
-// ForgetPeer drops the report of a router that is not reachable.
+// ForgetPeer drops what is known of a router that is not reachable.
 func (p *Placer) ForgetPeer(router string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.peers[router]; old != nil {
-		p.drop(old)
-	}
-	delete(p.peers, router)
-}
-
-// drop takes a report out of all sums.
-func (p *Placer) drop(r *report) {
-	p.count(r, -1)
-	p.othersUses.remove(r.Uses)
-}
-
-// count adds a report's loads to those of the targets, or takes them away.
-func (p *Placer) count(r *report, sign int) {
-	for h, load := range r.Loads {
-		if t := p.byHash[h]; t != nil {
-			t.others.Requests += sign * load.Requests
-		}
-	}
-}
-
-// sumPeers counts all reports anew.
-func (p *Placer) sumPeers() {
-	for _, t := range p.targets {
-		t.others = Load{}
+	known := p.peers[router]
+	if known == nil {
+		return
 	}
-	for _, r := range p.peers {
-		p.count(r, 1)
+	p.othersUses.remove(known.uses)
+	for h, l := range known.loads {
+		p.count(h, -l.Requests)
 	}
+	delete(p.peers, router)
 }
 
 // oldestReport is the age of the oldest report of another router.
@@ -104,16 +82,3 @@
 
 // oldest is when the oldest report was made, as found at a time.
 type oldest struct{ at, made time.Time }
-
-// Own returns what this router has outstanding at targets.
-func (p *Placer) Own() map[Hash]Load {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	loads := make(map[Hash]Load)
-	for _, t := range p.targets {
-		if t.own.Requests > 0 {
-			loads[t.hash] = t.own
-		}
-	}
-	return loads
-}
--- a/place/place.go
+++ b/place/place.go
@@ -96,14 +96,19 @@
 	Unread  int
 	// Shared is the part of Unread that other prompts share.
 	Shared int
-	// Outstanding is the number of requests at the target.
+	// Outstanding is the number of requests at the target, Free tells that it has a free
+	// slot.
 	Outstanding int
+	Free        bool
 	// Wait is the expected time until the target begins to read the prompt,
 	// Predicted that to the first event. Slowness is the part in both of what this
 	// target takes longer than others.
 	Wait      time.Duration
 	Predicted time.Duration
 	Slowness  float64
+	// Told is the number of targets of which the router that answers for them told
+	// how things are.
+	Told int
 	// Age is the age of the oldest report of another router that was counted.
 	Age time.Duration
 }
@@ -123,7 +128,17 @@
 	othersUses useSums
 	oldest     oldest
 	shares     shares
-	readings   []Reading
+	// news is what others are to be told, changed are the targets at which the requests
+	// of this router changed.
+	news    News
+	changed map[Hash]*target
+	// numbered is the number of readings so far.
+	numbered uint32
+	// owned are the targets for which this router answers.
+	owned map[Hash]bool
+	// fresh tells that the fleet started for the first time, when this router did.
+	fresh   bool
+	started time.Time
 	// placed is signalled when there are new readings.
 	placed chan struct{}
 	// stated is what the engines are stated to carry in the window of uses, in
@@ -147,7 +162,7 @@
 	return &Placer{
 		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring), othersUses: make(useSums),
-		cut: make(map[string]bool), warm: o.Warm, placed: make(chan struct{}, 1),
+		cut: make(map[string]bool), warm: o.Warm, fresh: !o.Warm, started: o.Clock.Now(), changed: make(map[Hash]*target), placed: make(chan struct{}, 1),
 	}
 }
 
@@ -159,6 +174,7 @@
 	// coldRate is the number of requests a second that a cold target bears; 0 if it
 	// bears as many as others.
 	coldRate float64
+	holds    holds
 }
 
 // target is the state of one target.
@@ -183,14 +199,17 @@
 	coldUntil time.Time
 	// warmUntil is until when parts of which nothing is known count as kept.
 	warmUntil time.Time
+	// told is when others were told of own.
+	told time.Time
+	// awaited are the places in the queue of other routers' readings without a first
+	// event.
+	awaited map[readingID]float64
 }
 
 func (t *target) warm(now time.Time) bool { return now.Before(t.warmUntil) }
 
 func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
 
-func (t *target) full() bool { return t.outstanding() >= t.Slots }
-
 // backlog is the number of tokens that wait to be read at a target, which takes so
 // much longer than others.
 func (s *service) backlog(t *target, slow float64, now time.Time) int {
@@ -236,7 +255,7 @@
 	if table != nil {
 		p.setEngines(table)
 	}
-	p.sumPeers()
+	p.sumLoads()
 }
 
 // SetEvacuated takes the data centres whose targets are to get nothing new.
@@ -267,19 +286,21 @@
 	return s
 }
 
-// Place chooses a target and counts the request there, or refuses it.
-func (p *Placer) Place(r Request) Decision {
+// Place chooses a target and counts the request there, or refuses it. Answers are
+// those to Questions, as far as there are any.
+func (p *Placer) Place(r Request, answers ...Answer) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	known := p.take(answers, now)
 	s := p.services[r.Service]
 	if s == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
 	if s.engine == nil {
-		return p.leastOutstanding(s, r, now)
+		return p.leastOutstanding(s, r, known, now)
 	}
-	return p.home(s, r, now)
+	return p.home(s, r, known, now)
 }
 
 // noTargetRetry is when a caller may come back if there is no target: lists
@@ -321,8 +342,8 @@
 }
 
 // leastOutstanding takes the target with the least work for its slots, by
-// chance among equals.
-func (p *Placer) leastOutstanding(s *service, r Request, now time.Time) Decision {
+// chance among equals: among those that were asked about, if there are any.
+func (p *Placer) leastOutstanding(s *service, r Request, known told, now time.Time) Decision {
 	var (
 		best   *target
 		graded grade
@@ -331,6 +352,9 @@
 	for i := range s.targets {
 		t := s.targets[(start+i)%len(s.targets)]
 		g := p.grade(s, t, r, now)
+		if _, asked := known[t.hash]; len(known) > 0 && !asked {
+			continue
+		}
 		if g > graded || g == graded && g > unusable && t.busyness() < best.busyness() {
 			best, graded = t, g
 		}
@@ -338,7 +362,7 @@
 	if best == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
-	return p.begin(best, Decision{Outstanding: best.outstanding(), Share: 1, Age: p.oldestReport(now)}, now)
+	return p.begin(best, Decision{Outstanding: best.outstanding(), Share: 1, Told: len(known), Age: p.oldestReport(now)}, now)
 }
 
 // busyness is the work of a target for each of its slots.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -118,7 +118,7 @@
 		d := p.Place(ask(call(fmt.Sprint(i), 100*i, 10), "c"))
 		assert.Assert(t, d.Run != nil, "request %d, expected time %v", i, d.Predicted)
 		clock.Advance(2*time.Second + time.Duration(2*i)*time.Millisecond)
-		d.Run.FirstEvent()
+		d.Run.FirstEvent(true)
 		d.Run.End(Answered)
 	}
 }
@@ -128,7 +128,7 @@
 	c := call("part", 1000, 10)
 	home := p.Place(ask(c, "c")).Run
 	home.End(Answered)
-	p.SetPeer("other", Report{Readings: []Reading{{Target: HashOf(home.Target.ID), Unread: 60_000}}})
+	p.SetPeer("other", Report{News: News{Readings: []Reading{{Target: HashOf(home.Target.ID), Unread: 60_000}}}})
 	clock.Advance(70 * time.Millisecond)
 	d := p.Place(ask(c, "c"))
 	assert.Equal(t, d.Rank, 1)
@@ -147,10 +147,11 @@
 	assert.Equal(t, d.Unread, 20_010)
 	d.Run.End(Cancelled)
 	other, _ := newTestPlacer(t)
-	var readings []Reading
-	p.TakeReadings(func(r Reading) bool { readings = append(readings, r); return true })
-	p.TakeReadings(func(Reading) bool { t.Error("taken twice"); return true })
-	other.SetPeer("p", Report{Readings: readings})
+	news := p.TakeNews()
+	assert.Equal(t, len(news.Readings), 1)
+	again := p.TakeNews()
+	assert.Assert(t, again.Empty(), "taken twice")
+	other.SetPeer("p", Report{News: news})
 	assert.Equal(t, other.Place(ask(c, "c")).Unread, 10)
 }
 
--- a/place/queue.go
+++ b/place/queue.go
@@ -24,6 +24,12 @@
 	}
 }
 
+// set takes another router's word on what waits.
+func (q *queue) set(waiting int, now time.Time) {
+	q.waiting = float64(waiting)
+	q.at = now
+}
+
 // add notes that tokens were sent, and returns the place of the last of them.
 func (q *queue) add(tokens int) float64 {
 	q.waiting += float64(tokens)
--- a/place/queue_test.go
+++ b/place/queue_test.go
@@ -107,7 +107,7 @@
 		if at.After(f.clock.Now()) {
 			continue
 		}
-		if off, known := run.FirstEvent(); known {
+		if off, known := run.FirstEvent(true); known {
 			f.off += off
 			f.seen++
 		}
--- a/place/run.go
+++ b/place/run.go
@@ -9,6 +9,7 @@
 // begin counts a run at a target.
 func (p *Placer) begin(t *target, d Decision, now time.Time) Decision {
 	t.own.Requests++
+	p.loadChanged(t)
 	d.Run = &Run{
 		Target: t.Target, placer: p, state: t,
 		unread: d.Unread, toRead: d.Backlog + d.Unread, place: t.queue.add(d.Unread), predicted: d.Predicted, began: now,
@@ -29,6 +30,10 @@
 	toRead    int
 	place     float64
 	predicted time.Duration
+	// number names the run among the readings of this router; 0 for plain services.
+	number uint32
+	// first is when the first event came.
+	first time.Time
 	// customer and cost are whom the run counts as service for, and how much.
 	customer Hash
 	cost     int
@@ -47,8 +52,9 @@
 }
 
 // FirstEvent notes that the target has read the prompt. It returns how far off
-// the expected time was; known is false if it was noted before.
-func (r *Run) FirstEvent() (off time.Duration, known bool) {
+// the expected time was; known is false if it was noted before. Telling is false if
+// this router is behind itself, so that its time says nothing of the target.
+func (r *Run) FirstEvent(telling bool) (off time.Duration, known bool) {
 	p := r.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -57,12 +63,25 @@
 	}
 	now := p.clock.Now()
 	took := now.Sub(r.began)
+	r.first = now
+	if telling {
+		r.learn(took, now)
+	}
+	r.unread = 0
+	return (took - r.predicted).Abs(), true
+}
+
+// learn learns from the time of the first event, and lets the router learn from it
+// that answers for the target.
+func (r *Run) learn(took time.Duration, now time.Time) {
+	p := r.placer
 	s := p.service(r.Target.Service)
 	r.state.slow.note(took, s.speed.predict(r.toRead), now)
 	s.speed.learn(r.toRead, took)
 	r.state.queue.reached(r.place, s.speed.after(), now)
-	r.unread = 0
-	return (took - r.predicted).Abs(), true
+	if r.number > 0 && len(p.news.FirstEvents) < maxNews {
+		p.news.FirstEvents = append(p.news.FirstEvents, FirstEvent{Target: r.state.hash, Number: r.number, Took: took, ToRead: r.toRead})
+	}
 }
 
 // Result is how a run ended, as far as it tells about the target.
@@ -109,7 +128,11 @@
 	r.state.queue.drop(r.unread)
 	r.unread = 0
 	r.state.own.Requests--
+	p.loadChanged(r.state)
 	now := p.clock.Now()
+	if result == Answered && !r.first.IsZero() {
+		p.service(r.Target.Service).holds.learn(now.Sub(r.began))
+	}
 	if result.didNotRun() {
 		p.takeBack(r.customer, r.cost, r.began, now)
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,9 +54,15 @@
 
 // place asks for a target.
 func (f *flight) place() place.Decision {
-	f.decision = f.server.options.Placer.Place(place.Request{
+	r := place.Request{
 		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried,
-	})
+	}
+	s := f.server
+	var answers []place.Answer
+	if s.options.Ask != nil && !s.troubled() {
+		answers = s.options.Ask(s.options.Placer.Questions(r))
+	}
+	f.decision = s.options.Placer.Place(r, answers...)
 	return f.decision
 }
 
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -124,8 +124,9 @@
 	// keptConnects is the number of connections that are looked at: enough for a median
 	// that four dead targets do not move.
 	keptConnects = 9
-	// connectsFor is how long a connection tells of the present.
-	connectsFor = time.Second
+	// connectsFor is how long a connection tells of the present: with a second a host
+	// that bore 590 requests a second refused all for a second, then took all.
+	connectsFor = 300 * time.Millisecond
 	// leastConnects is the number of connections below which nothing is said.
 	leastConnects = 5
 	// usualConnect is the longest usual time of a connection inside a region; some
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,7 +59,7 @@
 	TargetsAge time.Duration
 }
 
-// Options configure a server. All are required.
+// Options configure a server. All but Ask are required.
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
@@ -69,6 +69,9 @@
 	View    func() View
 	Placer  *place.Placer
 	Links   *link.Pool
+	// Ask asks the routers that answer for targets; it waits some milliseconds at most.
+	// Nil asks none.
+	Ask     func([]place.Question) []place.Answer
 	Retries *request.Budget
 	Limits  Limits
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -99,7 +99,7 @@
 	f.run.Heard()
 	if !s.began {
 		s.began = true
-		if off, known := f.run.FirstEvent(); known {
+		if off, known := f.run.FirstEvent(!f.server.troubled()); known {
 			f.server.options.Metrics.Observe(metric.PredictionError, off)
 		}
 		f.life.Stream()
