Bound what callers can make a router keep by count and bytes

Cause: a host of 184 MB is killed under a flood: 3,000 connections with 47 KB each, bodies of 17 KB twice, connections to targets and unread bytes. Bodies of up to 8 MB were read before anything could refuse them. Change: as many connections as fit six tenths of the memory at 80 KB each (1,413 in 184 MB), bodies above 32 KB are read in pieces while an eighth of the memory has room for them, and refused otherwise (503, not run, come back). Tests: bodies of all sizes with a length and in chunks arrive whole; without room large ones are refused and small ones served; what breaks off gives its room back. Known: a caller that announces more than the limit and sends nothing is closed after the 15 s for receiving a request, no longer answered with 413 at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,8 @@
 	digest string
 }
 
+const bytesPerMB = 1 << 20
+
 const (
 	// peerTimeout bounds a call to another router.
 	peerTimeout = time.Second
@@ -173,7 +175,7 @@
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
 		Retries: request.NewBudget(s.RetryRatio*retryPart, s.RetrySlack*retryPart/usualRouters),
 		Limits: relay.Limits{
-			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
+			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: int64(s.MemoryMB * bytesPerMB),
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
 		},
 	})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -149,7 +149,7 @@
 // encode returns the request as it is sent to the target.
 func (f *flight) encode(ctx *fasthttp.RequestCtx, lastEvent string) []byte {
 	h := &ctx.Request.Header
-	body := ctx.PostBody()
+	body := f.body
 	b := make([]byte, 0, 1024+len(body))
 	b = append(b, h.Method()...)
 	b = append(b, ' ')
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -52,6 +52,9 @@
 	tried    []string
 	decision place.Decision
 
+	// body is that of the request, reserved the room that it takes if it is large.
+	body     []byte
+	reserved int64
 	// run is the current attempt.
 	run *place.Run
 	// connecting is how long connecting to targets has taken.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,8 @@
 	BodyBytes   int
 	HeaderBytes int
 	Connections int
+	// Memory is that of the process in bytes; 0 leaves it open.
+	Memory int64
 	// Announce is how long a planned stop goes on accepting all requests, until
 	// the balancer has noticed. Later ones are refused if they may not end in time.
 	Announce time.Duration
@@ -104,6 +106,7 @@
 	lag     lag
 	// connects are the latest new connections to targets.
 	connects connects
+	large    *largeBodies
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
@@ -126,12 +129,13 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connects: connects{clock: o.Clock}}
+	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connects: connects{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
-		Concurrency:                  o.Limits.Connections,
+		Concurrency:                  connections(o.Limits.Connections, o.Limits.Memory),
 		ReadBufferSize:               o.Limits.HeaderBytes,
-		MaxRequestBodySize:           o.Limits.BodyBytes,
+		StreamRequestBody:            true,
+		MaxRequestBodySize:           usualBody,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
@@ -176,6 +180,10 @@
 		return
 	}
 	s.enter(f)
+	if err := f.readBody(ctx); err != nil {
+		f.refuseBody(ctx, err)
+		return
+	}
 	f.serve(ctx)
 }
 
@@ -190,6 +198,7 @@
 
 func (s *Server) leave(f *flight) {
 	s.options.Metrics.Observe(metric.RequestTime, s.options.Clock.Since(f.received))
+	s.large.kept.Add(-f.reserved)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.flights, f)
