Tell a router that is silent from one that is asked seldom

Change: the three must be open within a second; answers are awaited for 10 ms (8), and the log of a placement says how long they were.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -14,12 +14,14 @@
 
 const (
 	// askTime is how long answers are awaited: some times the way to another data
-	// centre and back, and a hundredth of the shortest objective of streams.
-	askTime = 8 * time.Millisecond
-	// silentAfter is the number of questions in a row that a router may leave open
-	// before the next one is asked for its targets, silentTime how long it is then.
-	silentAfter = 3
-	silentTime  = 2 * time.Second
+	// centre and back, and less than a sixtieth of the shortest objective of streams.
+	askTime = 10 * time.Millisecond
+	// silentAfter is the number of questions in a row that a router may leave open within
+	// silentWithin before the next one is asked for its targets, silentTime how long it
+	// is then. Questions that are further apart cost too little to say that it is silent.
+	silentAfter  = 3
+	silentWithin = time.Second
+	silentTime   = 2 * time.Second
 )
 
 // asker asks the routers that answer for targets.
@@ -30,14 +32,27 @@
 	mu sync.Mutex
 	// open are the questions that wait for answers.
 	open map[uint64]*question
-	// missed counts the questions in a row that a router left open; since is when it
-	// was asked last.
 	missed map[string]miss
 }
 
+// miss counts the questions in a row that a router left open since a time.
 type miss struct {
 	count int
-	until time.Time
+	since time.Time
+}
+
+// silent reports whether the router counts as silent.
+func (m miss) silent(now time.Time) bool {
+	return m.count >= silentAfter && now.Sub(m.since) < silentTime
+}
+
+// note counts another question that was left open.
+func (m miss) note(now time.Time) miss {
+	if m.count == 0 || now.Sub(m.since) >= silentWithin {
+		m = miss{since: now}
+	}
+	m.count++
+	return m
 }
 
 // question is a call of ask that waits for the answers of some routers.
@@ -62,7 +77,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if m := a.missed[first.Name]; m.count >= silentAfter && a.gateway.clock.Now().Before(m.until) {
+	if a.missed[first.Name].silent(a.gateway.clock.Now()) {
 		return second
 	}
 	return first
@@ -140,16 +155,11 @@
 	for number, router := range q.missing {
 		delete(a.open, number)
 		a.gateway.metrics.Inc(metric.QuestionsOpen)
-		m := a.missed[router]
-		if m.count >= silentAfter && now.After(m.until) {
-			m = miss{} // it was tried again after a while
-		}
-		m.count++
+		m := a.missed[router].note(now)
+		a.missed[router] = m
 		if m.count == silentAfter {
-			m.until = now.Add(silentTime)
 			a.gateway.log.Info().Str("peer", router).Int("questions", m.count).Dur("for_ms", silentTime).Msg("router leaves questions open, the next one is asked")
 		}
-		a.missed[router] = m
 	}
 	return q.answers
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,7 +60,9 @@
 	s := f.server
 	var answers []place.Answer
 	if s.options.Ask != nil && !s.troubled() {
+		began := s.options.Clock.Now()
 		answers = s.options.Ask(s.options.Placer.Questions(r))
+		f.asked = s.options.Clock.Since(began)
 	}
 	f.decision = s.options.Placer.Place(r, answers...)
 	return f.decision
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -57,6 +57,8 @@
 	reserved int64
 	// run is the current attempt.
 	run *place.Run
+	// asked is how long the last placement waited for answers of other routers.
+	asked time.Duration
 	// connecting is how long connecting to targets has taken.
 	connecting time.Duration
 	// firstEvent is the time from acceptance to the first event of a stream.
--- a/relay/log.go
+++ b/relay/log.go
@@ -26,7 +26,7 @@
 	d := &f.decision
 	return e.Int("rank", d.Rank).Float64("share", d.Share).Bool("above_share", d.Above).
 		Int("backlog", d.Backlog).Int("unread", d.Unread).Int("shared_unread", d.Shared).Int("outstanding", d.Outstanding).
-		Dur("wait_ms", d.Wait).Dur("predicted_ms", d.Predicted).Float64("slowness", d.Slowness).Int("told", d.Told).Dur("reports_age_ms", d.Age)
+		Dur("wait_ms", d.Wait).Dur("predicted_ms", d.Predicted).Float64("slowness", d.Slowness).Int("told", d.Told).Dur("asked_ms", f.asked).Dur("reports_age_ms", d.Age)
 }
 
 // logPlaced tells which target was chosen and what decided it.
