Expect the whole fleet while starting

Cause: the period of heartbeats grew with the routers that were heard. 295 routers that start at once so sent each other heartbeats each 100 ms, and took for lost whoever already sent his each 2.4 s: 4,779 times "router not reachable" on 81 logged routers in the 13 s before traffic. Change: routers read in the store count for the period while this one starts.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -31,7 +31,7 @@
 
 	mu sync.Mutex
 	// open are the questions that wait for answers.
-	open map[uint64]*question
+	open   map[uint64]*question
 	missed map[string]miss
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -317,3 +317,15 @@
 	clock.Advance(newsPeriod)
 	assert.Equal(t, len(due), 1)
 }
+
+// TestStartingRoutersExpectTheWholeFleet has a router of a large fleet read who is there
+// before it hears anybody.
+func TestStartingRoutersExpectTheWholeFleet(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := newLoop(&Gateway{settings: &settings.Settings{Host: "a", HeartbeatInterval: 100 * time.Millisecond}, clock: clock})
+	for i := range 294 {
+		l.members.Learn(member.Address{Name: fmt.Sprint("r", i), DataCentre: "dc", Peer: netip.MustParseAddrPort("127.0.0.1:9")})
+	}
+	assert.Equal(t, l.beatInterval(clock.Now()), 294*beatCost)
+	assert.Equal(t, l.beatInterval(clock.Now().Add(unheardFor)), 100*time.Millisecond, "those that never come do not count for ever")
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -170,7 +170,7 @@
 	l.findCuts()
 	l.expireTargets()
 	l.catchUp(ctx, now)
-	if period := l.beatInterval(); now.Sub(l.lastBeat) >= period {
+	if period := l.beatInterval(now); now.Sub(l.lastBeat) >= period {
 		l.lastBeat = now
 		l.members.SetTimeout(silenceTime(period))
 		l.beat()
@@ -215,9 +215,17 @@
 }
 
 // beatInterval grows with the number of routers, so that what each of them
-// receives stays the same.
-func (l *loop) beatInterval() time.Duration {
-	return max(l.gateway.settings.HeartbeatInterval, time.Duration(len(l.reachable()))*beatCost)
+// receives stays the same. Those that are not heard yet count too while this router
+// starts: else 295 routers that start at once send each other heartbeats each 100 ms,
+// and take those for lost that already send theirs each 2.4 s (59 of 294).
+func (l *loop) beatInterval(now time.Time) time.Duration {
+	others := 0
+	for _, h := range l.members.Hosts() {
+		if l.present(h, now) {
+			others++
+		}
+	}
+	return max(l.gateway.settings.HeartbeatInterval, time.Duration(others)*beatCost)
 }
 
 // silenceTime is how long routers may be silent that send a heartbeat each period.
