Prove by processes that leaving targets are known while leaders fall

Seven routers in a data centre, one of the three that follow the store killed and one stopped when a target says that it leaves: nothing new after the drain of 2 s.

--- /dev/null
+++ b/standin/proof/through_test.go
@@ -0,0 +1,69 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/standin/routesite"
+)
+
+// TestTargetsThatLeaveAreKnownWhileRoutersThatFollowTheStoreFall has seven routers in one
+// data centre, three of which follow the store for the others. One of the three is killed
+// and one stands still when a target says that it leaves. The routers that followed them
+// must send it nothing new after the drain.
+func TestTargetsThatLeaveAreKnownWhileRoutersThatFollowTheStoreFall(t *testing.T) {
+	const (
+		routers = 7
+		drain   = 2 * time.Second
+	)
+	s, err := routesite.New(bin)
+	assert.NilError(t, err)
+	t.Cleanup(func() { s.Close() })
+	for _, id := range []string{"p1", "p2"} {
+		_, err := s.AddWorker(id, routesite.Plain, "dc1")
+		assert.NilError(t, err)
+	}
+	_, err = s.AddWorker("m1", routesite.Model, "dc1")
+	assert.NilError(t, err)
+	for i := range routers {
+		_, err := s.StartRouter(fmt.Sprintf("r%d", i+1), "dc1")
+		assert.NilError(t, err)
+	}
+	configure(t, s, routesite.Config(1, routeKey))
+	assert.NilError(t, s.AwaitReady(routeWait))
+	assert.NilError(t, s.AwaitMembers(routeWait))
+	leaving, err := s.AddWorker("leaving", routesite.Plain, "dc1", "--drain-time", "6s")
+	assert.NilError(t, err)
+	time.Sleep(3 * time.Second) // feeds held at their start are over
+	through := s.Routers[3:]
+	for _, r := range through {
+		assert.Assert(t, strings.Contains(r.Output(), "follows a table through a router"), r.Output())
+	}
+	calls := func() {
+		for range 6 {
+			for _, r := range through {
+				a := s.Call(r.Caller, "GET", "/lookup/", routeKey)
+				assert.Assert(t, a.Whole("/lookup/"), "%d %v", a.Status, a.Err)
+			}
+		}
+	}
+	calls()
+	assert.Assert(t, requestsRunBy(t, leaving) > 0)
+	s.Routers[0].Kill()
+	assert.NilError(t, s.Routers[1].Signal(syscall.SIGSTOP))
+	defer s.Routers[1].Signal(syscall.SIGCONT) //nolint:errcheck // it is ended next
+	var g errgroup.Group
+	g.Go(func() error { _, err := leaving.Stop(); return err })
+	time.Sleep(drain)
+	before := requestsRunBy(t, leaving)
+	calls()
+	assert.Equal(t, requestsRunBy(t, leaving), before)
+	assert.NilError(t, s.Routers[1].Signal(syscall.SIGCONT))
+	assert.NilError(t, g.Wait())
+}
