Give readers behind a leader's log the whole table; let small customers pass a flood

Each loss of its history had every reader read the table from the store (144 times on 81 logged routers), and each router without a leader that reaches it asked each 3 s. The flooded host had a quarter of its processor left and took 3 to 24 streams a second: connecting takes 20 ms there without any harm. All tries of a client reach the same host, the next ones too, so that streams of others at that host found no way. Change: leaders keep the whole table while it is small and give it to whoever is behind; only the next three routers by name ask the store each 3 s, the others each 12 s. A host is well up to 30 ms for a connection; customers with up to an eighth of a host's streams are not bound by its rate; callers' connections are not probed (four calls of the kernel for each).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,9 +3,9 @@
 // A store prices each call, and a fleet whose routers all follow it by themselves
 // makes as many calls for each change as it has routers: 12,895 on a day of 295. So a
 // few routers of each data centre follow the store (Leaders) and the others follow
-// them. A Log keeps the newest state of each row that changed since the router read
-// the table whole, so that a reader can go on from any version since then, also when
-// it followed another router before. Nobody is elected: two routers that both follow
+// them. A Log keeps the newest state of each row, so that a reader can go on from any
+// version since the router read the table whole, also when it followed another router
+// before; one that is further behind is given the whole table. Nobody is elected: two routers that both follow
 // cost calls, not truth, as rows carry the store's versions.
 //
 // The package has no I/O. A Log is safe for concurrent use.
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	l := feed.NewLog[platform.Change](clock)
-//	l.Reset(version)                     // after reading the table whole
+//	l.Reset(version, rows...)            // after reading the table whole
 //	l.Append(version, rows...)           // each change
 //	l.Confirm()                          // the store answered without changes
 //	l.SetLost(true)                      // it does not answer
@@ -57,6 +57,8 @@
 type News[R any] struct {
 	// Rows are the newest states of the rows that changed since, by version.
 	Rows []Dated[R]
+	// Whole tells that Rows are the whole table, because the log does not reach back.
+	Whole bool
 	// Version is that up to which the log knows the table.
 	Version uint64
 	// Lost tells that the store does not answer the router.
@@ -72,8 +74,10 @@
 	mu   sync.Mutex
 	rows map[string]Dated[R]
 	size int
-	// known is set once the table was read whole, at version base or later.
+	// known is set once the table was read whole, at version base. Complete tells that
+	// all its rows are here.
 	known         bool
+	complete      bool
 	base, version uint64
 	answered      time.Time
 	lost          bool
@@ -82,8 +86,8 @@
 	changed chan struct{}
 }
 
-// maxSize bounds the rows kept in bytes. A reader that is behind more than that reads
-// the table whole.
+// maxSize bounds the rows kept in bytes. Of a larger table only what changes is kept,
+// and a reader that is further behind reads the table from the store.
 const maxSize = 1 << 20
 
 // NewLog returns a log that knows nothing yet.
@@ -91,14 +95,15 @@
 	return &Log[R]{clock: clock, rows: make(map[string]Dated[R]), changed: make(chan struct{})}
 }
 
-// Reset notes that the table was read whole at a version. What changed before is not
-// known row by row.
-func (l *Log[R]) Reset(version uint64) {
+// Reset notes the rows of the table that was read whole at a version. What changed
+// before is not known row by row.
+func (l *Log[R]) Reset(version uint64, rows ...Row[R]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.rows)
 	l.size = 0
-	l.known, l.base, l.version = true, version, version
+	l.known, l.complete, l.base, l.version = true, true, version, version
+	l.keep(rows)
 	l.answer()
 }
 
@@ -106,17 +111,22 @@
 func (l *Log[R]) Append(version uint64, rows ...Row[R]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.version = max(l.version, version)
+	l.keep(rows)
+	l.answer()
+}
+
+// keep keeps rows as long as they are not too large.
+func (l *Log[R]) keep(rows []Row[R]) {
 	now := l.clock.Now()
 	for _, r := range rows {
 		l.size += r.Size - l.rows[r.Key].Size
 		l.rows[r.Key] = Dated[R]{Row: r, At: now}
 	}
-	l.version = max(l.version, version)
 	if l.size > maxSize {
 		clear(l.rows)
-		l.size, l.base = 0, l.version
+		l.size, l.base, l.complete = 0, l.version, false
 	}
-	l.answer()
 }
 
 // Confirm notes that the store answered.
@@ -167,12 +177,13 @@
 	switch {
 	case l.closed:
 		return News[R]{}, nil, ErrClosed
-	case l.known && version < l.base:
+	case l.known && !l.complete && version < l.base:
 		return News[R]{}, nil, ErrHistoryLost
 	}
 	n := News[R]{Version: max(l.version, version), Lost: l.lost || !l.known, Answered: l.answered}
+	n.Whole = l.known && version < l.base
 	for _, r := range l.rows {
-		if r.Version > version {
+		if n.Whole || r.Version > version {
 			n.Rows = append(n.Rows, r)
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -49,6 +49,9 @@
 	return follow.Options[platform.Batch]{
 		Clock: g.clock,
 		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
+			if b, ok := t.takeWhole(); ok {
+				return b, b.Version, nil
+			}
 			b, err := g.store.Snapshot(ctx, table)
 			return b, b.Version, err
 		},
@@ -61,7 +64,7 @@
 		},
 		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
 		Whole: func(b platform.Batch) {
-			log.Reset(b.Version)
+			log.Reset(b.Version, rowsOf(b)...)
 			take(b, true)
 		},
 		Changed: func(b platform.Batch) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	routers   atomic.Int64
 	followers atomic.Int64
 	rank      atomic.Int64
+	// ownRank is the place of this router in its data centre by name.
+	ownRank atomic.Int64
 	// leads is set while this router follows the store for others; else leaders are
 	// those through which it does, in the order to try them.
 	leads   atomic.Bool
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -71,7 +71,7 @@
 }
 
 func encodeRows(n feed.News[platform.Change], now time.Time) *zinccovev1.FollowTableResponse {
-	resp := &zinccovev1.FollowTableResponse{Version: n.Version, Lost: n.Lost, AgeMs: sinceMs(n.Answered, now)}
+	resp := &zinccovev1.FollowTableResponse{Version: n.Version, Lost: n.Lost, Whole: n.Whole, AgeMs: sinceMs(n.Answered, now)}
 	for _, r := range n.Rows {
 		resp.Rows = append(resp.Rows, &zinccovev1.TableRow{
 			Key: r.Key, Value: r.Value.Value, Version: r.Version, Removed: r.Value.Removed, AgeMs: sinceMs(r.At, now),
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -31,7 +31,9 @@
 	}
 	// The list of hosts is in the order of names, but for this one.
 	own := slices.DeleteFunc(slices.Clone(names[self.DataCentre]), func(name string) bool { return name == self.Host })
-	leads := feed.Rank(self.Host, own) < feed.Leaders
+	rank := feed.Rank(self.Host, own)
+	leads := rank < feed.Leaders
+	g.ownRank.Store(int64(rank))
 	var leaders []leader
 	if !leads {
 		for _, name := range feed.Order(self.Host, own) {
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/control"
+	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/metric"
@@ -29,9 +30,11 @@
 	// next one it is the time by which the loss of a host delays news.
 	leaderSilence = 700 * time.Millisecond
 	// askStoreEvery is the least time between calls to the store of a router that
-	// reaches none that follows it. An outage of the store that all 295 routers tried
-	// to end would cost 250 calls a second.
-	askStoreEvery = 3 * time.Second
+	// reaches none that follows it, seldomAskEvery that of all but the next ones by name.
+	// An outage of the store that all 295 routers tried to end would cost 250 calls a
+	// second; each 3 s for all of them it cost 1,100 calls in 6 s.
+	askStoreEvery  = 3 * time.Second
+	seldomAskEvery = 12 * time.Second
 	// lookAroundEvery is the least time between looks for a router that reaches it.
 	lookAroundEvery = time.Second
 )
@@ -53,6 +56,8 @@
 	end    context.CancelFunc
 	// first is the first message of the stream until it is taken.
 	first *zinccovev1.FollowTableResponse
+	// whole is the whole table as the router gave it, until it is taken.
+	whole *platform.Batch
 	// left is the router that was left last: the others are tried before it.
 	left leader
 	// lost is set once it was told that the routers do not reach the store.
@@ -87,7 +92,9 @@
 			t.close("it does not reach the store")
 			continue
 		case eris.Is(err, platform.ErrHistoryLost):
-			t.close(err.Error())
+			if t.whole == nil {
+				t.close(err.Error())
+			}
 			return b, false, err
 		}
 		failures++
@@ -96,16 +103,34 @@
 	return b, t.mayAsk(), err
 }
 
+// takeWhole returns the whole table that the router gave, if it gave one.
+func (t *through) takeWhole() (platform.Batch, bool) {
+	b := t.whole
+	t.whole = nil
+	if b == nil {
+		return platform.Batch{}, false
+	}
+	return *b, true
+}
+
 // mayAsk reports whether the store may be asked for want of a router.
 func (t *through) mayAsk() bool {
 	now := t.gateway.clock.Now()
-	if now.Sub(t.asked) < askStoreEvery {
+	if now.Sub(t.asked) < t.askEvery() {
 		return false
 	}
 	t.asked = now
 	return true
 }
 
+// askEvery is the least time between calls of this router to the store.
+func (t *through) askEvery() time.Duration {
+	if t.gateway.ownRank.Load() < 2*feed.Leaders {
+		return askStoreEvery
+	}
+	return seldomAskEvery
+}
+
 // find begins to follow a router if none is followed: the first that answers and
 // reaches the store, or else the first that answers.
 func (t *through) find(ctx context.Context, since uint64, leaders []leader) bool {
@@ -175,8 +200,13 @@
 			return platform.Batch{}, err
 		}
 		now := g.clock.Now()
-		if len(msg.Rows) > 0 {
-			return decodeRows(msg), nil
+		b := decodeRows(msg)
+		if msg.Whole {
+			t.whole = &b
+			return platform.Batch{}, platform.ErrHistoryLost
+		}
+		if len(b.Changes) > 0 {
+			return b, nil
 		}
 		if msg.Lost {
 			if err := t.withoutStore(now); err != nil {
@@ -204,7 +234,7 @@
 		t.lost = true
 		t.asked = now
 		return errLeaderLost
-	case now.Sub(t.asked) >= askStoreEvery:
+	case now.Sub(t.asked) >= t.askEvery():
 		return errAskStore
 	}
 	return nil
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -132,7 +132,7 @@
 		}
 	}
 	f.plan(view.Table)
-	if f.engine && !s.throttle.takes(f.received) {
+	if f.engine && !s.throttle.takes(f.customer, f.received) {
 		s.options.Metrics.Inc(metric.RequestsShed)
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: routerBusyRetry}
 	}
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -130,13 +130,14 @@
 	connectsFor = 300 * time.Millisecond
 	// leastConnects is the number of connections below which nothing is said.
 	leastConnects = 5
-	// usualConnect is the longest usual time of a connection inside a region; some
-	// milliseconds of it wait at a busy target.
-	usualConnect = 15 * time.Millisecond
-	// hopelessConnect is the time from which on no stream is taken: a connection and
+	// usualConnect is the longest time of a connection at which a host is well: a small
+	// one that takes and refuses as much as it can needs 20 ms, and callers do not feel
+	// them.
+	usualConnect = 30 * time.Millisecond
+	// hopelessConnect is the time from which on hardly a stream is taken: a connection and
 	// the first event that follows it pass the same host some four times, which is
-	// then a quarter of the shortest objective of streams.
-	hopelessConnect = 40 * time.Millisecond
+	// then more than a third of the shortest objective of streams.
+	hopelessConnect = 60 * time.Millisecond
 )
 
 // note notes a new connection, or one that failed.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,7 +127,11 @@
 
 // Listen starts to serve.
 func Listen(o Options) (*Server, error) {
-	l, err := net.Listen("tcp", o.Address.String())
+	// Callers that vanish are noticed by the time limits of their requests. Probes would
+	// cost four calls of the kernel for each connection, and a flood is a connection for
+	// each request.
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", o.Address.String())
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -18,6 +18,8 @@
 	rate   float64
 	tokens float64
 	at     time.Time
+	// asked counts streams that came by customer, in this second and the one before.
+	asked, askedBefore arrivals
 	// starting is the number of streams that were taken and not sent to a target yet.
 	starting int
 	// taken and refused count streams since the last look, which was at looked.
@@ -34,7 +36,18 @@
 	refusedAt time.Time
 }
 
+// arrivals counts streams by customer in a second.
+type arrivals struct {
+	second   int64
+	total    int
+	customer map[string]int
+}
+
 const (
+	// smallPart is the part of all streams up to which a customer is not bound by the
+	// rate: its few streams are not what the host cannot carry, and their next try comes
+	// to this host too.
+	smallPart = 1.0 / 8
 	// mostStarting is the most streams that may be on their way to a target at once. One
 	// takes some milliseconds, so that a host which takes 600 a second has four of them;
 	// one that falls behind has more long before it is late.
@@ -60,16 +73,30 @@
 	unboundAfter = 3 * time.Second
 )
 
-// takes reports whether a stream may be taken now. If so, started has to be called.
-func (t *throttle) takes(now time.Time) bool {
+// count counts a stream of a customer, and reports whether the customer is small.
+func (t *throttle) count(customer string, now time.Time) (small bool) {
+	if second := now.Unix(); second != t.asked.second {
+		t.askedBefore = t.asked
+		t.asked = arrivals{second: second, customer: make(map[string]int)}
+	}
+	t.asked.total++
+	t.asked.customer[customer]++
+	own := t.asked.customer[customer] + t.askedBefore.customer[customer]
+	return float64(own) <= smallPart*float64(t.asked.total+t.askedBefore.total)
+}
+
+// takes reports whether a stream of a customer may be taken now. If so, started has to
+// be called.
+func (t *throttle) takes(customer string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	small := t.count(customer, now)
 	if t.starting >= mostStarting {
 		t.refused++
 		t.refusedAt = now
 		return false
 	}
-	if t.rate > 0 {
+	if t.rate > 0 && !small {
 		most := max(t.rate*burstTime.Seconds(), 1)
 		t.tokens = min(t.tokens+t.rate*now.Sub(t.at).Seconds(), most)
 		t.at = now
