Let a small host carry more of a flood, and share it with the next hosts

Each try of its client reaches the same host. Change: a host is well up to 45 ms for a connection; where all are slow the first one has all the time for connecting; a router that refuses more than half of its streams for 500 ms is not ready for 8 s, so that the balancer sends the flood to others in turn.

--- a/relay/connect.go
+++ b/relay/connect.go
@@ -31,6 +31,9 @@
 		return link.LongestDial // the caller has a part of the answer already
 	}
 	left := f.connectLeft()
+	if f.server.connects.typical() > slowConnect {
+		return min(max(left, leastConnect), link.LongestDial)
+	}
 	return min(max(left/2, leastConnect), max(left, leastConnect), link.LongestDial)
 }
 
@@ -131,13 +134,16 @@
 	// leastConnects is the number of connections below which nothing is said.
 	leastConnects = 5
 	// usualConnect is the longest time of a connection at which a host is well: a small
-	// one that takes and refuses as much as it can needs 20 ms, and callers do not feel
-	// them.
-	usualConnect = 30 * time.Millisecond
+	// one that takes and refuses as much as it can needs 20 to 40 ms, and callers do not
+	// feel them.
+	usualConnect = 45 * time.Millisecond
 	// hopelessConnect is the time from which on hardly a stream is taken: a connection and
 	// the first event that follows it pass the same host some four times, which is
-	// then more than a third of the shortest objective of streams.
-	hopelessConnect = 60 * time.Millisecond
+	// then more than half of the shortest objective of streams.
+	hopelessConnect = 90 * time.Millisecond
+	// slowConnect is the time from which on connections are so slow that the first one
+	// is given all the time for connecting: its target is not to blame.
+	slowConnect = 15 * time.Millisecond
 )
 
 // note notes a new connection, or one that failed.
--- a/relay/look.go
+++ b/relay/look.go
@@ -26,9 +26,8 @@
 		case <-clock.After(lookPeriod):
 		}
 		s.options.Metrics.Observe(metric.ProcessLag, s.lag.looked())
-		part := s.excess()
-		s.throttle.look(part, s.options.Clock.Now())
-		if s.strain.note(part) {
+		refused := s.throttle.look(s.excess(), s.options.Clock.Now())
+		if s.strain.note(refused) {
 			s.options.Log.Warn().Bool("strained", s.Strained()).Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connects.typical()).
 				Msg("new callers wanted elsewhere")
 		}
--- a/relay/strain.go
+++ b/relay/strain.go
@@ -22,9 +22,11 @@
 	// trouble.
 	strainedPart = 0.5
 	// strainedFor is how long it has to be in trouble before it says so, calmFor how long
-	// it has to be well before it takes callers again: the balancer looks each second.
+	// it has to be well before it takes callers again. The balancer looks each second and
+	// sends all of a flood to the next host then; the longer this one stays away, the more
+	// hosts share it, as callers keep the connections on which they are served.
 	strainedFor = 500 * time.Millisecond
-	calmFor     = 2 * time.Second
+	calmFor     = 8 * time.Second
 )
 
 // note takes the part of streams that is refused now, and reports whether the state
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -119,13 +119,15 @@
 	t.starting--
 }
 
-// look adjusts the rate to the part of streams that this router cannot carry now.
-func (t *throttle) look(excess float64, now time.Time) {
+// look adjusts the rate to the part of streams that this router cannot carry now, and
+// returns the part that was refused since the last look.
+func (t *throttle) look(excess float64, now time.Time) (refused float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	period := now.Sub(t.looked).Seconds()
 	taken := float64(t.taken) / max(period, lookPeriod.Seconds())
 	limited := t.refused > 0
+	refused = float64(t.refused) / float64(max(t.taken+t.refused, 1))
 	t.taken, t.refused, t.looked = 0, 0, now
 	easing := t.rate > 0 && excess < t.excess
 	t.excess = excess
@@ -139,6 +141,7 @@
 	case now.Sub(t.refusedAt) >= unboundAfter:
 		t.rate = 0
 	}
+	return refused
 }
 
 // grow raises the rate after a look without trouble.
