Ask the store less at a start

Change: a router that starts again and finds its entry does not write it; tables are followed only when the other routers were read, or after 500 ms.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -309,19 +309,16 @@
 	l.findOwners(l.gateway.clock.Now())
 }
 
-// announce writes this router's entry and learns the others'. Routers that
-// start later send heartbeats to those they read, so once is enough.
+// announce writes this router's entry, unless it stands there from an earlier run, and
+// learns the others'. Routers that start later send heartbeats to those they read, so
+// once is enough.
 func (g *Gateway) announce(ctx context.Context) error {
 	self := platform.Host{
 		Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address(), State: platform.HostLive,
 	}
 	pause := announcePause
 	for {
-		err := g.store.Announce(ctx, self)
-		var hosts []platform.Host
-		if err == nil {
-			hosts, err = g.store.Hosts(ctx)
-		}
+		hosts, err := g.introduce(ctx, self)
 		if err == nil {
 			g.loop.post(ctx, func(l *loop) { l.learnHosts(hosts) })
 			return nil
@@ -336,6 +333,21 @@
 	}
 }
 
+// introduce returns the entries of all routers, with this one's among them. A fleet that
+// starts for the first time has none.
+func (g *Gateway) introduce(ctx context.Context, self platform.Host) ([]platform.Host, error) {
+	if !g.settings.FirstStart {
+		hosts, err := g.store.Hosts(ctx)
+		if err != nil || slices.Contains(hosts, self) {
+			return hosts, err
+		}
+	}
+	if err := g.store.Announce(ctx, self); err != nil {
+		return nil, err
+	}
+	return g.store.Hosts(ctx)
+}
+
 // Pauses between tries to announce this router. Heartbeats to known contacts
 // bridge the time until it works.
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,10 @@
 	routers   atomic.Int64
 	followers atomic.Int64
 	rank      atomic.Int64
+	// started is when this router started, learned is closed once it has read which
+	// others there are.
+	started time.Time
+	learned chan struct{}
 	// ownRank is the place of this router in its data centre by name.
 	ownRank atomic.Int64
 	// leads is set while this router follows the store for others; else leaders are
@@ -144,6 +148,7 @@
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 	}
+	g.started, g.learned = o.Clock.Now(), make(chan struct{})
 	g.logs = g.newLogs()
 	g.owners.Store(new(owner.Table))
 	g.asker = newAsker(g)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -314,6 +314,7 @@
 	}
 	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
 	l.findLeaders(l.gateway.clock.Now())
+	close(l.gateway.learned)
 }
 
 func (l *loop) expire(now time.Time) {
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -74,6 +74,7 @@
 // next returns what changed in the table since a version, as another router says. It
 // waits for changes as long as wait. Ask tells that the store is to be asked instead.
 func (t *through) next(ctx context.Context, since uint64, wait time.Duration) (b platform.Batch, ask bool, err error) {
+	t.gateway.awaitHosts(ctx)
 	leaders := *t.gateway.leaders.Load()
 	if len(leaders) == 0 {
 		t.close("this router follows the store")
@@ -103,6 +104,23 @@
 	return b, t.mayAsk(), err
 }
 
+// hostsTime is how long a router that starts waits until it has read which others there
+// are, before it follows a table: each one that does not know asks the store by itself.
+const hostsTime = 500 * time.Millisecond
+
+// awaitHosts waits until the other routers were read, for hostsTime at most.
+func (g *Gateway) awaitHosts(ctx context.Context) {
+	left := hostsTime - g.clock.Since(g.started)
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.learned:
+	case <-g.clock.After(left):
+	}
+}
+
 // takeWhole returns the whole table that the router gave, if it gave one.
 func (t *through) takeWhole() (platform.Batch, bool) {
 	b := t.whole
