Hear of the whole fleet soon after a start, and read tables from leaders

Five seconds after the start many routers had not heard the first three of their data centre, whose heartbeats go to routers that were heard only, and took the lead until second 10; each of 295 read both tables.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -48,14 +48,15 @@
 // contacts to the next.
 const contactEvery = 5
 
-// destinations returns the addresses of the reachable routers and, from time
-// to time, of all others that may be there.
+// destinations returns the addresses of the routers that count as there and, from time
+// to time, of all others that may be.
 func (l *loop) destinations() []netip.AddrPort {
 	all := l.beats%contactEvery == 1
+	now := l.gateway.clock.Now()
 	var to []netip.AddrPort
 	known := make(map[netip.AddrPort]bool)
 	for _, h := range l.members.Hosts() {
-		if h.Peer.IsValid() && (h.Reachable || all) {
+		if h.Peer.IsValid() && (h.Reachable || all || l.present(h, now)) {
 			to = append(to, h.Peer)
 			known[h.Peer] = true
 		}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -49,7 +49,7 @@
 	return follow.Options[platform.Batch]{
 		Clock: g.clock,
 		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
-			if b, ok := t.takeWhole(); ok {
+			if b, ok := t.snapshot(ctx); ok {
 				return b, b.Version, nil
 			}
 			b, err := g.store.Snapshot(ctx, table)
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -131,6 +131,34 @@
 	return *b, true
 }
 
+const (
+	// snapshotTime is how long a router that starts tries to get a whole table from one
+	// that follows the store: some of them may just start too.
+	snapshotTime  = 300 * time.Millisecond
+	snapshotPause = 30 * time.Millisecond
+)
+
+// snapshot returns the whole table as a router that follows the store gives it; ok is
+// false if none does soon.
+func (t *through) snapshot(ctx context.Context) (b platform.Batch, ok bool) {
+	g := t.gateway
+	g.awaitHosts(ctx)
+	until := g.clock.Now().Add(snapshotTime)
+	for ctx.Err() == nil && len(*g.leaders.Load()) > 0 {
+		if b, ok := t.takeWhole(); ok {
+			return b, true
+		}
+		_, _, err := t.next(ctx, 0, 0)
+		if err == nil || !g.clock.Now().Before(until) {
+			break
+		}
+		if t.whole == nil {
+			g.clock.Sleep(snapshotPause)
+		}
+	}
+	return t.takeWhole()
+}
+
 // mayAsk reports whether the store may be asked for want of a router.
 func (t *through) mayAsk() bool {
 	now := t.gateway.clock.Now()
--- a/gateway/through_test.go
+++ b/gateway/through_test.go
@@ -206,3 +206,34 @@
 	assert.Assert(t, eris.Is(err, errNotLeading))
 	assert.Equal(t, sent, 0)
 }
+
+// TestStartingRouterReadsTheTableFromALeader has the leaders read the table a moment
+// after the router asks for it.
+func TestStartingRouterReadsTheTableFromALeader(t *testing.T) {
+	r, _, _ := followTwo(t, clockwork.NewRealClock())
+	g := r.gateway
+	late := newReader(t, "c")
+	g.leaders.Store(&[]leader{serveTables(t, late)})
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(2 * snapshotPause)
+		late.logs[wire.TableTargets].Reset(30, change("t", 29))
+		return nil
+	})
+	b, ok := r.snapshot(context.Background())
+	assert.NilError(t, group.Wait())
+	assert.Assert(t, ok)
+	assert.Equal(t, b.Version, uint64(30))
+}
+
+func TestStartingRouterReadsTheStoreForWantOfALeader(t *testing.T) {
+	g := newReader(t, "z")
+	r := &through{gateway: g, table: wire.TableTargets}
+	_, ok := r.snapshot(context.Background())
+	assert.Assert(t, !ok, "it leads itself")
+	g.leaders.Store(&[]leader{{name: "a", control: netip.MustParseAddrPort("127.0.0.1:1")}})
+	began := time.Now()
+	_, ok = r.snapshot(context.Background())
+	assert.Assert(t, !ok)
+	assert.Assert(t, time.Since(began) < snapshotTime+500*time.Millisecond)
+}
