Divide the slack of retries by the routers that are there

Cause (a reader): each router took a ninth of the fleet's slack, however many there are: 49 retries at once, 14,455 for 295 routers of 630 allowed beyond the ratio. Change: the part follows the number of routers, two at least. The soak draws fleets whose routers follow the store through each other (five in one data centre).

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -144,6 +144,7 @@
 	}
 	l.published.Store(&all)
 	g.routers.Store(int64(reachable))
+	g.retries.SetBurst(burstOf(g.settings.RetrySlack, max(reachable, l.others)))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
 	g.metrics.Set(metric.HostsReachable, float64(reachable))
 	if age, ok := g.routesAnswered.age(now); ok {
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -17,6 +17,7 @@
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/relay"
+	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/settings"
 )
 
@@ -58,6 +59,7 @@
 	g.leaders.Store(new([]leader))
 	g.owners.Store(new(owner.Table))
 	g.asker = newAsker(g)
+	g.retries = request.NewBudget(0, 0)
 	return newLoop(g)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	placer    *place.Placer
 	links     *link.Pool
 	relay     *relay.Server
+	retries   *request.Budget
 	control   *control.Server
 	readiness *readiness
 	transport *peer.Transport
@@ -124,8 +125,16 @@
 	// usualRouters divides the fleet's retry slack when the number of routers is
 	// not known yet.
 	usualRouters = 9
+	// leastBurst is the least number of retries of a router at once, however many routers
+	// there are.
+	leastBurst = 2
 )
 
+// burstOf is the part of one router in the retry slack of a fleet with so many others.
+func burstOf(slack float64, others int) float64 {
+	return max(slack*retryPart/float64(others+1), leastBurst)
+}
+
 // Start opens all addresses and begins to serve.
 func Start(o Options) (*Gateway, error) {
 	metrics, err := metric.New()
@@ -148,6 +157,7 @@
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 	}
+	g.retries = request.NewBudget(s.RetryRatio*retryPart, burstOf(s.RetrySlack, usualRouters-1))
 	g.started, g.learned = o.Clock.Now(), make(chan struct{})
 	g.logs = g.newLogs()
 	g.owners.Store(new(owner.Table))
@@ -180,7 +190,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
-		Retries: request.NewBudget(s.RetryRatio*retryPart, s.RetrySlack*retryPart/usualRouters),
+		Retries: g.retries,
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: int64(s.MemoryMB * bytesPerMB),
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -338,3 +338,15 @@
 	l.findLeaders(clock.Now().Add(unheardFor))
 	assert.Equal(t, l.beatInterval(), 100*time.Millisecond, "those that never come do not count for ever")
 }
+
+// TestRetriesOfAllRoutersStayInsideTheSlack holds what all routers together may make at
+// once beyond the ratio.
+func TestRetriesOfAllRoutersStayInsideTheSlack(t *testing.T) {
+	for _, tc := range []struct {
+		routers int
+		slack   float64
+	}{{8, 56}, {9, 58}, {59, 200}, {85, 250}, {295, 630}} {
+		all := burstOf(tc.slack, tc.routers-1) * float64(tc.routers)
+		assert.Assert(t, all <= tc.slack, "%d routers: %v of %v", tc.routers, all, tc.slack)
+	}
+}
--- a/request/budget.go
+++ b/request/budget.go
@@ -18,6 +18,15 @@
 	return &Budget{tokens: burst, ratio: ratio, burst: burst}
 }
 
+// SetBurst changes the retries allowed at once: the part of one router in what all may
+// make together depends on how many there are.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Earn adds the part of one request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -119,3 +119,13 @@
 	sent.Dispatch()
 	assert.Equal(t, sent.Fail(target.Refused, time.Now(), always), End, "a target that refused was reached")
 }
+
+func TestBurstFollowsTheNumberOfRouters(t *testing.T) {
+	b := NewBudget(0, 40)
+	b.SetBurst(2)
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	assert.Equal(t, taken, 2)
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -45,10 +45,13 @@
 
 // Options configure a run. All are required.
 type Options struct {
-	Bin      string
-	Seed     uint64
-	Routers  int
-	Duration time.Duration
+	Bin     string
+	Seed    uint64
+	Routers int
+	// DataCentres are those over which routers and targets are spread. More than three
+	// routers in one of them follow the store through each other.
+	DataCentres int
+	Duration    time.Duration
 	// Kinds is the number of kinds of faults to draw from, in the order in which
 	// they were added, so that a seed keeps its meaning; at most AllKinds.
 	Kinds int
@@ -148,7 +151,7 @@
 		}
 	}
 	for i := range r.options.Routers {
-		if _, err := r.site.StartRouter(fmt.Sprintf("r%d", i), fmt.Sprintf("dc%d", i)); err != nil {
+		if _, err := r.site.StartRouter(fmt.Sprintf("r%d", i), r.dataCentre(i)); err != nil {
 			return err
 		}
 	}
@@ -158,6 +161,9 @@
 	return r.site.AwaitReady(recovery)
 }
 
+// dataCentre is that of a router or target.
+func (r *run) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%r.options.DataCentres) }
+
 // shortDrain is how long most targets serve on when they are stopped at the end.
 const shortDrain = "300ms"
 
@@ -170,7 +176,7 @@
 	}
 	r.lives++
 	id := fmt.Sprintf("%s-%d", service, r.lives)
-	w, err := r.site.AddWorker(id, service, fmt.Sprintf("dc%d", dc), "--advertise", p.address().String(), "--drain-time", drain)
+	w, err := r.site.AddWorker(id, service, r.dataCentre(dc), "--advertise", p.address().String(), "--drain-time", drain)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -31,23 +31,39 @@
 	firstVariable = "ZINCCOVE_SOAK_FIRST"
 )
 
+// apart has a router in each of three data centres.
+func apart(seed uint64, kinds int) Options {
+	return Options{Seed: seed, Kinds: kinds, Routers: 3, DataCentres: 3}
+}
+
+// together has five routers in one data centre, two of which follow the store through the
+// others.
+func together(seed uint64, kinds int) Options {
+	return Options{Seed: seed, Kinds: kinds, Routers: 5, DataCentres: 1}
+}
+
 func TestSoak(t *testing.T) {
 	bin := t.TempDir()
 	build := exec.Command("go", "build", "-o", bin+"/", "zinccove.example/zinccove/cmd/...", "zinccove.example/standin/cmd/...")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, string(out))
-	runs := []Options{{Seed: short, Kinds: AllKinds}}
+	runs := []Options{apart(short, AllKinds), together(short+1, AllKinds)}
 	for _, f := range failed {
-		runs = append(runs, Options{Seed: f.seed, Kinds: f.kinds})
+		runs = append(runs, apart(f.seed, f.kinds))
 	}
 	more, _ := strconv.Atoi(os.Getenv(seedsVariable)) // not set: none
 	first, _ := strconv.ParseUint(os.Getenv(firstVariable), 10, 64)
 	for i := range more {
-		runs = append(runs, Options{Seed: first + uint64(i) + 100, Kinds: AllKinds})
+		seed := first + uint64(i) + 100
+		if seed%2 == 0 {
+			runs = append(runs, apart(seed, AllKinds))
+		} else {
+			runs = append(runs, together(seed, AllKinds))
+		}
 	}
 	for _, o := range runs {
 		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
-			o.Bin, o.Routers, o.Duration = bin, 3, 6*time.Second
+			o.Bin, o.Duration = bin, 6*time.Second
 			report, err := Run(o)
 			assert.NilError(t, err)
 			t.Logf("%d requests, %d whole, faults %v", report.Requests, report.Whole, report.Faults)
