--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -306,7 +306,7 @@
 		l.ids[place.HashOf(t.ID)] = t.ID
 	}
 	l.gateway.placer.SetTargets(l.targets, table)
-	l.findOwners(l.gateway.clock.Now())
+	l.findOwners()
 }
 
 // announce writes this router's entry, unless it stands there from an earlier run, and
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -186,7 +186,7 @@
 	}
 	if l.ticks%leadEvery == 0 {
 		l.findLeaders(now)
-		l.findOwners(now)
+		l.findOwners()
 	}
 	l.tellNews()
 	if l.ticks%sweepEvery == 0 {
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"time"
 
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/owner"
@@ -12,7 +11,7 @@
 
 // findOwners finds out which routers answer for the targets, if routers or targets
 // changed.
-func (l *loop) findOwners(now time.Time) {
+func (l *loop) findOwners() {
 	g := l.gateway
 	if g.transport == nil {
 		return
--- a/place/ask.go
+++ b/place/ask.go
@@ -112,10 +112,29 @@
 		t.slow = slowness{log: math.Log(min(max(a.Slowness, 1/mostSlowness), mostSlowness)), at: now}
 		t.queue.set(a.Waiting, now)
 		t.others.Requests = max(a.Requests-t.own.Requests, 0)
+		t.answered = now
 	}
 	return known
 }
 
+// answerFor is how long an answer tells of the present: some times as long as a request
+// holds a slot of an engine.
+const answerFor = 2 * time.Second
+
+// forgetAnswer goes back to what this router knows itself once the last answer about a
+// target is old. Without it a target that was full then would count as full for as long
+// as nobody answers for it.
+func (p *Placer) forgetAnswer(t *target, now time.Time) {
+	if t.answered.IsZero() || now.Sub(t.answered) < answerFor {
+		return
+	}
+	t.answered = time.Time{}
+	t.others = Load{}
+	for _, r := range p.peers {
+		t.others.Requests += r.loads[t.hash].Requests
+	}
+}
+
 // SetOwned takes the targets for which this router answers. What one that it did not
 // answer for before keeps is not known yet.
 func (p *Placer) SetOwned(targets map[Hash]bool) {
--- a/place/ask_test.go
+++ b/place/ask_test.go
@@ -186,3 +186,15 @@
 	}
 	assert.Assert(t, h.mean < 320*time.Millisecond, h.mean)
 }
+
+// TestOldAnswersAreForgotten has the router that answers for full homes fall silent.
+func TestOldAnswersAreForgotten(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	r := ask(call("hot", 1000, 10), "c")
+	q := p.Questions(r)
+	full := func(x Question) Answer { return Answer{Target: x.Target, Requests: 200, Unread: 10, Slowness: 1} }
+	assert.Equal(t, p.Place(r, full(q[0]), full(q[1])).Reason, Overloaded)
+	assert.Equal(t, p.Place(r).Reason, Overloaded, "nobody answers")
+	clock.Advance(answerFor)
+	assert.Assert(t, p.Place(r).Run != nil)
+}
--- a/place/home.go
+++ b/place/home.go
@@ -15,6 +15,9 @@
 	if len(homes) == 0 {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
+	for _, t := range homes {
+		p.forgetAnswer(t, now)
+	}
 	pr := newPrompt(r.Call)
 	st := p.currentShares(now).standing(r.Customer)
 	best := s.cheapest(homes, &pr, known, now)
--- a/place/place.go
+++ b/place/place.go
@@ -203,8 +203,10 @@
 	coldUntil time.Time
 	// warmUntil is until when parts of which nothing is known count as kept.
 	warmUntil time.Time
-	// told is when others were told of own.
-	told time.Time
+	// told is when others were told of own, answered when another router last said how
+	// things are here.
+	told     time.Time
+	answered time.Time
 	// awaited are the places in the queue of other routers' readings without a first
 	// event.
 	awaited map[readingID]float64
@@ -359,6 +361,7 @@
 		if _, asked := known[t.hash]; len(known) > 0 && !asked {
 			continue
 		}
+		p.forgetAnswer(t, now)
 		if g > graded || g == graded && g > unusable && t.busyness() < best.busyness() {
 			best, graded = t, g
 		}
