--- /dev/null
+++ b/gateway/announce.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"zinccove.example/zinccove/platform"
+)
+
+// announce writes this router's entry, unless it stands there from an earlier run, and
+// learns the others'. Routers that start later send heartbeats to those they read, so
+// once is enough.
+func (g *Gateway) announce(ctx context.Context) error {
+	self := platform.Host{
+		Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address(), State: platform.HostLive,
+	}
+	pause := announcePause
+	for {
+		hosts, err := g.introduce(ctx, self)
+		if err == nil {
+			g.loop.post(ctx, func(l *loop) { l.learnHosts(hosts) })
+			return nil
+		}
+		g.log.Warn().Err(err).Msg("router not announced, trying again")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.clock.After(pause):
+		}
+		pause = min(2*pause, longestAnnouncePause)
+	}
+}
+
+// introduce returns the entries of all routers, with this one's among them. A fleet that
+// starts for the first time has none.
+func (g *Gateway) introduce(ctx context.Context, self platform.Host) ([]platform.Host, error) {
+	if !g.settings.FirstStart {
+		hosts, err := g.store.Hosts(ctx)
+		if err != nil || slices.Contains(hosts, self) {
+			return hosts, err
+		}
+	}
+	if err := g.store.Announce(ctx, self); err != nil {
+		return nil, err
+	}
+	return g.store.Hosts(ctx)
+}
+
+// Pauses between tries to announce this router. Heartbeats to known contacts
+// bridge the time until it works.
+const (
+	announcePause        = 300 * time.Millisecond
+	longestAnnouncePause = 5 * time.Second
+)
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -10,11 +10,8 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
-	"zinccove.example/zinccove/control"
 	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
-	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
-	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
 )
 
@@ -209,33 +206,6 @@
 	return 0
 }
 
-// open begins to follow a router and waits for its first message.
-func (t *through) open(ctx context.Context, since uint64, l leader) bool {
-	g := t.gateway
-	client := zinccovev1connect.NewPeerServiceClient(g.streams, "http://"+l.control.String(), control.Authorize("", g.settings.FleetKey),
-		connect.WithReadMaxBytes(maxNews),
-		// Keepalives are some bytes; preparing to compress them took 4 % of a router's time.
-		connect.WithAcceptCompression("gzip", nil, nil))
-	ctx, cancel := context.WithCancel(ctx)
-	watch := g.clock.AfterFunc(leaderSilence, cancel)
-	stream, err := client.FollowTable(ctx, &zinccovev1.FollowTableRequest{Table: t.table, Since: since})
-	if err != nil || !watch.Stop() {
-		cancel()
-		g.metrics.Inc(metric.PeerErrors)
-		return false
-	}
-	t.from, t.stream, t.end = l, stream, cancel
-	g.log.Info().Str("table", t.table).Str("peer", l.name).Uint64("since", since).Msg("follows a table through a router")
-	if t.first, err = t.message(); err != nil && !eris.Is(err, platform.ErrHistoryLost) {
-		t.close(err.Error())
-		return false
-	}
-	return true
-}
-
-// maxNews bounds one message of another router in bytes.
-const maxNews = 8 << 20
-
 // receive waits for changes until a time. While the router that is followed does not
 // reach the store it waits longer, as long as the store need not be asked.
 func (t *through) receive(since uint64, until time.Time) (platform.Batch, error) {
@@ -285,36 +255,3 @@
 	}
 	return nil
 }
-
-// message returns the next message, or why there is none.
-func (t *through) message() (*zinccovev1.FollowTableResponse, error) {
-	if msg := t.first; msg != nil {
-		t.first = nil
-		return msg, nil
-	}
-	watch := t.gateway.clock.AfterFunc(leaderSilence, t.end)
-	received := t.stream.Receive()
-	watch.Stop()
-	if received {
-		return t.stream.Msg(), nil
-	}
-	err := t.stream.Err()
-	switch {
-	case err == nil:
-		return nil, errNoLeader
-	case connect.CodeOf(err) == connect.CodeOutOfRange:
-		return nil, platform.ErrHistoryLost
-	}
-	return nil, err
-}
-
-// close ends following a router, if one is followed.
-func (t *through) close(why string) {
-	if t.stream == nil {
-		return
-	}
-	t.end()
-	t.stream.Close() //nolint:errcheck // nothing more is read
-	t.stream, t.first, t.left = nil, nil, t.from
-	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
-}
