Spread heartbeats of routers that start at once

Cause: with news of placements gone from the mesh only heartbeats say that a data centre is there. All routers start within 0.3 s and beat each 2.4 s, so that all spoke at once and were silent together for two seconds. Change: the next heartbeat after the period grew comes at any time in it, the others vary by a tenth; two and a half periods of silence (two); answers to questions count as heard.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -60,7 +60,7 @@
 	answers []place.Answer
 	// missing is the number of routers that have not answered, done is closed when it
 	// is 0.
-	missing map[uint64]string
+	missing map[uint64]*owner.Router
 	done    chan struct{}
 }
 
@@ -101,7 +101,7 @@
 		return nil
 	}
 	g := a.gateway
-	q := &question{missing: make(map[uint64]string), done: make(chan struct{})}
+	q := &question{missing: make(map[uint64]*owner.Router), done: make(chan struct{})}
 	a.register(q, byRouter)
 	for r, ask := range byRouter {
 		g.post(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
@@ -123,7 +123,7 @@
 	defer a.mu.Unlock()
 	for r, ask := range byRouter {
 		ask.Number = a.number.Add(1)
-		q.missing[ask.Number] = r.Name
+		q.missing[ask.Number] = r
 		a.open[ask.Number] = q
 	}
 }
@@ -137,8 +137,10 @@
 		return
 	}
 	delete(a.open, reply.Number)
-	delete(a.missed, q.missing[reply.Number])
+	router := q.missing[reply.Number]
+	delete(a.missed, router.Name)
 	delete(q.missing, reply.Number)
+	a.gateway.placer.HeardFrom(router.DataCentre)
 	for _, t := range reply.Targets {
 		q.answers = append(q.answers, decodeAnswer(t))
 	}
@@ -155,10 +157,10 @@
 	for number, router := range q.missing {
 		delete(a.open, number)
 		a.gateway.metrics.Inc(metric.QuestionsOpen)
-		m := a.missed[router].note(now)
-		a.missed[router] = m
+		m := a.missed[router.Name].note(now)
+		a.missed[router.Name] = m
 		if m.count == silentAfter {
-			a.gateway.log.Info().Str("peer", router).Int("questions", m.count).Dur("for_ms", silentTime).Msg("router leaves questions open, the next one is asked")
+			a.gateway.log.Info().Str("peer", router.Name).Int("questions", m.count).Dur("for_ms", silentTime).Msg("router leaves questions open, the next one is asked")
 		}
 	}
 	return q.answers
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -86,7 +87,7 @@
 func BenchmarkTickOfLargeFleet(b *testing.B) {
 	l := newControl(b)
 	hearAll(l, 1)
-	l.lastBeat = l.gateway.clock.Now()
+	l.nextBeat = l.gateway.clock.Now().Add(time.Hour)
 	for b.Loop() {
 		l.tick(context.Background())
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -350,3 +351,35 @@
 		assert.Assert(t, all <= tc.slack, "%d routers: %v of %v", tc.routers, all, tc.slack)
 	}
 }
+
+// TestRoutersThatStartAtOnceDoNotSpeakAtOnce has the 59 routers of a data centre start in
+// the same moment. Others must hear one of them often enough not to take it for cut off.
+func TestRoutersThatStartAtOnceDoNotSpeakAtOnce(t *testing.T) {
+	const (
+		routers = 59
+		period  = 294 * beatCost
+		// cutOff is the silence after which a data centre counts as cut off.
+		cutOff = 450 * time.Millisecond
+	)
+	var heard []time.Duration
+	for range routers {
+		clock := clockwork.NewFakeClock()
+		began := clock.Now()
+		l := newLoop(&Gateway{settings: &settings.Settings{Host: "a", HeartbeatInterval: 100 * time.Millisecond}, clock: clock})
+		for clock.Since(began) < time.Minute {
+			l.scheduleBeat(clock.Now())
+			clock.Advance(l.nextBeat.Sub(clock.Now()))
+			l.others = 294 // read by now
+			if at := clock.Since(began); at > period {
+				heard = append(heard, at)
+			}
+		}
+	}
+	assert.Assert(t, 2*period*11/10 < silenceTime(period), "one may get lost")
+	slices.Sort(heard)
+	longest := time.Duration(0)
+	for i := 1; i < len(heard); i++ {
+		longest = max(longest, heard[i]-heard[i-1])
+	}
+	assert.Assert(t, longest < cutOff, longest)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -29,7 +29,7 @@
 	// for missedBeats periods of heartbeats: with 295 routers, whose period is 2.4 s,
 	// each one would lose six others a second that are well.
 	silence     = 2 * time.Second
-	missedBeats = 2
+	missedBeats = 2.5
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
 	forgetAfter = time.Minute
 	// inbox holds what waits for the control loop.
@@ -92,10 +92,12 @@
 	started     time.Time
 	sequence    uint64
 	// beats counts the heartbeats to all routers.
-	beats      uint64
-	news       news
-	ticks      int
-	lastBeat   time.Time
+	beats    uint64
+	news     news
+	ticks    int
+	nextBeat time.Time
+	// period is that of heartbeats when the last one was sent.
+	period     time.Duration
 	lastUses   time.Time
 	introduced int
 	// leaving holds the targets of which the store said that they are leaving or
@@ -179,9 +181,9 @@
 		l.expireTargets()
 		l.catchUp(ctx, now)
 	}
-	if period := l.beatInterval(); now.Sub(l.lastBeat) >= period {
-		l.lastBeat = now
-		l.members.SetTimeout(silenceTime(period))
+	if !now.Before(l.nextBeat) {
+		l.scheduleBeat(now)
+		l.members.SetTimeout(silenceTime(l.period))
 		l.beat()
 	}
 	if l.ticks%leadEvery == 0 {
@@ -231,9 +233,32 @@
 	return max(l.gateway.settings.HeartbeatInterval, time.Duration(l.others)*beatCost)
 }
 
+// beatSpread is the part of the period by which two heartbeats may be closer or further
+// apart than usual.
+const beatSpread = 0.1
+
+// scheduleBeat draws when the next heartbeat comes.
+func (l *loop) scheduleBeat(now time.Time) {
+	period := l.beatInterval()
+	l.nextBeat = now.Add(untilBeat(period, period > 2*l.period))
+	l.period = period
+}
+
+// untilBeat draws the time to the next heartbeat. The next one after the period grew, as
+// when a router that starts has read who is there, comes at any time in it: routers that
+// start at once would otherwise all speak at once and then be silent together for two
+// seconds in a fleet of 295, in which whole data centres count as cut off.
+func untilBeat(period time.Duration, grew bool) time.Duration {
+	if grew {
+		return rand.N(period)
+	}
+	spread := 1 + beatSpread*(2*rand.Float64()-1)
+	return time.Duration(spread * float64(period))
+}
+
 // silenceTime is how long routers may be silent that send a heartbeat each period.
 func silenceTime(period time.Duration) time.Duration {
-	return max(silence, missedBeats*period)
+	return max(silence, time.Duration(missedBeats*float64(period)))
 }
 
 // expireTargets drops targets that did not come back after an outage of the
--- a/place/health.go
+++ b/place/health.go
@@ -92,6 +92,13 @@
 	return p.cut[r.Target.DataCentre]
 }
 
+// HeardFrom notes that a router of a data centre was heard, other than by a heartbeat.
+func (p *Placer) HeardFrom(dataCentre string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[dataCentre] = p.clock.Now()
+}
+
 // Heard notes that bytes arrived from the target.
 func (r *Run) Heard() {
 	p := r.placer
