--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -18,50 +17,86 @@
 // findLeaders finds out which routers follow the store for others, by what is known of
 // who is there.
 func (l *loop) findLeaders(now time.Time) {
-	g := l.gateway
-	self := g.settings
-	names := map[string][]string{self.DataCentre: {self.Host}}
-	hosts := make(map[string]*member.Host)
+	there := l.hostsThere(now)
+	l.countFollowers(there)
+	own := there[l.gateway.settings.DataCentre]
+	rank := feed.Rank(l.gateway.settings.Host, namesOf(own))
+	l.gateway.ownRank.Store(int64(rank))
+	leads := rank < feed.Leaders
+	var leaders []leader
+	if !leads {
+		leaders = l.leadersAmong(own)
+	}
+	l.setLeaders(leads, leaders)
+}
+
+// hostsThere returns the other routers that count as there by data centre, in the order
+// of their names, and counts them.
+func (l *loop) hostsThere(now time.Time) map[string][]*member.Host {
+	there := make(map[string][]*member.Host)
 	l.others = 0
 	for _, h := range l.members.Hosts() {
 		if l.present(h, now) {
 			l.others++
-			names[h.DataCentre] = append(names[h.DataCentre], h.Name)
-			hosts[h.Name] = h
+			there[h.DataCentre] = append(there[h.DataCentre], h)
 		}
 	}
-	// The list of hosts is in the order of names, but for this one.
-	own := slices.DeleteFunc(slices.Clone(names[self.DataCentre]), func(name string) bool { return name == self.Host })
-	rank := feed.Rank(self.Host, own)
-	leads := rank < feed.Leaders
-	g.ownRank.Store(int64(rank))
-	var leaders []leader
-	if !leads {
-		for _, name := range feed.Order(self.Host, own) {
-			leaders = append(leaders, leader{name: name, control: l.controlOf(hosts[name])})
-		}
+	return there
+}
+
+func namesOf(hosts []*member.Host) []string {
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.Name
 	}
+	return names
+}
+
+// countFollowers counts the other routers that follow the store, and those of them before
+// this one by name.
+func (l *loop) countFollowers(there map[string][]*member.Host) {
+	self := l.gateway.settings
 	followers, before := 0, 0
-	for dc := range maps.Keys(names) {
-		slices.Sort(names[dc])
-		for _, name := range names[dc][:min(feed.Leaders, len(names[dc]))] {
-			if name == self.Host {
-				continue
-			}
+	for dc, hosts := range there {
+		names := namesOf(hosts)
+		most := feed.Leaders
+		if dc == self.DataCentre && feed.Rank(self.Host, names) < feed.Leaders {
+			most-- // this one is among them
+		}
+		for _, name := range names[:min(most, len(names))] {
 			followers++
 			if name < self.Host {
 				before++
 			}
 		}
 	}
-	g.followers.Store(int64(followers))
-	g.rank.Store(int64(before))
-	if old := *g.leaders.Load(); leads != g.leads.Load() || !slices.Equal(old, leaders) {
+	l.gateway.followers.Store(int64(followers))
+	l.gateway.rank.Store(int64(before))
+}
+
+// leadersAmong returns the routers of this data centre that follow the store, in the order
+// in which this one is to try them.
+func (l *loop) leadersAmong(hosts []*member.Host) []leader {
+	byName := make(map[string]*member.Host, len(hosts))
+	for _, h := range hosts {
+		byName[h.Name] = h
+	}
+	var leaders []leader
+	for _, name := range feed.Order(l.gateway.settings.Host, namesOf(hosts)) {
+		leaders = append(leaders, leader{name: name, control: l.controlOf(byName[name])})
+	}
+	return leaders
+}
+
+// setLeaders publishes whom this router follows, and logs it if that changed.
+func (l *loop) setLeaders(leads bool, leaders []leader) {
+	g := l.gateway
+	if leads != g.leads.Load() || !slices.Equal(*g.leaders.Load(), leaders) {
 		var through []string
 		for _, x := range leaders {
 			through = append(through, x.name)
 		}
-		g.log.Info().Bool("follows_store", leads).Strs("through", through).Int("others_that_follow", followers).Msg("routers that follow the store")
+		g.log.Info().Bool("follows_store", leads).Strs("through", through).Int64("others_that_follow", g.followers.Load()).Msg("routers that follow the store")
 	}
 	g.leaders.Store(&leaders)
 	g.leads.Store(leads)
--- a/standin/proof/memory_test.go
+++ b/standin/proof/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -78,7 +79,9 @@
 	}
 	t.Logf("most memory: %d MB", most>>20)
 	assert.Assert(t, !r.Ended(), r.Output())
-	assert.Assert(t, most < memoryMB<<20, "%d MB of %d", most>>20, memoryMB)
+	if !strings.Contains(os.Getenv(buildFlags), "-race") { // the detector takes several times the memory
+		assert.Assert(t, most < memoryMB<<20, "%d MB of %d", most>>20, memoryMB)
+	}
 	f.close()
 	awaitStatus(t, s, r, "/record/a", routeKey, 200)
 }
