--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,6 +68,22 @@
 	assert.Assert(t, n.Whole, "the store lost its history in between, so that removals are not known")
 }
 
+// TestLargeTablesAreNotGivenWhole has a reader that is behind a table of 3,000 targets.
+func TestLargeTablesAreNotGivenWhole(t *testing.T) {
+	l := NewLog[string](clockwork.NewFakeClock())
+	var rows []Row[string]
+	for i := range 3000 {
+		r := row(fmt.Sprint("t", i), uint64(i+1))
+		r.Size = 200
+		rows = append(rows, r)
+	}
+	l.Reset(3000, rows...)
+	_, _, err := l.Since(0)
+	assert.Assert(t, eris.Is(err, ErrHistoryLost))
+	l.Append(3001, row("t5", 3001))
+	assert.DeepEqual(t, keys(t, l, 3000), []string{"t53001"})
+}
+
 func TestReadersAreWokenByChangesLossAndEnd(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
 	wakes := func(what string, act func()) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,8 @@
 	control   *control.Server
 	readiness *readiness
 	transport *peer.Transport
+	// listening is set once transport may be used.
+	listening atomic.Bool
 	peers     *http.Client
 	// streams is for calls that last, which have no time-out.
 	streams *http.Client
@@ -180,6 +182,7 @@
 	if err != nil {
 		return err
 	}
+	g.listening.Store(true)
 	g.control, err = control.Listen(control.Options{
 		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Config: g.config, Follow: g.handOn,
 		Status: g.loop.statuses, Ready: g.ready, WrongKey: func() { g.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: g.metrics.Handler(),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -383,3 +383,14 @@
 	}
 	assert.Assert(t, longest < cutOff, longest)
 }
+
+// TestQuestionsBeforeTheStartAreDropped has others ask a router whose addresses are not all
+// open yet: two of 300 routers that started at once ended for it.
+func TestQuestionsBeforeTheStartAreDropped(t *testing.T) {
+	g := newReader(t, "a")
+	l := newLoop(g)
+	l.receive(&zinccovev1.Heartbeat{Question: &zinccovev1.Question{Number: 1}}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
+	l.receive(&zinccovev1.Heartbeat{Answer: &zinccovev1.Answer{Number: 1}}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
+	l.receive(&zinccovev1.Heartbeat{Incarnation: 1}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
+	assert.Equal(t, len(l.heartbeats), 0)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -128,6 +128,9 @@
 // receive answers a question, takes an answer, or hands a heartbeat to the loop. A
 // heartbeat that finds the inbox full is dropped like a lost one.
 func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
+	if !l.gateway.listening.Load() {
+		return // others may ask before this router can answer
+	}
 	switch {
 	case hb.Question != nil:
 		l.gateway.answer(hb.Question, from)
