Reserve all the room that a body without a length takes

Cause (read again): the buffer of a chunked body grew by a quarter to double of itself, and 32 KB were reserved each time: half a megabyte for 8 MB. Bodies with a length were copied into a larger buffer once they were there, only to see their end. Change: a body with a length is read into a buffer of that length; the buffer of another one doubles, and what it grows by is reserved before. The bounds stay. Test: TestChunkedBodiesReserveWhatTheyTake failed before (200 in place of 503); the other tests of bodies hold the limit itself and a chunked body above it as well.

--- a/relay/memory.go
+++ b/relay/memory.go
@@ -63,37 +63,45 @@
 	errNoRoom       = eris.New("no room for the body")
 )
 
-// readBody reads the body of a request. Larger ones are read in pieces, as long as there
-// is room.
+// readBody reads the body of a request. Larger ones are read as long as there is room.
 func (f *flight) readBody(ctx *fasthttp.RequestCtx) error {
 	if !ctx.Request.IsBodyStream() {
 		f.body = ctx.PostBody()
 		return nil
 	}
-	limits := &f.server.options.Limits
 	n := ctx.Request.Header.ContentLength()
-	if n > limits.BodyBytes {
+	if n < 0 {
+		return f.readChunks(ctx.RequestBodyStream())
+	}
+	if n > f.server.options.Limits.BodyBytes {
 		return errBodyTooLarge
 	}
-	body := make([]byte, 0, max(min(n, limits.BodyBytes), 0))
-	if n > usualBody && !f.reserve(int64(n)) {
+	if n > usualBody && !f.reserve(n) {
 		return errNoRoom
 	}
-	stream := ctx.RequestBodyStream()
+	f.body = make([]byte, n)
+	_, err := io.ReadFull(ctx.RequestBodyStream(), f.body)
+	return err
+}
+
+// readChunks reads a body without a length. Its buffer doubles, and room is reserved for
+// all of it before.
+func (f *flight) readChunks(stream io.Reader) error {
+	most := f.server.options.Limits.BodyBytes
 	for {
-		if len(body) == cap(body) {
-			if n < 0 && !f.reserve(usualBody) {
+		if len(f.body) == cap(f.body) {
+			size := min(max(2*cap(f.body), usualBody), most+1) // one byte more tells that it is too large
+			if !f.reserve(min(size, most) - cap(f.body)) {
 				return errNoRoom
 			}
-			body = append(body, make([]byte, usualBody)...)[:len(body)]
+			f.body = append(make([]byte, 0, size), f.body...)
 		}
-		m, err := stream.Read(body[len(body):cap(body)])
-		body = body[:len(body)+m]
+		n, err := stream.Read(f.body[len(f.body):cap(f.body)])
+		f.body = f.body[:len(f.body)+n]
 		switch {
-		case len(body) > limits.BodyBytes:
+		case len(f.body) > most:
 			return errBodyTooLarge
 		case err == io.EOF:
-			f.body = body
 			return nil
 		case err != nil:
 			return err
@@ -102,11 +110,11 @@
 }
 
 // reserve reserves room for a body until the request ends.
-func (f *flight) reserve(n int64) bool {
-	if !f.server.large.take(n) {
+func (f *flight) reserve(n int) bool {
+	if !f.server.large.take(int64(n)) {
 		return false
 	}
-	f.reserved += n
+	f.reserved += int64(n)
 	return true
 }
 
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -23,7 +23,7 @@
 func TestBodiesOfAllSizesArriveWhole(t *testing.T) {
 	f := newTarget(t, "t", answers)
 	s := newSite(t, f)
-	for i, size := range []int{0, 1, 17_000, usualBody - 1, usualBody, usualBody + 1, 400_000} {
+	for i, size := range []int{0, 1, 17_000, usualBody - 1, usualBody, usualBody + 1, 400_000, s.options.Limits.BodyBytes} {
 		body := strings.Repeat("b", size)
 		res := s.ask(t, "POST", "/once/", fmt.Sprint("r", i), body)
 		assert.Equal(t, res.header.StatusCode(), 200, "%d bytes", size)
@@ -54,12 +54,32 @@
 	assert.Equal(t, s.large.kept.Load(), s.large.most-1000)
 }
 
+// TestChunkedBodiesReserveWhatTheyTake has a body without a length need more than there
+// is room for.
+func TestChunkedBodiesReserveWhatTheyTake(t *testing.T) {
+	const size = 800_000
+	f := newTarget(t, "t", answers)
+	s := newSite(t, f)
+	assert.Assert(t, s.large.take(s.large.most-size/2))
+	c := s.dial(t)
+	fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n", customerKey)
+	fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size))
+	assert.Equal(t, c.read().header.StatusCode(), 503)
+	assert.Equal(t, len(f.seen()), 0)
+	assert.Equal(t, s.large.kept.Load(), s.large.most-size/2)
+}
+
 func TestBodyAboveTheLimitIsRefused(t *testing.T) {
 	f := newTarget(t, "t", answers)
 	s := newSite(t, f)
 	c := s.dial(t)
 	fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", customerKey, s.options.Limits.BodyBytes+1, strings.Repeat("b", 2*usualBody))
 	assert.Equal(t, c.read().header.StatusCode(), 413)
+	chunked := s.dial(t)
+	size := s.options.Limits.BodyBytes + 1
+	fmt.Fprintf(chunked, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n", customerKey)
+	fmt.Fprintf(chunked, "%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size))
+	assert.Equal(t, chunked.read().header.StatusCode(), 413)
 	assert.Equal(t, len(f.seen()), 0)
 }
 
