One way to send datagrams, one size of memory, no state that nobody reads

Gateway.send serves heartbeats, news, questions and answers in place of two copies; Settings tells the memory in bytes in place of two constants; the number of reachable routers for the pace of news is gone with that pace; routers need no sorting, as the list of members is in order; what tells when news are due is one field. Comments of feed, owner and the questions say what the code does. Behaviour stays.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -94,8 +94,6 @@
 // so at the default the collector runs many times a second under load.
 const gcPercent = 400
 
-const bytesPerMB = 1 << 20
-
 // memoryPart is the part of the allowed memory at which the collector works
 // harder; the rest is for sockets and what is freed late. With 0.5 and 2,000
 // connections in 184 MB the collector took the processor, and streams stood still for
@@ -107,7 +105,7 @@
 func serveRoutes(s *settings.Settings, out io.Writer) int {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB * bytesPerMB * memoryPart))
+		debug.SetMemoryLimit(int64(float64(s.Memory()) * memoryPart))
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,8 +5,8 @@
 // few routers of each data centre follow the store (Leaders) and the others follow
 // them. A Log keeps the newest state of each row, so that a reader can go on from any
 // version since the router read the table whole, also when it followed another router
-// before; one that is further behind is given the whole table. Nobody is elected: two routers that both follow
-// cost calls, not truth, as rows carry the store's versions.
+// before; one that is further behind is given the whole table. Nobody is elected: two
+// routers that both follow cost calls, not truth, as rows carry the store's versions.
 //
 // The package has no I/O. A Log is safe for concurrent use.
 //
@@ -16,7 +16,7 @@
 //	l.Reset(version, rows...)            // after reading the table whole
 //	l.Append(version, rows...)           // each change
 //	l.Confirm()                          // the store answered without changes
-//	l.SetLost(true)                      // it does not answer
+//	l.SetLost()                          // it does not answer
 //	news, changed, err := l.Since(known) // for a reader
 package feed
 
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,8 +29,9 @@
 	number  atomic.Uint64
 
 	mu sync.Mutex
-	// open are the questions that wait for answers.
-	open   map[uint64]*question
+	// open are the questions that wait for answers, by number.
+	open map[uint64]*question
+	// missed are the questions that routers left open, by their names.
 	missed map[string]miss
 }
 
@@ -58,8 +58,8 @@
 // question is a call of ask that waits for the answers of some routers.
 type question struct {
 	answers []place.Answer
-	// missing is the number of routers that have not answered, done is closed when it
-	// is 0.
+	// missing are the routers that have not answered, by the numbers of what they were
+	// asked; done is closed when there are none.
 	missing map[uint64]*owner.Router
 	done    chan struct{}
 }
@@ -104,7 +104,7 @@
 	q := &question{missing: make(map[uint64]*owner.Router), done: make(chan struct{})}
 	a.register(q, byRouter)
 	for r, ask := range byRouter {
-		g.post(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
+		g.send(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
 	}
 	began := g.clock.Now()
 	timer := g.clock.NewTimer(askTime)
@@ -165,12 +165,3 @@
 	}
 	return q.answers
 }
-
-// post sends a datagram that stands by itself.
-func (g *Gateway) post(hb *zinccovev1.Heartbeat, to netip.AddrPort) {
-	size, sent, err := g.transport.Send(hb, to)
-	if err != nil {
-		g.metrics.Inc(metric.PeerErrors)
-	}
-	g.metrics.Add(metric.ControlBytesSent, size*sent)
-}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -16,13 +16,12 @@
 
 // beat sends a heartbeat to every known router.
 func (l *loop) beat() {
-	sent := l.send(l.heartbeat(), l.destinations())
+	sent := l.gateway.send(l.heartbeat(), l.destinations()...)
 	l.gateway.metrics.Add(metric.HeartbeatsSent, sent)
 }
 
 // send sends a datagram to some routers and returns for how many it left.
-func (l *loop) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) int {
-	g := l.gateway
+func (g *Gateway) send(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) int {
 	size, sent, err := g.transport.Send(hb, to...)
 	if err != nil {
 		g.metrics.Add(metric.PeerErrors, len(to)-sent)
@@ -143,7 +142,6 @@
 		all = append(all, h.Status(now))
 	}
 	l.published.Store(&all)
-	g.routers.Store(int64(reachable))
 	g.retries.SetBurst(burstOf(g.settings.RetrySlack, max(reachable, l.others)))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
 	g.metrics.Set(metric.HostsReachable, float64(reachable))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,9 +81,8 @@
 	targetsAnswered answered
 	storeLost       atomic.Bool
 	stopping        atomic.Bool
-	// routers is the number of other routers that are reachable, followers that of
-	// those that follow the store, rank the number of the latter before this one by name.
-	routers   atomic.Int64
+	// followers is the number of other routers that follow the store, rank that of those
+	// of them before this one by name.
 	followers atomic.Int64
 	rank      atomic.Int64
 	// started is when this router started, learned is closed once it has read which
@@ -108,8 +107,6 @@
 	digest string
 }
 
-const bytesPerMB = 1 << 20
-
 const (
 	// peerTimeout bounds a call to another router.
 	peerTimeout = time.Second
@@ -195,7 +192,7 @@
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
 		Retries: g.retries,
 		Limits: relay.Limits{
-			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: int64(s.MemoryMB * bytesPerMB),
+			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(),
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
 		},
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -313,9 +313,9 @@
 	clock := clockwork.NewFakeClock()
 	l := newLoop(&Gateway{settings: &settings.Settings{Host: "a"}, clock: clock})
 	l.placed()
-	due := l.news.due
+	due := l.newsDue
 	l.placed()
-	assert.Assert(t, l.news.due == due, "one timer at a time")
+	assert.Assert(t, l.newsDue == due, "one timer at a time")
 	clock.Advance(newsPeriod)
 	assert.Equal(t, len(due), 1)
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -75,15 +75,15 @@
 	heartbeats chan received
 	tasks      chan func(*loop)
 	published  atomic.Pointer[[]*zinccovev1.RouterStatus]
+
+	members *member.Table
+	// others is the number of other routers that count as there.
+	others int
 	// routers and ownedOf are those from which it was last found out who answers for
 	// which target, owned is the number of targets that this router answers for.
-	// others is the number of routers that count as there.
-	others  int
 	routers []owner.Router
 	ownedOf []*roster.Target
 	owned   int
-
-	members *member.Table
 	roster  *roster.Roster
 	targets []*roster.Target
 	// ids are those of the targets by their hashes.
@@ -92,8 +92,10 @@
 	started     time.Time
 	sequence    uint64
 	// beats counts the heartbeats to all routers.
-	beats    uint64
-	news     news
+	beats uint64
+	// newsDue fires when others are to be told of placed prompts; nil while nothing was
+	// placed.
+	newsDue  <-chan time.Time
 	ticks    int
 	nextBeat time.Time
 	// period is that of heartbeats when the last one was sent.
@@ -166,7 +168,7 @@
 			task(l)
 		case <-l.gateway.placer.Placed():
 			l.placed()
-		case <-l.news.due:
+		case <-l.newsDue:
 			l.tellNews()
 		case <-tick.Chan():
 			l.tick(ctx)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -10,17 +10,10 @@
 // for the targets are told: engines read some hundred tokens in it.
 const newsPeriod = 5 * time.Millisecond
 
-// news tells when others are to be told of placed prompts. It belongs to the control
-// loop.
-type news struct {
-	// due fires when they are to be told; nil while nothing was placed.
-	due <-chan time.Time
-}
-
 // placed notes that prompts were placed.
 func (l *loop) placed() {
-	if l.news.due == nil {
-		l.news.due = l.gateway.clock.After(newsPeriod)
+	if l.newsDue == nil {
+		l.newsDue = l.gateway.clock.After(newsPeriod)
 	}
 }
 
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -22,7 +22,6 @@
 			routers = append(routers, owner.Router{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
 	}
-	owner.Sort(routers)
 	if slices.Equal(routers, l.routers) && slices.Equal(l.targets, l.ownedOf) {
 		return
 	}
@@ -44,7 +43,7 @@
 // tellNews tells the routers that answer for targets what this one did there.
 func (l *loop) tellNews() {
 	g := l.gateway
-	l.news.due = nil
+	l.newsDue = nil
 	if g.transport == nil {
 		return
 	}
@@ -57,7 +56,7 @@
 			hb := l.header()
 			hb.Partial = true
 			encodeNews(hb, part)
-			l.send(hb, []netip.AddrPort{to})
+			g.send(hb, to)
 		}
 	}
 }
@@ -99,5 +98,5 @@
 			reply.Targets = append(reply.Targets, encodeAnswer(a))
 		}
 	}
-	g.post(&zinccovev1.Heartbeat{Answer: reply}, from)
+	g.send(&zinccovev1.Heartbeat{Answer: reply}, from)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,14 +13,12 @@
 //
 // # Usage
 //
-//	t := owner.New(targets, routers, self)
-//	first, second, ok := t.Of(target)
+//	t := owner.New(targets, routers)
+//	first, second := t.Of(target)
 package owner
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -105,8 +103,3 @@
 	}
 	return owned
 }
-
-// Sort orders routers by name.
-func Sort(routers []Router) {
-	slices.SortFunc(routers, func(a, b Router) int { return cmp.Compare(a.Name, b.Name) })
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,6 +87,12 @@
 	Operators []Operator
 }
 
+// Memory is the memory of the process in bytes, 0 if it is left open.
+func (s *Settings) Memory() int64 {
+	const bytesPerMB = 1 << 20
+	return int64(s.MemoryMB * bytesPerMB)
+}
+
 // Source is where the routing configuration comes from.
 type Source string
 
