--- a/feed/feed.go
+++ b/feed/feed.go
@@ -187,6 +187,9 @@
 	}
 	n := News[R]{Version: max(l.version, version), Lost: l.lost || !l.known, Answered: l.answered}
 	n.Whole = l.known && version < l.base
+	if version >= l.version {
+		return n, l.changed, nil
+	}
 	for _, r := range l.rows {
 		if n.Whole || r.Version > version {
 			n.Rows = append(n.Rows, r)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -84,6 +84,18 @@
 	assert.DeepEqual(t, keys(t, l, 3000), []string{"t53001"})
 }
 
+// TestReadersUpToDateAreToldNothing has a table read in pages while it changed: its rows
+// are newer than the version that it was read at. What is newer comes with the next
+// changes, not with every keepalive until then.
+func TestReadersUpToDateAreToldNothing(t *testing.T) {
+	l := NewLog[string](clockwork.NewFakeClock())
+	l.Reset(5, row("a", 3), row("b", 8))
+	assert.Equal(t, len(keys(t, l, 5)), 0)
+	l.Append(8, row("b", 8))
+	assert.DeepEqual(t, keys(t, l, 5), []string{"b8"})
+	assert.Equal(t, len(keys(t, l, 8)), 0)
+}
+
 func TestReadersAreWokenByChangesLossAndEnd(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
 	wakes := func(what string, act func()) {
