Give tables whole again that fit the log

The bound of 128 KB rested on a cause that was not looked at: that tables of 3,000 targets were handed on too slowly after a start of all.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -90,11 +90,6 @@
 // and a reader that is further behind reads the table from the store.
 const maxSize = 1 << 20
 
-// maxWhole bounds a table that is given whole, in bytes. A small host sends it to some
-// twenty others at once after a start of all routers: with the 640 KB of 3,000 targets none
-// of them had it within the silence that they allow, and all began again.
-const maxWhole = 128 << 10
-
 // NewLog returns a log that knows nothing yet.
 func NewLog[R any](clock clockwork.Clock) *Log[R] {
 	return &Log[R]{clock: clock, rows: make(map[string]Dated[R]), changed: make(chan struct{})}
@@ -182,7 +177,7 @@
 	switch {
 	case l.closed:
 		return News[R]{}, nil, ErrClosed
-	case l.known && version < l.base && (!l.complete || l.size > maxWhole):
+	case l.known && version < l.base && !l.complete:
 		return News[R]{}, nil, ErrHistoryLost
 	}
 	n := News[R]{Version: max(l.version, version), Lost: l.lost || !l.known, Answered: l.answered}
