Name requests by what they ask for in the lines of attempts that may have run

Change: "attempt failed" carries the fingerprint of customer, method, host, path with query and body where the target may have run the request. No decision changed.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -108,7 +108,7 @@
 
 // admit finds out what a request is. The refusal is nil if it may be served.
 func (s *Server) admit(ctx *fasthttp.RequestCtx) (*flight, *refusal) {
-	f := &flight{server: s, received: s.options.Clock.Now(), conn: ctx.Conn()}
+	f := &flight{server: s, received: s.options.Clock.Now(), conn: ctx.Conn(), header: &ctx.Request.Header}
 	call, err := s.options.Codec.Call(&ctx.Request.Header)
 	f.call = call
 	if err != nil {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -11,6 +11,7 @@
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/target"
@@ -55,6 +56,10 @@
 	// body is that of the request, reserved the room that it takes if it is large.
 	body     []byte
 	reserved int64
+	// header is that of the request, content the fingerprint of what it asks for once that
+	// was needed.
+	header  *fasthttp.RequestHeader
+	content *quarantine.Fingerprint
 	// run is the current attempt.
 	run *place.Run
 	// starting is set from when a stream was taken until it is sent for the first time.
@@ -78,6 +83,17 @@
 	cause    cause
 }
 
+// fingerprint names what the request asks for.
+func (f *flight) fingerprint() quarantine.Fingerprint {
+	if f.content == nil {
+		c := quarantine.Content{
+			Customer: f.customer, Method: f.header.Method(), Host: f.header.Host(), URI: f.header.RequestURI(), Body: f.body,
+		}
+		f.content = new(c.Fingerprint())
+	}
+	return *f.content
+}
+
 // serve carries the request to its end. Streams end later, in their Close.
 func (f *flight) serve(ctx *fasthttp.RequestCtx) {
 	for {
--- a/relay/log.go
+++ b/relay/log.go
@@ -44,6 +44,9 @@
 func (s *Server) logAttempt(f *flight, kind string, status int, fail *target.Failure) {
 	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
 		Str("failure", kind).Int("status", status)
+	if fail != nil && !fail.Kind.NotRun() {
+		e = e.Stringer("fingerprint", f.fingerprint())
+	}
 	if fail != nil {
 		e = e.Err(fail)
 	}
