A proof that fails: one request ends target after target

Cause of the fault: routers know a request by its id, which changes with each try of its caller, and what ran at a target that ended is remembered by nobody. Ruled out: retries of one id; no id has two attempts that may have run. The stand-in for targets gets a request that ends it.

--- /dev/null
+++ b/standin/proof/ending_test.go
@@ -0,0 +1,120 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/standin/routesite"
+	"zinccove.example/standin/worker"
+)
+
+const (
+	// contactTime is how long routers may take to tell each other, endsAllowed the number
+	// of targets that a request may still reach after that, once three ended under it.
+	contactTime = 3 * time.Second
+	endsAllowed = 3
+	// targetDown is how long a target that ended is away.
+	targetDown = 200 * time.Millisecond
+)
+
+// revive starts targets again that ended, until the test ends, and counts the ends.
+func revive(t *testing.T, s *routesite.Site) *atomic.Int64 {
+	t.Helper()
+	var ends atomic.Int64
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	group.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			for _, w := range s.Workers {
+				if !w.Ended() {
+					continue
+				}
+				ends.Add(1)
+				time.Sleep(targetDown)
+				if err := w.Restart(); err != nil {
+					t.Errorf("start %s again: %v", w.Name, err)
+					return
+				}
+			}
+		}
+	})
+	t.Cleanup(func() { close(stop); group.Wait() })
+	return &ends
+}
+
+// TestRequestThatEndsItsTargetsIsBounded was a fault that took a fleet's engines down one
+// after the other. A request ended each engine that began to run it, and its callers sent
+// it again under new ids, at any router. The routers knew requests by their ids only and
+// told each other nothing of what had run at a target that ended: six engines in a row
+// ended with "read stream: unexpected EOF" under the same chat of one customer, which came
+// by five routers, 16 in all.
+//
+// Three targets may end under it. Once the routers had the time to tell each other, it may
+// reach three more at most, whichever router it comes to, one that just started as well,
+// and other requests are served as before.
+func TestRequestThatEndsItsTargetsIsBounded(t *testing.T) {
+	for _, path := range routesite.Paths {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			t.Parallel()
+			s := newRouteSite(t, 3)
+			configure(t, s, routesite.Config(1, routeKey))
+			assert.NilError(t, s.AwaitReady(routeWait))
+			assert.NilError(t, s.AwaitMembers(routeWait))
+			for _, r := range s.Routers {
+				awaitStatus(t, s, r, path, routeKey, 200)
+			}
+			ends := revive(t, s)
+			ask := func(n int) *routesite.Answer {
+				r := s.Routers[n%len(s.Routers)]
+				return s.Repeat(r.Caller, "POST", path, routeKey, worker.EndingBody+" "+path)
+			}
+			// Copies come at the same time at first, then one by one.
+			var copies errgroup.Group
+			for n := range s.Routers {
+				copies.Go(func() error { ask(n); return nil })
+			}
+			assert.NilError(t, copies.Wait())
+			for n := range 40 {
+				if ends.Load() >= 3 {
+					break
+				}
+				ask(n)
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.Assert(t, ends.Load() >= 3, "%d targets ended", ends.Load())
+			told := time.Now().Add(contactTime)
+			for n := 0; time.Now().Before(told); n++ {
+				ask(n)
+				time.Sleep(200 * time.Millisecond)
+			}
+			s.Routers[0].Kill()
+			assert.NilError(t, s.Routers[0].Restart(s.Routers[1].Peer))
+			assert.NilError(t, s.AwaitReady(routeWait))
+			assert.NilError(t, s.AwaitMembers(routeWait))
+			time.Sleep(contactTime)
+			before := ends.Load()
+			for n := range 30 {
+				a := ask(n)
+				assert.Assert(t, !a.Complete(), "answered %d", a.Status)
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Assert(t, ends.Load()-before <= endsAllowed, "%d targets ended, %d of them later", ends.Load(), ends.Load()-before)
+			for _, r := range s.Routers {
+				a := s.Call(r.Caller, "POST", path, routeKey)
+				assert.Assert(t, a.Whole(path), fmt.Sprint(a.Status, a.Err))
+			}
+		})
+	}
+}
--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -143,24 +143,36 @@
 	Err error
 }
 
-// Call sends a request over a connection of its own.
+// Call sends a request over a connection of its own. No two have the same body.
 func (s *Site) Call(to netip.AddrPort, method, path, key string) *Answer {
-	a := &Answer{ID: fmt.Sprintf("q%d", s.sent.Add(1)), Path: path, Router: to, Sent: time.Now()}
+	id := s.nextID()
+	return s.send(to, id, method, path, key, "body of "+id)
+}
+
+// Repeat sends a request with a given body, as a caller does that sends it again.
+func (s *Site) Repeat(to netip.AddrPort, method, path, key, body string) *Answer {
+	return s.send(to, s.nextID(), method, path, key, body)
+}
+
+func (s *Site) nextID() string { return fmt.Sprintf("q%d", s.sent.Add(1)) }
+
+func (s *Site) send(to netip.AddrPort, id, method, path, key, body string) *Answer {
+	a := &Answer{ID: id, Path: path, Router: to, Sent: time.Now()}
 	c, err := net.DialTimeout("tcp", to.String(), time.Second)
 	if err != nil {
 		a.Err = err
 		return a
 	}
 	defer c.Close() //nolint:errcheck // the answer is known
-	a.Err = a.exchange(c, method, path, key)
+	a.Err = a.exchange(c, method, path, key, body)
 	return a
 }
 
-func (a *Answer) exchange(c net.Conn, method, path, key string) error {
+func (a *Answer) exchange(c net.Conn, method, path, key, body string) error {
 	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
-	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader("body of "+a.ID))
+	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -177,8 +189,8 @@
 		return err
 	}
 	defer resp.Body.Close() //nolint:errcheck // read to its end
-	body, err := io.ReadAll(resp.Body)
-	a.Status, a.Header, a.Body = resp.StatusCode, resp.Header, string(body)
+	text, err := io.ReadAll(resp.Body)
+	a.Status, a.Header, a.Body = resp.StatusCode, resp.Header, string(text)
 	return err
 }
 
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -78,6 +78,9 @@
 	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
 }
 
+// exitEnded is the exit code of a worker that a request ended.
+const exitEnded = 7
+
 // Execute runs the worker until a signal; it announces its end.
 func (c *workerCommand) Execute([]string) error {
 	platform, err := netip.ParseAddrPort(c.Platform)
@@ -85,7 +88,7 @@
 		return err
 	}
 	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, DataCentre: c.DataCentre, Slots: c.Slots,
-		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime})
+		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func() { os.Exit(exitEnded) }})
 	entered := func(listening netip.AddrPort) (netip.AddrPort, error) {
 		if c.Advertise == "" {
 			return listening, nil
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -14,7 +14,8 @@
 // # Faults
 //
 // The step "run" can be switched; see package fault. Refuse answers that the
-// request was not run; the others break the answer after the run began.
+// request was not run; the others break the answer after the run began. A request
+// with EndingBody ends the worker, as some do that engines cannot bear.
 package worker
 
 import (
@@ -58,8 +59,13 @@
 	EventTime time.Duration
 	// CallTime is the time of a plain call, or until the first event.
 	CallTime time.Duration
+	// End ends the process of the worker; nil lets requests that do so end as others.
+	End func()
 }
 
+// EndingBody is the start of the bodies of requests that end the worker which runs them.
+const EndingBody = "ends its target"
+
 // Run is what a worker knows of one request.
 type Run struct {
 	Began    int
@@ -131,6 +137,9 @@
 		ctx.Response.Header.Set(headerID, "another")
 	}
 	time.Sleep(w.options.CallTime + f.Delay)
+	if w.options.End != nil && bytes.HasPrefix(ctx.PostBody(), []byte(EndingBody)) {
+		w.options.End()
+	}
 	if f.Mode == fault.DropAnswer {
 		w.end(id, true)
 		fault.Hangup(ctx)
