Bar requests from targets after two ended under them, over all routers

Cause: a promise about the work of the fleet was kept in the memory of one request at one router. A request that ends its target comes again under another id, at any router. Change: package quarantine. A whole answer anywhere clears a request. Ruled out: a count in each router by itself (each router loses its own targets: 128 at 64 routers); taking every target's crash for the last request's fault (up to 16 streams of five customers broke at one end); the retry budget, which the repeats never touch.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -16,8 +16,10 @@
 
 // beat sends a heartbeat to every known router.
 func (l *loop) beat() {
-	sent := l.gateway.send(l.heartbeat(), l.destinations()...)
+	to := l.destinations()
+	sent := l.gateway.send(l.heartbeat(), to...)
 	l.gateway.metrics.Add(metric.HeartbeatsSent, sent)
+	l.gateway.tellSuspects(to...)
 }
 
 // send sends a datagram to some routers and returns for how many it left.
@@ -151,6 +153,9 @@
 	if age, ok := g.targetsAnswered.age(now); ok {
 		g.metrics.Set(metric.TargetsAge, age.Seconds())
 	}
+	suspected, barred := g.quarantine.Counts()
+	g.metrics.Set(metric.SuspectsKnown, float64(suspected))
+	g.metrics.Set(metric.BarredKnown, float64(barred))
 	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/route"
@@ -49,19 +50,21 @@
 
 // Gateway is a running router.
 type Gateway struct {
-	settings  *settings.Settings
-	clock     clockwork.Clock
-	log       zerolog.Logger
-	lines     *lines
-	metrics   *metric.Metrics
-	store     *platform.Client
-	placer    *place.Placer
-	links     *link.Pool
-	relay     *relay.Server
-	retries   *request.Budget
-	control   *control.Server
-	readiness *readiness
-	transport *peer.Transport
+	settings *settings.Settings
+	clock    clockwork.Clock
+	log      zerolog.Logger
+	lines    *lines
+	metrics  *metric.Metrics
+	store    *platform.Client
+	placer   *place.Placer
+	links    *link.Pool
+	// quarantine knows the requests that end their targets.
+	quarantine *quarantine.List
+	relay      *relay.Server
+	retries    *request.Budget
+	control    *control.Server
+	readiness  *readiness
+	transport  *peer.Transport
 	// listening is set once transport may be used.
 	listening atomic.Bool
 	peers     *http.Client
@@ -146,8 +149,8 @@
 		settings: s, clock: o.Clock, lines: l, metrics: metrics,
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
 		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart}),
-		links:  link.NewPool(link.Options{Clock: o.Clock}),
-		peers:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
+		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
+		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
 			return link.DialTimeout(addr, link.LongestDial)
 		}}},
@@ -190,7 +193,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
-		Retries: g.retries,
+		Retries: g.retries, Quarantine: g.quarantine,
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(),
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -143,6 +143,9 @@
 	case hb.Answer != nil:
 		l.gateway.asker.take(hb.Answer)
 		return
+	case len(hb.Suspects) > 0:
+		l.gateway.hearSuspects(hb.Suspects, from)
+		return
 	}
 	select {
 	case l.heartbeats <- received{hb, size}:
@@ -173,6 +176,8 @@
 			l.placed()
 		case <-l.newsDue:
 			l.tellNews()
+		case <-l.gateway.quarantine.Changed():
+			l.gateway.tellSuspects(l.destinations()...)
 		case <-tick.Chan():
 			l.tick(ctx)
 		}
--- a/metric/names.go
+++ b/metric/names.go
@@ -45,6 +45,7 @@
 	FollowersServed
 	QuestionsOpen
 	EntriesRejected
+	RequestsBarred
 	counters
 )
 
@@ -82,6 +83,7 @@
 	FollowersServed:      {"followers_served", "Calls of other routers that follow a table of the store through this one."},
 	QuestionsOpen:        {"questions_open", "Questions about targets that another router did not answer in time."},
 	EntriesRejected:      {"entries_rejected", "*alarm* Entries of targets that could not be read; such a target gets nothing new until a good entry follows."},
+	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -98,6 +100,8 @@
 	ControlCPUSeconds
 	RoutesAge
 	TargetsAge
+	SuspectsKnown
+	BarredKnown
 	gauges
 )
 
@@ -109,6 +113,8 @@
 	ControlCPUSeconds: {"control_cpu_seconds", "Time spent in the control loop and on heartbeats since the start; processor time is at most this."},
 	HeartbeatsForged:  {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
 	RoutesAge:         {"routes_age_seconds", "Time since the store last answered about the configuration; a held feed makes some seconds."},
+	SuspectsKnown:     {"suspects_known", "Contents of requests under which targets ended lately."},
+	BarredKnown:       {"barred_known", "*alarm* Contents of requests that are barred from targets, as enough of them ended."},
 	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,352 @@
-// Package quarantine knows requests by what they ask for, so that one that comes again
-// under another id is recognised.
+// Package quarantine keeps requests from targets that end the targets which run them.
+//
+// Some requests end each target that begins to run them: an engine that crashes on one
+// prompt crashes on it again. Their callers send them again, under other ids and to other
+// routers, so neither the retries of one request nor what one router remembers bounds
+// them: one such request ended 16 targets of a fleet within a minute, and cut what else ran
+// there.
+//
+// A List knows requests by their Fingerprint. A request whose connection to a target
+// breaks while it may run there is a suspect: the loss of that run of a target counts
+// against it. All routers tell each other their suspects, and a request with
+// lossesToBar losses is barred from all targets.
+//
+// Many other requests run at a target that ends, and connections break for other reasons.
+// Hardly any of these come again with the same content, so they never have enough losses.
+// Those that do are asked by many callers, and are answered by other targets: a request that
+// was answered whole is no suspect, and losses do not count for some seconds after an
+// answer.
+//
+// The package has no I/O.
 //
 // # Usage
 //
-//	f := (&quarantine.Content{Customer: name, Method: m, Host: h, URI: u, Body: b}).Fingerprint()
+//	l := quarantine.New(clock)
+//	if l.Any() && l.Barred(f) { ... } // before each attempt
+//	barred := l.Lost(f, target)       // the connection broke
+//	l.Answered(f)                     // the whole answer came
+//	told := l.Tell()                  // for other routers, with each heartbeat
+//	barred := l.Learn(told)           // what another router told
+//	<-l.Changed()                     // a request was barred, tell others at once
 package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+)
+
+const (
+	// lossesToBar is the number of runs of targets that may end under a request.
+	lossesToBar = 2
+	// keepFor is how long a suspect is known after its last loss: longer than callers and
+	// their operators go on sending one, short enough for a repaired target.
+	keepFor = 10 * time.Minute
+	// answeredFor is how long a request that was answered is above suspicion. Losses that
+	// are told late are of targets that ended before.
+	answeredFor = 10 * time.Second
+	// mostAnswered bounds the requests known as answered in half of that time, mostSuspects
+	// the suspects, mostLosses the losses that are kept of one.
+	mostAnswered = 4096
+	mostSuspects = 4096
+	mostLosses   = 8
+	// tellTimes is the number of heartbeats with which a change is told, so that lost
+	// datagrams do no harm. Routers that start or come back from a cut learn the rest by
+	// turns: repeatCount suspects with each repeatEvery-th heartbeat.
+	tellTimes   = 5
+	repeatEvery = 10
+	repeatCount = 8
+	// mostTold bounds the suspects of one datagram; each takes up to 64 bytes.
+	mostTold = 16
+)
+
+// Target names a run of a target.
+type Target uint32
+
+// suspect is a request under which targets ended, or that was one until it was answered.
+type suspect struct {
+	fingerprint Fingerprint
+	// targets are the runs that ended under it, at lost the last of them.
+	targets []Target
+	lost    time.Time
+	// answered tells that it was answered since.
+	answered bool
+	// tell is the number of heartbeats that are still to tell it.
+	tell int
+}
+
+func (s *suspect) barred() bool { return len(s.targets) >= lossesToBar }
+
+// List is what a router knows of such requests. It is safe for concurrent use.
+type List struct {
+	clock   clockwork.Clock
+	changed chan struct{}
+	// known is the number of suspects that are not answered.
+	known atomic.Int64
+
+	mu       sync.Mutex
+	suspects map[Fingerprint]*suspect
+	// order holds the suspects by age, turn counts those that were told by turns.
+	order []*suspect
+	turn  int
+	tells int
+	// answers are the requests answered since rotated, earlier those before.
+	answers, earlier map[Fingerprint]struct{}
+	rotated          time.Time
+}
+
+// New returns an empty list.
+func New(clock clockwork.Clock) *List {
+	return &List{
+		clock: clock, changed: make(chan struct{}, 1), suspects: make(map[Fingerprint]*suspect),
+		answers: make(map[Fingerprint]struct{}), rotated: clock.Now(),
+	}
+}
+
+// Any reports whether there are suspects, so that others need no fingerprint.
+func (l *List) Any() bool { return l.known.Load() > 0 }
+
+// Changed receives when a request was barred for a loss of this router's.
+func (l *List) Changed() <-chan struct{} { return l.changed }
+
+// Barred reports whether a request must not reach any target.
+func (l *List) Barred(f Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[f]
+	return s != nil && s.barred() && l.clock.Since(s.lost) < keepFor
+}
+
+// Lost notes that the connection to a target broke while the request may have run there.
+// It reports whether the request is barred from now on.
+func (l *List) Lost(f Fingerprint, target Target) (barred bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if l.cleared(f, now) {
+		return false
+	}
+	barred = l.blame(f, []Target{target}, now)
+	if s := l.suspects[f]; s != nil {
+		s.tell = tellTimes
+	}
+	if barred {
+		select {
+		case l.changed <- struct{}{}:
+		default:
+		}
+	}
+	return barred
+}
+
+// blame adds losses and reports whether the request is barred by them.
+func (l *List) blame(f Fingerprint, targets []Target, at time.Time) (barred bool) {
+	s := l.suspects[f]
+	if s == nil {
+		if s = l.add(f); s == nil {
+			return false
+		}
+	}
+	before := s.barred()
+	if s.answered {
+		s.answered = false
+		l.known.Add(1)
+	}
+	for _, t := range targets {
+		if len(s.targets) < mostLosses && !slices.Contains(s.targets, t) {
+			s.targets = append(s.targets, t)
+		}
+	}
+	if at.After(s.lost) {
+		s.lost = at
+	}
+	return s.barred() && !before
+}
+
+// add begins a suspect, in place of the oldest that is not barred if there are too many:
+// callers with many such requests cannot push out what is barred. It returns nil if all are.
+func (l *List) add(f Fingerprint) *suspect {
+	if len(l.order) >= mostSuspects {
+		i := slices.IndexFunc(l.order, func(s *suspect) bool { return !s.barred() })
+		if i < 0 {
+			return nil
+		}
+		l.remove(i)
+	}
+	s := &suspect{fingerprint: f}
+	l.suspects[f] = s
+	l.order = append(l.order, s)
+	l.known.Add(1)
+	return s
+}
+
+func (l *List) remove(i int) {
+	s := l.order[i]
+	if !s.answered {
+		l.known.Add(-1)
+	}
+	delete(l.suspects, s.fingerprint)
+	l.order = slices.Delete(l.order, i, i+1)
+}
+
+// Answered notes that a target answered the request whole. Other routers are told if it
+// was suspected.
+func (l *List) Answered(f Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.clear(f, now)
+	if s := l.suspects[f]; s != nil {
+		l.acquit(s, now)
+	}
+}
+
+// clear puts a request above suspicion for answeredFor.
+func (l *List) clear(f Fingerprint, now time.Time) {
+	l.rotate(now)
+	if len(l.answers) < mostAnswered {
+		l.answers[f] = struct{}{}
+	}
+}
+
+// acquit makes a suspect one that others are told to be none.
+func (l *List) acquit(s *suspect, now time.Time) {
+	if !s.answered {
+		l.known.Add(-1)
+	}
+	s.answered, s.targets, s.lost, s.tell = true, nil, now, tellTimes
+}
+
+// cleared reports whether a request was answered lately.
+func (l *List) cleared(f Fingerprint, now time.Time) bool {
+	l.rotate(now)
+	_, lately := l.answers[f]
+	_, before := l.earlier[f]
+	return lately || before
+}
+
+// rotate forgets answers that are older than answeredFor.
+func (l *List) rotate(now time.Time) {
+	since := now.Sub(l.rotated)
+	if since < answeredFor/2 {
+		return
+	}
+	l.earlier, l.answers, l.rotated = l.answers, make(map[Fingerprint]struct{}), now
+	if since >= answeredFor {
+		l.earlier = nil
+	}
+}
+
+// Tell returns what the next heartbeat tells other routers, nil if there is nothing.
+func (l *List) Tell() []*zinccovev1.Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.order) == 0 {
+		return nil
+	}
+	now := l.clock.Now()
+	l.forget(now)
+	var told []*zinccovev1.Suspect
+	for _, s := range l.order {
+		if s.tell > 0 && len(told) < mostTold {
+			s.tell--
+			told = append(told, s.message(now))
+		}
+	}
+	l.tells++
+	if l.tells%repeatEvery != 0 {
+		return told
+	}
+	for range min(repeatCount, len(l.order), mostTold-len(told)) {
+		l.turn++
+		if s := l.order[l.turn%len(l.order)]; !s.answered {
+			told = append(told, s.message(now))
+		}
+	}
+	return told
+}
+
+// forget drops suspects whose time is over. Those that were answered need to be known only
+// until others were told.
+func (l *List) forget(now time.Time) {
+	for i := len(l.order) - 1; i >= 0; i-- {
+		s := l.order[i]
+		if s.answered && s.tell == 0 || now.Sub(s.lost) >= keepFor {
+			l.remove(i)
+		}
+	}
+}
+
+func (s *suspect) message(now time.Time) *zinccovev1.Suspect {
+	m := &zinccovev1.Suspect{Fingerprint: s.fingerprint[:], AgeMs: uint64(max(now.Sub(s.lost), 0).Milliseconds()), Answered: s.answered}
+	for _, t := range s.targets {
+		m.Targets = append(m.Targets, uint32(t))
+	}
+	return m
+}
+
+// Learn takes what another router told, and returns the requests that are barred by it.
+// What is not a fingerprint is passed over.
+func (l *List) Learn(told []*zinccovev1.Suspect) []Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	var barred []Fingerprint
+	for _, m := range told {
+		if len(m.Fingerprint) != len(Fingerprint{}) {
+			continue
+		}
+		f := Fingerprint(m.Fingerprint)
+		if l.learn(f, m, now) {
+			barred = append(barred, f)
+		}
+	}
+	return barred
+}
+
+// learn takes one suspect. One that was answered here lately is told as such.
+func (l *List) learn(f Fingerprint, m *zinccovev1.Suspect, now time.Time) (barred bool) {
+	s := l.suspects[f]
+	switch {
+	case m.Answered:
+		l.clear(f, now)
+		if s != nil {
+			l.remove(slices.Index(l.order, s))
+		}
+		return false
+	case l.cleared(f, now):
+		if s == nil {
+			s = l.add(f)
+		}
+		if s != nil && s.tell == 0 {
+			l.acquit(s, now)
+		}
+		return false
+	}
+	age := time.Duration(min(m.AgeMs, uint64(keepFor.Milliseconds()))) * time.Millisecond
+	if age >= keepFor {
+		return false
+	}
+	targets := make([]Target, 0, mostLosses)
+	for _, t := range m.Targets[:min(len(m.Targets), mostLosses)] {
+		targets = append(targets, Target(t))
+	}
+	return l.blame(f, targets, now.Add(-age))
+}
+
+// Counts returns the number of requests that are suspected, and of those that are barred.
+func (l *List) Counts() (suspected, barred int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.order {
+		if s.barred() {
+			barred++
+		}
+	}
+	return int(l.known.Load()), barred
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -63,6 +63,8 @@
 const (
 	reasonCallerGone = "caller_gone"
 	reasonTimeLimit  = "time_limit"
+	// reasonEndsTargets also stands before an attempt.
+	reasonEndsTargets = "ends_targets"
 )
 
 // unknownRetry is when a caller may come back that this router cannot judge
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,6 +28,10 @@
 // stream that goes on. The refusal is set if there is no target.
 func (f *flight) attempt(ctx *fasthttp.RequestCtx, lastEvent string) (*answer, *target.Failure, *refusal) {
 	s := f.server
+	if f.barred() {
+		s.options.Metrics.Inc(metric.RequestsBarred)
+		return nil, nil, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonEndsTargets}
+	}
 	d := f.place()
 	if d.Run == nil {
 		status := fasthttp.StatusTooManyRequests
@@ -48,6 +52,7 @@
 	ans, fail := f.exchange(ctx, lastEvent)
 	if fail != nil {
 		d.Run.End(f.result(fail.Kind))
+		f.blame(fail)
 	}
 	return ans, fail, nil
 }
@@ -204,6 +209,7 @@
 		f.run.End(place.Faulty) // the later End has no effect then
 	}
 	f.run.End(place.Answered)
+	f.clear(body)
 	f.finish(c, ans, body, sent)
 	return ans, nil
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -14,7 +14,7 @@
 
 var (
 	errTooLarge  = eris.New("answer exceeds the limit")
-	errTruncated = eris.New("answer ended early")
+	errTruncated = eris.Wrap(io.ErrUnexpectedEOF, "answer ended early")
 )
 
 // body reads the body of an answer in the framing that its head declares.
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -83,17 +83,6 @@
 	cause    cause
 }
 
-// fingerprint names what the request asks for.
-func (f *flight) fingerprint() quarantine.Fingerprint {
-	if f.content == nil {
-		c := quarantine.Content{
-			Customer: f.customer, Method: f.header.Method(), Host: f.header.Host(), URI: f.header.RequestURI(), Body: f.body,
-		}
-		f.content = new(c.Fingerprint())
-	}
-	return *f.content
-}
-
 // serve carries the request to its end. Streams end later, in their Close.
 func (f *flight) serve(ctx *fasthttp.RequestCtx) {
 	for {
--- a/relay/log.go
+++ b/relay/log.go
@@ -61,6 +61,8 @@
 	switch r.reason {
 	case string(place.Overloaded):
 		e = f.decided(e)
+	case reasonEndsTargets:
+		e = e.Stringer("fingerprint", f.fingerprint())
 	case reasonRouterBusy:
 		e = e.Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connects.typical()).Float64("rate", s.throttle.current())
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 //	fasthttp reads it            handle (relay.go)
 //	route, key, deadline         admit (admit.go)
 //	refusal of streams           throttle (throttle.go), by lag and slow connections
+//	targets ended under it       suspect (suspect.go), quarantine.List
 //	target, or refusal           place.Placer
 //	connection                   dial (connect.go), link.Pool
 //	send, read the answer's head attempt (attempt.go)
@@ -44,6 +45,7 @@
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/route"
 )
@@ -73,7 +75,9 @@
 	// Nil asks none.
 	Ask     func([]place.Question) []place.Answer
 	Retries *request.Budget
-	Limits  Limits
+	// Quarantine knows the requests that end their targets.
+	Quarantine *quarantine.List
+	Limits     Limits
 }
 
 // Limits bound what callers can take.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -145,6 +145,7 @@
 func (s *stream) whole() {
 	s.err = io.EOF
 	s.flight.run.End(place.Answered)
+	s.flight.clear(s.body)
 	s.flight.finish(s.link, s.answer, s.body, s.sent)
 }
 
@@ -153,6 +154,7 @@
 	f := s.flight
 	s.drop(place.Failed)
 	fail := f.fail(target.Broken, 0, err, "read stream")
+	f.blame(fail)
 	for f.next(fail) {
 		ans, again, r := f.attempt(s.caller, s.lastEvent)
 		if r != nil {
--- a/target/target.go
+++ b/target/target.go
@@ -29,8 +29,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -81,6 +84,21 @@
 	Err error
 }
 
+// connectionEnds are the errors of a connection that the other side ended or reset.
+var connectionEnds = []error{
+	io.EOF, io.ErrUnexpectedEOF, fasthttp.ErrConnectionClosed, syscall.ECONNRESET, syscall.EPIPE,
+}
+
+// Dropped reports whether the connection went down from the target's side while the
+// attempt may have been running there, as it does when the target ends. Attempts that
+// this router ended and answers that cannot be read are none.
+func (f *Failure) Dropped() bool {
+	if f.Kind != Broken {
+		return false
+	}
+	return slices.ContainsFunc(connectionEnds, func(end error) bool { return errs.Is(f.Err, end) })
+}
+
 // Error returns the step, the peer and the cause.
 func (f *Failure) Error() string { return f.Err.Error() }
 
