Bar requests that end their targets in the callers' API of own configurations too

Change: ingress asks and tells the same list, told between daemons in the same datagram; 422 ends_targets, not run. Targets that operators declare do not say when they started, so those that end in the same second count as one run. Relay tests: ten tries of one request reached 10 targets, 20 where they may be repeated; 2 after; answers that cannot be read and refusals bar nothing.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/settings"
 	"zinccove.example/zinccove/target"
 )
@@ -83,6 +84,8 @@
 	dispatcher *dispatch.Dispatcher
 	clients    *target.Clients
 	claims     *claim.Store
+	// quarantine knows the requests that end their targets.
+	quarantine *quarantine.List
 	transport  *peer.Transport
 	control    *control.Server
 	ingress    *ingress.Server
@@ -120,6 +123,7 @@
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 		dispatcher: dispatch.New(dispatchOptions(o)),
+		quarantine: quarantine.New(o.Clock),
 	}
 	d.claims = claim.New(claim.Options{Table: d.platform.Table(), Clock: o.Clock})
 	store := intent.New(intent.Options{Table: d.platform.Table(), Clock: o.Clock})
@@ -168,7 +172,7 @@
 	}
 	d.ingress, err = ingress.Listen(ingress.Options{
 		Address: s.ListenCaller, Clock: d.clock, Syncer: d.syncer, Dispatcher: d.dispatcher, Claims: d.claims,
-		Clients: d.clients, Metrics: d.metrics, NewID: uuid.NewString,
+		Clients: d.clients, Quarantine: d.quarantine, Metrics: d.metrics, NewID: uuid.NewString,
 		Limits: ingress.Limits{BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections,
 			Timeout: s.RequestTimeout, Write: s.WriteTimeout, StopTimeout: s.StopTimeout},
 	})
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -93,7 +93,13 @@
 
 // receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
 // is dropped like a lost one.
-func (l *loop) receive(hb *zinccovev1.Heartbeat, _ netip.AddrPort, size int) {
+func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
+	if len(hb.Suspects) > 0 {
+		for _, f := range l.daemon.quarantine.Learn(hb.Suspects) {
+			l.daemon.log.Warn().Stringer("fingerprint", f).Stringer("peer", from).Msg("request barred, as another router says")
+		}
+		return
+	}
 	select {
 	case l.heartbeats <- received{hb, size}:
 	default:
@@ -120,6 +126,8 @@
 			l.spend(func() { l.hear(ctx, r) })
 		case task := <-l.tasks:
 			l.spend(func() { task(l) })
+		case <-l.daemon.quarantine.Changed():
+			l.spend(func() { l.credit -= float64(l.tellSuspects(l.destinations())) })
 		case <-tick.Chan():
 			l.spend(func() { l.tick(ctx) })
 		}
@@ -317,13 +325,30 @@
 // beat sends a heartbeat to every router and returns its cost in bytes.
 func (l *loop) beat() int {
 	to := l.destinations()
-	size, sent, err := l.daemon.transport.Send(l.heartbeat(), to...)
+	sent, cost := l.send(l.heartbeat(), to)
+	l.daemon.metrics.Add(metric.HeartbeatsSent, sent)
+	return cost + l.tellSuspects(to)
+}
+
+// tellSuspects tells other routers of requests under which targets ended, if there is
+// anything to tell, and returns its cost in bytes.
+func (l *loop) tellSuspects(to []netip.AddrPort) int {
+	hb := l.daemon.quarantine.Tell()
+	if hb == nil {
+		return 0
+	}
+	_, cost := l.send(hb, to)
+	return cost
+}
+
+// send sends a datagram and returns to how many it left, and its cost in bytes.
+func (l *loop) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) (sent, cost int) {
+	size, sent, err := l.daemon.transport.Send(hb, to...)
 	if err != nil {
 		l.daemon.metrics.Add(metric.PeerErrors, len(to)-sent)
 	}
-	l.daemon.metrics.Add(metric.HeartbeatsSent, sent)
 	l.daemon.metrics.Add(metric.ControlBytesSent, size*sent)
-	return size * sent
+	return sent, size * sent
 }
 
 // destinations returns the addresses of all known routers and, while there are
@@ -412,6 +437,9 @@
 	d.metrics.Set(metric.RequestsRunning, float64(running))
 	d.metrics.Set(metric.HostsReachable, float64(reachable))
 	d.metrics.Set(metric.ControlCPUSeconds, (l.spent + d.transport.Spent()).Seconds())
+	suspected, barred := d.quarantine.Counts()
+	d.metrics.Set(metric.SuspectsKnown, float64(suspected))
+	d.metrics.Set(metric.BarredKnown, float64(barred))
 	d.metrics.Set(metric.HeartbeatsForged, float64(d.transport.Forged()))
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -9,8 +9,8 @@
 // tellSuspects tells other routers of requests under which targets ended, if there is
 // anything to tell.
 func (g *Gateway) tellSuspects(to ...netip.AddrPort) {
-	if told := g.quarantine.Tell(); len(told) > 0 {
-		g.send(&zinccovev1.Heartbeat{Suspects: told}, to...)
+	if hb := g.quarantine.Tell(); hb != nil {
+		g.send(hb, to...)
 	}
 }
 
--- a/ingress/bench_test.go
+++ b/ingress/bench_test.go
@@ -22,6 +22,7 @@
 	"zinccove.example/zinccove/intent"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform/platformtest"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/target"
 )
 
@@ -66,7 +67,7 @@
 	clients := target.NewClients(nil)
 	claims := claim.New(claim.Options{Table: table, Clock: clock})
 	s, err := Listen(Options{
-		Address: loopback, Clock: clock, Syncer: syncer, Dispatcher: d, Claims: claims, Clients: clients, Metrics: metrics, NewID: uuid.NewString,
+		Address: loopback, Clock: clock, Syncer: syncer, Dispatcher: d, Claims: claims, Clients: clients, Quarantine: quarantine.New(clock), Metrics: metrics, NewID: uuid.NewString,
 		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 1000, Timeout: time.Minute, Write: time.Minute, StopTimeout: time.Second},
 	})
 	assert.NilError(t, err)
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -25,7 +25,7 @@
 		return
 	}
 	once := service.RunsOnce(string(ctx.Method()), path)
-	f, r := s.newFlow(ctx, customer, service.Number, !once)
+	f, r := s.newFlow(ctx, body, customer, service.Number, !once)
 	if r != nil {
 		s.end(ctx, r)
 		return
@@ -93,7 +93,7 @@
 	}
 	f.request.Stream()
 	f.release(dispatch.Completed)
-	f.request.Answer()
+	f.answered()
 	resp.Header.ResetConnectionClose()
 	for _, h := range hopHeaders {
 		resp.Header.Del(h)
--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -81,7 +81,7 @@
 	if v := body.Get("max_tokens"); v != nil && v.GetInt() < 1 {
 		return nil, badField("max_tokens", "must be a whole number, at least 1")
 	}
-	f, r := s.newFlow(ctx, customer, model.Number, true)
+	f, r := s.newFlow(ctx, raw, customer, model.Number, true)
 	if r != nil {
 		return nil, r
 	}
@@ -182,7 +182,7 @@
 	c.server.input.learn(c.model.Number, c.promptBytes(), ev.Usage.PromptTokens)
 	c.drop()
 	c.release(dispatch.Completed)
-	c.request.Answer()
+	c.answered()
 }
 
 // answerWhole collects the answer into one JSON object.
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -1,15 +1,19 @@
 package ingress
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/dispatch"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/target"
 )
@@ -23,7 +27,9 @@
 	accepted time.Time
 	deadline time.Time
 	slot     *dispatch.Slot
-	conn     net.Conn
+	// asks is what the request asks for.
+	asks quarantine.Content
+	conn net.Conn
 	// unwatch ends the watch of conn, if there is one.
 	unwatch func()
 
@@ -80,6 +86,10 @@
 
 // acquire waits in the queue for a slot.
 func (f *flow) acquire() *Refusal {
+	if f.server.options.Quarantine.Barred(&f.asks) {
+		f.server.options.Metrics.Inc(metric.RequestsBarred)
+		return f.giveUp(refuse(CodeEndsTargets, "targets ended while they ran this request, so it is not run again"))
+	}
 	f.request.Queue()
 	ticket, err := f.server.options.Dispatcher.Submit(f.submit)
 	if err != nil {
@@ -176,6 +186,9 @@
 		f.request.GiveUp(true)
 		return f.refused(refuse(CodeCallerGone, "the caller went away"))
 	}
+	if fail.Dropped() {
+		f.server.options.Quarantine.Lost(&f.asks, runOf(f.slot.Target(), now))
+	}
 	f.release(results[fail.Kind])
 	if f.request.Fail(fail.Kind, now, f.server.retries.Take) == request.Retry {
 		f.backOff()
@@ -187,6 +200,21 @@
 	return f.refused(failureRefusal(fail))
 }
 
+// runOf names the run of a target that ended. Targets that operators declare do not say when
+// they started: those that ended in the same second are taken for one run.
+func runOf(t config.Target, ended time.Time) quarantine.Target {
+	var b [12]byte
+	binary.BigEndian.PutUint32(b[:4], t.Number)
+	binary.BigEndian.PutUint64(b[4:], uint64(ended.Unix()))
+	return quarantine.Target(xxhash.Sum64(b[:]))
+}
+
+// answered notes that the whole answer came.
+func (f *flow) answered() {
+	f.request.Answer()
+	f.server.options.Quarantine.Answered(&f.asks)
+}
+
 // firstBackOff is the longest wait before the first retry; it doubles with
 // each attempt.
 const firstBackOff = 10 * time.Millisecond
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -28,6 +28,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -50,6 +51,7 @@
 	"zinccove.example/zinccove/fair"
 	"zinccove.example/zinccove/hangup"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/target"
 )
@@ -87,6 +89,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Claims     *claim.Store
 	Clients    *target.Clients
+	// Quarantine knows the requests that end their targets.
+	Quarantine *quarantine.List
 	Metrics    *metric.Metrics
 	// NewID returns an id that no other request of the fleet has.
 	NewID func() string
@@ -307,7 +311,7 @@
 }
 
 // newFlow starts the life cycle of a request.
-func (s *Server) newFlow(ctx *fasthttp.RequestCtx, customer *config.Customer, pool uint32, repeatable bool) (*flow, *Refusal) {
+func (s *Server) newFlow(ctx *fasthttp.RequestCtx, body []byte, customer *config.Customer, pool uint32, repeatable bool) (*flow, *Refusal) {
 	now := s.options.Clock.Now()
 	deadline, r := s.deadline(ctx, now)
 	if r != nil {
@@ -320,7 +324,11 @@
 		accepted: now,
 		conn:     ctx.Conn(),
 		ended:    make(chan struct{}),
-		submit:   dispatch.Request{Pool: pool, Customer: fair.Customer(customer.Number), Class: class(ctx)},
+		// The header is made one for the target before it is sent.
+		asks: quarantine.Content{
+			Customer: customer.Name, Method: bytes.Clone(ctx.Method()), URI: bytes.Clone(ctx.RequestURI()), Body: body,
+		},
+		submit: dispatch.Request{Pool: pool, Customer: fair.Customer(customer.Number), Class: class(ctx)},
 		request: request.New(request.Options{
 			ID: s.options.NewID(), Repeatable: repeatable, Deadline: deadline, MaxAttempts: maxAttempts,
 		}),
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -33,6 +33,7 @@
 	CodeRejected       Code = "target_rejected"
 	CodeStoreDown      Code = "store_unavailable"
 	CodeDuplicate      Code = "duplicate"
+	CodeEndsTargets    Code = "ends_targets"
 )
 
 var statuses = map[Code]int{
@@ -52,6 +53,7 @@
 	CodeRejected:       fasthttp.StatusBadRequest,
 	CodeStoreDown:      fasthttp.StatusServiceUnavailable,
 	CodeDuplicate:      fasthttp.StatusConflict,
+	CodeEndsTargets:    fasthttp.StatusUnprocessableEntity,
 }
 
 // statusCallerGone is in no answer, because nobody reads it.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -25,7 +25,7 @@
 //	if l.Barred(content) { ... }      // before each attempt
 //	barred := l.Lost(content, target) // the connection broke
 //	l.Answered(content)               // the whole answer came
-//	told := l.Tell()                  // for other routers, with each heartbeat
+//	heartbeat := l.Tell()             // for other routers, with each heartbeat
 //	barred := l.Learn(told)           // what another router told
 //	<-l.Changed()                     // a request was barred, tell others at once
 package quarantine
@@ -264,10 +264,19 @@
 	}
 }
 
-// Tell returns what the next heartbeat tells other routers, nil if there is nothing.
-func (l *List) Tell() []*zinccovev1.Suspect {
+// Tell returns the datagram that goes to other routers with the next heartbeat, nil if there
+// is nothing to tell.
+func (l *List) Tell() *zinccovev1.Heartbeat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	told := l.tell()
+	if len(told) == 0 {
+		return nil
+	}
+	return &zinccovev1.Heartbeat{Suspects: told}
+}
+
+func (l *List) tell() []*zinccovev1.Suspect {
 	if len(l.order) == 0 {
 		return nil
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 		told := from.Tell()
 		for _, to := range lists {
 			if to != from {
-				to.Learn(told)
+				to.Learn(told.GetSuspects())
 			}
 		}
 	}
@@ -79,7 +79,7 @@
 	lists, _ := newLists(1)
 	lists[0].Answered(of("fine"))
 	for range 2 * repeatEvery {
-		assert.Equal(t, len(lists[0].Tell()), 0)
+		assert.Assert(t, lists[0].Tell() == nil)
 	}
 }
 
@@ -130,7 +130,7 @@
 		lists[0].Lost(f, target)
 	}
 	clock.Advance(keepFor - time.Second)
-	lists[1].Learn(lists[0].Tell())
+	lists[1].Learn(lists[0].Tell().GetSuspects())
 	assert.Assert(t, lists[1].Barred(f))
 	clock.Advance(time.Second)
 	for _, l := range lists {
@@ -205,7 +205,7 @@
 			told := from.Tell()
 			for _, to := range lists {
 				if to != from && random.Float64() > 0.3 {
-					to.Learn(told)
+					to.Learn(told.GetSuspects())
 				}
 			}
 		}
--- /dev/null
+++ b/relay/suspect_test.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// endsOn answers all requests but those with a body, which end the connection as a target
+// does that ends.
+func endsOn(body string) func(*arrival, net.Conn) bool {
+	return func(a *arrival, c net.Conn) bool {
+		if string(a.body) == body {
+			return false
+		}
+		return answers(a, c)
+	}
+}
+
+// TestRequestUnderWhichTargetsEndedIsRefused sends a request that ends its targets ten times,
+// under ten ids. It reached 10 targets, and 20 on routes that may be repeated. Two may end
+// under it, within one try or two; then it is refused at once as not run, without a time to
+// come back. A request that goes on at a second target and ends that one too may have run.
+func TestRequestUnderWhichTargetsEndedIsRefused(t *testing.T) {
+	for _, path := range []string{"/once/", "/repeat/", "/model/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			var targets []*fakeTarget
+			for i := range 6 {
+				targets = append(targets, newTarget(t, fmt.Sprint("t", i), endsOn("ends")))
+			}
+			s := newSite(t, targets...)
+			reached := func() (n int) {
+				for _, f := range targets {
+					n += len(f.seen())
+				}
+				return n
+			}
+			for i := range 10 {
+				before := reached()
+				res := s.ask(t, "POST", path, fmt.Sprint("r", i), "ends")
+				if reached() > before {
+					assert.Equal(t, res.header.StatusCode(), 502)
+					continue
+				}
+				assert.Equal(t, res.header.StatusCode(), 503)
+				assert.Equal(t, res.body, reasonEndsTargets+"\n")
+				assert.Equal(t, len(res.header.Peek("Retry-After")), 0)
+			}
+			assert.Equal(t, reached(), 2)
+			assert.Equal(t, s.ask(t, "POST", path, "other", "fine").header.StatusCode(), 200)
+			assert.Equal(t, s.ask(t, "POST", path+"x", "elsewhere", "ends").header.StatusCode(), 502, "another path is another request")
+		})
+	}
+}
+
+// TestTargetsThatSpoilAnswersDoNotBarRequests has targets answer with what cannot be read, or
+// with another request's answer: that says nothing of the request.
+func TestTargetsThatSpoilAnswersDoNotBarRequests(t *testing.T) {
+	spoils := map[string]func(*arrival, net.Conn) bool{
+		"not an answer":      func(_ *arrival, c net.Conn) bool { fmt.Fprint(c, "rubbish\r\n\r\n"); return false },
+		"another's answer":   func(_ *arrival, c net.Conn) bool { return reply(c, 200, "other", "x", seal) },
+		"failure of its own": func(a *arrival, c net.Conn) bool { return reply(c, 500, a.id(), "bad", seal) },
+		"refusal":            func(a *arrival, c net.Conn) bool { return reply(c, 503, a.id(), "", "Not-Executed: 1") },
+	}
+	for name, serve := range spoils {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, newTarget(t, "t1", serve), newTarget(t, "t2", serve), newTarget(t, "t3", serve))
+			for i := range 10 {
+				s.ask(t, "POST", "/repeat/", fmt.Sprint("r", i), "b")
+			}
+			suspected, barred := s.options.Quarantine.Counts()
+			assert.Equal(t, suspected+barred, 0)
+		})
+	}
+}
+
+// TestRequestThatIsAnsweredIsNotBarred has each second target begin to end under a request
+// that many callers send, and the others go on answering it.
+func TestRequestThatIsAnsweredIsNotBarred(t *testing.T) {
+	var bad atomic.Bool
+	serve := func(a *arrival, c net.Conn) bool { return !bad.Load() && answers(a, c) }
+	var targets []*fakeTarget
+	for i := range 4 {
+		targets = append(targets, newTarget(t, fmt.Sprint("good", i), answers), newTarget(t, fmt.Sprint("bad", i), serve))
+	}
+	s := newSite(t, targets...)
+	assert.Equal(t, s.ask(t, "POST", "/repeat/", "first", "popular").header.StatusCode(), 200)
+	bad.Store(true)
+	answered := 0
+	for i := range 60 {
+		if s.ask(t, "POST", "/repeat/", fmt.Sprint("r", i), "popular").header.StatusCode() == 200 {
+			answered++
+		}
+	}
+	assert.Assert(t, answered >= 55, "%d of 60 answered", answered)
+}
--- a/target/stream.go
+++ b/target/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 
 var (
 	errOtherAttempt = eris.New("answer of another attempt")
-	errTruncated    = eris.New("stream ended without its end mark")
+	errTruncated    = eris.Wrap(io.ErrUnexpectedEOF, "stream ended without its end mark")
 	errOutOfOrder   = eris.New("token out of order")
 )
 
