--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -9,15 +9,18 @@
 	"gotest.tools/v3/assert"
 )
 
-// endsOn answers all requests but those with a body, which end the connection as a target
-// does that ends.
-func endsOn(body string) func(*arrival, net.Conn) bool {
-	return func(a *arrival, c net.Conn) bool {
+// newMortal returns a target that answers all requests but those with a body, under which it
+// ends.
+func newMortal(t *testing.T, id, body string) *fakeTarget {
+	var f *fakeTarget
+	f = newTarget(t, id, func(a *arrival, c net.Conn) bool {
 		if string(a.body) == body {
+			f.listener.Close()
 			return false
 		}
 		return answers(a, c)
-	}
+	})
+	return f
 }
 
 // TestRequestUnderWhichTargetsEndedIsRefused sends a request that ends its targets ten times,
@@ -29,7 +32,7 @@
 		t.Run(path, func(t *testing.T) {
 			var targets []*fakeTarget
 			for i := range 6 {
-				targets = append(targets, newTarget(t, fmt.Sprint("t", i), endsOn("ends")))
+				targets = append(targets, newMortal(t, fmt.Sprint("t", i), "ends"))
 			}
 			s := newSite(t, targets...)
 			reached := func() (n int) {
