Keep barred requests in the platform's table

Cause: all routers may lose what they know at once; two more targets would end then. Change: the router whose loss barred a request writes one of 256 rows, every router reads them once when it starts. No call while nothing is barred but that one. Tests: a keeper whose calls fail at first; odd, old and future rows; the proof goes on after all routers were killed.

--- /dev/null
+++ b/quarantine/keeper.go
@@ -0,0 +1,121 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/errs"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/platform"
+)
+
+// Keeper keeps barred requests in the platform's table, so that they stay barred when all
+// routers lose what they know at once. The router whose loss barred a request writes it;
+// every router reads them once, when it starts.
+//
+// A row is named by the first byte of a fingerprint: there are never more than 256, and
+// none needs to be removed. A newer request replaces one with the same byte, which the
+// routers that run still know.
+type Keeper struct {
+	List  *List
+	Table platform.Table
+	Clock clockwork.Clock
+	// Failed is called with the error of each call that failed and is made again.
+	Failed func(error)
+	// Learned is called with each request that was read as barred.
+	Learned func(Fingerprint)
+}
+
+// record is the value of a row.
+type record struct {
+	Fingerprint string   `json:"fingerprint"`
+	Targets     []Target `json:"targets"`
+	// LostUnixMs is when the last of the targets ended.
+	LostUnixMs int64 `json:"lost_unix_ms"`
+}
+
+const (
+	rowPrefix = "barred/"
+	mostRows  = 256
+	// keepPause is the time between two tries of a call.
+	keepPause = time.Second
+)
+
+// Run reads what is barred, and writes what this router barred until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	if !k.try(ctx, k.load) {
+		return nil
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-k.List.unsaved:
+			if !k.try(ctx, func(ctx context.Context) error { return k.save(ctx, s) }) {
+				return nil
+			}
+		}
+	}
+}
+
+// try makes a call until it succeeds. It reports false if ctx ended before.
+func (k *Keeper) try(ctx context.Context, call func(context.Context) error) bool {
+	for {
+		err := call(ctx)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		k.Failed(err)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-k.Clock.After(keepPause):
+		}
+	}
+}
+
+// load reads all rows. What cannot be decoded is passed over.
+func (k *Keeper) load(ctx context.Context) error {
+	rows, err := k.Table.List(ctx, rowPrefix, mostRows, false)
+	if err != nil {
+		return errs.Wrap(err, "read barred requests", "")
+	}
+	now := k.Clock.Now()
+	var told []*zinccovev1.Suspect
+	for _, row := range rows {
+		var r record
+		if json.Unmarshal(row.Value, &r) == nil {
+			told = append(told, r.suspect(now))
+		}
+	}
+	for _, f := range k.List.Learn(told) {
+		k.Learned(f)
+	}
+	return nil
+}
+
+func (r *record) suspect(now time.Time) *zinccovev1.Suspect {
+	f, _ := hex.DecodeString(r.Fingerprint) //nolint:errcheck // Learn passes over what is none
+	m := &zinccovev1.Suspect{Fingerprint: f, AgeMs: uint64(max(now.UnixMilli()-r.LostUnixMs, 0))}
+	for _, t := range r.Targets {
+		m.Targets = append(m.Targets, uint32(t))
+	}
+	return m
+}
+
+// save writes the row of a request.
+func (k *Keeper) save(ctx context.Context, s suspect) error {
+	value, err := json.Marshal(record{Fingerprint: s.fingerprint.String(), Targets: s.targets, LostUnixMs: s.changed.UnixMilli()})
+	if err != nil {
+		return errs.Wrap(err, "encode barred request", "")
+	}
+	key := rowPrefix + hex.EncodeToString(s.fingerprint[:1])
+	return errs.Wrap(k.Table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}}), "write barred request", "")
+}
--- /dev/null
+++ b/quarantine/keeper_test.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/platform/platformtest"
+)
+
+// run runs a keeper until the test ends or stop is called.
+func run(t *testing.T, l *List, table platform.Table, clock clockwork.Clock, failed func(error)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{List: l, Table: table, Clock: clock, Failed: failed, Learned: func(Fingerprint) {}}
+	var g errgroup.Group
+	g.Go(func() error { return k.Run(ctx) })
+	stop = func() {
+		cancel()
+		assert.NilError(t, g.Wait())
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func never(t *testing.T) func(error) { return func(err error) { t.Error(err) } }
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("not in time: " + what)
+}
+
+// TestBarredRequestsAreKnownAfterAllRoutersStartedAgain has the router that barred a request
+// lose all it knows. The first calls to the table fail.
+func TestBarredRequestsAreKnownAfterAllRoutersStartedAgain(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	m := platformtest.New()
+	m.Fail = func(call int, _ bool) platformtest.Failure {
+		if call == 1 || call == 3 {
+			return platformtest.Down
+		}
+		return platformtest.None
+	}
+	before, c := New(clock), of("ends")
+	stop := run(t, before, m.Table(), clock, func(error) {})
+	for target := range Target(lossesToBar) {
+		before.Lost(c, target)
+	}
+	eventually(t, "the request is written", func() bool { return m.Writes() == 1 })
+	stop()
+	after := New(clock)
+	run(t, after, m.Table(), clock, never(t))
+	eventually(t, "the request is barred", func() bool { return after.Barred(c) })
+	assert.Assert(t, !after.Barred(of("another")))
+}
+
+// TestOddAndOldRowsBarNothing also holds for a row in the future, which other clocks write.
+func TestOddAndOldRowsBarNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := platformtest.New()
+	ctx, c := context.Background(), of("old")
+	old, err := json.Marshal(record{Fingerprint: c.Fingerprint().String(), Targets: []Target{1, 2, 3}, LostUnixMs: clock.Now().Add(-keepFor).UnixMilli()})
+	assert.NilError(t, err)
+	ahead, err := json.Marshal(record{Fingerprint: of("ahead").Fingerprint().String(), Targets: []Target{1, 2, 3}, LostUnixMs: clock.Now().Add(time.Second).UnixMilli()})
+	assert.NilError(t, err)
+	for key, value := range map[string][]byte{"00": []byte(`{"fingerprint":"zz"}`), "01": []byte(`[]`), "02": old, "03": ahead} {
+		assert.NilError(t, m.Table().Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: rowPrefix + key, Value: value}}}))
+	}
+	l := New(clock)
+	k := &Keeper{List: l, Table: m.Table(), Clock: clock, Failed: never(t), Learned: func(Fingerprint) {}}
+	assert.NilError(t, k.load(ctx))
+	assert.Assert(t, !l.Barred(c))
+	assert.Assert(t, l.Barred(of("ahead")))
+	_, barred := l.Counts()
+	assert.Equal(t, barred, 1)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -17,7 +17,7 @@
 // was answered whole is no suspect, and losses do not count for some seconds after an
 // answer.
 //
-// The package has no I/O.
+// A List has no input and output; a Keeper keeps what is barred in the platform's table.
 //
 // # Usage
 //
@@ -28,6 +28,9 @@
 //	heartbeat := l.Tell()             // for other routers, with each heartbeat
 //	barred := l.Learn(told)           // what another router told
 //	<-l.Changed()                     // a request was barred, tell others at once
+//
+//	k := quarantine.Keeper{List: l, Table: client.Table(), Clock: clock, Failed: f, Learned: g}
+//	err := k.Run(ctx)
 package quarantine
 
 import (
@@ -56,6 +59,8 @@
 	mostAnswered = 4096
 	mostSuspects = 4096
 	mostLosses   = 8
+	// mostUnsaved bounds the barred requests that wait to be kept.
+	mostUnsaved = 64
 	// tellTimes is the number of heartbeats with which a change is told, so that lost
 	// datagrams do no harm. Routers that start or come back from a cut learn the rest by
 	// turns: repeatCount suspects with each repeatEvery-th heartbeat.
@@ -88,6 +93,8 @@
 	clock   clockwork.Clock
 	seed    maphash.Seed
 	changed chan struct{}
+	// unsaved are requests that this router barred, for the Keeper.
+	unsaved chan suspect
 	// known is the number of suspects that are not answered.
 	known atomic.Int64
 
@@ -105,7 +112,7 @@
 // New returns an empty list.
 func New(clock clockwork.Clock) *List {
 	return &List{
-		clock: clock, seed: maphash.MakeSeed(), changed: make(chan struct{}, 1), suspects: make(map[Fingerprint]*suspect),
+		clock: clock, seed: maphash.MakeSeed(), changed: make(chan struct{}, 1), unsaved: make(chan suspect, mostUnsaved), suspects: make(map[Fingerprint]*suspect),
 		answers: make(map[uint64]struct{}), rotated: clock.Now(),
 	}
 }
@@ -148,18 +155,31 @@
 		return false
 	}
 	barred = l.blame(f, []Target{target}, now)
-	if s := l.suspects[f]; s != nil && !s.answered {
+	s := l.suspects[f]
+	if s != nil && !s.answered {
 		s.tell = tellTimes
 	}
 	if barred {
-		select {
-		case l.changed <- struct{}{}:
-		default:
-		}
+		l.announce(s)
 	}
 	return barred
 }
 
+// announce has a request that was barred here told to other routers at once, and kept. One
+// that finds too many waiting is kept by routers only.
+func (l *List) announce(s *suspect) {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+	kept := *s
+	kept.targets = slices.Clone(s.targets)
+	select {
+	case l.unsaved <- kept:
+	default:
+	}
+}
+
 // blame adds losses and reports whether the request is barred by them. Some are told after
 // the word that the request was answered, and do not count.
 func (l *List) blame(f Fingerprint, targets []Target, at time.Time) (barred bool) {
--- a/standin/proof/ending_test.go
+++ b/standin/proof/ending_test.go
@@ -63,7 +63,7 @@
 //
 // Three targets may end under it. Once the routers had the time to tell each other, it may
 // reach three more at most, whichever router it comes to, one that just started as well,
-// and other requests are served as before.
+// also after all routers lost what they know, and other requests are served as before.
 func TestRequestThatEndsItsTargetsIsBounded(t *testing.T) {
 	for _, path := range routesite.Paths {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
@@ -115,6 +115,24 @@
 				a := s.Call(r.Caller, "POST", path, routeKey)
 				assert.Assert(t, a.Whole(path), fmt.Sprint(a.Status, a.Err))
 			}
+			restartAll(t, s)
+			for n := range 12 {
+				ask(n)
+			}
+			assert.Assert(t, ends.Load()-before <= endsAllowed, "%d targets ended, %d of them later", ends.Load(), ends.Load()-before)
 		})
 	}
 }
+
+// restartAll has all routers lose what they know at once.
+func restartAll(t *testing.T, s *routesite.Site) {
+	t.Helper()
+	for _, r := range s.Routers {
+		r.Kill()
+	}
+	for _, r := range s.Routers {
+		assert.NilError(t, r.Restart())
+	}
+	assert.NilError(t, s.AwaitReady(routeWait))
+	assert.NilError(t, s.AwaitMembers(routeWait))
+}
