Routers that start again begin with an empty budget of retries

Each start filled the budget: nine routers that spend it, end and spend it again make 72 retries that no request earned, 58 are allowed. Change: empty at a start that is not the fleet's first; requests fill it, 4 a second at 30 requests.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,15 @@
 	return max(slack*retryPart/float64(others+1), leastBurst)
 }
 
+// newRetries returns the budget of a router that starts.
+func newRetries(s *settings.Settings) *request.Budget {
+	b := request.NewBudget(s.RetryRatio*retryPart, burstOf(s.RetrySlack, usualRouters-1))
+	if !s.FirstStart {
+		b.Spend()
+	}
+	return b
+}
+
 // Start opens all addresses and begins to serve.
 func Start(o Options) (*Gateway, error) {
 	metrics, err := metric.New()
@@ -159,7 +168,7 @@
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 	}
-	g.retries = request.NewBudget(s.RetryRatio*retryPart, burstOf(s.RetrySlack, usualRouters-1))
+	g.retries = newRetries(s)
 	g.started, g.learned = o.Clock.Now(), make(chan struct{})
 	g.logs = g.newLogs()
 	g.owners.Store(new(owner.Table))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -334,6 +334,28 @@
 	}
 }
 
+// TestRetriesStayInsideTheSlackWhenAllRoutersStartAgain has all routers spend what they may,
+// end, and spend what they may after their start.
+func TestRetriesStayInsideTheSlackWhenAllRoutersStartAgain(t *testing.T) {
+	const slack, ratio, requests = 58, 0.2, 100
+	made := 0
+	for range usualRouters {
+		for _, first := range []bool{true, false} {
+			b := newRetries(&settings.Settings{RetryRatio: ratio, RetrySlack: slack, FirstStart: first})
+			for range requests {
+				for b.Take() {
+					made++
+				}
+				b.Earn()
+			}
+		}
+	}
+	asked := 2 * usualRouters * requests
+	assert.Assert(t, float64(made) <= slack+ratio*float64(asked), "%d retries of %d requests", made, asked)
+	burst := float64(made) - ratio*retryPart*float64(asked)
+	assert.Assert(t, burst <= slack, "%v retries that no request earned", burst)
+}
+
 // TestRoutersThatStartAtOnceDoNotSpeakAtOnce has the 59 routers of a data centre start in
 // the same moment. Others must hear one of them often enough not to take it for cut off.
 func TestRoutersThatStartAtOnceDoNotSpeakAtOnce(t *testing.T) {
--- a/request/budget.go
+++ b/request/budget.go
@@ -18,6 +18,15 @@
 	return &Budget{tokens: burst, ratio: ratio, burst: burst}
 }
 
+// Spend takes all retries that are there. A router that starts again does not know what it
+// spent just before: with a full budget after each start, a fleet that is killed and started
+// makes twice the retries that it may within seconds.
+func (b *Budget) Spend() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = 0
+}
+
 // SetBurst changes the retries allowed at once: the part of one router in what all may
 // make together depends on how many there are.
 func (b *Budget) SetBurst(burst float64) {
