explain tells other tries of what a request asks for

From the id of a refused request to the targets that ended under earlier tries, which had other ids and came to other routers. Test with two fingerprints in one log.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -5,7 +5,8 @@
 // what the routers that handled it believed at the time: the last line before the
 // request about the configuration, about the targets it was sent to, and about
 // what was lost or cut off. Lines of that kind that fall into the life of the
-// request stand among its own.
+// request stand among its own. Where lines of the request tell what it asks for, what
+// other tries of that met stands before it.
 //
 // # Usage
 //
@@ -54,7 +55,9 @@
 	request string
 	// subject is what a line without a request is about.
 	subject string
-	fields  []field
+	// fingerprint names what the request asks for, in lines that tell it.
+	fingerprint string
+	fields      []field
 }
 
 // Life collects the lines of one request.
@@ -62,7 +65,9 @@
 	request string
 	own     []line
 	state   []line
-	reader  reader
+	// tries are lines of other requests that tell a fingerprint.
+	tries  []line
+	reader reader
 }
 
 // New returns an empty life of a request.
@@ -114,7 +119,10 @@
 }
 
 // subjects are the fields that say what a line without a request is about.
-var subjects = []string{"target", "table", "peer"}
+var subjects = []string{"target", "table", "peer", fieldFingerprint}
+
+// fieldFingerprint is the field that names what a request asks for.
+const fieldFingerprint = "fingerprint"
 
 // take keeps a line if it may matter.
 func (l *Life) take(x *line) {
@@ -123,6 +131,8 @@
 		l.own = append(l.own, *x)
 	case x.request == "" && len(l.state) < maxState:
 		l.state = append(l.state, *x)
+	case x.fingerprint != "" && len(l.tries) < maxState:
+		l.tries = append(l.tries, *x)
 	}
 }
 
@@ -145,6 +155,9 @@
 		x.request = value
 	case "level":
 	default:
+		if name == fieldFingerprint {
+			x.fingerprint = value
+		}
 		if slices.Contains(subjects, name) {
 			x.subject = value
 		}
@@ -164,6 +177,12 @@
 	for _, x := range before {
 		x.write(out, l.own[0].at)
 	}
+	if tries := l.sameContent(); len(tries) > 0 {
+		fmt.Fprintln(out, "other tries of what it asks for:")
+		for _, x := range tries {
+			x.write(out, l.own[0].at)
+		}
+	}
 	fmt.Fprintln(out, "request", l.request+":")
 	life := slices.Concat(l.own, during)
 	byTime(life)
@@ -193,6 +212,27 @@
 	return x.host + "/" + matter + "/" + x.subject
 }
 
+// sameContent returns what other requests with the fingerprint of this one met.
+func (l *Life) sameContent() []line {
+	own := l.fingerprints()
+	tries := slices.DeleteFunc(slices.Clone(l.tries), func(x line) bool { return !own[x.fingerprint] })
+	byTime(tries)
+	for i := range tries {
+		tries[i].fields = append([]field{{"request", tries[i].request}}, tries[i].fields...)
+	}
+	return tries
+}
+
+func (l *Life) fingerprints() map[string]bool {
+	all := make(map[string]bool)
+	for _, x := range l.own {
+		if x.fingerprint != "" {
+			all[x.fingerprint] = true
+		}
+	}
+	return all
+}
+
 // context returns the last line on each matter before the request, and all
 // lines during it, of the hosts that handled it.
 func (l *Life) context() (before, during []line) {
@@ -205,10 +245,12 @@
 			}
 		}
 	}
+	asked := l.fingerprints()
 	last := make(map[string]line)
 	for _, x := range l.state {
 		ofTarget := strings.HasPrefix(x.message, "target entry")
-		if !hosts[x.host] || ofTarget && !targets[x.subject] {
+		ofContent := x.fingerprint != "" && !asked[x.fingerprint]
+		if !hosts[x.host] || ofTarget && !targets[x.subject] || ofContent {
 			continue
 		}
 		switch {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -41,6 +41,31 @@
 `)
 }
 
+// TestOtherTriesOfABarredRequestAreTold has a request refused because targets ended under
+// earlier tries, which had other ids and came to other routers.
+func TestOtherTriesOfABarredRequestAreTold(t *testing.T) {
+	const log = `
+{"level":"info","host":"r1","request":"a","target":"t1","failure":"broken","fingerprint":"f1","time":"2026-01-01T10:00:01Z","message":"attempt failed"}
+{"level":"info","host":"r2","request":"b","target":"t2","failure":"broken","fingerprint":"f1","time":"2026-01-01T10:00:02Z","message":"attempt failed"}
+{"level":"info","host":"r2","request":"x","target":"t2","failure":"broken","fingerprint":"f2","time":"2026-01-01T10:00:02Z","message":"attempt failed"}
+{"level":"warn","host":"r1","fingerprint":"f1","peer":"p","time":"2026-01-01T10:00:02.1Z","message":"request barred, as another router says"}
+{"level":"warn","host":"r1","fingerprint":"f2","peer":"p","time":"2026-01-01T10:00:02.1Z","message":"request barred, as another router says"}
+{"level":"info","host":"r1","request":"q","status":503,"reason":"ends_targets","fingerprint":"f1","time":"2026-01-01T10:00:03Z","message":"request refused"}
+`
+	l := New("q")
+	assert.NilError(t, l.Read(strings.NewReader(log)))
+	var out strings.Builder
+	assert.NilError(t, l.Write(&out))
+	assert.Equal(t, out.String(), `what the routers knew before:
+     -0.900s r1 request barred, as another router says fingerprint=f1 peer=p
+other tries of what it asks for:
+     -2.000s r1 attempt failed request=a target=t1 failure=broken fingerprint=f1
+     -1.000s r2 attempt failed request=b target=t2 failure=broken fingerprint=f1
+request q:
+     +0.000s r1 request refused status=503 reason=ends_targets fingerprint=f1
+`)
+}
+
 func TestUnknownRequestIsAnError(t *testing.T) {
 	l := New("none")
 	assert.NilError(t, l.Read(strings.NewReader(log1)))
