--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -362,5 +362,11 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// GoBack has the platform's store come back from a copy of an age. What operators and targets
+// wrote since is written again after some time.
+func (f *Fleet) GoBack(age, again time.Duration) error {
+	return put(f.PlatformAddress, fmt.Sprintf("/goback?age=%s&again=%s", age, again), nil)
+}
+
 // Forget drops the history of the platform's store.
 func (f *Fleet) Forget() error { return put(f.PlatformAddress, "/forget", nil) }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -17,7 +17,10 @@
 //
 // PUT /hosts enters a router as the platform's automation would, after the lag.
 // PUT and DELETE /rows?table=T&key=K write a row as operators and targets do.
-// POST /forget drops the history, so that feeds answer 410.
+// POST /forget drops the history, so that feeds answer 410. POST /goback?age=2s&again=1s has
+// the store come back from a copy of that age: a new era begins, and its versions go on
+// from those of the copy. What operators and targets wrote since is written again after
+// the second time; what routers wrote is lost.
 package store
 
 import (
@@ -64,8 +67,22 @@
 	objects map[string][]byte
 	hosts   []hostChange
 	counts  map[string]int
+	// era grows each time the store comes back from one of its copies.
+	era    uint64
+	copies []state
 }
 
+// state is what the store held until it changed.
+type state struct {
+	until   time.Time
+	rows    map[id]wire.Row
+	removed []wire.Row
+	version uint64
+}
+
+// copyFor is how long copies are kept.
+const copyFor = 20 * time.Second
+
 // id names a row. The stand-in keeps a single part.
 type id struct{ table, key string }
 
@@ -104,6 +121,7 @@
 	{"control", "/hosts", (*Store).enterHost},
 	{"control", "/rows", (*Store).writeRow},
 	{"control", "/forget", (*Store).forget},
+	{"control", "/goback", (*Store).goBack},
 }
 
 // Handle serves one request.
@@ -149,6 +167,7 @@
 	s.counts[step]++
 	s.showHosts()
 	r.serve(s, ctx)
+	ctx.Response.Header.Set(wire.HeaderEra, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if faulty && f.Mode == fault.DropAnswer {
 		fault.Hangup(ctx)
@@ -190,11 +209,65 @@
 
 // grow begins a change: it moves the version and wakes the feeds.
 func (s *Store) grow() {
+	s.keepCopy()
 	s.version++
+	s.wake()
+}
+
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// keepCopy keeps what the store holds before a change.
+func (s *Store) keepCopy() {
+	now := time.Now()
+	s.copies = slices.DeleteFunc(s.copies, func(c state) bool { return now.Sub(c.until) > copyFor })
+	s.copies = append(s.copies, state{until: now, rows: maps.Clone(s.rows), removed: slices.Clone(s.removed), version: s.version})
+}
+
+// goBack begins a new era with what the store held some time ago.
+func (s *Store) goBack(ctx *fasthttp.RequestCtx) {
+	age, err := time.ParseDuration(string(ctx.QueryArgs().Peek("age")))
+	again, err2 := time.ParseDuration(string(ctx.QueryArgs().Peek("again")))
+	if err != nil || err2 != nil {
+		ctx.Error("age and again are durations", fasthttp.StatusBadRequest)
+		return
+	}
+	at := time.Now().Add(-age)
+	before := s.rows
+	if i := slices.IndexFunc(s.copies, func(c state) bool { return c.until.After(at) }); i >= 0 {
+		c := s.copies[i]
+		s.rows, s.removed, s.version = maps.Clone(c.rows), slices.Clone(c.removed), c.version
+	}
+	s.copies = nil
+	s.era++
+	s.wake()
+	copied := maps.Clone(s.rows)
+	time.AfterFunc(again, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.writeAgain(before, copied)
+	})
+}
+
+// writeAgain writes what operators and targets wrote after a copy was made.
+func (s *Store) writeAgain(before, copied map[id]wire.Row) {
+	owned := func(n id) bool { return n.table == wire.TableOperator || n.table == wire.TableTargets }
+	for n, r := range before {
+		if owned(n) && copied[n].Ver != r.Ver && s.rows[n].Ver == copied[n].Ver {
+			s.grow()
+			s.put(r)
+		}
+	}
+	for n, r := range copied {
+		if _, kept := before[n]; owned(n) && !kept && s.rows[n].Ver == r.Ver {
+			s.grow()
+			s.remove(r)
+		}
+	}
+}
+
 // table returns the rows of a table in key order.
 func (s *Store) table(name string) []wire.Row {
 	var rows []wire.Row
@@ -240,7 +313,7 @@
 	}
 	deadline := time.Now().Add(time.Duration(args.GetUintOrZero(wire.ParamWait)) * time.Millisecond)
 	for {
-		if since < s.forgotten {
+		if since < s.forgotten || since > s.version {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
 		}
