--- /dev/null
+++ b/claim/again_test.go
@@ -0,0 +1,86 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/platform/platformtest"
+)
+
+// TestClaimThatTheTableLostIsNotGivenTwice has the table come back from a copy without a
+// claim whose call runs. Another router must not claim the key, whether it knows of the new
+// era before it writes or learns of it by the answer.
+func TestClaimThatTheTableLostIsNotGivenTwice(t *testing.T) {
+	ctx := context.Background()
+	for _, knows := range []bool{true, false} {
+		m, clock := platformtest.New(), clockwork.NewFakeClock()
+		table := m.Table()
+		first, second := New(Options{Table: table, Clock: clock}), New(Options{Table: table, Clock: clock})
+		goBack := m.Copy()
+		held, _, err := first.Claim(ctx, testKey, "one")
+		assert.NilError(t, err)
+		assert.Assert(t, held != nil)
+		if !knows {
+			// The router learns of the era with its own write.
+			era := uint64(0)
+			second.table.Era = func() uint64 { return era }
+			second.batcher.close()
+			second.batcher = newBatcher(func(ctx context.Context, txn platform.Txn) error {
+				defer func() { era = table.Era() }()
+				return table.Commit(ctx, txn)
+			})
+		}
+		goBack()
+		two, earlier, err := second.Claim(ctx, testKey, "two")
+		assert.Assert(t, errs.Is(err, platform.ErrUnavailable), "%v", err)
+		assert.Assert(t, two == nil && earlier == nil)
+		first.Renew()
+		assert.NilError(t, first.lost.group.Wait())
+		clock.Advance(againTime + time.Millisecond)
+		two, earlier, err = second.Claim(ctx, testKey, "two")
+		assert.NilError(t, err)
+		assert.Assert(t, two == nil && earlier != nil, "the key is claimed again, router knows: %v", knows)
+		first.Close()
+		second.Close()
+	}
+}
+
+// TestAnswerThatTheTableLostIsWrittenAgain has the copy hold the claim, and not how it ended.
+func TestAnswerThatTheTableLostIsWrittenAgain(t *testing.T) {
+	ctx := context.Background()
+	m, clock := platformtest.New(), clockwork.NewFakeClock()
+	s := New(Options{Table: m.Table(), Clock: clock})
+	defer s.Close()
+	held, _, err := s.Claim(ctx, testKey, "one")
+	assert.NilError(t, err)
+	goBack := m.Copy()
+	assert.NilError(t, s.Settle(ctx, held, Record{State: Answered, Status: 200}))
+	goBack()
+	assert.Assert(t, !s.Renew())
+	assert.NilError(t, s.lost.group.Wait())
+	rec, err := s.Look(ctx, testKey)
+	assert.NilError(t, err)
+	assert.Equal(t, rec.State, Answered)
+}
+
+// TestCallThatRunsWhileTheTableGoesBackIsSettled has the row of a claim gone when its call ends.
+func TestCallThatRunsWhileTheTableGoesBackIsSettled(t *testing.T) {
+	ctx := context.Background()
+	m := platformtest.New()
+	s := newStore(m)
+	defer s.Close()
+	goBack := m.Copy()
+	held, _, err := s.Claim(ctx, testKey, "one")
+	assert.NilError(t, err)
+	goBack()
+	assert.NilError(t, s.Settle(ctx, held, Record{State: Answered, Status: 200}))
+	rec, err := s.Look(ctx, testKey)
+	assert.NilError(t, err)
+	assert.Equal(t, rec.State, Answered)
+}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -20,6 +20,12 @@
 //		err = s.Settle(ctx, held, claim.Record{State: claim.Answered, Status: 200})
 //	}
 //
+// # A table that comes back from a copy
+//
+// The table may come back from a copy that lacks its latest claims. Routers write theirs of
+// the last minute again as soon as they know (Renew, to be called often), and claim nothing
+// for some time after that, so that no call runs a second time whose claim was lost.
+//
 // # Batches
 //
 // Claims and records that arrive while a write is under way go together into
@@ -31,6 +37,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -39,6 +46,7 @@
 
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // State is what is known of a claimed request.
@@ -94,8 +102,6 @@
 type Held struct {
 	key     string
 	request string
-	// row is the version of the row that this claim wrote.
-	row uint64
 }
 
 // Options configure a store. All are required.
@@ -109,6 +115,7 @@
 	table   platform.Table
 	clock   clockwork.Clock
 	batcher *batcher
+	lost    lost
 }
 
 // New returns a store.
@@ -117,21 +124,41 @@
 }
 
 // Close waits for the writes under way.
-func (s *Store) Close() { s.batcher.close() }
+func (s *Store) Close() {
+	s.lost.group.Wait() //nolint:errcheck // what was not written again is lost
+	s.batcher.close()
+}
 
 // claimTries bounds how often a claim meets others or lost answers.
 const claimTries = 5
 
+// errAgain means that the table came back from a copy which may lack earlier claims.
+var errAgain = eris.Wrap(platform.ErrUnavailable, "routers are writing claims again that the table lost")
+
 // Claim claims a key for the request with the given id, which must not have
 // been used before. It returns either the held claim or the earlier record.
 // An error means that nothing is claimed as far as this router will ever
 // know, so the request must not be run.
 func (s *Store) Claim(ctx context.Context, k Key, request string) (*Held, *Record, error) {
-	key := k.row()
-	version := uint64(0)
+	if !s.Renew() {
+		return nil, nil, errAgain
+	}
+	era := s.table.Era()
+	held, earlier, err := s.claim(ctx, k.row(), request)
+	if held != nil && s.table.Era() != era {
+		// The answer told of a new era: an earlier claim may have been lost with the last one.
+		err := s.Settle(ctx, held, Record{State: NotRun})
+		s.Renew()
+		return nil, nil, errors.Join(errAgain, err)
+	}
+	return held, earlier, err
+}
+
+func (s *Store) claim(ctx context.Context, key, request string) (*Held, *Record, error) {
+	var at revision.Revision
 	for range claimTries {
-		held := &Held{key: key, request: request, row: version + 1}
-		err := s.write(ctx, held, version, Record{Request: request, State: Running})
+		held := &Held{key: key, request: request}
+		err := s.write(ctx, held, at, Record{Request: request, State: Running})
 		if err == nil {
 			return held, nil, nil
 		}
@@ -141,13 +168,13 @@
 		row, rec, rerr := s.read(ctx, key)
 		switch {
 		case eris.Is(rerr, platform.ErrNotFound):
-			version = 0
+			at = revision.Revision{}
 		case rerr != nil:
 			return nil, nil, rerr
 		case rec.Request == request:
-			return &Held{key: key, request: request, row: row.Version}, nil, nil
+			return held, nil, nil
 		case rec.State == NotRun:
-			version = row.Version
+			at = row.Revision
 		default:
 			return nil, rec, nil
 		}
@@ -162,17 +189,28 @@
 	if len(rec.Body) > MaxBody {
 		rec.Body, rec.BodyLost = nil, true
 	}
-	err := s.write(ctx, held, held.row, rec)
-	if !eris.Is(err, platform.ErrUnknownOutcome) {
-		return err
-	}
-	_, now, err := s.read(ctx, held.key)
-	if err != nil || now.State == rec.State {
-		return err
+	for range settleTries {
+		row, now, err := s.read(ctx, held.key)
+		switch {
+		case eris.Is(err, platform.ErrNotFound):
+			row.Revision = revision.Revision{} // lost by the table
+		case err != nil:
+			return err
+		case now.Request != held.request:
+			return errs.Wrap(&platform.ConflictError{Key: held.key}, "settle", "")
+		case now.State == rec.State:
+			return nil // the answer to the write was lost
+		}
+		if err = s.write(ctx, held, row.Revision, rec); !platform.Undecided(err) {
+			return err
+		}
 	}
-	return s.write(ctx, held, held.row, rec)
+	return errs.Wrap(platform.ErrUnknownOutcome, "settle", "")
 }
 
+// settleTries bounds how often a record meets lost answers.
+const settleTries = 3
+
 // Look returns the record of a key; a missing one is platform.ErrNotFound.
 func (s *Store) Look(ctx context.Context, k Key) (*Record, error) {
 	_, rec, err := s.read(ctx, k.row())
@@ -189,15 +227,19 @@
 	return row, rec, errs.Wrap(err, "decode claim", "")
 }
 
-// write puts a record over the given version of the row.
-func (s *Store) write(ctx context.Context, held *Held, version uint64, rec Record) error {
+// write puts a record over the given revision of the row, and remembers it.
+func (s *Store) write(ctx context.Context, held *Held, at revision.Revision, rec Record) error {
 	rec.At = s.clock.Now()
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return errs.Wrap(err, "encode claim", "")
 	}
-	return s.batcher.write(ctx, write{
-		check: platform.Check{Key: held.key, Version: version},
+	err = s.batcher.write(ctx, write{
+		check: platform.Check{Key: held.key, Revision: at},
 		put:   platform.Put{Key: held.key, Value: value},
 	})
+	if err == nil {
+		s.remember(*held, rec)
+	}
+	return err
 }
--- a/confsync/confsync.go
+++ b/confsync/confsync.go
@@ -18,9 +18,12 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/rotisserie/eris"
+
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/intent"
+	"zinccove.example/zinccove/platform"
 )
 
 // Snapshot is a configuration in force with its encoded form.
@@ -69,12 +72,16 @@
 // Current returns the configuration in force, nil if there is none yet.
 func (s *Syncer) Current() *Snapshot { return s.current.Load() }
 
-// Poll adopts the platform's configuration if its version is higher.
+// Poll adopts the platform's configuration if its version is higher. A platform that lost
+// the one in force gets it again.
 func (s *Syncer) Poll(ctx context.Context) error {
 	head, err := s.options.Store.Head(ctx)
-	if err != nil || head.Version <= s.Current().Version() {
+	if err != nil || head.Version == s.Current().Version() {
 		return err
 	}
+	if cur := s.Current(); cur != nil && head.Version < cur.Version() {
+		return s.restore(ctx, cur)
+	}
 	var from *config.Config
 	if cur := s.Current(); cur != nil {
 		from = cur.Config
@@ -87,6 +94,16 @@
 	return nil
 }
 
+// restore gives the platform the configuration in force again, unless another router did.
+func (s *Syncer) restore(ctx context.Context, cur *Snapshot) error {
+	err := s.options.Store.Restore(ctx, cur.Config)
+	var conflict *platform.ConflictError
+	if eris.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
 // Learn adopts the configuration of a peer that announced the given version,
 // unless that is not higher than the one in force.
 func (s *Syncer) Learn(ctx context.Context, control netip.AddrPort, version uint64) error {
--- a/confsync/confsync_test.go
+++ b/confsync/confsync_test.go
@@ -131,3 +131,37 @@
 		}
 	})
 }
+
+// TestAcceptedConfigurationSurvivesACopyOfTheTable has the table come back from a copy that
+// lacks the two latest versions. Routers write the one in force again: without that the next
+// plan made version 2 a second time, which no router that had the first one took.
+func TestAcceptedConfigurationSurvivesACopyOfTheTable(t *testing.T) {
+	m := platformtest.New()
+	a, b := newRouter(m, nil), newRouter(m, nil)
+	accept(t, m, 1)
+	assert.NilError(t, b.Poll(ctx))
+	before, err := intent.New(intent.Options{Table: m.Table(), Clock: clockwork.NewFakeClock()}).
+		Plan(ctx, "anna", []config.Change{config.Put(config.Service{Name: "s"})})
+	assert.NilError(t, err)
+	goBack := m.Copy()
+	accept(t, m, 2)
+	accept(t, m, 3)
+	assert.NilError(t, a.Poll(ctx))
+	goBack()
+	assert.NilError(t, b.Poll(ctx))
+	assert.NilError(t, a.Poll(ctx))
+	assert.Equal(t, a.Current().Version(), uint64(3))
+	assert.NilError(t, b.Poll(ctx))
+	assert.Equal(t, b.Current().Version(), uint64(3))
+	// A plan from before cannot be told apart from what was changed since.
+	var overlap *intent.ConflictError
+	s := intent.New(intent.Options{Table: m.Table(), Clock: clockwork.NewFakeClock()})
+	_, err = s.Confirm(ctx, "anna", before.ID)
+	assert.Assert(t, errors.As(err, &overlap), "%v", err)
+	accept(t, m, 4)
+	for _, r := range []*router{a, b} {
+		assert.NilError(t, r.Poll(ctx))
+		assert.Equal(t, r.Current().Version(), uint64(4))
+		assert.Assert(t, r.Current().Customer([]byte("key4")) != nil)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -268,6 +268,7 @@
 	down := false
 	for {
 		err := d.syncer.Poll(ctx)
+		d.claims.Renew()
 		if err == nil && (d.loop.alone() || d.clock.Since(hostsRead) >= hostListPeriod) {
 			var hosts []platform.Host
 			if hosts, err = d.platform.Hosts(ctx); err == nil {
--- a/explain/departures.go
+++ b/explain/departures.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/errs"
+	"zinccove.example/zinccove/revision"
 )
 
 // ErrNoDepartures means that no line tells of a target that left.
@@ -37,7 +38,7 @@
 type departure struct {
 	first time.Time
 	// version is the newest at which the store told that the target left.
-	version float64
+	revision revision.Revision
 	// hosts holds when each router took the target as leaving, and how it knew.
 	hosts map[string]knowledge
 }
@@ -84,7 +85,7 @@
 			d.know(id, x, wayStore)
 			return
 		}
-		if t := d.targets[id]; t != nil && x.number("version") > t.version {
+		if t := d.targets[id]; t != nil && t.revision.Before(x.revision()) {
 			delete(d.targets, id) // it is back
 		}
 	case "target entry removed":
@@ -102,6 +103,11 @@
 	}
 }
 
+// revision is that of the store which the line tells.
+func (x *line) revision() revision.Revision {
+	return revision.Revision{Era: uint64(x.number("era")), Count: uint64(x.number("version"))}
+}
+
 // leave notes a line that tells that a target left, or may have.
 func (d *Departures) leave(id string, x *line) *departure {
 	t := d.targets[id]
@@ -109,7 +115,7 @@
 		t = &departure{first: x.at, hosts: make(map[string]knowledge)}
 		d.targets[id] = t
 	}
-	t.version = max(t.version, x.number("version"))
+	t.revision = revision.Later(t.revision, x.revision())
 	return t
 }
 
--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -15,9 +15,9 @@
 	for i := range 325 {
 		rows = append(rows, row(fmt.Sprint("t", i), uint64(i+1)))
 	}
-	l.Reset(325, rows...)
+	l.Reset(at(325), rows...)
 	for b.Loop() {
-		if _, _, err := l.Since(325); err != nil {
+		if _, _, err := l.Since(at(325)); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -7,15 +7,20 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/revision"
 )
 
+// at is a revision of the first era.
+func at(count uint64) revision.Revision { return revision.Revision{Count: count} }
+
 func row(key string, version uint64) Row[string] {
-	return Row[string]{Key: key, Version: version, Size: 10, Value: fmt.Sprint(key, version)}
+	return Row[string]{Key: key, Revision: at(version), Size: 10, Value: fmt.Sprint(key, version)}
 }
 
 func keys(t *testing.T, l *Log[string], since uint64) []string {
 	t.Helper()
-	n, _, err := l.Since(since)
+	n, _, err := l.Since(at(since))
 	assert.NilError(t, err)
 	var list []string
 	for _, r := range n.Rows {
@@ -26,27 +31,27 @@
 
 func TestReadersGoOnFromTheirVersion(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
-	l.Reset(5)
-	l.Append(7, row("a", 6), row("b", 7))
-	l.Append(9, row("a", 9))
+	l.Reset(at(5))
+	l.Append(at(7), row("a", 6), row("b", 7))
+	l.Append(at(9), row("a", 9))
 	assert.DeepEqual(t, keys(t, l, 5), []string{"b7", "a9"})
 	assert.DeepEqual(t, keys(t, l, 7), []string{"a9"})
 	assert.Equal(t, len(keys(t, l, 9)), 0)
 	assert.Equal(t, len(keys(t, l, 20)), 0, "a reader that knows more is told nothing")
-	n, _, err := l.Since(20)
+	n, _, err := l.Since(at(20))
 	assert.NilError(t, err)
-	assert.Equal(t, n.Version, uint64(20), "and is not taken back")
+	assert.Equal(t, n.Revision, at(20), "and is not taken back")
 }
 
 func TestReadersBehindTheLogAreGivenTheWholeTable(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
-	l.Reset(5, row("a", 2), row("b", 4))
-	l.Append(6, row("a", 6))
-	n, _, err := l.Since(3)
+	l.Reset(at(5), row("a", 2), row("b", 4))
+	l.Append(at(6), row("a", 6))
+	n, _, err := l.Since(at(3))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Whole)
 	assert.DeepEqual(t, keys(t, l, 3), []string{"b4", "a6"})
-	n, _, err = l.Since(5)
+	n, _, err = l.Since(at(5))
 	assert.NilError(t, err)
 	assert.Assert(t, !n.Whole)
 	assert.DeepEqual(t, keys(t, l, 5), []string{"a6"})
@@ -54,16 +59,16 @@
 
 func TestReadersBehindALargeTableReadTheStore(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
-	l.Reset(5)
+	l.Reset(at(5))
 	big := row("big", 6)
 	big.Size = maxSize + 1
-	l.Append(6, big)
-	_, _, err := l.Since(5)
+	l.Append(at(6), big)
+	_, _, err := l.Since(at(5))
 	assert.Assert(t, eris.Is(err, ErrHistoryLost), "memory is bounded")
-	l.Append(8, row("c", 8))
+	l.Append(at(8), row("c", 8))
 	assert.DeepEqual(t, keys(t, l, 6), []string{"c8"})
-	l.Reset(30, row("d", 9))
-	n, _, err := l.Since(8)
+	l.Reset(at(30), row("d", 9))
+	n, _, err := l.Since(at(8))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Whole, "the store lost its history in between, so that removals are not known")
 }
@@ -79,12 +84,12 @@
 		r.Size = 200
 		rows = append(rows, r)
 	}
-	l.Reset(targets, rows...)
-	n, _, err := l.Since(0)
+	l.Reset(at(targets), rows...)
+	n, _, err := l.Since(at(0))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Whole)
 	assert.Equal(t, len(n.Rows), targets)
-	l.Append(targets+1, row("t5", targets+1))
+	l.Append(at(targets+1), row("t5", targets+1))
 	assert.DeepEqual(t, keys(t, l, targets), []string{"t53001"})
 }
 
@@ -93,9 +98,9 @@
 // changes, not with every keepalive until then.
 func TestReadersUpToDateAreToldNothing(t *testing.T) {
 	l := NewLog[string](clockwork.NewFakeClock())
-	l.Reset(5, row("a", 3), row("b", 8))
+	l.Reset(at(5), row("a", 3), row("b", 8))
 	assert.Equal(t, len(keys(t, l, 5)), 0)
-	l.Append(8, row("b", 8))
+	l.Append(at(8), row("b", 8))
 	assert.DeepEqual(t, keys(t, l, 5), []string{"b8"})
 	assert.Equal(t, len(keys(t, l, 8)), 0)
 }
@@ -104,7 +109,7 @@
 	l := NewLog[string](clockwork.NewFakeClock())
 	wakes := func(what string, act func()) {
 		t.Helper()
-		_, changed, err := l.Since(50)
+		_, changed, err := l.Since(at(50))
 		assert.NilError(t, err)
 		act()
 		select {
@@ -113,18 +118,18 @@
 			t.Fatal("not woken by " + what)
 		}
 	}
-	n, _, err := l.Since(0)
+	n, _, err := l.Since(at(0))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Lost, "nothing is known yet")
-	wakes("the first table", func() { l.Reset(5) })
-	wakes("a change", func() { l.Append(6, row("a", 6)) })
+	wakes("the first table", func() { l.Reset(at(5)) })
+	wakes("a change", func() { l.Append(at(6), row("a", 6)) })
 	wakes("the loss of the store", l.SetLost)
-	n, _, err = l.Since(6)
+	n, _, err = l.Since(at(6))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Lost)
 	wakes("its return", l.Confirm)
 	wakes("the end", l.Close)
-	_, _, err = l.Since(6)
+	_, _, err = l.Since(at(6))
 	assert.Assert(t, eris.Is(err, ErrClosed))
 }
 
@@ -149,3 +154,22 @@
 	assert.Equal(t, len(first), Leaders)
 	assert.Equal(t, len(Order("a", nil)), 0)
 }
+
+// TestReaderOfAnEarlierEraIsGivenTheWholeTable has the store come back from a copy: counts go
+// back, and what a reader knows by a higher count of the era before may be gone.
+func TestReaderOfAnEarlierEraIsGivenTheWholeTable(t *testing.T) {
+	inEra := func(era, count uint64) revision.Revision { return revision.Revision{Era: era, Count: count} }
+	l := NewLog[string](clockwork.NewFakeClock())
+	l.Reset(inEra(1, 90), row("a", 90))
+	again := row("a", 40)
+	again.Revision = inEra(2, 40)
+	l.Reset(inEra(2, 40), again)
+	n, _, err := l.Since(inEra(1, 90))
+	assert.NilError(t, err)
+	assert.Assert(t, n.Whole)
+	assert.Equal(t, n.Revision, inEra(2, 40))
+	assert.Equal(t, len(n.Rows), 1)
+	n, _, err = l.Since(inEra(3, 5))
+	assert.NilError(t, err)
+	assert.Assert(t, !n.Whole && len(n.Rows) == 0, "a reader that knows a later era is told nothing")
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -29,16 +29,19 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+
+	"zinccove.example/zinccove/revision"
 )
 
 // Options configure a follower of batches of type B. All but Settle are
 // required.
 type Options[B any] struct {
 	Clock clockwork.Clock
-	// Snapshot reads the whole table and returns the version it is of.
-	Snapshot func(context.Context) (B, uint64, error)
-	// Feed waits for changes after a version and returns the next version.
-	Feed func(ctx context.Context, since uint64, wait time.Duration) (B, uint64, error)
+	// Snapshot reads the whole table and returns the revision it is of.
+	Snapshot func(context.Context) (B, revision.Revision, error)
+	// Feed waits for changes after a revision and returns the next revision.
+	Feed func(ctx context.Context, since revision.Revision, wait time.Duration) (B, revision.Revision, error)
 	// HistoryLost tells whether an error of Feed asks for a new snapshot.
 	HistoryLost func(error) bool
 	// Whole takes a snapshot, Changed what followed it.
@@ -63,8 +66,8 @@
 // Loss is the first of a series of failures.
 type Loss struct {
 	Err error
-	// Since is the version that was followed from, 0 before the table was read.
-	Since uint64
+	// Since is the revision that was followed from, zero before the table was read.
+	Since revision.Revision
 	// Waited is how long the call that failed had been under way, Unheard the time
 	// since the last answer; 0 if there was none.
 	Waited  time.Duration
@@ -79,6 +82,10 @@
 	longestPause = 800 * time.Millisecond
 )
 
+// errEarlierEra means that a table read whole is older than what is known: who gave it has
+// not noticed yet that the store came back from a copy.
+var errEarlierEra = eris.New("table of an earlier era of the store")
+
 // Run follows until ctx ends. It returns nil; failures go to Options.Lost.
 func Run[B any](ctx context.Context, o Options[B]) error {
 	f := follower[B]{options: o}
@@ -93,8 +100,8 @@
 // follower is the state of one Run.
 type follower[B any] struct {
 	options Options[B]
-	// since is the version followed from; known is set once the table was read.
-	since uint64
+	// since is the revision followed from; known is set once the table was read.
+	since revision.Revision
 	known bool
 	// lost is set from a failure to the next success; pause is the mean wait
 	// after the last failure.
@@ -109,7 +116,7 @@
 func (f *follower[B]) step(ctx context.Context) error {
 	var (
 		batch B
-		since uint64
+		since revision.Revision
 		err   error
 	)
 	whole := !f.known
@@ -119,11 +126,14 @@
 	} else {
 		batch, since, err = f.options.Feed(ctx, f.since, f.wait())
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case whole && since.OfEarlierEra(f.since):
+		return errEarlierEra
 	}
 	f.succeeded()
-	f.since, f.known = max(since, f.since), true
+	f.since, f.known = revision.Later(since, f.since), true
 	if whole {
 		f.options.Whole(batch)
 		return nil
@@ -172,7 +182,7 @@
 
 func (f *follower[B]) failed(ctx context.Context, err error) {
 	if f.options.HistoryLost(err) {
-		f.known, f.since = false, 0
+		f.known = false
 		return
 	}
 	if !f.lost {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/revision"
 )
 
 var (
@@ -30,18 +32,19 @@
 type step struct {
 	batch string
 	next  uint64
+	era   uint64
 	err   error
 }
 
-func (s *script) take(call string) (string, uint64, error) {
+func (s *script) take(call string) (string, revision.Revision, error) {
 	s.log = append(s.log, call)
 	if len(s.steps) == 0 {
 		s.cancel()
-		return "", 0, context.Canceled
+		return "", revision.Revision{}, context.Canceled
 	}
 	next := s.steps[0]
 	s.steps = s.steps[1:]
-	return next.batch, next.next, next.err
+	return next.batch, revision.Revision{Era: next.era, Count: next.next}, next.err
 }
 
 func (s *script) run(t *testing.T) []string {
@@ -49,13 +52,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	clock := clockwork.NewFakeClock()
-	var since []uint64
+	var since []revision.Revision
 	var g errgroup.Group
 	g.Go(func() error {
 		return Run(ctx, Options[string]{
 			Clock:    clock,
-			Snapshot: func(context.Context) (string, uint64, error) { return s.take("snapshot") },
-			Feed: func(_ context.Context, from uint64, wait time.Duration) (string, uint64, error) {
+			Snapshot: func(context.Context) (string, revision.Revision, error) { return s.take("snapshot") },
+			Feed: func(_ context.Context, from revision.Revision, wait time.Duration) (string, revision.Revision, error) {
 				since = append(since, from)
 				s.held = append(s.held, wait)
 				return s.take("feed")
@@ -79,7 +82,7 @@
 	})
 	assert.NilError(t, g.Wait())
 	for i := 1; i < len(since); i++ {
-		assert.Assert(t, since[i] >= since[i-1] || since[i-1] == 0)
+		assert.Assert(t, !since[i].Before(since[i-1]))
 	}
 	return s.log
 }
@@ -122,3 +125,15 @@
 	assert.Assert(t, longest-least > most/8)
 	assert.Equal(t, settled(0), time.Duration(0))
 }
+
+// TestTableOfAnEarlierEraIsNotTaken has a table read whole from somebody who has not noticed
+// that the store came back from a copy.
+func TestTableOfAnEarlierEraIsNotTaken(t *testing.T) {
+	s := script{steps: []step{
+		{batch: "all", next: 90}, {err: errForgotten}, {batch: "copy", era: 1, next: 40}, {err: errForgotten},
+		{batch: "stale", next: 95}, {batch: "again", era: 1, next: 41},
+	}}
+	assert.DeepEqual(t, s.run(t), []string{
+		"snapshot", "whole all", "feed", "snapshot", "whole copy", "feed", "snapshot", "lost", "snapshot", "regained", "whole again", "feed",
+	})
+}
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -20,7 +20,7 @@
 		hosts, err := g.introduce(ctx, self)
 		if err == nil {
 			g.loop.post(ctx, func(l *loop) { l.learnHosts(hosts) })
-			return nil
+			return g.keepAnnounced(ctx, self)
 		}
 		g.log.Warn().Err(err).Msg("router not announced, trying again")
 		select {
@@ -53,3 +53,37 @@
 	announcePause        = 300 * time.Millisecond
 	longestAnnouncePause = 5 * time.Second
 )
+
+// announceAgain has this router's entry written again: a copy of the store may lack it.
+func (g *Gateway) announceAgain() {
+	select {
+	case g.unannounced <- struct{}{}:
+	default:
+	}
+}
+
+// copyAge is longer than a copy of the store is old from which it comes back: entries that
+// were written before that are in it.
+const copyAge = time.Minute
+
+// keepAnnounced writes this router's entry again whenever the store may have lost it.
+func (g *Gateway) keepAnnounced(ctx context.Context, self platform.Host) error {
+	written := g.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.unannounced:
+		}
+		if g.clock.Since(written) > copyAge {
+			continue
+		}
+		if err := g.store.Announce(ctx, self); err != nil {
+			g.log.Warn().Err(err).Msg("router not announced again, trying again")
+			g.clock.Sleep(announcePause)
+			g.announceAgain()
+			continue
+		}
+		written = g.clock.Now()
+	}
+}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -103,7 +103,7 @@
 		case now.Sub(d.at) > leavingFor:
 			delete(l.leaving, hash)
 		case len(list) < maxLeaving:
-			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Version: d.version})
+			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Version: d.revision.Count, Era: d.revision.Era})
 		}
 	}
 	return list
--- /dev/null
+++ b/gateway/era_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/quarantine"
+	"zinccove.example/zinccove/revision"
+)
+
+// newEraLoop returns a control loop that may be told of a new era of the store.
+func newEraLoop(t *testing.T) (*loop, *clockwork.FakeClock) {
+	t.Helper()
+	l, clock := newTargetLoop(t)
+	l.gateway.quarantine = quarantine.New(clock)
+	l.gateway.unannounced = make(chan struct{}, 1)
+	return l, clock
+}
+
+// TestEvacuationsOutliveACopy has the store come back from a copy that lacks that a data
+// centre is to be evacuated. Operators write it again, and take it back later.
+func TestEvacuationsOutliveACopy(t *testing.T) {
+	l, _ := newEraLoop(t)
+	batch := func(era, count uint64, changes ...platform.Change) platform.Batch {
+		return platform.Batch{Revision: revision.Revision{Era: era, Count: count}, Changes: changes}
+	}
+	row := platform.Change{Key: "evacuate/x"}
+	l.takeOperators(batch(3, 5), true)
+	assert.Equal(t, len(l.gateway.unannounced), 0, "the first table says nothing of the era before")
+	l.takeOperators(batch(3, 6, row), false)
+	assert.Assert(t, l.evacuated["x"])
+	l.takeOperators(batch(4, 5), true)
+	assert.Assert(t, l.evacuated["x"])
+	assert.Equal(t, len(l.gateway.unannounced), 1, "this router's entry may be lost")
+	l.takeOperators(batch(4, 6, row), false)
+	assert.Assert(t, l.evacuated["x"])
+	l.takeOperators(batch(4, 7, platform.Change{Key: "evacuate/x", Removed: true}), false)
+	assert.Assert(t, !l.evacuated["x"])
+}
+
+// TestLeavingTargetIsToldOnAfterACopy has the copy say that a target is ready which left.
+func TestLeavingTargetIsToldOnAfterACopy(t *testing.T) {
+	l, _ := newEraLoop(t)
+	ready := entry("t", 2, 1000)
+	draining := ready
+	draining.Revision.Count = 9
+	draining.Value = []byte(`{"service":"m","address":"127.0.0.1:1","zone":"x","version":"v1","slots":8,"state":"draining","coldLeftMs":0,"seq":2,"born":1000}`)
+	take := func(era, count uint64, whole bool, c platform.Change) {
+		c.Revision.Era = era
+		l.takeTargets(platform.Batch{Revision: revision.Revision{Era: era, Count: count}, Changes: []platform.Change{c}}, whole)
+	}
+	take(1, 2, true, ready)
+	take(1, 9, false, draining)
+	assert.Equal(t, len(l.leavingTargets()), 1)
+	take(2, 3, true, ready)
+	assert.Equal(t, len(l.leavingTargets()), 1)
+	assert.Assert(t, !placed(l, "t"))
+}
+
+// TestRouterThatStartsTakesTheNewestConfigurationThatIsKnown has the store give an older
+// configuration to a router that starts than others have in force.
+func TestRouterThatStartsTakesTheNewestConfigurationThatIsKnown(t *testing.T) {
+	body := func(version int) []byte {
+		return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{},"tenants":[]}`, version)
+	}
+	hear := func(l *loop, version uint64) {
+		l.hear(received{heartbeat: &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: version, Host: &zinccovev1.HostInfo{
+			Name: "b", Control: "127.0.0.1:1", Peer: "127.0.0.1:2",
+		}}})
+	}
+	for _, tc := range []struct {
+		name  string
+		first bool
+		heard []uint64
+		want  uint64
+	}{
+		{"first start", true, nil, 5},
+		{"nobody heard yet", false, nil, 0},
+		{"others have it", false, []uint64{5}, 5},
+		{"others have none", false, []uint64{0}, 5},
+		{"another has a newer one", false, []uint64{9}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, clock := newTargetLoop(t)
+			l.gateway.settings.FirstStart = tc.first
+			for _, version := range tc.heard {
+				hear(l, version)
+			}
+			l.adopt(body(5), "store")
+			l.adoptWaiting()
+			assert.Equal(t, l.version(), tc.want)
+			clock.Advance(fetchTime)
+			l.adoptWaiting()
+			assert.Equal(t, l.version(), uint64(5), "it does not wait for ever")
+		})
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -12,10 +12,12 @@
 	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/follow"
+	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/platform/wire"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 	"zinccove.example/zinccove/route"
 )
@@ -48,33 +50,33 @@
 	table, log := t.table, g.logs[t.table]
 	return follow.Options[platform.Batch]{
 		Clock: g.clock,
-		Snapshot: func(ctx context.Context) (platform.Batch, uint64, error) {
+		Snapshot: func(ctx context.Context) (platform.Batch, revision.Revision, error) {
 			if b, ok := t.snapshot(ctx); ok {
-				return b, b.Version, nil
+				return b, b.Revision, nil
 			}
 			b, err := g.store.Snapshot(ctx, table)
-			return b, b.Version, err
+			return b, b.Revision, err
 		},
-		Feed: func(ctx context.Context, since uint64, wait time.Duration) (platform.Batch, uint64, error) {
+		Feed: func(ctx context.Context, since revision.Revision, wait time.Duration) (platform.Batch, revision.Revision, error) {
 			b, ask, err := t.next(ctx, since, wait)
 			if ask {
 				b, err = g.store.Feed(ctx, table, since, wait)
 			}
-			return b, b.Version, err
+			return b, b.Revision, err
 		},
 		HistoryLost: func(err error) bool { return eris.Is(err, platform.ErrHistoryLost) },
 		Whole: func(b platform.Batch) {
-			log.Reset(b.Version, rowsOf(b)...)
+			log.Reset(b.Revision, rowsOf(b)...)
 			take(b, true)
 		},
 		Changed: func(b platform.Batch) {
-			log.Append(b.Version, rowsOf(b)...)
+			log.Append(b.Revision, rowsOf(b)...)
 			take(b, false)
 		},
 		Lost: func(loss follow.Loss) {
 			log.SetLost()
 			g.metrics.Inc(metric.PlatformErrors)
-			g.log.Warn().Err(loss.Err).Str("table", table).Uint64("since", loss.Since).
+			g.log.Warn().Err(loss.Err).Str("table", table).Stringer("since", loss.Since).
 				Dur("waited_ms", loss.Waited).Dur("unheard_ms", loss.Unheard).Msg("store lost")
 		},
 		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
@@ -172,10 +174,11 @@
 	return follow.Run(ctx, o)
 }
 
-// takeOperators takes rows that operators wrote.
+// takeOperators takes rows that operators wrote. A copy of the table may lack that a data
+// centre is to be evacuated; operators write that again.
 func (l *loop) takeOperators(b platform.Batch, whole bool) {
 	evacuated := make(map[string]bool)
-	if !whole {
+	if wentBack := l.noteEra(b.Revision); !whole || wentBack {
 		maps.Copy(evacuated, l.evacuated)
 	}
 	for _, c := range b.Changes {
@@ -192,7 +195,7 @@
 	}
 	l.evacuated = evacuated
 	l.gateway.placer.SetEvacuated(evacuated)
-	l.gateway.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(evacuated))).Uint64("version", b.Version).
+	l.gateway.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(evacuated))).Uint64("era", b.Revision.Era).Uint64("version", b.Revision.Count).
 		Msg("data centres to be evacuated")
 }
 
@@ -201,6 +204,10 @@
 func (l *loop) adopt(body []byte, from string) {
 	g := l.gateway
 	spec, err := platform.DecodeConfig(body)
+	if l.mayBeBehind(spec.Version) {
+		l.waiting = body
+		return
+	}
 	var table *route.Table
 	if err == nil {
 		table, err = route.New(spec)
@@ -222,6 +229,38 @@
 	l.publishTargets()
 }
 
+// hearTime is how long a router that starts waits at most to hear of another one, before it
+// takes the store's configuration, fetchTime how long to get the newer one of another router.
+// The first to hear it answer at once.
+const (
+	hearTime  = 300 * time.Millisecond
+	fetchTime = 2 * time.Second
+)
+
+// mayBeBehind reports whether others have a newer configuration than the one of a version
+// that the store gives to this router, which just started, or may have one: the store may
+// have come back from a copy a moment ago.
+func (l *loop) mayBeBehind(version uint64) bool {
+	g := l.gateway
+	if g.settings.FirstStart || l.version() > 0 {
+		return false
+	}
+	waited := g.clock.Since(l.started)
+	if !l.heard {
+		return waited < hearTime || l.others > 0 && waited < hostsTime+hearTime
+	}
+	newer := func(h *member.Host) bool { return h.ConfigVersion > version }
+	return waited < fetchTime && slices.ContainsFunc(l.reachable(), newer)
+}
+
+// adoptWaiting takes the configuration that waited until others were heard.
+func (l *loop) adoptWaiting() {
+	if body := l.waiting; body != nil {
+		l.waiting = nil
+		l.adopt(body, "store")
+	}
+}
+
 // version is that of the table in force, 0 if there is none.
 func (l *loop) version() uint64 {
 	if a := l.gateway.table.Load(); a != nil {
@@ -230,8 +269,28 @@
 	return 0
 }
 
+// noteEra reports whether a revision is the first of an era that began while this router
+// runs: the store came back from a copy.
+func (l *loop) noteEra(r revision.Revision) (wentBack bool) {
+	before := l.era
+	if l.eraKnown && r.Era <= before {
+		return false
+	}
+	wentBack = l.eraKnown
+	l.era, l.eraKnown = r.Era, true
+	if wentBack {
+		g := l.gateway
+		g.metrics.Inc(metric.StoreWentBack)
+		g.log.Warn().Uint64("era", r.Era).Uint64("era_before", before).Uint64("version", r.Count).Msg("store came back from a copy")
+		g.quarantine.KeepAgain()
+		g.announceAgain()
+	}
+	return wentBack
+}
+
 // takeTargets takes entries of targets.
 func (l *loop) takeTargets(b platform.Batch, whole bool) {
+	l.noteEra(b.Revision)
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
@@ -239,23 +298,43 @@
 			continue
 		}
 		t := l.readTarget(c)
+		entries = append(entries, t)
 		if whole {
-			entries = append(entries, t)
-		} else if gone, ended := l.roster.Put(t); ended {
+			continue
+		}
+		if gone, ended := l.roster.Put(t); ended {
 			l.depart([]roster.Departure{gone}, "target started again")
 		}
 	}
 	if whole {
-		l.depart(l.roster.Replace(entries, b.Version), "targets gone, their entries are missing")
+		l.depart(l.roster.Replace(entries, b.Revision), "targets gone, their entries are missing")
+	}
+	for _, t := range entries {
+		l.noteLeaving(t)
 	}
 	l.roster.CaughtUp()
 	l.publishTargets()
 }
 
+// noteLeaving remembers whether a target whose entry was read is to be told of as leaving.
+// What the roster holds counts: an entry of a copy takes nothing back.
+func (l *loop) noteLeaving(t roster.Target) {
+	if t.Unreadable {
+		return
+	}
+	switch known := l.roster.Get(t.ID); {
+	case known == nil:
+	case known.Draining:
+		l.leaves(known.Departure(known.Revision))
+	default:
+		delete(l.leaving, place.HashOf(known.Incarnation()))
+	}
+}
+
 // removeTarget notes that an entry went.
 func (l *loop) removeTarget(c platform.Change) {
-	gone, left := l.roster.Remove(c.Key, c.Version, c.Age)
-	l.gateway.log.Info().Str("target", c.Key).Uint64("version", c.Version).Bool("gone", left).Msg("target entry removed")
+	gone, left := l.roster.Remove(c.Key, c.Revision, c.Age)
+	l.gateway.log.Info().Str("target", c.Key).Uint64("era", c.Revision.Era).Uint64("version", c.Revision.Count).Bool("gone", left).Msg("target entry removed")
 	if left {
 		l.leaves(gone)
 	}
@@ -267,29 +346,25 @@
 	t, err := platform.DecodeTarget(c)
 	if err != nil {
 		g.metrics.Inc(metric.EntriesRejected)
-		g.log.Warn().Err(err).Str("target", c.Key).Uint64("version", c.Version).Msg("target entry rejected, it gets nothing new until a good one follows")
-		return roster.Target{ID: c.Key, Version: c.Version, Unreadable: true}
+		g.log.Warn().Err(err).Str("target", c.Key).Uint64("era", c.Revision.Era).Uint64("version", c.Revision.Count).
+			Msg("target entry rejected, it gets nothing new until a good one follows")
+		return roster.Target{ID: c.Key, Revision: c.Revision, Unreadable: true}
 	}
 	g.log.Info().Str("target", t.ID).Time("started", t.Started).Str("service", t.Service).Stringer("address", t.Address).
-		Bool("draining", t.Draining).Uint64("version", t.Version).Msg("target entry")
-	if t.Draining {
-		l.leaves(t.Departure(t.Version))
-	} else {
-		delete(l.leaving, place.HashOf(t.Incarnation()))
-	}
+		Bool("draining", t.Draining).Uint64("era", t.Revision.Era).Uint64("version", t.Revision.Count).Msg("target entry")
 	return t
 }
 
 // departure is what this router read of a target that leaves.
 type departure struct {
 	at time.Time
-	// version is that of the store.
-	version uint64
+	// revision is that of the store.
+	revision revision.Revision
 }
 
 // leaves remembers a run of a target to tell other routers of.
 func (l *loop) leaves(d roster.Departure) {
-	l.leaving[place.HashOf(d.Incarnation)] = departure{at: l.gateway.clock.Now(), version: d.Version}
+	l.leaving[place.HashOf(d.Incarnation)] = departure{at: l.gateway.clock.Now(), revision: d.Revision}
 }
 
 // depart remembers targets that are gone, and says why. It reports whether there
@@ -303,7 +378,8 @@
 		ids[i] = d.ID
 		l.leaves(d)
 	}
-	l.gateway.log.Info().Strs("targets", ids).Uint64("version", gone[0].Version).Msg(why)
+	at := gone[0].Revision
+	l.gateway.log.Info().Strs("targets", ids).Uint64("era", at.Era).Uint64("version", at.Count).Msg(why)
 	return true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// others there are.
 	started time.Time
 	learned chan struct{}
+	// unannounced receives when the store may have lost this router's entry.
+	unannounced chan struct{}
 	// ownRank is the place of this router in its data centre by name.
 	ownRank atomic.Int64
 	// leads is set while this router follows the store for others; else leaders are
@@ -169,7 +171,7 @@
 		}),
 	}
 	g.retries = newRetries(s)
-	g.started, g.learned = o.Clock.Now(), make(chan struct{})
+	g.started, g.learned, g.unannounced = o.Clock.Now(), make(chan struct{}), make(chan struct{}, 1)
 	g.logs = g.newLogs()
 	g.owners.Store(new(owner.Table))
 	g.asker = newAsker(g)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/settings"
@@ -177,8 +178,8 @@
 // has a version newer than their entry.
 func TestTargetMissingFromTheWholeTableIsToldOthers(t *testing.T) {
 	l, clock := newTargetLoop(t)
-	l.takeTargets(platform.Batch{Version: 2, Changes: []platform.Change{entry("stays", 1, 0), entry("goes", 2, 0)}}, true)
-	l.takeTargets(platform.Batch{Version: 9, Changes: []platform.Change{entry("stays", 1, 0)}}, true)
+	l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("stays", 1, 0), entry("goes", 2, 0)}}, true)
+	l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 9}, Changes: []platform.Change{entry("stays", 1, 0)}}, true)
 	clock.Advance(time.Second)
 	l.expireTargets()
 	told := l.leavingTargets()
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -12,6 +12,7 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/platform/wire"
+	"zinccove.example/zinccove/revision"
 )
 
 // keepalive is the time between messages to a router that follows a table through
@@ -47,7 +48,7 @@
 		return connect.NewError(connect.CodeInvalidArgument, errNoTable)
 	}
 	g.metrics.Inc(metric.FollowersServed)
-	for since := req.Since; ; {
+	for since := (revision.Revision{Era: req.SinceEra, Count: req.Since}); ; {
 		news, changed, err := log.Since(since)
 		switch {
 		case eris.Is(err, feed.ErrHistoryLost):
@@ -60,7 +61,7 @@
 		if err := send(encodeRows(news, g.clock.Now())); err != nil {
 			return err
 		}
-		since = news.Version
+		since = news.Revision
 		select {
 		case <-ctx.Done():
 			return nil
@@ -71,10 +72,10 @@
 }
 
 func encodeRows(n feed.News[platform.Change], now time.Time) *zinccovev1.FollowTableResponse {
-	resp := &zinccovev1.FollowTableResponse{Version: n.Version, Lost: n.Lost, Whole: n.Whole, AgeMs: sinceMs(n.Answered, now)}
+	resp := &zinccovev1.FollowTableResponse{Version: n.Revision.Count, Era: n.Revision.Era, Lost: n.Lost, Whole: n.Whole, AgeMs: sinceMs(n.Answered, now)}
 	for _, r := range n.Rows {
 		resp.Rows = append(resp.Rows, &zinccovev1.TableRow{
-			Key: r.Key, Value: r.Value.Value, Version: r.Version, Removed: r.Value.Removed, AgeMs: sinceMs(r.At, now),
+			Key: r.Key, Value: r.Value.Value, Version: r.Revision.Count, Era: r.Revision.Era, Removed: r.Value.Removed, AgeMs: sinceMs(r.At, now),
 		})
 	}
 	return resp
@@ -84,10 +85,10 @@
 
 // decodeRows returns the changes of a message.
 func decodeRows(resp *zinccovev1.FollowTableResponse) platform.Batch {
-	b := platform.Batch{Version: resp.Version}
+	b := platform.Batch{Revision: revision.Revision{Era: resp.Era, Count: resp.Version}}
 	for _, r := range resp.Rows {
 		b.Changes = append(b.Changes, platform.Change{
-			Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed, Age: time.Duration(r.AgeMs) * time.Millisecond,
+			Key: r.Key, Value: r.Value, Revision: revision.Revision{Era: r.Era, Count: r.Version}, Removed: r.Removed, Age: time.Duration(r.AgeMs) * time.Millisecond,
 		})
 	}
 	return b
@@ -97,7 +98,7 @@
 func rowsOf(b platform.Batch) []feed.Row[platform.Change] {
 	rows := make([]feed.Row[platform.Change], len(b.Changes))
 	for i, c := range b.Changes {
-		rows[i] = feed.Row[platform.Change]{Key: c.Key, Version: c.Version, Size: len(c.Key) + len(c.Value), Value: c}
+		rows[i] = feed.Row[platform.Change]{Key: c.Key, Revision: c.Revision, Size: len(c.Key) + len(c.Value), Value: c}
 	}
 	return rows
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -18,6 +18,7 @@
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 )
 
@@ -111,6 +112,13 @@
 	cut []string
 	// evacuated are the data centres that operators want evacuated.
 	evacuated map[string]bool
+	// era is the latest of the store, eraKnown is set once something was read.
+	era      uint64
+	eraKnown bool
+	// heard is set once a heartbeat of another router came, waiting is the configuration that
+	// is not taken before.
+	heard   bool
+	waiting []byte
 	// behind is since when another router has a newer configuration.
 	behind   time.Time
 	fetching bool
@@ -188,6 +196,7 @@
 func (l *loop) tick(ctx context.Context) {
 	now := l.gateway.clock.Now()
 	l.ticks++
+	l.adoptWaiting()
 	if l.ticks%lookEvery == 0 {
 		l.expire(now)
 		l.findCuts()
@@ -277,7 +286,8 @@
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
-	if l.depart(l.roster.Expire(), "targets gone, their entries did not come back") {
+	gone, back := l.roster.Expire()
+	if l.depart(gone, "targets gone, their entries did not come back") || back {
 		l.publishTargets()
 	}
 }
@@ -301,29 +311,46 @@
 		m.Inc(metric.HeartbeatsIgnored)
 		return
 	case member.Restarted:
+		l.welcome(host)
 		l.gateway.log.Info().Str("peer", host.Name).Stringer("address", host.Peer).Msg("router heard")
 	}
 	for _, h := range r.heartbeat.Introduced {
 		l.introduce(h)
 	}
+	l.heard = true
 	l.gateway.placer.SetPeer(host.Name, decodeReport(r.heartbeat))
 	l.hearLeaving(host.Name, r.heartbeat.LeavingTargets)
 }
 
+// welcome tells a router that just started who and how far this one is, if it is among those
+// that follow the store for others: so the new one need not wait for the next heartbeats,
+// which come each 2.4 s in a fleet of 295.
+func (l *loop) welcome(h *member.Host) {
+	g := l.gateway
+	if !g.leads.Load() || !h.Peer.IsValid() {
+		return
+	}
+	hb := l.header()
+	hb.Partial = true
+	hb.Host = l.identity()
+	hb.LeavingTargets = l.leavingTargets()
+	g.send(hb, h.Peer)
+}
+
 // hearLeaving takes another router's word on targets that leave.
 func (l *loop) hearLeaving(from string, leaving []*zinccovev1.LeavingTarget) {
 	if len(leaving) == 0 {
 		return
 	}
-	versions := make(map[place.Hash]uint64, len(leaving))
+	revisions := make(map[place.Hash]revision.Revision, len(leaving))
 	for _, t := range leaving {
-		versions[place.Hash(t.Target)] = t.Version
+		revisions[place.Hash(t.Target)] = revision.Revision{Era: t.Era, Count: t.Version}
 	}
 	changed := false
-	for hash, version := range versions {
+	for hash, at := range revisions {
 		id, known := l.ids[hash]
-		if known && l.roster.Leave(id, version) {
-			l.gateway.log.Info().Str("target", id).Uint64("version", version).Str("peer", from).
+		if known && l.roster.Leave(id, at) {
+			l.gateway.log.Info().Str("target", id).Uint64("era", at.Era).Uint64("version", at.Count).Str("peer", from).
 				Msg("target is leaving, as another router says")
 			changed = true
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,10 +11,11 @@
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // open begins to follow a router and waits for its first message.
-func (t *through) open(ctx context.Context, since uint64, l leader) bool {
+func (t *through) open(ctx context.Context, since revision.Revision, l leader) bool {
 	g := t.gateway
 	client := zinccovev1connect.NewPeerServiceClient(g.streams, "http://"+l.control.String(), control.Authorize("", g.settings.FleetKey),
 		connect.WithReadMaxBytes(maxNews),
@@ -22,14 +23,14 @@
 		connect.WithAcceptCompression("gzip", nil, nil))
 	ctx, cancel := context.WithCancel(ctx)
 	watch := g.clock.AfterFunc(leaderSilence, cancel)
-	stream, err := client.FollowTable(ctx, &zinccovev1.FollowTableRequest{Table: t.table, Since: since})
+	stream, err := client.FollowTable(ctx, &zinccovev1.FollowTableRequest{Table: t.table, Since: since.Count, SinceEra: since.Era})
 	if err != nil || !watch.Stop() {
 		cancel()
 		g.metrics.Inc(metric.PeerErrors)
 		return false
 	}
 	t.from, t.stream, t.end = l, stream, cancel
-	g.log.Info().Str("table", t.table).Str("peer", l.name).Uint64("since", since).Msg("follows a table through a router")
+	g.log.Info().Str("table", t.table).Str("peer", l.name).Stringer("since", since).Msg("follows a table through a router")
 	if t.first, err = t.message(); err != nil && !eris.Is(err, platform.ErrHistoryLost) {
 		t.close(err.Error())
 		return false
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -14,6 +14,7 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/settings"
 )
 
@@ -32,22 +33,22 @@
 // entry returns the entry of a run of a target that started at a time in Unix
 // milliseconds.
 func entry(id string, version uint64, started int64) platform.Change {
-	return platform.Change{Key: id, Version: version, Value: fmt.Appendf(nil,
+	return platform.Change{Key: id, Revision: revision.Revision{Count: version}, Value: fmt.Appendf(nil,
 		`{"service":"m","address":"127.0.0.1:1","zone":"x","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":%d}`, started)}
 }
 
 // ways are those by which changes of entries reach a router.
 var ways = map[string]func(l *loop, changes ...platform.Change){
 	"change": func(l *loop, changes ...platform.Change) {
-		l.takeTargets(platform.Batch{Version: changes[0].Version, Changes: changes}, false)
+		l.takeTargets(platform.Batch{Revision: changes[0].Revision, Changes: changes}, false)
 	},
 	"whole table": func(l *loop, changes ...platform.Change) {
-		l.takeTargets(platform.Batch{Version: changes[0].Version, Changes: append(changes, entry("other", 1, 0))}, true)
+		l.takeTargets(platform.Batch{Revision: changes[0].Revision, Changes: append(changes, entry("other", 1, 0))}, true)
 	},
 	"handed on": func(l *loop, changes ...platform.Change) {
 		log := feed.NewLog[platform.Change](l.gateway.clock)
-		log.Reset(changes[0].Version, rowsOf(platform.Batch{Changes: append(changes, entry("other", 1, 0))})...)
-		news, _, err := log.Since(0)
+		log.Reset(changes[0].Revision, rowsOf(platform.Batch{Changes: append(changes, entry("other", 1, 0))})...)
+		news, _, err := log.Since(revision.Revision{})
 		if err == nil {
 			l.takeTargets(decodeRows(encodeRows(news, l.gateway.clock.Now())), news.Whole)
 		}
@@ -76,11 +77,11 @@
 		for _, text := range []string{"", "{", `{"service":"m"}`, `{"service":"m","address":"0.0.0.0:0","zone":"x","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1}`} {
 			t.Run(name+" "+text, func(t *testing.T) {
 				l, clock := newTargetLoop(t)
-				l.takeTargets(platform.Batch{Version: 2, Changes: []platform.Change{entry("other", 1, 0), entry("odd", 2, 0)}}, true)
+				l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("other", 1, 0), entry("odd", 2, 0)}}, true)
 				for range 20 {
 					assert.Assert(t, placed(l, "odd", "other"))
 				}
-				take(l, platform.Change{Key: "odd", Version: 5, Value: []byte(text)}, platform.Change{Key: "never-good", Version: 5, Value: []byte(text)})
+				take(l, platform.Change{Key: "odd", Revision: revision.Revision{Count: 5}, Value: []byte(text)}, platform.Change{Key: "never-good", Revision: revision.Revision{Count: 5}, Value: []byte(text)})
 				clock.Advance(time.Minute)
 				l.expireTargets()
 				for range 20 {
@@ -88,7 +89,7 @@
 				}
 				assert.Equal(t, len(l.leavingTargets()), 0, "an odd entry says nothing to tell others")
 				ways["change"](l, entry("odd", 7, 0))
-				ways["change"](l, platform.Change{Key: "other", Version: 8, Value: []byte(text)})
+				ways["change"](l, platform.Change{Key: "other", Revision: revision.Revision{Count: 8}, Value: []byte(text)})
 				for range 20 {
 					assert.Assert(t, placed(l, "odd"), "the good entry that follows is used at once")
 				}
@@ -103,7 +104,7 @@
 	for name, take := range ways {
 		t.Run(name, func(t *testing.T) {
 			l, _ := newTargetLoop(t)
-			l.takeTargets(platform.Batch{Version: 2, Changes: []platform.Change{entry("again", 2, 1000)}}, true)
+			l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("again", 2, 1000)}}, true)
 			first, second := uint32(place.HashOf("again@1000")), uint32(place.HashOf("again@2000"))
 			leaves := func(run uint32) {
 				l.hearLeaving("b", []*zinccovev1.LeavingTarget{{Target: run, Version: 100}})
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -13,6 +13,7 @@
 	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // leader is a router that follows the store for others.
@@ -68,9 +69,9 @@
 // active reports whether the table is followed through another router.
 func (t *through) active() bool { return t.stream != nil }
 
-// next returns what changed in the table since a version, as another router says. It
+// next returns what changed in the table since a revision, as another router says. It
 // waits for changes as long as wait. Ask tells that the store is to be asked instead.
-func (t *through) next(ctx context.Context, since uint64, wait time.Duration) (b platform.Batch, ask bool, err error) {
+func (t *through) next(ctx context.Context, since revision.Revision, wait time.Duration) (b platform.Batch, ask bool, err error) {
 	t.gateway.awaitHosts(ctx)
 	leaders := *t.gateway.leaders.Load()
 	if len(leaders) == 0 {
@@ -145,7 +146,7 @@
 		if b, ok := t.takeWhole(); ok {
 			return b, true
 		}
-		_, _, err := t.next(ctx, 0, 0)
+		_, _, err := t.next(ctx, revision.Revision{}, 0)
 		if err == nil || !g.clock.Now().Before(until) {
 			break
 		}
@@ -176,7 +177,7 @@
 
 // find begins to follow a router if none is followed: the first that answers and
 // reaches the store, or else the first that answers.
-func (t *through) find(ctx context.Context, since uint64, leaders []leader) bool {
+func (t *through) find(ctx context.Context, since revision.Revision, leaders []leader) bool {
 	if t.stream != nil {
 		return true
 	}
@@ -208,7 +209,7 @@
 
 // receive waits for changes until a time. While the router that is followed does not
 // reach the store it waits longer, as long as the store need not be asked.
-func (t *through) receive(since uint64, until time.Time) (platform.Batch, error) {
+func (t *through) receive(since revision.Revision, until time.Time) (platform.Batch, error) {
 	g := t.gateway
 	for {
 		msg, err := t.message()
@@ -233,7 +234,7 @@
 		g.heardOf(t.table).set(now.Add(-time.Duration(msg.AgeMs) * time.Millisecond))
 		if t.lost || !now.Before(until) {
 			t.lost = false
-			return platform.Batch{Version: max(since, msg.Version)}, nil
+			return platform.Batch{Revision: revision.Later(since, b.Revision)}, nil
 		}
 	}
 }
--- a/gateway/through_test.go
+++ b/gateway/through_test.go
@@ -20,12 +20,16 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/platform/wire"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/settings"
 )
 
 const testFleetKey = "0123456789abcdef"
 
 // newReader returns a gateway without addresses, which follows and hands on tables.
+// at is a revision of the first era of the store.
+func at(count uint64) revision.Revision { return revision.Revision{Count: count} }
+
 func newReader(t *testing.T, name string) *Gateway {
 	t.Helper()
 	m, err := metric.New()
@@ -57,7 +61,7 @@
 }
 
 func change(key string, version uint64) feed.Row[platform.Change] {
-	return rowsOf(platform.Batch{Changes: []platform.Change{{Key: key, Version: version, Value: []byte("v")}}})[0]
+	return rowsOf(platform.Batch{Changes: []platform.Change{{Key: key, Revision: revision.Revision{Count: version}, Value: []byte("v")}}})[0]
 }
 
 // followTwo returns a router that follows the targets through two others, the first
@@ -69,7 +73,7 @@
 	g := newReader(t, "z")
 	g.leaders.Store(&[]leader{serveTables(t, first), serveTables(t, second)})
 	for _, l := range []*Gateway{first, second} {
-		l.logs[wire.TableTargets].Reset(5)
+		l.logs[wire.TableTargets].Reset(at(5))
 	}
 	r = &through{gateway: g, table: wire.TableTargets}
 	t.Cleanup(func() { r.close("test ends") })
@@ -79,15 +83,15 @@
 func TestChangesArriveThroughAnotherRouterAtOnce(t *testing.T) {
 	r, first, _ := followTwo(t, clockwork.NewRealClock())
 	ctx := context.Background()
-	b, ask, err := r.next(ctx, 5, 0)
+	b, ask, err := r.next(ctx, at(5), 0)
 	assert.NilError(t, err)
 	assert.Assert(t, !ask && len(b.Changes) == 0)
 	began := time.Now()
-	first.logs[wire.TableTargets].Append(8, change("t", 8))
-	b, _, err = r.next(ctx, 5, time.Minute)
+	first.logs[wire.TableTargets].Append(at(8), change("t", 8))
+	b, _, err = r.next(ctx, at(5), time.Minute)
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(began) < keepalive, "not with the next keepalive only")
-	assert.Equal(t, b.Version, uint64(8))
+	assert.Equal(t, b.Revision, revision.Revision{Count: 8})
 	assert.Equal(t, b.Changes[0].Key, "t")
 }
 
@@ -98,11 +102,11 @@
 	// The clock of the first stands still: it says how things are and then nothing.
 	r, _, second := followTwo(t, clockwork.NewFakeClock())
 	ctx := context.Background()
-	_, _, err := r.next(ctx, 5, 0)
+	_, _, err := r.next(ctx, at(5), 0)
 	assert.NilError(t, err)
-	second.logs[wire.TableTargets].Append(8, change("t", 8))
+	second.logs[wire.TableTargets].Append(at(8), change("t", 8))
 	began := time.Now()
-	b, ask, err := r.next(ctx, 5, time.Minute)
+	b, ask, err := r.next(ctx, at(5), time.Minute)
 	assert.NilError(t, err)
 	assert.Assert(t, !ask)
 	assert.Equal(t, b.Changes[0].Key, "t")
@@ -115,11 +119,11 @@
 func TestLeaderThatLosesTheStoreIsLeft(t *testing.T) {
 	r, first, second := followTwo(t, clockwork.NewRealClock())
 	ctx := context.Background()
-	_, _, err := r.next(ctx, 5, 0)
+	_, _, err := r.next(ctx, at(5), 0)
 	assert.NilError(t, err)
 	first.logs[wire.TableTargets].SetLost()
-	second.logs[wire.TableTargets].Append(8, change("t", 8))
-	b, ask, err := r.next(ctx, 5, time.Minute)
+	second.logs[wire.TableTargets].Append(at(8), change("t", 8))
+	b, ask, err := r.next(ctx, at(5), time.Minute)
 	assert.NilError(t, err)
 	assert.Assert(t, !ask)
 	assert.Equal(t, b.Changes[0].Key, "t")
@@ -130,16 +134,16 @@
 func TestLostStoreIsToldOnceAndNotAskedByAll(t *testing.T) {
 	r, first, second := followTwo(t, clockwork.NewRealClock())
 	ctx := context.Background()
-	_, _, err := r.next(ctx, 5, 0)
+	_, _, err := r.next(ctx, at(5), 0)
 	assert.NilError(t, err)
 	first.logs[wire.TableTargets].SetLost()
 	second.logs[wire.TableTargets].SetLost()
-	_, ask, err := r.next(ctx, 5, time.Minute)
+	_, ask, err := r.next(ctx, at(5), time.Minute)
 	assert.Assert(t, eris.Is(err, errLeaderLost))
 	assert.Assert(t, !ask)
 	// The store itself is asked after a while, in case only the others do not reach it.
 	r.asked = r.asked.Add(-askStoreEvery)
-	_, ask, err = r.next(ctx, 5, time.Minute)
+	_, ask, err = r.next(ctx, at(5), time.Minute)
 	assert.Assert(t, eris.Is(err, errAskStore))
 	assert.Assert(t, ask)
 	var group errgroup.Group
@@ -148,7 +152,7 @@
 		first.logs[wire.TableTargets].Confirm()
 		return nil
 	})
-	_, ask, err = r.next(ctx, 5, time.Minute)
+	_, ask, err = r.next(ctx, at(5), time.Minute)
 	assert.NilError(t, err)
 	assert.Assert(t, !ask, "it hears of the return of the store")
 	assert.NilError(t, group.Wait())
@@ -159,9 +163,9 @@
 	g := newReader(t, "z")
 	g.leaders.Store(&[]leader{{name: "a", control: netip.MustParseAddrPort("127.0.0.1:1")}})
 	r := &through{gateway: g, table: wire.TableTargets}
-	_, ask, err := r.next(context.Background(), 5, time.Second)
+	_, ask, err := r.next(context.Background(), at(5), time.Second)
 	assert.Assert(t, ask && err != nil)
-	_, ask, err = r.next(context.Background(), 5, time.Second)
+	_, ask, err = r.next(context.Background(), at(5), time.Second)
 	assert.Assert(t, eris.Is(err, errNoLeader) && !ask, "not again at once")
 }
 
@@ -169,16 +173,16 @@
 // has to read it for that.
 func TestReaderBehindTheLogIsGivenTheWholeTable(t *testing.T) {
 	r, first, _ := followTwo(t, clockwork.NewRealClock())
-	first.logs[wire.TableTargets].Reset(30, change("t", 29))
-	_, ask, err := r.next(context.Background(), 5, time.Second)
+	first.logs[wire.TableTargets].Reset(at(30), change("t", 29))
+	_, ask, err := r.next(context.Background(), at(5), time.Second)
 	assert.Assert(t, eris.Is(err, platform.ErrHistoryLost) && !ask)
 	b, ok := r.takeWhole()
 	assert.Assert(t, ok)
-	assert.Equal(t, b.Version, uint64(30))
+	assert.Equal(t, b.Revision, revision.Revision{Count: 30})
 	assert.Equal(t, b.Changes[0].Key, "t")
 	_, ok = r.takeWhole()
 	assert.Assert(t, !ok, "taken once")
-	_, ask, err = r.next(context.Background(), 30, 0)
+	_, ask, err = r.next(context.Background(), at(30), 0)
 	assert.NilError(t, err)
 	assert.Assert(t, !ask && r.active(), "it goes on there")
 }
@@ -188,8 +192,8 @@
 	r, first, _ := followTwo(t, clockwork.NewRealClock())
 	large := change("t", 8)
 	large.Size = 2 << 20
-	first.logs[wire.TableTargets].Append(8, large)
-	_, ask, err := r.next(context.Background(), 5, time.Second)
+	first.logs[wire.TableTargets].Append(at(8), large)
+	_, ask, err := r.next(context.Background(), at(5), time.Second)
 	assert.Assert(t, eris.Is(err, platform.ErrHistoryLost) && !ask)
 	_, ok := r.takeWhole()
 	assert.Assert(t, !ok)
@@ -197,7 +201,7 @@
 
 func TestRouterThatDoesNotFollowTheStoreHandsNothingOn(t *testing.T) {
 	g := newReader(t, "a")
-	g.logs[wire.TableTargets].Reset(5)
+	g.logs[wire.TableTargets].Reset(at(5))
 	sent := 0
 	err := g.handOn(context.Background(), &zinccovev1.FollowTableRequest{Table: wire.TableTargets, Since: 5}, func(*zinccovev1.FollowTableResponse) error {
 		sent++
@@ -217,13 +221,13 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		time.Sleep(2 * snapshotPause)
-		late.logs[wire.TableTargets].Reset(30, change("t", 29))
+		late.logs[wire.TableTargets].Reset(at(30), change("t", 29))
 		return nil
 	})
 	b, ok := r.snapshot(context.Background())
 	assert.NilError(t, group.Wait())
 	assert.Assert(t, ok)
-	assert.Equal(t, b.Version, uint64(30))
+	assert.Equal(t, b.Revision, revision.Revision{Count: 30})
 }
 
 func TestStartingRouterReadsTheStoreForWantOfALeader(t *testing.T) {
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -36,6 +36,7 @@
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // State is where a plan stands.
@@ -142,21 +143,21 @@
 // New returns a store.
 func New(o Options) *Store { return &Store{table: o.Table, clock: o.Clock} }
 
-// headRow is the head and the version of its row for checks.
+// headRow is the head and the revision of its row for checks.
 type headRow struct {
 	Head
-	row uint64
+	row revision.Revision
 }
 
 func (s *Store) head(ctx context.Context) (headRow, error) {
 	row, err := s.table.Get(ctx, headKey)
 	if eris.Is(err, platform.ErrNotFound) {
-		return headRow{}, nil
+		return headRow{row: row.Revision}, nil
 	}
 	if err != nil {
 		return headRow{}, err
 	}
-	h := headRow{row: row.Version}
+	h := headRow{row: row.Revision}
 	err = json.Unmarshal(row.Value, &h.Head)
 	return h, errs.Wrap(err, "decode head", "")
 }
@@ -208,6 +209,9 @@
 	cfg := from
 	for v := from.Version + 1; v <= h.Version; v++ {
 		a, err := s.audit(ctx, v)
+		if eris.Is(err, platform.ErrNotFound) {
+			return s.config(ctx, h) // lost with a copy of the table
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -323,22 +327,22 @@
 	return platform.Put{Key: key, Value: value}, errs.Wrap(err, "encode row "+key, "")
 }
 
-func (s *Store) plan(ctx context.Context, id string) (Plan, uint64, error) {
+func (s *Store) plan(ctx context.Context, id string) (Plan, revision.Revision, error) {
 	row, err := s.table.Get(ctx, planPrefix+id)
 	if eris.Is(err, platform.ErrNotFound) {
-		return Plan{}, 0, ErrNoPlan
+		return Plan{}, revision.Revision{}, ErrNoPlan
 	}
 	if err != nil {
-		return Plan{}, 0, err
+		return Plan{}, revision.Revision{}, err
 	}
 	var p Plan
 	if err := json.Unmarshal(row.Value, &p); err != nil {
-		return Plan{}, 0, errs.Wrap(err, "decode plan", "")
+		return Plan{}, revision.Revision{}, errs.Wrap(err, "decode plan", "")
 	}
 	if p.State == Proposed && s.clock.Now().After(p.Expires) {
 		p.State = Expired
 	}
-	return p, row.Version, nil
+	return p, row.Revision, nil
 }
 
 // Show reads a plan.
@@ -366,7 +370,7 @@
 			return err
 		}
 		err = s.table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: put.Key, Version: row}},
+			Checks: []platform.Check{{Key: put.Key, Revision: row}},
 			Puts:   []platform.Put{put},
 		})
 		if !platform.Undecided(err) {
@@ -400,7 +404,7 @@
 }
 
 // confirm makes one try. The caller reads the plan to learn how it ended.
-func (s *Store) confirm(ctx context.Context, operator string, p Plan, planRow uint64) error {
+func (s *Store) confirm(ctx context.Context, operator string, p Plan, planRow revision.Revision) error {
 	h, err := s.head(ctx)
 	if err != nil {
 		return err
@@ -435,14 +439,14 @@
 type commit struct {
 	head    headRow
 	plan    Plan
-	planRow uint64
+	planRow revision.Revision
 	audit   Audit
 }
 
 func (s *Store) commit(ctx context.Context, c commit) error {
 	t := platform.Txn{Checks: []platform.Check{
-		{Key: headKey, Version: c.head.row},
-		{Key: planPrefix + c.plan.ID, Version: c.planRow},
+		{Key: headKey, Revision: c.head.row},
+		{Key: planPrefix + c.plan.ID, Revision: c.planRow},
 		{Key: auditKey(c.audit.Version)},
 	}}
 	rows := []struct {
@@ -464,11 +468,13 @@
 func (s *Store) checkOverlap(ctx context.Context, p Plan, head uint64) error {
 	for v := p.BaseVersion + 1; v <= head; v++ {
 		a, err := s.audit(ctx, v)
-		if err != nil {
+		if err != nil && !eris.Is(err, platform.ErrNotFound) {
 			return err
 		}
+		// What a version changed whose row a copy of the table lacks is not known.
+		unknown := err != nil || a.Operator == restorer
 		for i := range p.Changes {
-			if o := p.Changes[i].Object(); slices.Contains(a.Objects, o) {
+			if o := p.Changes[i].Object(); unknown || slices.Contains(a.Objects, o) {
 				return &ConflictError{Object: o, Plan: a.Plan, Operator: a.Operator, Version: v}
 			}
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -34,6 +34,7 @@
 
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // Options configure a lease. All are required.
@@ -66,8 +67,8 @@
 	// none.
 	number uint64
 	until  time.Time
-	// seen is the version of the row seen last and since when.
-	seen  uint64
+	// seen is the revision of the row seen last and since when.
+	seen  revision.Revision
 	since time.Time
 }
 
@@ -93,50 +94,62 @@
 		return err
 	}
 	var cur row
-	if r.Version > 0 {
+	if r.Revision.Count > 0 {
 		if err := json.Unmarshal(r.Value, &cur); err != nil {
 			return errs.Wrap(err, "decode lease", "")
 		}
 	}
-	next, may := l.next(cur, r.Version)
+	next, may := l.next(cur, r.Revision)
 	if !may {
 		return nil
 	}
-	return l.write(ctx, next, r.Version)
+	return l.write(ctx, next, r.Revision)
 }
 
-// next decides what to write over a row, if anything.
-func (l *Lease) next(cur row, version uint64) (row, bool) {
+// next decides what to write over a row, if anything. A store that came back from a copy
+// may have lost the row, or that somebody else took the lease: one that is held is written
+// again, and nobody takes another one before its holder had time to.
+func (l *Lease) next(cur row, at revision.Revision) (row, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Clock.Now()
-	if version != l.seen || l.since.IsZero() {
-		l.seen, l.since = version, now
+	if at != l.seen || l.since.IsZero() {
+		l.seen, l.since = at, now
 	}
+	none, own := at.Count == 0, cur.Holder == l.options.Holder && at.Count > 0
+	held := now.Before(l.until)
+	expired := now.Sub(l.since) >= l.options.TTL+l.options.Flight
 	switch {
-	case version == 0:
-		return row{Holder: l.options.Holder, Number: 1}, true
-	case cur.Holder == l.options.Holder && now.Before(l.until):
+	case held && (none || !own && cur.Number < l.number):
+		return row{Holder: l.options.Holder, Number: l.number}, true
+	case held && own:
 		return cur, true
-	case cur.Holder == l.options.Holder, now.Sub(l.since) >= l.options.TTL+l.options.Flight:
+	case expired, (none || own) && at.Era == 0:
 		// A lease that ran out, also one's own, gets a new number, so that orders
 		// sent under the old one are refused.
-		return row{Holder: l.options.Holder, Number: cur.Number + 1}, true
+		return row{Holder: l.options.Holder, Number: nextNumber(cur.Number, at.Era)}, true
 	default:
 		return row{}, false
 	}
 }
 
-// write puts a row over a version. A lost answer leaves the claim as it was:
+// eraBits is the number of bits of a fencing number below those of the store's era.
+const eraBits = 32
+
+// nextNumber is the fencing number after one that was read in an era. Numbers of an era
+// are above all of earlier ones, which the store may have lost.
+func nextNumber(number, era uint64) uint64 { return max(number, era<<eraBits) + 1 }
+
+// write puts a row over a revision. A lost answer leaves the claim as it was:
 // if the write took effect, the next step finds the row to be this router's.
-func (l *Lease) write(ctx context.Context, next row, version uint64) error {
+func (l *Lease) write(ctx context.Context, next row, at revision.Revision) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errs.Wrap(err, "encode lease", "")
 	}
 	started := l.options.Clock.Now()
 	err = l.options.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: l.key(), Version: version}},
+		Checks: []platform.Check{{Key: l.key(), Revision: at}},
 		Puts:   []platform.Put{{Key: l.key(), Value: value}},
 	})
 	var conflict *platform.ConflictError
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -142,3 +142,68 @@
 	}
 	return highest
 }
+
+// TestLeaseThatTheTableLostIsNotGivenToAnother has the table come back from a copy in which
+// the lease is not there, or belongs to the holder before. The holder writes it again; the
+// others wait, and no number is given out twice.
+func TestLeaseThatTheTableLostIsNotGivenToAnother(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		m, clock := platformtest.New(), clockwork.NewFakeClock()
+		a, b := newLease(m, clock, "a"), newLease(m, clock, "b")
+		if before {
+			assert.NilError(t, b.Step(ctx))
+			clock.Advance(ttl + flight)
+		}
+		goBack := m.Copy()
+		for range 3 {
+			assert.NilError(t, a.Step(ctx))
+			clock.Advance(ttl + flight)
+		}
+		assert.NilError(t, a.Step(ctx))
+		number, ok := a.Held()
+		assert.Assert(t, ok)
+		goBack()
+		assert.NilError(t, b.Step(ctx))
+		_, ok = b.Held()
+		assert.Assert(t, !ok, "the holder had no time to write it again")
+		assert.NilError(t, a.Step(ctx))
+		again, ok := a.Held()
+		assert.Assert(t, ok)
+		assert.Equal(t, again, number)
+		// The holder falls silent: the other one takes the lease after its time.
+		for range 6 {
+			assert.NilError(t, b.Step(ctx))
+			clock.Advance((ttl + flight) / 5)
+		}
+		assert.NilError(t, b.Step(ctx))
+		next, ok := b.Held()
+		assert.Assert(t, ok)
+		assert.Assert(t, next > number, "%d after %d", next, number)
+		_, ok = a.Held()
+		assert.Assert(t, !ok)
+	}
+}
+
+// TestNumbersOfANewEraAreAboveThoseThatWereLost has the holder end with the table's last
+// seconds, so that nobody can write its number again.
+func TestNumbersOfANewEraAreAboveThoseThatWereLost(t *testing.T) {
+	m, clock := platformtest.New(), clockwork.NewFakeClock()
+	goBack := m.Copy()
+	lost := uint64(0)
+	for n := range 5 {
+		l := newLease(m, clock, fmt.Sprint("h", n))
+		for range 3 {
+			assert.NilError(t, l.Step(ctx))
+			clock.Advance(ttl + flight)
+		}
+		assert.NilError(t, l.Step(ctx))
+		lost, _ = l.Held()
+	}
+	goBack()
+	l := newLease(m, clock, "after")
+	assert.NilError(t, l.Step(ctx))
+	clock.Advance(ttl + flight)
+	assert.NilError(t, l.Step(ctx))
+	number, ok := l.Held()
+	assert.Assert(t, ok && number > lost, "%d after %d", number, lost)
+}
--- a/metric/names.go
+++ b/metric/names.go
@@ -46,6 +46,7 @@
 	QuestionsOpen
 	EntriesRejected
 	RequestsBarred
+	StoreWentBack
 	counters
 )
 
@@ -84,6 +85,7 @@
 	QuestionsOpen:        {"questions_open", "Questions about targets that another router did not answer in time."},
 	EntriesRejected:      {"entries_rejected", "*alarm* Entries of targets that could not be read; such a target gets nothing new until a good entry follows."},
 	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them."},
+	StoreWentBack:        {"store_went_back", "*alarm* Times that the store came back from a copy that lacks its latest writes."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/place/again_test.go
+++ b/place/again_test.go
@@ -16,7 +16,7 @@
 	for _, t := range list {
 		next := *t
 		next.Started = t.Started.Add(time.Hour)
-		next.Version++
+		next.Revision.Count++
 		again = append(again, &next)
 	}
 	return again
--- a/place/copy_test.go
+++ b/place/copy_test.go
@@ -57,7 +57,7 @@
 	for i, x := range s.list {
 		if x.ID == s.first.ID {
 			changed := *x
-			changed.Version++
+			changed.Revision.Count++
 			change(&changed)
 			s.list[i] = &changed
 		}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -384,7 +384,7 @@
 	list := targets("model", 8)
 	cold := make(map[string]bool)
 	for i, target := range list {
-		target.Version = 1
+		target.Revision.Count = 1
 		if i%2 == 0 {
 			target.ColdLeft = time.Second
 			cold[target.ID] = true
--- a/place/targets.go
+++ b/place/targets.go
@@ -94,7 +94,7 @@
 				t.warmUntil = p.clock.Now().Add(warmFor)
 			}
 		}
-		if t.Version != entry.Version {
+		if t.Revision != entry.Revision {
 			t.coldUntil = p.clock.Now().Add(entry.ColdLeft)
 		}
 		t.Target = *entry
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -59,6 +59,8 @@
 	mostAnswered = 4096
 	mostSuspects = 4096
 	mostLosses   = 8
+	// copyAge is longer than a copy is old from which the table may come back.
+	copyAge = time.Minute
 	// mostUnsaved bounds the barred requests that wait to be kept.
 	mostUnsaved = 64
 	// tellTimes is the number of heartbeats with which a change is told, so that lost
@@ -180,6 +182,17 @@
 	}
 }
 
+// KeepAgain has what was barred lately kept again, after the table may have lost it.
+func (l *List) KeepAgain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.order {
+		if s.barred() && l.clock.Since(s.changed) < copyAge {
+			l.announce(s)
+		}
+	}
+}
+
 // blame adds losses and reports whether the request is barred by them. Some are told after
 // the word that the request was answered, and do not count.
 func (l *List) blame(f Fingerprint, targets []Target, at time.Time) (barred bool) {
--- a/relay/log.go
+++ b/relay/log.go
@@ -35,7 +35,7 @@
 // logPlaced tells which target was chosen and what decided it.
 func (s *Server) logPlaced(f *flight) {
 	e := s.event(s.options.Log.Info(), f).
-		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Version).Int("attempt", len(f.tried)).
+		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Revision.Count).Int("attempt", len(f.tried)).
 		Dur("targets_age_ms", s.options.View().TargetsAge)
 	f.decided(e).Msg("request placed")
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,17 +16,22 @@
 // An entry that cannot be read names no target to use. The one that stood before it
 // is held back until a good entry follows.
 //
+// The table may come back from a copy that is some seconds old (package revision). What it
+// says then takes nothing back of what was known: a target that was leaving goes on to
+// leave, one that was gone stays out, one that is missing has time to write its entry
+// again. Targets write again what they wrote since the copy; what they write counts at once.
+//
 // The package has no I/O and is not safe for concurrent use; Targets returns
 // immutable values.
 //
 // # Usage
 //
 //	r := roster.New(roster.Options{Clock: clock, Return: 2 * time.Second})
-//	gone := r.Replace(entries, version) // the whole table at a version
-//	gone, ended := r.Put(entry)         // single changes
-//	gone, left := r.Remove(id, version, 0)
-//	r.Interrupted()                     // the table is away
-//	all := r.Expire()                   // from time to time
+//	gone := r.Replace(entries, revision) // the whole table at a revision
+//	gone, ended := r.Put(entry)          // single changes
+//	gone, left := r.Remove(id, revision, 0)
+//	r.Interrupted()                      // the table is away
+//	gone, back := r.Expire()             // from time to time
 //	for _, t := range r.Targets() { ... }
 package roster
 
@@ -38,6 +43,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/revision"
 )
 
 // Target is a running engine or instance of a plain service.
@@ -54,12 +61,12 @@
 	// Draining targets take no new work.
 	Draining bool
 	// Unreadable tells that the entry cannot be read, so that the target takes no new
-	// work. Of such an entry only ID and Version are known.
+	// work. Of such an entry only ID and Revision are known.
 	Unreadable bool
 	// ColdLeft is how much longer the target is cold, as of its entry.
 	ColdLeft time.Duration
-	// Version grows with each change of the entry.
-	Version uint64
+	// Revision is that of the last change of the entry.
+	Revision revision.Revision
 }
 
 // Incarnation names this run of the target; no other run of any target has the name.
@@ -75,16 +82,20 @@
 	ID string
 	// Incarnation names the run.
 	Incarnation string
-	// Version is that of the table at which its entry went or was missing.
-	Version uint64
+	// Revision is that of the table at which its entry went or was missing.
+	Revision revision.Revision
 }
 
 // doubt is an entry that went and may come back.
 type doubt struct {
-	until   time.Time
-	version uint64
+	until    time.Time
+	revision revision.Revision
 }
 
+// goneFor is how long a run of a target that is gone is remembered, in case a copy of the
+// table still names it: by then the entry of one that ended has lapsed there again.
+const goneFor = 10 * time.Second
+
 // Options configure a roster.
 type Options struct {
 	Clock clockwork.Clock
@@ -102,7 +113,15 @@
 	targets map[string]*Target
 	// doubted holds the entries that went and may come back.
 	doubted map[string]doubt
-	away    bool
+	// latest is the revision of the table read last, copied are the targets whose entry is
+	// as it stood when the table came back from a copy.
+	latest revision.Revision
+	copied map[string]bool
+	// gone holds until when runs that are gone are remembered, by incarnation, withheld
+	// the entries of such runs in a copy.
+	gone     map[string]time.Time
+	withheld map[string]Target
+	away     bool
 	// catching is set until the changes made during an outage were taken.
 	catching bool
 	// settled is when entries that are missing after an outage count as gone.
@@ -111,7 +130,10 @@
 
 // New returns an empty roster.
 func New(o Options) *Roster {
-	return &Roster{options: o, targets: make(map[string]*Target), doubted: make(map[string]doubt)}
+	return &Roster{
+		options: o, targets: make(map[string]*Target), doubted: make(map[string]doubt),
+		copied: make(map[string]bool), gone: make(map[string]time.Time), withheld: make(map[string]Target),
+	}
 }
 
 // Interrupted notes that the table cannot be followed.
@@ -128,15 +150,25 @@
 // CaughtUp notes that the changes made during an outage were taken.
 func (r *Roster) CaughtUp() { r.catching = false }
 
-// Departure is that of a run that leaves or is gone at a version of the table.
-func (t *Target) Departure(version uint64) Departure {
-	return Departure{ID: t.ID, Incarnation: t.Incarnation(), Version: version}
+// Departure is that of a run that leaves or is gone at a revision of the table.
+func (t *Target) Departure(at revision.Revision) Departure {
+	return Departure{ID: t.ID, Incarnation: t.Incarnation(), Revision: at}
 }
 
+// Get returns a target, nil if it is not known.
+func (r *Roster) Get(id string) *Target { return r.targets[id] }
+
 // Put adds or changes an entry. Entries that are older than the known one and those of
 // an earlier incarnation are ignored. It returns the incarnation that ended by it, if
 // there was one.
 func (r *Roster) Put(t Target) (gone Departure, ended bool) {
+	r.latest = revision.Later(r.latest, t.Revision)
+	delete(r.copied, t.ID)
+	delete(r.withheld, t.ID)
+	return r.put(t)
+}
+
+func (r *Roster) put(t Target) (gone Departure, ended bool) {
 	known := r.targets[t.ID]
 	switch {
 	case known == nil && t.Unreadable:
@@ -144,11 +176,11 @@
 	case known == nil:
 		r.targets[t.ID] = &t
 		return Departure{}, false
-	case known.Version > t.Version:
+	case t.Revision.Before(known.Revision):
 		return Departure{}, false
 	case t.Unreadable:
 		held := *known
-		held.Unreadable, held.Version = true, t.Version
+		held.Unreadable, held.Revision = true, t.Revision
 		t = held
 	case t.Started.Before(known.Started) && !t.Started.IsZero():
 		return Departure{}, false
@@ -158,19 +190,33 @@
 	if t.Incarnation() == known.Incarnation() {
 		return Departure{}, false
 	}
-	return known.Departure(t.Version), true
+	return known.Departure(t.Revision), true
+}
+
+// putCopied takes an entry of a table that came back from a copy.
+func (r *Roster) putCopied(t Target) (gone Departure, ended bool) {
+	if until, ok := r.gone[t.Incarnation()]; ok && r.options.Clock.Now().Before(until) {
+		r.withheld[t.ID] = t
+		return Departure{}, false
+	}
+	if known := r.targets[t.ID]; known != nil && known.Incarnation() == t.Incarnation() {
+		t.Draining = t.Draining || known.Draining
+	}
+	r.copied[t.ID] = true
+	return r.put(t)
 }
 
-// Remove notes that an entry went at a version of the table, which was read some
+// Remove notes that an entry went at a revision of the table, which was read some
 // time ago. It returns the target if it is gone; else the entry may have lapsed only.
-func (r *Roster) Remove(id string, version uint64, age time.Duration) (gone Departure, left bool) {
+func (r *Roster) Remove(id string, at revision.Revision, age time.Duration) (gone Departure, left bool) {
+	delete(r.withheld, id)
 	t := r.targets[id]
 	if t == nil {
 		return Departure{}, false
 	}
 	if t.Draining {
 		r.drop(id)
-		return t.Departure(version), true
+		return t.Departure(at), true
 	}
 	if _, ok := r.doubted[id]; ok {
 		return Departure{}, false
@@ -180,16 +226,21 @@
 		// It went during the outage, so it has the whole time to come back.
 		until = r.settled
 	}
-	r.doubted[id] = doubt{until: until, version: version}
+	r.doubted[id] = doubt{until: until, revision: at}
 	return Departure{}, false
 }
 
-// Leave notes that somebody else read at a version of the table that a target
+// Leave notes that somebody else read at a revision of the table that a target
 // is leaving or gone. It reports whether that was news. The caller knows that the word
-// is on the incarnation that runs.
-func (r *Roster) Leave(id string, version uint64) bool {
+// is on the incarnation that runs. A word from before the table came back from a copy
+// counts as long as the target did not write since.
+func (r *Roster) Leave(id string, at revision.Revision) bool {
 	t := r.targets[id]
-	if t == nil || t.Draining || t.Version >= version {
+	if t == nil || t.Draining {
+		return false
+	}
+	fromBefore := r.copied[id] && at.OfEarlierEra(t.Revision)
+	if !t.Revision.Before(at) && !fromBefore {
 		return false
 	}
 	leaving := *t
@@ -198,19 +249,29 @@
 	return true
 }
 
+// drop forgets a target that is gone, but for the name of its run.
 func (r *Roster) drop(id string) {
+	r.gone[r.targets[id].Incarnation()] = r.options.Clock.Now().Add(goneFor)
 	delete(r.targets, id)
 	delete(r.doubted, id)
+	delete(r.copied, id)
 }
 
-// Replace takes the whole table as of a version; entries that are not in it went.
+// Replace takes the whole table as of a revision; entries that are not in it went.
 // It returns the targets that are gone.
-func (r *Roster) Replace(entries []Target, version uint64) []Departure {
+func (r *Roster) Replace(entries []Target, at revision.Revision) []Departure {
+	put := r.Put
+	if !r.latest.IsZero() && r.latest.OfEarlierEra(at) {
+		put = r.putCopied
+		r.catching = true
+		r.settled = r.options.Clock.Now().Add(r.options.Return)
+	}
+	r.latest = revision.Later(r.latest, at)
 	present := make(map[string]bool, len(entries))
 	var gone []Departure
 	for _, t := range entries {
 		present[t.ID] = true
-		if d, ended := r.Put(t); ended {
+		if d, ended := put(t); ended {
 			gone = append(gone, d)
 		}
 	}
@@ -218,7 +279,7 @@
 		if present[id] {
 			continue
 		}
-		if d, left := r.Remove(id, version, 0); left {
+		if d, left := r.Remove(id, at, 0); left {
 			gone = append(gone, d)
 		}
 	}
@@ -226,20 +287,32 @@
 }
 
 // Expire drops the entries that are still missing although the targets had
-// time to write them again, and returns them.
-func (r *Roster) Expire() []Departure {
+// time to write them again, and returns them. Back tells that entries count again that a
+// copy of the table named although their targets were gone.
+func (r *Roster) Expire() (gone []Departure, back bool) {
+	now := r.options.Clock.Now()
+	for incarnation, until := range r.gone {
+		if !now.Before(until) {
+			delete(r.gone, incarnation)
+		}
+	}
+	for id, t := range r.withheld {
+		if _, remembered := r.gone[t.Incarnation()]; !remembered {
+			delete(r.withheld, id)
+			r.put(t)
+			back = true
+		}
+	}
 	if r.away {
-		return nil
+		return nil, back
 	}
-	now := r.options.Clock.Now()
-	var gone []Departure
 	for id, d := range r.doubted {
 		if !now.Before(d.until) {
-			gone = append(gone, r.targets[id].Departure(d.version))
+			gone = append(gone, r.targets[id].Departure(d.revision))
 			r.drop(id)
 		}
 	}
-	return gone
+	return gone, back
 }
 
 // Targets returns all targets in the order of their ids.
