Count the time for which a host was suspended

Cause: Go's clock stands still then, so that a router that wakes takes all it knows for as young as it was: leases, keys, targets, idle connections, callers' deadlines. Deadlines of connections are translated. A control loop that notices says so once, asks the store anew and drops idle connections; a request whose time is up is not sent although no timer fired. Not proved with processes: a host cannot be suspended here.

--- /dev/null
+++ b/bootclock/bootclock.go
@@ -0,0 +1,166 @@
+// Package bootclock is a clock that counts the time for which the host was suspended.
+//
+// Go's monotonic clock stands still while a host is suspended, so that whoever wakes takes
+// what it knows for as young as it was: a lease for held, a target for there, a key for
+// good. This clock goes by the kernel's CLOCK_BOOTTIME. A router that was away for five
+// seconds finds everything five seconds older before it does anything else.
+//
+// Reading CLOCK_BOOTTIME costs a call of the kernel. It is read only when the time of day
+// and the monotonic clock came apart since the last reading, which a suspension does, and
+// a step of the time of day.
+//
+// # Limits
+//
+// Timers are those of Go: they do not fire while the host is suspended and are late by that
+// time. What acts on them has to ask the clock. Deadlines of connections are on the clock
+// of these timers; Steady translates. The time of day that Now tells is ahead by the time for
+// which the host was suspended since the process started.
+//
+// # Usage
+//
+//	clock := bootclock.New()
+//	age := clock.Since(t)                            // with the time that the host was suspended
+//	conn.SetDeadline(bootclock.Steady(clock, until)) // on the clock of Go's timers
+//	total := clock.Away()                            // suspended since the start
+//
+//	w := bootclock.Watch{Clock: clock}
+//	if d := w.Suspended(); d > 0 { ... } // from time to time
+package bootclock
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+// Clock is the host's clock. It is safe for concurrent use.
+type Clock struct {
+	clockwork.Clock
+
+	// steady reads the monotonic clock, day the time of day and boot the clock that counts
+	// suspension, each as a time since the start. Tests replace them.
+	steady func(now time.Time) time.Duration
+	day    func(now time.Time) time.Duration
+	boot   func() (time.Duration, error)
+
+	// ahead is by how much the time of day was ahead of the monotonic clock when boot was
+	// read last, away the time for which the host was suspended.
+	ahead atomic.Int64
+	away  atomic.Int64
+}
+
+const (
+	// apart is how far the two clocks come apart before boot is read: less than is worth
+	// a thought, more than an adjustment of the time of day makes in a minute.
+	apart = 5 * time.Millisecond
+	// mostUnsure is how long reading boot may take to count: this process may stand still
+	// between two clocks. Tries bounds the readings.
+	mostUnsure = time.Millisecond
+	tries      = 5
+)
+
+// New returns the clock of this host.
+func New() *Clock {
+	began := time.Now()
+	wall := began.Round(0)
+	c := &Clock{
+		Clock:  clockwork.NewRealClock(),
+		steady: func(now time.Time) time.Duration { return now.Sub(began) },
+		day:    func(now time.Time) time.Duration { return now.Round(0).Sub(wall) },
+	}
+	booted, err := sinceBoot()
+	c.boot = func() (time.Duration, error) {
+		now, err := sinceBoot()
+		return now - booted, err
+	}
+	if err != nil {
+		c.boot = func() (time.Duration, error) { return 0, err }
+	}
+	return c
+}
+
+// sinceBoot reads CLOCK_BOOTTIME.
+func sinceBoot() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, err
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// Now returns the time. Differences between two times count suspension.
+func (c *Clock) Now() time.Time {
+	now := c.Clock.Now()
+	ahead := c.day(now) - c.steady(now)
+	if (ahead - time.Duration(c.ahead.Load())).Abs() > apart {
+		c.look(ahead)
+	}
+	return now.Add(c.Away())
+}
+
+// look finds out whether the host was suspended.
+func (c *Clock) look(ahead time.Duration) {
+	for range tries {
+		before := c.steady(c.Clock.Now())
+		boot, err := c.boot()
+		after := c.steady(c.Clock.Now())
+		if err != nil {
+			break // the kernel has no such clock: Go's is as good as there is
+		}
+		if after-before > mostUnsure {
+			continue
+		}
+		// Before the reading took place, so that a pause of this process is not counted.
+		if away := boot - after; away > c.Away()+apart {
+			c.away.Store(int64(away))
+		}
+		break
+	}
+	c.ahead.Store(int64(ahead))
+}
+
+// Away returns the time for which the host was suspended since the start, as of the last Now.
+func (c *Clock) Away() time.Duration { return time.Duration(c.away.Load()) }
+
+// Since returns the time since t, with the time that the host was suspended.
+func (c *Clock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// Until returns the time until t.
+func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
+
+// Steady translates a time of a clock to the clock by which Go's timers and the deadlines of
+// connections run. Times of other clocks than those of this package stay as they are.
+func Steady(clock clockwork.Clock, t time.Time) time.Time {
+	if c, ok := clock.(*Clock); ok {
+		return t.Add(-c.Away())
+	}
+	return t
+}
+
+// Watch notices suspensions for a control loop.
+type Watch struct {
+	Clock clockwork.Clock
+
+	noted time.Duration
+}
+
+// worthNoting is the least suspension that is told: shorter ones are as pauses of a process
+// that other bounds allow for.
+const worthNoting = 200 * time.Millisecond
+
+// Suspended returns for how long the host was suspended since the last call, 0 if it was not.
+// Clocks of other packages know of none.
+func (w *Watch) Suspended() time.Duration {
+	c, ok := w.Clock.(interface{ Away() time.Duration })
+	if !ok {
+		return 0
+	}
+	d := c.Away() - w.noted
+	if d < worthNoting {
+		return 0
+	}
+	w.noted += d
+	return d
+}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/dispatch"
 	"zinccove.example/zinccove/exchange"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
@@ -74,6 +75,8 @@
 	spent time.Duration
 	// learning is set while a configuration is fetched from a peer.
 	learning bool
+	// awake notices that the host was suspended.
+	awake bootclock.Watch
 	// levelled is set once the levels of a peer were taken.
 	levelled bool
 }
@@ -87,6 +90,7 @@
 		book:        exchange.New(exchange.Options{Repeats: 2, Rotate: 4, MaxEntries: maxEntries}),
 		incarnation: rand.Uint64(),
 		started:     d.clock.Now(),
+		awake:       bootclock.Watch{Clock: d.clock},
 		inFlight:    make(map[string]dispatch.InFlight),
 	}
 }
@@ -237,6 +241,12 @@
 // tick does what is due.
 func (l *loop) tick(ctx context.Context) {
 	now := l.daemon.clock.Now()
+	if d := l.awake.Suspended(); d > 0 {
+		l.daemon.metrics.Inc(metric.Suspensions)
+		l.daemon.log.Warn().Dur("suspended_ms", d).Msg("host was suspended")
+		l.daemon.platform.Reconnect()
+		l.daemon.clients.Close()
+	}
 	l.expire(now)
 	l.balance(now)
 	l.takeLevels(ctx)
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -11,9 +11,9 @@
 
 	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
-	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/gateway"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/settings"
@@ -109,7 +109,7 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-	g, err := gateway.Start(gateway.Options{Settings: s, Clock: clockwork.NewRealClock(), Out: out})
+	g, err := gateway.Start(gateway.Options{Settings: s, Clock: bootclock.New(), Out: out})
 	if err != nil {
 		fmt.Fprintln(out, "zinccoved: start failed:", err)
 		return exitFailed
@@ -134,7 +134,7 @@
 	log := zerolog.New(errOut).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	d, err := Start(Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log})
+	d, err := Start(Options{Settings: s, Clock: bootclock.New(), Log: log})
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
@@ -115,6 +116,8 @@
 	// era is the latest of the store, eraKnown is set once something was read.
 	era      uint64
 	eraKnown bool
+	// awake notices that the host was suspended.
+	awake bootclock.Watch
 	// heard is set once a heartbeat of another router came, waiting is the configuration that
 	// is not taken before.
 	heard   bool
@@ -135,6 +138,7 @@
 		incarnation: rand.Uint64(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		started:     g.clock.Now(),
+		awake:       bootclock.Watch{Clock: g.clock},
 	}
 }
 
@@ -196,6 +200,7 @@
 func (l *loop) tick(ctx context.Context) {
 	now := l.gateway.clock.Now()
 	l.ticks++
+	l.noteSuspension()
 	l.adoptWaiting()
 	if l.ticks%lookEvery == 0 {
 		l.expire(now)
@@ -220,6 +225,21 @@
 	}
 }
 
+// noteSuspension notices that the host was suspended. All that goes by the clock is older by
+// then; what waits for the store may wait for answers that were given up meanwhile, so it is
+// asked anew at once, and idle connections to targets are not used again.
+func (l *loop) noteSuspension() {
+	d := l.awake.Suspended()
+	if d == 0 {
+		return
+	}
+	g := l.gateway
+	g.metrics.Inc(metric.Suspensions)
+	g.log.Warn().Dur("suspended_ms", d).Uint64("era", l.era).Uint64("config", l.version()).Msg("host was suspended")
+	g.store.Reconnect()
+	g.links.Close()
+}
+
 // findCuts notes which data centres seem to be cut off.
 func (l *loop) findCuts() {
 	beats := make(map[string]time.Time)
--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/confsync"
 	"zinccove.example/zinccove/dispatch"
@@ -204,9 +205,11 @@
 // answerStream writes each event as it comes. After a failure the stream ends
 // with an error event and without the end mark.
 func (c *completion) answerStream(w *bufio.Writer, conn net.Conn, ev target.Event) {
+	clock := c.server.options.Clock
 	for {
 		c.writeEvent(w, &ev)
-		conn.SetWriteDeadline(c.server.options.Clock.Now().Add(c.server.options.Limits.Write)) //nolint:errcheck // the write fails then
+		until := clock.Now().Add(c.server.options.Limits.Write)
+		conn.SetWriteDeadline(bootclock.Steady(clock, until)) //nolint:errcheck // the write fails then
 		if err := w.Flush(); err != nil {
 			c.abort()
 			return
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/dispatch"
 	"zinccove.example/zinccove/metric"
@@ -148,7 +149,7 @@
 		ID:           f.request.Dispatch(),
 		Priority:     int64(f.slot.Level),
 		ModelVersion: f.slot.Target().ModelVersion,
-		Deadline:     f.deadline,
+		Deadline:     bootclock.Steady(f.server.options.Clock, f.deadline),
 	}
 }
 
--- a/ingress/once.go
+++ b/ingress/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/claim"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/request"
@@ -48,7 +49,7 @@
 }
 
 func (f *flow) claim(key claim.Key) (*claim.Held, *claim.Record, error) {
-	c, cancel := context.WithDeadline(context.Background(), f.deadline)
+	c, cancel := context.WithDeadline(context.Background(), bootclock.Steady(f.server.options.Clock, f.deadline))
 	defer cancel()
 	return f.server.options.Claims.Claim(c, key, f.request.ID())
 }
--- a/metric/names.go
+++ b/metric/names.go
@@ -47,6 +47,7 @@
 	EntriesRejected
 	RequestsBarred
 	StoreWentBack
+	Suspensions
 	counters
 )
 
@@ -86,6 +87,7 @@
 	EntriesRejected:      {"entries_rejected", "*alarm* Entries of targets that could not be read; such a target gets nothing new until a good entry follows."},
 	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them."},
 	StoreWentBack:        {"store_went_back", "*alarm* Times that the store came back from a copy that lacks its latest writes."},
+	Suspensions:          {"suspensions", "*alarm* Times that this host was suspended; its steady clock stood still."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/order/order.go
+++ b/order/order.go
@@ -30,6 +30,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/httpc"
@@ -147,7 +148,7 @@
 	req.SetRequestURI("http://" + addr.String() + path)
 	req.Header.SetMethod(method)
 	req.SetBodyRaw(body)
-	err := hc.DoDeadline(req, resp, c.clock.Now().Add(Flight))
+	err := hc.DoDeadline(req, resp, bootclock.Steady(c.clock, c.clock.Now().Add(Flight)))
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), err
 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -235,11 +235,16 @@
 func (f *flight) attach(c *link.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.server.options.Clock.Now()
+	if f.cause == running && !now.Before(f.deadline) {
+		// The host may have been suspended: its timers do not show that time is up.
+		f.cause = timeUp
+	}
 	if f.cause != running {
 		return false
 	}
 	f.link, f.at = c, f.run
-	f.sent = f.server.options.Clock.Now()
+	f.sent = now
 	f.attempts++
 	return true
 }
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -7,6 +7,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/bootclock"
 )
 
 // A host has some hundred megabytes, and a process that takes more is killed with all
@@ -136,7 +138,8 @@
 		conn.Close()               //nolint:errcheck // the connection is of no use
 		return
 	}
-	if err := conn.SetReadDeadline(f.server.options.Clock.Now().Add(unreadTime)); err != nil {
+	clock := f.server.options.Clock
+	if err := conn.SetReadDeadline(bootclock.Steady(clock, clock.Now().Add(unreadTime))); err != nil {
 		conn.Close() //nolint:errcheck // the connection is of no use
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -480,3 +480,17 @@
 		assert.Equal(t, (&refusal{status: status}).counter(), want)
 	}
 }
+
+// TestRequestWhoseTimeIsUpIsNotSent has the router stand still while it connects, as it does
+// when its host is suspended: no timer fired, and the caller has given up.
+func TestRequestWhoseTimeIsUpIsNotSent(t *testing.T) {
+	f := newTarget(t, "t", answers)
+	s := newSiteDialling(t, func(to netip.AddrPort, _ time.Duration) (net.Conn, error) {
+		time.Sleep(40 * time.Millisecond)
+		return net.Dial("tcp", to.String())
+	}, f)
+	c := s.dial(t)
+	fmt.Fprintf(c, "GET /repeat/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Deadline: 20\r\nAuthorization: Bearer %s\r\n\r\n", customerKey)
+	assert.Equal(t, c.read().header.StatusCode(), 503)
+	assert.Equal(t, len(f.seen()), 0)
+}
--- a/target/target.go
+++ b/target/target.go
@@ -112,7 +112,8 @@
 	Priority int64
 	// ModelVersion is the version of the model, empty for services.
 	ModelVersion string
-	Deadline     time.Time
+	// Deadline is on the clock of Go's timers.
+	Deadline time.Time
 }
 
 // Bounds of a client.
