--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,6 +13,7 @@
 	"zinccove.example/standin/fault"
 	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
+	"zinccove.example/standin/worker"
 )
 
 // kind is a fault: it begins, lasts and is mended.
@@ -32,6 +35,8 @@
 	{"configuration", (*run).reconfigure},
 	{"history forgotten", func(r *run) (func() error, error) { return nothing, r.site.Forget() }},
 	{"store silent", (*run).silenceStore},
+	{"store goes back", (*run).goBack},
+	{"request ends targets", (*run).endTargets},
 }
 
 func nothing() error { return nil }
@@ -121,7 +126,9 @@
 }
 
 func (r *run) freezeTarget() (func() error, error) {
+	r.mu.Lock()
 	process := r.site.Workers[r.draw.IntN(len(r.site.Workers))].Process
+	r.mu.Unlock()
 	return thaw(process), freeze(process)
 }
 
@@ -218,6 +225,70 @@
 	return nothing, err
 }
 
+// goBack has the store come back from a copy that is some seconds old.
+func (r *run) goBack() (func() error, error) {
+	const oldest, longestAgain = 6 * time.Second, 1500 * time.Millisecond
+	age, again := time.Duration(r.draw.Int64N(int64(oldest))), time.Duration(r.draw.Int64N(int64(longestAgain)))
+	r.report.Faults = append(r.report.Faults, fmt.Sprint(age.Round(time.Millisecond)))
+	return nothing, r.site.GoBack(age, again)
+}
+
+// mostEnds is the number of targets that may end under one request: three, and three more
+// once the routers had the time to tell each other.
+const mostEnds = 6
+
+// endTargets has callers send a request that ends its targets to all routers, again and
+// again until the fault is mended. Targets that end start again.
+func (r *run) endTargets() (func() error, error) {
+	path := routesite.Paths[r.draw.IntN(len(routesite.Paths))]
+	body := fmt.Sprintf("%s %d", worker.EndingBody, r.draw.Uint64())
+	var stopped atomic.Bool
+	var g errgroup.Group
+	for _, router := range r.site.Routers {
+		g.Go(func() error {
+			for !stopped.Load() {
+				r.site.Repeat(router.Caller, "POST", path, key, body)
+				time.Sleep(20 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	ends := 0
+	g.Go(func() error {
+		for !stopped.Load() {
+			n, err := r.reviveTargets()
+			if err != nil {
+				return err
+			}
+			ends += n
+			time.Sleep(20 * time.Millisecond)
+		}
+		return nil
+	})
+	return func() error {
+		stopped.Store(true)
+		err := g.Wait()
+		n, rerr := r.reviveTargets()
+		if ends += n; ends > mostEnds {
+			r.violate("%d targets ended under one request of %s", ends, path)
+		}
+		return errors.Join(err, rerr)
+	}, nil
+}
+
+// reviveTargets starts targets again that ended, and returns how many.
+func (r *run) reviveTargets() (ended int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.site.Workers {
+		if w.Ended() {
+			ended++
+			err = errors.Join(err, w.Restart())
+		}
+	}
+	return ended, err
+}
+
 // revokedFrom is the first version of the configuration without the revoked key.
 const revokedFrom = 4
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -4,7 +4,8 @@
 // Faults come in series and overlap: connections to targets that are slow,
 // silent, lose answers or are reset; routers and targets that are frozen,
 // killed, stopped and started again; a store that is slow, silent, refuses, loses
-// answers or forgets its history; configurations that change.
+// answers, forgets its history or comes back from a copy; configurations that change;
+// requests that end their targets.
 //
 // # What is checked
 //
@@ -13,6 +14,7 @@
 //   - a request answered 429 or 503 did not run;
 //   - a router that refused a revoked key never accepts it again in its life;
 //   - repeats stay inside the budget;
+//   - few targets end under one request, over all routers;
 //   - routers end by themselves only when stopped, with code 0;
 //   - after the last fault all routers serve within the recovery time;
 //   - then a target that leaves gets nothing new after its drain.
