--- a/standin/proof/goback_test.go
+++ b/standin/proof/goback_test.go
@@ -120,3 +120,31 @@
 	}
 	assert.Equal(t, requestsRunBy(t, g.next), before, "a target that leaves got new requests")
 }
+
+// TestCallRunsOnceAlthoughItsClaimIsLost has the store come back from a copy without the
+// claims of the last seconds, while a call runs and after one was answered. The same calls
+// come again through another router at once, and until they are answered: they must not run
+// a second time.
+func TestCallRunsOnceAlthoughItsClaimIsLost(t *testing.T) {
+	s := newSite(t, 2)
+	time.Sleep(2500 * time.Millisecond) // so that the copy has the configuration
+	first, second := s.Routers[0], s.Routers[1]
+	assert.Equal(t, callOnce(first, "answered").outcome, answered)
+	var running errgroup.Group
+	running.Go(func() error { callOnce(first, "running"); return nil })
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, s.GoBack(2*time.Second, time.Second))
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, body := range []string{"answered", "running"} {
+			callOnce(second, body)
+		}
+	}
+	assert.NilError(t, running.Wait())
+	ran, err := s.ran()
+	assert.NilError(t, err)
+	for _, body := range []string{"answered", "running"} {
+		assert.Equal(t, ran.effects[body], 1, body)
+	}
+	assert.Equal(t, callOnce(second, "answered").outcome, replayed, "the answer is known again")
+	assert.Equal(t, callOnce(second, "new").outcome, answered)
+}
