--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -184,27 +184,13 @@
 	d.group.Go(func() error { return d.loop.run(ctx) })
 	d.group.Go(func() error { return d.poll(ctx) })
 	d.group.Go(func() error { return d.giveOrders(ctx) })
-	d.group.Go(func() error { return d.keepBarred(ctx) })
+	keeper := quarantine.Keeper{List: d.quarantine, Table: d.platform.Table(), Clock: d.clock, Log: d.log, Metrics: d.metrics}
+	d.group.Go(func() error { return keeper.Run(ctx) })
 	d.log.Info().Stringer("caller", d.ingress.Address()).Stringer("control", d.control.Address()).
 		Stringer("peer", d.transport.Address()).Msg("started")
 	return nil
 }
 
-// keepBarred keeps barred requests in the platform's table.
-func (d *Daemon) keepBarred(ctx context.Context) error {
-	k := quarantine.Keeper{
-		List: d.quarantine, Table: d.platform.Table(), Clock: d.clock,
-		Failed: func(err error) {
-			d.metrics.Inc(metric.PlatformErrors)
-			d.log.Warn().Err(err).Msg("barred requests not read or kept, trying again")
-		},
-		Learned: func(f quarantine.Fingerprint) {
-			d.log.Warn().Stringer("fingerprint", f).Msg("request barred, as the store says")
-		},
-	}
-	return k.Run(ctx)
-}
-
 // Close makes the planned stop: the balancer and the peers are told, accepted
 // requests end, then everything is closed.
 func (d *Daemon) Close() error {
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -5,15 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
 )
 
-var errDigest = eris.New("configuration does not match its digest")
-
 // beat sends a heartbeat to every known router.
 func (l *loop) beat() {
 	to := l.destinations()
@@ -91,24 +87,6 @@
 	return hb
 }
 
-// maxLeaving bounds the targets of one heartbeat.
-const maxLeaving = 30
-
-// leavingTargets returns the targets to tell others of.
-func (l *loop) leavingTargets() []*zinccovev1.LeavingTarget {
-	now := l.gateway.clock.Now()
-	var list []*zinccovev1.LeavingTarget
-	for hash, d := range l.leaving {
-		switch {
-		case now.Sub(d.at) > leavingFor:
-			delete(l.leaving, hash)
-		case len(list) < maxLeaving:
-			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Version: d.revision.Count, Era: d.revision.Era})
-		}
-	}
-	return list
-}
-
 func (l *loop) identity() *zinccovev1.HostInfo {
 	g := l.gateway
 	return &zinccovev1.HostInfo{
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -11,15 +9,12 @@
 	"time"
 
 	"zinccove.example/zinccove/bootclock"
-	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
-	"zinccove.example/zinccove/gen/zinccove/v1/zinccovev1connect"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
-	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 )
 
@@ -303,15 +298,6 @@
 	return max(silence, time.Duration(missedBeats*float64(period)))
 }
 
-// expireTargets drops targets that did not come back after an outage of the
-// store.
-func (l *loop) expireTargets() {
-	gone, back := l.roster.Expire()
-	if l.depart(gone, "targets gone, their entries did not come back") || back {
-		l.publishTargets()
-	}
-}
-
 func (l *loop) sweep() {
 	known := make(map[string]bool, len(l.targets))
 	for _, t := range l.targets {
@@ -357,29 +343,6 @@
 	g.send(hb, h.Peer)
 }
 
-// hearLeaving takes another router's word on targets that leave.
-func (l *loop) hearLeaving(from string, leaving []*zinccovev1.LeavingTarget) {
-	if len(leaving) == 0 {
-		return
-	}
-	revisions := make(map[place.Hash]revision.Revision, len(leaving))
-	for _, t := range leaving {
-		revisions[place.Hash(t.Target)] = revision.Revision{Era: t.Era, Count: t.Version}
-	}
-	changed := false
-	for hash, at := range revisions {
-		id, known := l.ids[hash]
-		if known && l.roster.Leave(id, at) {
-			l.gateway.log.Info().Str("target", id).Uint64("era", at.Era).Uint64("version", at.Count).Str("peer", from).
-				Msg("target is leaving, as another router says")
-			changed = true
-		}
-	}
-	if changed {
-		l.publishTargets()
-	}
-}
-
 // introduce learns a router from another one.
 func (l *loop) introduce(h *zinccovev1.HostInfo) {
 	addr, err := netip.ParseAddrPort(h.Peer)
@@ -410,56 +373,3 @@
 	}
 	l.members.Forget(now.Add(-forgetAfter))
 }
-
-// catchUp asks another router for a newer configuration.
-func (l *loop) catchUp(ctx context.Context, now time.Time) {
-	ahead := l.ahead()
-	if ahead == nil {
-		l.behind = time.Time{}
-		return
-	}
-	if l.behind.IsZero() {
-		l.behind = now
-	}
-	if l.fetching || l.version() > 0 && now.Sub(l.behind) < behindFor {
-		return
-	}
-	l.fetching = true
-	g, addr := l.gateway, ahead.Control
-	g.group.Go(func() error {
-		body, err := g.fetchConfig(ctx, addr)
-		l.post(ctx, func(l *loop) {
-			l.fetching = false
-			if err != nil {
-				g.metrics.Inc(metric.PeerErrors)
-				g.log.Warn().Err(err).Stringer("peer", addr).Msg("configuration not fetched from router")
-				return
-			}
-			l.adopt(body, addr.String())
-		})
-		return nil
-	})
-}
-
-// ahead returns a reachable router with a newer configuration.
-func (l *loop) ahead() *member.Host {
-	for _, h := range l.members.Hosts() {
-		if h.Reachable && h.Control.IsValid() && h.ConfigVersion > l.version() {
-			return h
-		}
-	}
-	return nil
-}
-
-// fetchConfig reads the configuration of the router at a control address.
-func (g *Gateway) fetchConfig(ctx context.Context, addr netip.AddrPort) ([]byte, error) {
-	client := zinccovev1connect.NewPeerServiceClient(g.peers, "http://"+addr.String(), control.Authorize("", g.settings.FleetKey))
-	resp, err := client.FetchConfig(ctx, new(zinccovev1.FetchConfigRequest))
-	if err != nil {
-		return nil, err
-	}
-	if digest := sha256.Sum256(resp.Body); hex.EncodeToString(digest[:]) != resp.Digest {
-		return nil, errDigest
-	}
-	return resp.Body, nil
-}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"net/netip"
 
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
-	"zinccove.example/zinccove/metric"
-	"zinccove.example/zinccove/quarantine"
 )
 
 // tellSuspects tells other routers of requests under which targets ended, if there is
@@ -23,18 +20,3 @@
 		g.log.Warn().Stringer("fingerprint", f).Stringer("peer", from).Msg("request barred, as another router says")
 	}
 }
-
-// keepBarred keeps barred requests in the store.
-func (g *Gateway) keepBarred(ctx context.Context) error {
-	k := quarantine.Keeper{
-		List: g.quarantine, Table: g.store.Table(), Clock: g.clock,
-		Failed: func(err error) {
-			g.metrics.Inc(metric.PlatformErrors)
-			g.log.Warn().Err(err).Msg("barred requests not read or kept, trying again")
-		},
-		Learned: func(f quarantine.Fingerprint) {
-			g.log.Warn().Stringer("fingerprint", f).Msg("request barred, as the store says")
-		},
-	}
-	return k.Run(ctx)
-}
--- /dev/null
+++ b/gateway/targets.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"time"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
+)
+
+// takeTargets takes entries of targets.
+func (l *loop) takeTargets(b platform.Batch, whole bool) {
+	l.noteEra(b.Revision)
+	var entries []roster.Target
+	for _, c := range b.Changes {
+		if c.Removed {
+			l.removeTarget(c)
+			continue
+		}
+		t := l.readTarget(c)
+		entries = append(entries, t)
+		if whole {
+			continue
+		}
+		if gone, ended := l.roster.Put(t); ended {
+			l.depart([]roster.Departure{gone}, "target started again")
+		}
+	}
+	if whole {
+		l.depart(l.roster.Replace(entries, b.Revision), "targets gone, their entries are missing")
+	}
+	for _, t := range entries {
+		l.noteLeaving(t)
+	}
+	l.roster.CaughtUp()
+	l.publishTargets()
+}
+
+// readTarget returns the target of an entry. One that cannot be read names none.
+func (l *loop) readTarget(c platform.Change) roster.Target {
+	g := l.gateway
+	t, err := platform.DecodeTarget(c)
+	if err != nil {
+		g.metrics.Inc(metric.EntriesRejected)
+		g.log.Warn().Err(err).Str("target", c.Key).Uint64("era", c.Revision.Era).Uint64("version", c.Revision.Count).
+			Msg("target entry rejected, it gets nothing new until a good one follows")
+		return roster.Target{ID: c.Key, Revision: c.Revision, Unreadable: true}
+	}
+	g.log.Info().Str("target", t.ID).Time("started", t.Started).Str("service", t.Service).Stringer("address", t.Address).
+		Bool("draining", t.Draining).Uint64("era", t.Revision.Era).Uint64("version", t.Revision.Count).Msg("target entry")
+	return t
+}
+
+// removeTarget notes that an entry went.
+func (l *loop) removeTarget(c platform.Change) {
+	gone, left := l.roster.Remove(c.Key, c.Revision, c.Age)
+	l.gateway.log.Info().Str("target", c.Key).Uint64("era", c.Revision.Era).Uint64("version", c.Revision.Count).Bool("gone", left).Msg("target entry removed")
+	if left {
+		l.leaves(gone)
+	}
+}
+
+// noteLeaving remembers whether a target whose entry was read is to be told of as leaving.
+// What the roster holds counts: an entry of a copy takes nothing back.
+func (l *loop) noteLeaving(t roster.Target) {
+	if t.Unreadable {
+		return
+	}
+	switch known := l.roster.Get(t.ID); {
+	case known == nil:
+	case known.Draining:
+		l.leaves(known.Departure(known.Revision))
+	default:
+		delete(l.leaving, place.HashOf(known.Incarnation()))
+	}
+}
+
+// departure is what this router read of a target that leaves.
+type departure struct {
+	at time.Time
+	// revision is that of the store.
+	revision revision.Revision
+}
+
+// leaves remembers a run of a target to tell other routers of.
+func (l *loop) leaves(d roster.Departure) {
+	l.leaving[place.HashOf(d.Incarnation)] = departure{at: l.gateway.clock.Now(), revision: d.Revision}
+}
+
+// depart remembers targets that are gone, and says why. It reports whether there
+// are any.
+func (l *loop) depart(gone []roster.Departure, why string) bool {
+	if len(gone) == 0 {
+		return false
+	}
+	ids := make([]string, len(gone))
+	for i, d := range gone {
+		ids[i] = d.ID
+		l.leaves(d)
+	}
+	at := gone[0].Revision
+	l.gateway.log.Info().Strs("targets", ids).Uint64("era", at.Era).Uint64("version", at.Count).Msg(why)
+	return true
+}
+
+// maxLeaving bounds the targets of one heartbeat.
+const maxLeaving = 30
+
+// leavingTargets returns the targets to tell others of.
+func (l *loop) leavingTargets() []*zinccovev1.LeavingTarget {
+	now := l.gateway.clock.Now()
+	var list []*zinccovev1.LeavingTarget
+	for hash, d := range l.leaving {
+		switch {
+		case now.Sub(d.at) > leavingFor:
+			delete(l.leaving, hash)
+		case len(list) < maxLeaving:
+			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Version: d.revision.Count, Era: d.revision.Era})
+		}
+	}
+	return list
+}
+
+// hearLeaving takes another router's word on targets that leave.
+func (l *loop) hearLeaving(from string, leaving []*zinccovev1.LeavingTarget) {
+	if len(leaving) == 0 {
+		return
+	}
+	revisions := make(map[place.Hash]revision.Revision, len(leaving))
+	for _, t := range leaving {
+		revisions[place.Hash(t.Target)] = revision.Revision{Era: t.Era, Count: t.Version}
+	}
+	changed := false
+	for hash, at := range revisions {
+		id, known := l.ids[hash]
+		if known && l.roster.Leave(id, at) {
+			l.gateway.log.Info().Str("target", id).Uint64("era", at.Era).Uint64("version", at.Count).Str("peer", from).
+				Msg("target is leaving, as another router says")
+			changed = true
+		}
+	}
+	if changed {
+		l.publishTargets()
+	}
+}
+
+// expireTargets drops targets that did not come back after an outage of the
+// store.
+func (l *loop) expireTargets() {
+	gone, back := l.roster.Expire()
+	if l.depart(gone, "targets gone, their entries did not come back") || back {
+		l.publishTargets()
+	}
+}
+
+// publishTargets gives targets and engines to the placer.
+func (l *loop) publishTargets() {
+	var table *route.Table
+	if a := l.gateway.table.Load(); a != nil {
+		table = a.table
+	}
+	l.targets = l.roster.Targets()
+	l.ids = make(map[place.Hash]string, len(l.targets))
+	for _, t := range l.targets {
+		l.ids[place.HashOf(t.Incarnation())] = t.ID
+	}
+	l.gateway.placer.SetTargets(l.targets, table)
+	l.findOwners()
+}
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"zinccove.example/zinccove/errs"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/platform"
 )
 
@@ -21,13 +23,11 @@
 // none needs to be removed. A newer request replaces one with the same byte, which the
 // routers that run still know.
 type Keeper struct {
-	List  *List
-	Table platform.Table
-	Clock clockwork.Clock
-	// Failed is called with the error of each call that failed and is made again.
-	Failed func(error)
-	// Learned is called with each request that was read as barred.
-	Learned func(Fingerprint)
+	List    *List
+	Table   platform.Table
+	Clock   clockwork.Clock
+	Log     zerolog.Logger
+	Metrics *metric.Metrics
 }
 
 // record is the value of a row.
@@ -72,7 +72,8 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		k.Failed(err)
+		k.Metrics.Inc(metric.PlatformErrors)
+		k.Log.Warn().Err(err).Msg("barred requests not read or kept, trying again")
 		select {
 		case <-ctx.Done():
 			return false
@@ -96,7 +97,7 @@
 		}
 	}
 	for _, f := range k.List.Learn(told) {
-		k.Learned(f)
+		k.Log.Warn().Stringer("fingerprint", f).Msg("request barred, as the store says")
 	}
 	return nil
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 //	barred := l.Learn(told)           // what another router told
 //	<-l.Changed()                     // a request was barred, tell others at once
 //
-//	k := quarantine.Keeper{List: l, Table: client.Table(), Clock: clock, Failed: f, Learned: g}
+//	k := quarantine.Keeper{List: l, Table: client.Table(), Clock: clock, Log: log, Metrics: m}
 //	err := k.Run(ctx)
 package quarantine
 
@@ -41,8 +41,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 )
 
 const (
@@ -297,44 +295,6 @@
 	}
 }
 
-// Tell returns the datagram that goes to other routers with the next heartbeat, nil if there
-// is nothing to tell.
-func (l *List) Tell() *zinccovev1.Heartbeat {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	told := l.tell()
-	if len(told) == 0 {
-		return nil
-	}
-	return &zinccovev1.Heartbeat{Suspects: told}
-}
-
-func (l *List) tell() []*zinccovev1.Suspect {
-	if len(l.order) == 0 {
-		return nil
-	}
-	now := l.clock.Now()
-	l.forget(now)
-	var told []*zinccovev1.Suspect
-	for _, s := range l.order {
-		if s.tell > 0 && len(told) < mostTold {
-			s.tell--
-			told = append(told, s.message(now))
-		}
-	}
-	l.tells++
-	if l.tells%repeatEvery != 0 {
-		return told
-	}
-	for range min(repeatCount, len(l.order), mostTold-len(told)) {
-		l.turn++
-		if s := l.order[l.turn%len(l.order)]; !s.answered {
-			told = append(told, s.message(now))
-		}
-	}
-	return told
-}
-
 // forget drops suspects whose time is over. Those that were answered need to be known only
 // as long as losses before that may be told.
 func (l *List) forget(now time.Time) {
@@ -347,57 +307,6 @@
 	}
 }
 
-func (s *suspect) message(now time.Time) *zinccovev1.Suspect {
-	m := &zinccovev1.Suspect{Fingerprint: s.fingerprint[:], AgeMs: uint64(max(now.Sub(s.changed), 0).Milliseconds()), Answered: s.answered}
-	for _, t := range s.targets {
-		m.Targets = append(m.Targets, uint32(t))
-	}
-	return m
-}
-
-// Learn takes what another router told, and returns the requests that are barred by it.
-// What is not a fingerprint is passed over.
-func (l *List) Learn(told []*zinccovev1.Suspect) []Fingerprint {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.clock.Now()
-	var barred []Fingerprint
-	for _, m := range told {
-		if len(m.Fingerprint) != len(Fingerprint{}) {
-			continue
-		}
-		f := Fingerprint(m.Fingerprint)
-		if l.learn(f, m, now) {
-			barred = append(barred, f)
-		}
-	}
-	return barred
-}
-
-// learn takes one suspect, or the word that one is none.
-func (l *List) learn(f Fingerprint, m *zinccovev1.Suspect, now time.Time) (barred bool) {
-	if m.Answered {
-		s := l.suspects[f]
-		if s == nil {
-			s = l.add(f)
-		}
-		if s != nil && !s.answered {
-			l.acquit(s, now)
-			s.tell = 0 // who saw the answer tells all
-		}
-		return false
-	}
-	age := time.Duration(min(m.AgeMs, uint64(keepFor.Milliseconds()))) * time.Millisecond
-	if age >= keepFor {
-		return false
-	}
-	targets := make([]Target, 0, mostLosses)
-	for _, t := range m.Targets[:min(len(m.Targets), mostLosses)] {
-		targets = append(targets, Target(t))
-	}
-	return l.blame(f, targets, now.Add(-age))
-}
-
 // Counts returns the number of requests that are suspected, and of those that are barred.
 func (l *List) Counts() (suspected, barred int) {
 	l.mu.Lock()
