Routers tell each other of evacuations

Cause: a router that the store turns away for longer than its feed and timeout learned of an evacuation up to 11 s late; of leaving targets others told it. Change: heartbeats carry for 10 s what the sender read, with its revision; the latest revision counts, whoever tells it. No byte more while nothing was read lately. Test first failed for want of it.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -77,6 +77,7 @@
 	l.beats++
 	hb := l.header()
 	hb.LeavingTargets = l.leavingTargets()
+	hb.Evacuations = l.evacuationsToTell()
 	if l.beats <= identifyEvery || l.beats%identifyEvery == 0 {
 		hb.Host = l.identity()
 		hb.Introduced = l.introductions()
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,29 +21,15 @@
 	"zinccove.example/zinccove/route"
 )
 
-// takeOperators takes rows that operators wrote. A copy of the table may lack that a data
-// centre is to be evacuated; operators write that again.
+// takeOperators takes rows that operators wrote.
 func (l *loop) takeOperators(b platform.Batch, whole bool) {
-	evacuated := make(map[string]bool)
-	if wentBack := l.noteEra(b.Revision); !whole || wentBack {
-		maps.Copy(evacuated, l.evacuated)
-	}
+	wentBack := l.noteEra(b.Revision)
+	l.takeEvacuations(b, whole, wentBack)
 	for _, c := range b.Changes {
-		if dc, ok := platform.EvacuatedDataCentre(c.Key); ok {
-			evacuated[dc] = !c.Removed
-		}
 		if c.Key == wire.ConfigKey && !c.Removed {
 			l.adopt(c.Value, "store")
 		}
 	}
-	maps.DeleteFunc(evacuated, func(_ string, asked bool) bool { return !asked })
-	if maps.Equal(evacuated, l.evacuated) {
-		return
-	}
-	l.evacuated = evacuated
-	l.gateway.placer.SetEvacuated(evacuated)
-	l.gateway.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(evacuated))).Uint64("era", b.Revision.Era).Uint64("version", b.Revision.Count).
-		Msg("data centres to be evacuated")
 }
 
 // noteEra reports whether a revision is the first of an era that began while this router
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -100,3 +100,33 @@
 		})
 	}
 }
+
+// TestRouterThatTheStoreTurnsAwayHearsOfEvacuations has another router tell what it reads.
+// Before, such a router learned of an evacuation up to 11 s late.
+func TestRouterThatTheStoreTurnsAwayHearsOfEvacuations(t *testing.T) {
+	reads, clock := newEraLoop(t)
+	away, _ := newEraLoop(t)
+	change := func(count uint64, removed bool) {
+		at := revision.Revision{Era: 1, Count: count}
+		reads.takeOperators(platform.Batch{Revision: at, Changes: []platform.Change{{Key: "evacuate/x", Revision: at, Removed: removed}}}, false)
+	}
+	away.takeOperators(platform.Batch{Revision: revision.Revision{Era: 1, Count: 3}}, true)
+	change(5, false)
+	late := reads.evacuationsToTell()
+	away.hearEvacuations("b", late)
+	assert.Assert(t, away.evacuated["x"])
+	assert.Equal(t, len(away.evacuationsToTell()), 0, "who read it tells it")
+	change(7, true)
+	away.hearEvacuations("b", reads.evacuationsToTell())
+	assert.Assert(t, !away.evacuated["x"])
+	away.hearEvacuations("c", late)
+	assert.Assert(t, !away.evacuated["x"], "an older word")
+	change(9, false)
+	away.hearEvacuations("b", reads.evacuationsToTell())
+	away.takeOperators(platform.Batch{Revision: revision.Revision{Era: 1, Count: 8}}, true)
+	assert.Assert(t, away.evacuated["x"], "a table that was read before")
+	away.takeOperators(platform.Batch{Revision: revision.Revision{Era: 1, Count: 12}}, true)
+	assert.Assert(t, !away.evacuated["x"])
+	clock.Advance(leavingFor)
+	assert.Equal(t, len(reads.evacuationsToTell()), 0)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -106,8 +106,10 @@
 	leaving map[place.Hash]departure
 	// cut are the data centres that seem to be cut off.
 	cut []string
-	// evacuated are the data centres that operators want evacuated.
-	evacuated map[string]bool
+	// evacuations is what operators want of data centres, evacuated are those that are to
+	// get nothing more.
+	evacuations map[string]evacuation
+	evacuated   map[string]bool
 	// era is the latest of the store, eraKnown is set once something was read.
 	era      uint64
 	eraKnown bool
@@ -130,6 +132,7 @@
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
 		leaving:     make(map[place.Hash]departure),
+		evacuations: make(map[string]evacuation),
 		incarnation: rand.Uint64(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		started:     g.clock.Now(),
@@ -326,6 +329,7 @@
 	l.heard = true
 	l.gateway.placer.SetPeer(host.Name, decodeReport(r.heartbeat))
 	l.hearLeaving(host.Name, r.heartbeat.LeavingTargets)
+	l.hearEvacuations(host.Name, r.heartbeat.Evacuations)
 }
 
 // welcome tells a router that just started who and how far this one is, if it is among those
