--- a/standin/proof/ending_test.go
+++ b/standin/proof/ending_test.go
@@ -5,12 +5,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
 	"zinccove.example/standin/worker"
 )
@@ -136,3 +138,38 @@
 	assert.NilError(t, s.AwaitReady(routeWait))
 	assert.NilError(t, s.AwaitMembers(routeWait))
 }
+
+// TestRouterThatWakesKnowsWhatEndedTargetsMeanwhile has a router stand still while the others
+// bar a request, and then asks it at once.
+func TestRouterThatWakesKnowsWhatEndedTargetsMeanwhile(t *testing.T) {
+	const path = "/lookup/"
+	s := newRouteSite(t, 3)
+	configure(t, s, routesite.Config(1, routeKey))
+	assert.NilError(t, s.AwaitReady(routeWait))
+	assert.NilError(t, s.AwaitMembers(routeWait))
+	for _, r := range s.Routers {
+		awaitStatus(t, s, r, path, routeKey, 200)
+	}
+	ends := revive(t, s)
+	ask := func(r *fleet.Router) *routesite.Answer {
+		return s.Repeat(r.Caller, "POST", path, routeKey, worker.EndingBody)
+	}
+	frozen := s.Routers[2]
+	assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+	defer frozen.Signal(syscall.SIGCONT) //nolint:errcheck // it is ended next
+	for range 20 {
+		ask(s.Routers[0])
+		ask(s.Routers[1])
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(contactTime)
+	before := ends.Load()
+	assert.Assert(t, before > 0, "the request ends no target")
+	assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+	for range 20 {
+		ask(frozen)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(2 * targetDown)
+	assert.Assert(t, ends.Load()-before <= endsAllowed, "%d targets ended, %d of them later", ends.Load(), ends.Load()-before)
+}
