A router that starts after the store went back leaves leaving targets alone

Change: words that come before the table was read are kept until then; who reads a copy goes on to tell the revision at which the target left; the first table of an era above 0 counts as a copy.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -130,3 +130,37 @@
 	clock.Advance(leavingFor)
 	assert.Equal(t, len(reads.evacuationsToTell()), 0)
 }
+
+// TestRouterThatStartsAfterTheStoreWentBackLeavesLeavingTargetsAlone has it hear another
+// router's word before it reads the copy, in which the target is ready. The other router has
+// read the copy too. Found by the proof with slow processes: one request reached the target.
+func TestRouterThatStartsAfterTheStoreWentBackLeavesLeavingTargetsAlone(t *testing.T) {
+	other, _ := newEraLoop(t)
+	starts, _ := newEraLoop(t)
+	ready := entry("t", 2, 1000)
+	draining := ready
+	draining.Revision.Count = 9
+	draining.Value = []byte(`{"service":"m","address":"127.0.0.1:1","zone":"x","version":"v1","slots":8,"state":"draining","coldLeftMs":0,"seq":2,"born":1000}`)
+	copied := ready
+	copied.Revision.Era = 1
+	batch := func(c platform.Change) platform.Batch {
+		return platform.Batch{Revision: c.Revision, Changes: []platform.Change{c}}
+	}
+	other.takeTargets(batch(ready), true)
+	other.takeTargets(batch(draining), false)
+	other.takeTargets(batch(copied), true)
+	told := other.leavingTargets()
+	assert.Equal(t, len(told), 1)
+	starts.hearLeaving("b", told)
+	starts.takeTargets(batch(copied), true)
+	assert.Assert(t, !placed(starts, "t"))
+	late, _ := newEraLoop(t)
+	late.takeTargets(batch(copied), true)
+	late.hearLeaving("b", told)
+	assert.Assert(t, !placed(late, "t"), "the word may come after the table too")
+	// The target writes that it is ready: it counts again.
+	again := copied
+	again.Revision.Count = 12
+	starts.takeTargets(batch(again), false)
+	assert.Assert(t, placed(starts, "t"))
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,6 +15,7 @@
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 )
 
@@ -104,6 +105,10 @@
 	// leaving holds the targets of which the store said that they are leaving or
 	// gone.
 	leaving map[place.Hash]departure
+	// tableRead is set once the table of targets was read; words are those of other
+	// routers on targets that leave until then.
+	tableRead bool
+	words     map[place.Hash]revision.Revision
 	// cut are the data centres that seem to be cut off.
 	cut []string
 	// evacuations is what operators want of data centres, evacuated are those that are to
@@ -132,6 +137,7 @@
 		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
 		leaving:     make(map[place.Hash]departure),
+		words:       make(map[place.Hash]revision.Revision),
 		evacuations: make(map[string]evacuation),
 		incarnation: rand.Uint64(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -36,6 +36,9 @@
 	for _, t := range entries {
 		l.noteLeaving(t)
 	}
+	if whole && !l.tableRead {
+		l.recallWords()
+	}
 	l.roster.CaughtUp()
 	l.publishTargets()
 }
@@ -70,12 +73,20 @@
 	if t.Unreadable {
 		return
 	}
-	switch known := l.roster.Get(t.ID); {
-	case known == nil:
-	case known.Draining:
+	known := l.roster.Get(t.ID)
+	if known == nil {
+		return
+	}
+	hash := place.HashOf(known.Incarnation())
+	word, told := l.leaving[hash]
+	switch {
+	case t.Draining:
 		l.leaves(known.Departure(known.Revision))
-	default:
-		delete(l.leaving, place.HashOf(known.Incarnation()))
+	case known.Draining && told:
+		// The entry is that of a copy. What was read before counts for others too.
+		l.leaving[hash] = departure{at: l.gateway.clock.Now(), revision: word.revision}
+	case !known.Draining:
+		delete(l.leaving, hash)
 	}
 }
 
@@ -125,22 +136,21 @@
 	return list
 }
 
-// hearLeaving takes another router's word on targets that leave.
+// mostWords bounds the words that are kept.
+const mostWords = 512
+
+// hearLeaving takes another router's word on targets that leave. A router that starts hears
+// of others before it has read the table, and keeps their words until then.
 func (l *loop) hearLeaving(from string, leaving []*zinccovev1.LeavingTarget) {
-	if len(leaving) == 0 {
-		return
-	}
-	revisions := make(map[place.Hash]revision.Revision, len(leaving))
-	for _, t := range leaving {
-		revisions[place.Hash(t.Target)] = revision.Revision{Era: t.Era, Count: t.Version}
-	}
 	changed := false
-	for hash, at := range revisions {
+	for _, t := range leaving {
+		hash, at := place.Hash(t.Target), revision.Revision{Era: t.Era, Count: t.Version}
 		id, known := l.ids[hash]
-		if known && l.roster.Leave(id, at) {
-			l.gateway.log.Info().Str("target", id).Uint64("era", at.Era).Uint64("version", at.Count).Str("peer", from).
-				Msg("target is leaving, as another router says")
-			changed = true
+		switch {
+		case known:
+			changed = l.believe(id, at, from) || changed
+		case !l.tableRead && len(l.words) < mostWords:
+			l.words[hash] = at
 		}
 	}
 	if changed {
@@ -148,6 +158,27 @@
 	}
 }
 
+// believe takes another router's word on a target that is known.
+func (l *loop) believe(id string, at revision.Revision, from string) bool {
+	if !l.roster.Leave(id, at) {
+		return false
+	}
+	l.gateway.log.Info().Str("target", id).Uint64("era", at.Era).Uint64("version", at.Count).Str("peer", from).
+		Msg("target is leaving, as another router says")
+	return true
+}
+
+// recallWords takes what others said before this router had read the table.
+func (l *loop) recallWords() {
+	l.tableRead = true
+	for _, t := range l.roster.Targets() {
+		if at, ok := l.words[place.HashOf(t.Incarnation())]; ok {
+			l.believe(t.ID, at, "before the table was read")
+		}
+	}
+	l.words = nil
+}
+
 // expireTargets drops targets that did not come back after an outage of the
 // store.
 func (l *loop) expireTargets() {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -261,7 +261,9 @@
 // It returns the targets that are gone.
 func (r *Roster) Replace(entries []Target, at revision.Revision) []Departure {
 	put := r.Put
-	if !r.latest.IsZero() && r.latest.OfEarlierEra(at) {
+	if r.latest.OfEarlierEra(at) {
+		// Also the first table that is read, unless the store never came back from a copy:
+		// that may have been a moment ago.
 		put = r.putCopied
 		r.catching = true
 		r.settled = r.options.Clock.Now().Add(r.options.Return)
