Losses in the middle of an answer count half

Change: a target that ended before it answered anything weighs 2, one that had begun 1, 4 bar. The timeline of the incident speaks for it: of 30 streams that were cut, the 6 tries of the request had no event, the 24 others had some. Test: three cuts in the middle do not bar, four do, two without a word do.

--- a/ingress/completion.go
+++ b/ingress/completion.go
@@ -173,6 +173,7 @@
 // account charges what an event delivered and ends the request at the last.
 func (c *completion) account(ev target.Event) {
 	c.request.Stream()
+	c.partial = true
 	if ev.Kind == target.Token {
 		c.delivered++
 		c.slot.Charge(1)
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -30,7 +30,9 @@
 	slot     *dispatch.Slot
 	// asks is what the request asks for.
 	asks quarantine.Content
-	conn net.Conn
+	// partial is set once the current attempt has brought a part of the answer.
+	partial bool
+	conn    net.Conn
 	// unwatch ends the watch of conn, if there is one.
 	unwatch func()
 
@@ -140,6 +142,7 @@
 
 // attempt returns the next attempt for the slot.
 func (f *flow) attempt() target.Attempt {
+	f.partial = false
 	f.server.options.Metrics.Inc(metric.Attempts)
 	if f.request.Attempts() > 0 {
 		f.server.options.Metrics.Inc(metric.Retries)
@@ -188,7 +191,7 @@
 		return f.refused(refuse(CodeCallerGone, "the caller went away"))
 	}
 	if fail.Dropped() {
-		f.server.options.Quarantine.Lost(&f.asks, runOf(f.slot.Target(), now))
+		f.server.options.Quarantine.Lost(&f.asks, quarantine.Loss{Target: runOf(f.slot.Target(), now), Partial: f.partial})
 	}
 	f.release(results[fail.Kind])
 	if f.request.Fail(fail.Kind, now, f.server.retries.Take) == request.Retry {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -32,8 +32,8 @@
 
 // record is the value of a row.
 type record struct {
-	Fingerprint string   `json:"fingerprint"`
-	Targets     []Target `json:"targets"`
+	Fingerprint string `json:"fingerprint"`
+	Losses      []Loss `json:"losses"`
 	// LostUnixMs is when the last of the targets ended.
 	LostUnixMs int64 `json:"lost_unix_ms"`
 }
@@ -105,15 +105,16 @@
 func (r *record) suspect(now time.Time) *zinccovev1.Suspect {
 	f, _ := hex.DecodeString(r.Fingerprint) //nolint:errcheck // Learn passes over what is none
 	m := &zinccovev1.Suspect{Fingerprint: f, AgeMs: uint64(max(now.UnixMilli()-r.LostUnixMs, 0))}
-	for _, t := range r.Targets {
-		m.Targets = append(m.Targets, uint32(t))
+	for _, loss := range r.Losses {
+		m.Targets = append(m.Targets, uint32(loss.Target))
+		m.Partial = append(m.Partial, loss.Partial)
 	}
 	return m
 }
 
 // save writes the row of a request.
 func (k *Keeper) save(ctx context.Context, s suspect) error {
-	value, err := json.Marshal(record{Fingerprint: s.fingerprint.String(), Targets: s.targets, LostUnixMs: s.changed.UnixMilli()})
+	value, err := json.Marshal(record{Fingerprint: s.fingerprint.String(), Losses: s.losses, LostUnixMs: s.changed.UnixMilli()})
 	if err != nil {
 		return errs.Wrap(err, "encode barred request", "")
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,8 +8,8 @@
 //
 // A List knows requests by their Fingerprint. A request whose connection to a target
 // breaks while it may run there is a suspect: the loss of that run of a target counts
-// against it. All routers tell each other their suspects, and a request with
-// lossesToBar losses is barred from all targets.
+// against it, twice if the target had not begun to answer. All routers tell each other
+// their suspects, and a request with enough losses is barred from all targets.
 //
 // Many other requests run at a target that ends, and connections break for other reasons.
 // Hardly any of these come again with the same content, so they never have enough losses.
@@ -23,7 +23,7 @@
 //
 //	l := quarantine.New(clock)
 //	if l.Barred(content) { ... }      // before each attempt
-//	barred := l.Lost(content, target) // the connection broke
+//	barred := l.Lost(content, loss)   // the connection broke
 //	l.Answered(content)               // the whole answer came
 //	heartbeat := l.Tell()             // for other routers, with each heartbeat
 //	barred := l.Learn(told)           // what another router told
@@ -44,8 +44,14 @@
 )
 
 const (
-	// lossesToBar is the number of runs of targets that may end under a request.
-	lossesToBar = 2
+	// weightToBar is the weight of losses with which a request is barred, silentWeight that
+	// of a target that ended before it answered anything, partialWeight that of one that had
+	// begun to answer: of 30 streams that were cut by targets that ended, the 6 tries of the
+	// request that ended them were all without an event, the 24 others had some. So two
+	// targets may end under a request without a word, and four in any case.
+	weightToBar   = 4
+	silentWeight  = 2
+	partialWeight = 1
 	// keepFor is how long a suspect is known after its last loss: longer than callers and
 	// their operators go on sending one, short enough for a repaired target.
 	keepFor = 10 * time.Minute
@@ -74,11 +80,25 @@
 // Target names a run of a target.
 type Target uint32
 
+// Loss is a run of a target that ended under a request.
+type Loss struct {
+	Target Target
+	// Partial tells that the target had begun to answer.
+	Partial bool
+}
+
+func (l *Loss) weight() int {
+	if l.Partial {
+		return partialWeight
+	}
+	return silentWeight
+}
+
 // suspect is a request under which targets ended, or that was one until it was answered.
 type suspect struct {
 	fingerprint Fingerprint
-	// targets are the runs that ended under it, the last of them at changed.
-	targets []Target
+	// losses are the runs that ended under it, the last of them at changed.
+	losses  []Loss
 	changed time.Time
 	// answered tells that it was answered since, at changed.
 	answered bool
@@ -86,7 +106,24 @@
 	tell int
 }
 
-func (s *suspect) barred() bool { return len(s.targets) >= lossesToBar }
+func (s *suspect) barred() bool {
+	weight := 0
+	for i := range s.losses {
+		weight += s.losses[i].weight()
+	}
+	return weight >= weightToBar
+}
+
+// add adds a loss. Of two words on the same run the heavier counts.
+func (s *suspect) add(loss Loss) {
+	i := slices.IndexFunc(s.losses, func(l Loss) bool { return l.Target == loss.Target })
+	switch {
+	case i >= 0:
+		s.losses[i].Partial = s.losses[i].Partial && loss.Partial
+	case len(s.losses) < mostLosses:
+		s.losses = append(s.losses, loss)
+	}
+}
 
 // List is what a router knows of such requests. It is safe for concurrent use.
 type List struct {
@@ -146,7 +183,7 @@
 
 // Lost notes that the connection to a target broke while the request may have run there.
 // It reports whether the request is barred from now on.
-func (l *List) Lost(c *Content, target Target) (barred bool) {
+func (l *List) Lost(c *Content, loss Loss) (barred bool) {
 	f, local := c.Fingerprint(), c.local(l.seed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,7 +191,7 @@
 	if l.cleared(local, now) {
 		return false
 	}
-	barred = l.blame(f, []Target{target}, now)
+	barred = l.blame(f, []Loss{loss}, now)
 	s := l.suspects[f]
 	if s != nil && !s.answered {
 		s.tell = tellTimes
@@ -173,7 +210,7 @@
 	default:
 	}
 	kept := *s
-	kept.targets = slices.Clone(s.targets)
+	kept.losses = slices.Clone(s.losses)
 	select {
 	case l.unsaved <- kept:
 	default:
@@ -193,7 +230,7 @@
 
 // blame adds losses and reports whether the request is barred by them. Some are told after
 // the word that the request was answered, and do not count.
-func (l *List) blame(f Fingerprint, targets []Target, at time.Time) (barred bool) {
+func (l *List) blame(f Fingerprint, losses []Loss, at time.Time) (barred bool) {
 	s := l.suspects[f]
 	if s == nil {
 		if s = l.add(f); s == nil {
@@ -208,10 +245,8 @@
 		s.answered = false
 		l.known.Add(1)
 	}
-	for _, t := range targets {
-		if len(s.targets) < mostLosses && !slices.Contains(s.targets, t) {
-			s.targets = append(s.targets, t)
-		}
+	for _, loss := range losses {
+		s.add(loss)
 	}
 	if at.After(s.changed) {
 		s.changed = at
@@ -272,7 +307,7 @@
 	if !s.answered {
 		l.known.Add(-1)
 	}
-	s.answered, s.targets, s.changed, s.tell = true, nil, now, tellTimes
+	s.answered, s.losses, s.changed, s.tell = true, nil, now, tellTimes
 }
 
 // cleared reports whether a request was answered here lately.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -46,8 +46,9 @@
 
 func (s *suspect) message(now time.Time) *zinccovev1.Suspect {
 	m := &zinccovev1.Suspect{Fingerprint: s.fingerprint[:], AgeMs: uint64(max(now.Sub(s.changed), 0).Milliseconds()), Answered: s.answered}
-	for _, t := range s.targets {
-		m.Targets = append(m.Targets, uint32(t))
+	for _, loss := range s.losses {
+		m.Targets = append(m.Targets, uint32(loss.Target))
+		m.Partial = append(m.Partial, loss.Partial)
 	}
 	return m
 }
@@ -88,9 +89,9 @@
 	if age >= keepFor {
 		return false
 	}
-	targets := make([]Target, 0, mostLosses)
-	for _, t := range m.Targets[:min(len(m.Targets), mostLosses)] {
-		targets = append(targets, Target(t))
+	losses := make([]Loss, 0, mostLosses)
+	for i, t := range m.Targets[:min(len(m.Targets), mostLosses)] {
+		losses = append(losses, Loss{Target: Target(t), Partial: i < len(m.Partial) && m.Partial[i]})
 	}
-	return l.blame(f, targets, now.Add(-age))
+	return l.blame(f, losses, now.Add(-age))
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,7 +52,7 @@
 	ans, fail := f.exchange(ctx, lastEvent)
 	if fail != nil {
 		d.Run.End(f.result(fail.Kind))
-		f.blame(fail)
+		f.blame(fail, fail.Status != 0)
 	}
 	return ans, fail, nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -154,7 +154,7 @@
 	f := s.flight
 	s.drop(place.Failed)
 	fail := f.fail(target.Broken, 0, err, "read stream")
-	f.blame(fail)
+	f.blame(fail, s.began)
 	for f.next(fail) {
 		ans, again, r := f.attempt(s.caller, s.lastEvent)
 		if r != nil {
