--- a/claim/again.go
+++ b/claim/again.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// copyAge is longer than a copy is old from which the table may come back.
-	copyAge = time.Minute
 	// againTime is the time that all routers get to write their claims again: some of
 	// their looks at the table, and the writes.
 	againTime = 2 * time.Second
@@ -54,7 +52,7 @@
 	defer l.mu.Unlock()
 	kept := l.recent[:0]
 	for _, r := range l.recent {
-		if r.held != h && now.Sub(r.at) < copyAge {
+		if r.held != h && now.Sub(r.at) < revision.CopyAge {
 			kept = append(kept, r)
 		}
 	}
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
 )
 
 // announce writes this router's entry, unless it stands there from an earlier run, and
@@ -62,10 +63,6 @@
 	}
 }
 
-// copyAge is longer than a copy of the store is old from which it comes back: entries that
-// were written before that are in it.
-const copyAge = time.Minute
-
 // keepAnnounced writes this router's entry again whenever the store may have lost it.
 func (g *Gateway) keepAnnounced(ctx context.Context, self platform.Host) error {
 	written := g.clock.Now()
@@ -75,7 +72,7 @@
 			return nil
 		case <-g.unannounced:
 		}
-		if g.clock.Since(written) > copyAge {
+		if g.clock.Since(written) > revision.CopyAge {
 			continue
 		}
 		if err := g.store.Announce(ctx, self); err != nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,6 +41,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/revision"
 )
 
 const (
@@ -63,8 +65,6 @@
 	mostAnswered = 4096
 	mostSuspects = 4096
 	mostLosses   = 8
-	// copyAge is longer than a copy is old from which the table may come back.
-	copyAge = time.Minute
 	// mostUnsaved bounds the barred requests that wait to be kept.
 	mostUnsaved = 64
 	// tellTimes is the number of heartbeats with which a change is told, so that lost
@@ -222,7 +222,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.order {
-		if s.barred() && l.clock.Since(s.changed) < copyAge {
+		if s.barred() && l.clock.Since(s.changed) < revision.CopyAge {
 			l.announce(s)
 		}
 	}
