Read what targets say of themselves in answers, and tell it in the lines of requests

Cause: logs could not tell whether a target's word of leaving or its Retry-After reached a router at all, and was lost later, or was never read. Nothing is decided by them yet.

--- a/message/message.go
+++ b/message/message.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/notice"
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -84,6 +86,8 @@
 	Idle time.Duration
 	// Close means that the target closes the connection after the answer.
 	Close bool
+	// Notice is what the target says of itself.
+	Notice notice.Notice
 }
 
 // Codec translates headers. All fields are required.
--- /dev/null
+++ b/notice/notice.go
@@ -0,0 +1,73 @@
+// Package notice holds what targets say of themselves in their answers: that they are
+// leaving, and that they want no requests for a while.
+//
+// A target knows this before any table or other router does. Its own notice therefore goes
+// before what they say: it belongs to one run of the target, and only another run ends it.
+// A request for a while without requests concerns the router that it was made to.
+//
+// The package has no I/O; a State is not safe for concurrent use.
+//
+// # Usage
+//
+//	n := notice.Notice{Leaving: true}
+//	change := state.Take(n, clock.Now())
+//	if state.Refuses(clock.Now()) {
+//		// choose another target, or refuse: a caller may come back at state.Until()
+//	}
+package notice
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Notice is what one answer says of the target that gave it.
+type Notice struct {
+	// Leaving means that the target will end and wants nothing new.
+	Leaving bool
+	// Backoff is how long the target wants nothing from this router; 0 if it did not say.
+	Backoff time.Duration
+}
+
+// longestBackoff bounds what is believed of a Retry-After header.
+const longestBackoff = 24 * time.Hour
+
+// Backoff returns the time that an answer with status 429 or 503 asks for by a Retry-After
+// header; 0 if it does not, or not in a readable way. The header holds seconds, also
+// with fractions, or a date, which is compared with the answer's own (RFC 9110, 10.2.3).
+func Backoff(h *fasthttp.ResponseHeader) time.Duration {
+	switch h.StatusCode() {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+	default:
+		return 0
+	}
+	text := string(h.Peek(fasthttp.HeaderRetryAfter))
+	if text == "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return untilDate(text, string(h.Peek(fasthttp.HeaderDate)))
+	}
+	if math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, longestBackoff.Seconds()) * float64(time.Second))
+}
+
+// untilDate returns the time from one HTTP date to a later one, 0 if one cannot be read.
+func untilDate(later, now string) time.Duration {
+	then, err := http.ParseTime(later)
+	if err != nil {
+		return 0
+	}
+	from, err := http.ParseTime(now)
+	if err != nil {
+		return 0
+	}
+	return min(max(then.Sub(from), 0), longestBackoff)
+}
--- /dev/null
+++ b/notice/notice_test.go
@@ -0,0 +1,53 @@
+package notice
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+func TestBackoffIsReadFromRefusals(t *testing.T) {
+	const date = "Thu, 03 Dec 2026 06:00:00 GMT"
+	tests := []struct {
+		name   string
+		status int
+		value  string
+		date   string
+		want   time.Duration
+	}{
+		{"seconds", 503, "3", "", 3 * time.Second},
+		{"fraction", 503, "0.25", "", 250 * time.Millisecond},
+		{"too many requests", 429, "2", "", 2 * time.Second},
+		{"none", 503, "", "", 0},
+		{"zero", 503, "0", "", 0},
+		{"negative", 503, "-4", "", 0},
+		{"not a number", 503, "NaN", "", 0},
+		{"words", 503, "soon", "", 0},
+		{"huge", 503, "1e300", "", longestBackoff},
+		{"infinite", 503, "Inf", "", longestBackoff},
+		{"date", 503, "Thu, 03 Dec 2026 06:00:05 GMT", date, 5 * time.Second},
+		{"date that has passed", 503, "Thu, 03 Dec 2026 05:59:00 GMT", date, 0},
+		{"date without another", 503, "Thu, 03 Dec 2026 06:00:05 GMT", "", 0},
+		{"another status", 200, "3", "", 0},
+		{"fault of the target", 500, "3", "", 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n", tc.status)
+			if tc.value != "" {
+				text += "Retry-After: " + tc.value + "\r\n"
+			}
+			if tc.date != "" {
+				text += "Date: " + tc.date + "\r\n"
+			}
+			var h fasthttp.ResponseHeader
+			assert.NilError(t, h.Read(bufio.NewReader(strings.NewReader(text+"\r\n"))))
+			assert.Equal(t, Backoff(&h), tc.want)
+		})
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -12,6 +12,7 @@
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/target"
 )
@@ -44,7 +45,7 @@
 	if len(f.tried) > 0 {
 		s.options.Metrics.Inc(metric.Retries)
 	}
-	f.run = d.Run
+	f.run, f.said = d.Run, notice.Notice{}
 	f.tried = append(f.tried, d.Run.Incarnation())
 	f.life.Queue()
 	f.life.Dispatch()
@@ -255,6 +256,7 @@
 			continue
 		}
 		ans.facts = f.server.options.Codec.Answer(&ans.header)
+		f.said = ans.facts.Notice
 		if ans.facts.ID == f.call.ID {
 			return nil
 		}
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -10,6 +10,7 @@
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
@@ -61,6 +62,8 @@
 	content *quarantine.Content
 	// run is the current attempt.
 	run *place.Run
+	// said is what the target of the current attempt said of itself.
+	said notice.Notice
 	// starting is set from when a stream was taken until it is sent for the first time.
 	starting bool
 	// asked is how long the last placement waited for answers of other routers.
--- a/relay/log.go
+++ b/relay/log.go
@@ -32,6 +32,17 @@
 		Dur("wait_ms", d.Wait).Dur("predicted_ms", d.Predicted).Float64("slowness", d.Slowness).Int("told", d.Told).Dur("asked_ms", f.asked).Dur("reports_age_ms", d.Age)
 }
 
+// noticed adds what the target said of itself in its answer, if it did.
+func (f *flight) noticed(e *zerolog.Event) *zerolog.Event {
+	if f.said.Leaving {
+		e = e.Bool("target_leaves", true)
+	}
+	if f.said.Backoff > 0 {
+		e = e.Dur("target_backoff_ms", f.said.Backoff)
+	}
+	return e
+}
+
 // logPlaced tells which target was chosen and what decided it.
 func (s *Server) logPlaced(f *flight) {
 	e := s.event(s.options.Log.Info(), f).
@@ -50,7 +61,7 @@
 	if fail != nil {
 		e = e.Err(fail)
 	}
-	e.Msg("attempt failed")
+	f.noticed(e).Msg("attempt failed")
 }
 
 // logRefused tells how a request ended that no target answered.
@@ -71,14 +82,16 @@
 
 // logAnswered tells that a whole answer was handed over.
 func (s *Server) logAnswered(f *flight, status int) {
-	s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
-		Dur("took_ms", s.options.Clock.Since(f.received)).Msg("request answered")
+	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
+		Dur("took_ms", s.options.Clock.Since(f.received))
+	f.noticed(e).Msg("request answered")
 }
 
 // logStream tells how a stream ended.
 func (s *Server) logStream(f *flight, err error) {
 	e := s.event(s.options.Log.Info(), f).Str("target", f.run.Target.ID).
 		Dur("first_event_ms", f.firstEvent).Dur("took_ms", s.options.Clock.Since(f.received))
+	e = f.noticed(e)
 	if err == io.EOF {
 		e.Msg("stream answered")
 		return
