--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -40,6 +40,10 @@
 	Cross Mode = "cross"
 	// Duplicate sends a part of the answer twice.
 	Duplicate Mode = "duplicate"
+	// Backoff answers 503 without doing anything, and asks for no requests for Delay.
+	Backoff Mode = "backoff"
+	// Leaving answers as usual, and says that the target is leaving.
+	Leaving Mode = "leaving"
 )
 
 // Fault is one switched fault.
@@ -48,7 +52,8 @@
 	Mode Mode   `json:"mode"`
 	// Count is how often it applies; 0 means until replaced.
 	Count int `json:"count,omitempty"`
-	// Delay is the waiting time of mode Delay in nanoseconds.
+	// Delay is the waiting time of mode Delay and the time that mode Backoff asks for, in
+	// nanoseconds.
 	Delay time.Duration `json:"delay,omitempty"`
 	// After is the number of parts of the answer that go out first.
 	After int `json:"after,omitempty"`
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -14,8 +14,11 @@
 // # Faults
 //
 // The step "run" can be switched; see package fault. Refuse answers that the
-// request was not run; the others break the answer after the run began. A request
-// with EndingBody ends the worker, as some do that engines cannot bear.
+// request was not run, and so does Backoff; the others break the answer after the run
+// began. With the step "say" and the mode Leaving answers say that the worker leaves. A
+// request with EndingBody ends the worker, as some do that engines cannot bear.
+//
+// GET /arrivals lists all requests, also those that were refused.
 package worker
 
 import (
@@ -26,6 +29,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -45,6 +49,7 @@
 	headerNotRun   = "Not-Executed"
 	headerLast     = "Last-Event-Id"
 	headerCustomer = "Tenant"
+	headerLeaving  = "Server-Leaving"
 )
 
 // Options configure a worker.
@@ -75,6 +80,14 @@
 	Body     string
 }
 
+// Arrival is a request that reached a worker.
+type Arrival struct {
+	ID string
+	At time.Time
+	// Refused tells that it asked for a backoff and did not run it.
+	Refused bool
+}
+
 // Worker serves requests.
 type Worker struct {
 	Faults fault.Switches
@@ -87,6 +100,8 @@
 	// written counts the writes of the entry.
 	written uint64
 	runs    map[string]*Run
+	// arrivals are the requests in the order in which they came.
+	arrivals []Arrival
 }
 
 // New returns a worker.
@@ -100,7 +115,9 @@
 	switch {
 	case w.Faults.Handle(ctx):
 	case string(ctx.Path()) == "/runs":
-		w.writeRuns(ctx)
+		w.write(ctx, func() any { return w.runs })
+	case string(ctx.Path()) == "/arrivals":
+		w.write(ctx, func() any { return w.arrivals })
 	case string(ctx.Path()) == "/health":
 		ctx.Response.Header.Set(headerInstance, w.options.ID)
 	default:
@@ -108,9 +125,10 @@
 	}
 }
 
-func (w *Worker) writeRuns(ctx *fasthttp.RequestCtx) {
+// write answers with what record returns.
+func (w *Worker) write(ctx *fasthttp.RequestCtx, record func() any) {
 	w.mu.Lock()
-	body, err := json.Marshal(w.runs)
+	body, err := json.Marshal(record())
 	w.mu.Unlock()
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
@@ -127,8 +145,15 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	if f, ok := w.Faults.Take("say"); ok && f.Mode == fault.Leaving {
+		ctx.Response.Header.Set(headerLeaving, "1")
+	}
 	f, _ := w.Faults.Take("run")
-	if f.Mode == fault.Refuse || !w.begin(ctx, id) {
+	w.arrived(id, f.Mode == fault.Backoff)
+	if f.Mode == fault.Backoff {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.Delay.Seconds(), 'f', -1, 64))
+	}
+	if f.Mode == fault.Refuse || f.Mode == fault.Backoff || !w.begin(ctx, id) {
 		ctx.Response.Header.Set(headerNotRun, "1")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -177,6 +202,12 @@
 // Event is the text of the n-th event of a request's stream, from 1.
 func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
+func (w *Worker) arrived(id string, refused bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now(), Refused: refused})
+}
+
 func (w *Worker) begin(ctx *fasthttp.RequestCtx, id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -254,12 +285,14 @@
 }
 
 // Enter writes the worker's entry into the store.
-func (w *Worker) Enter(store, listen netip.AddrPort) error { return w.write(store, listen, "ready") }
+func (w *Worker) Enter(store, listen netip.AddrPort) error { return w.announce(store, listen, "ready") }
 
 // Drain announces that the worker will end.
-func (w *Worker) Drain(store, listen netip.AddrPort) error { return w.write(store, listen, "draining") }
+func (w *Worker) Drain(store, listen netip.AddrPort) error {
+	return w.announce(store, listen, "draining")
+}
 
-func (w *Worker) write(store, listen netip.AddrPort, state string) error {
+func (w *Worker) announce(store, listen netip.AddrPort, state string) error {
 	w.mu.Lock()
 	w.written++
 	seq := w.written
