Targets that say in an answer that they leave get nothing new

Callers saw requests lost with targets that had long said that they would end. Cause: what a target says of itself was read only where a table says it too. Ruled out: that the word was read and taken back (no line of a changed belief, nothing of the store in that time); that requests were placed before it (placed 1 to 3 ms before they arrive). Change: the head of every answer that is surely the target's is read for it, whatever becomes of the answer. The word belongs to one run of the target and is kept beside the list of targets, so that no entry, table, copy or other router takes it back; only another run is used again. It is looked at when a target is chosen and again just before a request is sent. Heartbeats tell it as long as the target's entry does not. One line and a counter for each changed belief; departures knows them. Why it holds: it needs no store and no other router, and no order among versions. Weighed: resting on versions of the store (a word in an answer has none, and the store goes on writing newer ones); kept in the roster, which forgets lapsed entries.

--- a/explain/departures.go
+++ b/explain/departures.go
@@ -39,6 +39,9 @@
 	first time.Time
 	// version is the newest at which the store told that the target left.
 	revision revision.Revision
+	// said is when the run started that said itself that it leaves; empty if it did not.
+	// Only an entry of another run tells that the target is back then.
+	said string
 	// hosts holds when each router took the target as leaving, and how it knew.
 	hosts map[string]knowledge
 }
@@ -73,6 +76,7 @@
 	wayStore   = "store"
 	wayPeer    = "another router"
 	wayExpired = "entry did not come back"
+	wayAnswer  = "the target's answer"
 )
 
 func (d *Departures) take(x *line) {
@@ -85,8 +89,8 @@
 			d.know(id, x, wayStore)
 			return
 		}
-		if t := d.targets[id]; t != nil && t.revision.Before(x.revision()) {
-			delete(d.targets, id) // it is back
+		if t := d.targets[id]; t != nil && t.backBy(x) {
+			delete(d.targets, id)
 		}
 	case "target entry removed":
 		if x.value("gone") == "true" {
@@ -94,7 +98,10 @@
 			return
 		}
 		d.leave(id, x)
-	case "target is leaving, as another router says":
+	case "target says that it leaves":
+		d.know(id, x, wayAnswer)
+		d.targets[id].said = x.value("started")
+	case "target is leaving, as another router says", "target says that it leaves, as another router heard":
 		d.know(id, x, wayPeer)
 	case "targets gone, their entries did not come back", "targets gone, their entries are missing":
 		for _, id := range strings.FieldsFunc(x.value("targets"), func(c rune) bool { return strings.ContainsRune(`[]",`, c) }) {
@@ -103,6 +110,15 @@
 	}
 }
 
+// backBy reports whether an entry that does not say that the target leaves tells that it is
+// back.
+func (t *departure) backBy(entry *line) bool {
+	if t.said != "" {
+		return entry.value("started") != t.said
+	}
+	return t.revision.Before(entry.revision())
+}
+
 // revision is that of the store which the line tells.
 func (x *line) revision() revision.Revision {
 	return revision.Revision{Era: uint64(x.number("era")), Count: uint64(x.number("version"))}
--- a/explain/departures_test.go
+++ b/explain/departures_test.go
@@ -20,6 +20,12 @@
 {"host":"r2","target":"t1","version":5,"draining":true,"time":"2026-01-01T10:00:05Z","message":"target entry"}
 {"host":"r1","target":"t4","version":6,"gone":false,"time":"2026-01-01T10:00:06Z","message":"target entry removed"}
 {"host":"r1","target":"t4","version":7,"draining":false,"time":"2026-01-01T10:00:07Z","message":"target entry"}
+{"host":"r2","target":"t5","started":"2026-01-01T09:00:00Z","time":"2026-01-01T10:00:08Z","message":"target says that it leaves"}
+{"host":"r1","target":"t5","peer":"r2","time":"2026-01-01T10:00:08.1Z","message":"target says that it leaves, as another router heard"}
+{"host":"r1","target":"t5","version":8,"started":"2026-01-01T09:00:00Z","draining":false,"time":"2026-01-01T10:00:09Z","message":"target entry"}
+{"host":"r1","request":"later","target":"t5","time":"2026-01-01T10:00:11Z","message":"request placed"}
+{"host":"r2","target":"t6","started":"2026-01-01T09:00:00Z","time":"2026-01-01T10:00:08Z","message":"target says that it leaves"}
+{"host":"r1","target":"t6","version":9,"started":"2026-01-01T10:00:08Z","draining":false,"time":"2026-01-01T10:00:09Z","message":"target entry"}
 `
 
 func TestDeparturesTellWhoKnewLate(t *testing.T) {
@@ -35,6 +41,7 @@
 	assert.Equal(t, out.String(), `target  first known  last router after (s)  router  way                      placed later than 2s  first of them
 t1      10:00:01     4.00                   r2      store                    1                     late by r2
 t2      10:00:02     1.30                   r2      another router           0                     
+t5      10:00:08     0.10                   r1      another router           1                     later by r1
 t3      10:00:03     0.00                   r1      entry did not come back  0                     
 `)
 }
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -125,6 +125,11 @@
 func (l *loop) leavingTargets() []*zinccovev1.LeavingTarget {
 	now := l.gateway.clock.Now()
 	var list []*zinccovev1.LeavingTarget
+	for _, hash := range l.gateway.placer.SaidLeaving() {
+		if len(list) < maxLeaving {
+			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Said: true})
+		}
+	}
 	for hash, d := range l.leaving {
 		switch {
 		case now.Sub(d.at) > leavingFor:
@@ -147,6 +152,8 @@
 		hash, at := place.Hash(t.Target), revision.Revision{Era: t.Era, Count: t.Version}
 		id, known := l.ids[hash]
 		switch {
+		case t.Said:
+			l.hearSaid(hash, id, from)
 		case known:
 			changed = l.believe(id, at, from) || changed
 		case !l.tableRead && len(l.words) < mostWords:
@@ -158,6 +165,13 @@
 	}
 }
 
+// hearSaid takes another router's word that a target said itself that it leaves.
+func (l *loop) hearSaid(target place.Hash, id, from string) {
+	if l.gateway.placer.HearLeaving(target) {
+		l.gateway.log.Info().Str("target", id).Uint32("run", uint32(target)).Str("peer", from).Msg("target says that it leaves, as another router heard")
+	}
+}
+
 // believe takes another router's word on a target that is known.
 func (l *loop) believe(id string, at revision.Revision, from string) bool {
 	if !l.roster.Leave(id, at) {
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -129,3 +130,40 @@
 		})
 	}
 }
+
+// TestOwnWordOfATargetOutranksTheStore has a target say in an answer that it leaves, here or
+// at another router, while its entry goes on to say that it is ready, in each way in which
+// entries come. Other routers are told as long as the store does not tell them.
+func TestOwnWordOfATargetOutranksTheStore(t *testing.T) {
+	for name, take := range ways {
+		t.Run(name, func(t *testing.T) {
+			l, clock := newTargetLoop(t)
+			l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("leaves", 2, 1000), entry("other", 1, 0)}}, true)
+			run := place.HashOf("leaves@1000")
+			l.hearLeaving("b", []*zinccovev1.LeavingTarget{{Target: uint32(run), Said: true}})
+			for i := range 3 {
+				take(l, entry("leaves", uint64(10+i), 1000))
+				clock.Advance(leavingFor)
+				for range 20 {
+					assert.Assert(t, placed(l, "other"))
+				}
+				told := l.leavingTargets()
+				assert.Equal(t, len(told), 1)
+				assert.Assert(t, told[0].Said && told[0].Target == uint32(run))
+			}
+			other, _ := newTargetLoop(t)
+			other.hearLeaving("a", l.leavingTargets())
+			other.takeTargets(platform.Batch{Revision: revision.Revision{Count: 20}, Changes: []platform.Change{entry("leaves", 20, 1000), entry("other", 1, 0)}}, true)
+			for range 20 {
+				assert.Assert(t, placed(other, "other"), "a router that starts hears it before the table")
+			}
+			take(l, entry("leaves", 30, 2000))
+			assert.Assert(t, !slices.ContainsFunc(l.leavingTargets(), func(t *zinccovev1.LeavingTarget) bool { return t.Said }))
+			used := false
+			for range 50 {
+				used = used || placed(l, "leaves")
+			}
+			assert.Assert(t, used, "the next run is used")
+		})
+	}
+}
--- a/metric/names.go
+++ b/metric/names.go
@@ -48,6 +48,7 @@
 	RequestsBarred
 	StoreWentBack
 	Suspensions
+	NoticesLeaving
 	counters
 )
 
@@ -88,6 +89,7 @@
 	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them."},
 	StoreWentBack:        {"store_went_back", "*alarm* Times that the store came back from a copy that lacks its latest writes."},
 	Suspensions:          {"suspensions", "*alarm* Times that this host was suspended; its steady clock stood still."},
+	NoticesLeaving:       {"notices_leaving", "Targets that said in an answer that they leave, before this router knew."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -9,10 +9,9 @@
 //
 // # Usage
 //
-//	n := notice.Notice{Leaving: true}
-//	change := state.Take(n, clock.Now())
-//	if state.Refuses(clock.Now()) {
-//		// choose another target, or refuse: a caller may come back at state.Until()
+//	news := state.Take(codec.Answer(header).Notice)
+//	if state.Leaving() {
+//		// choose another target
 //	}
 package notice
 
@@ -33,6 +32,24 @@
 	Backoff time.Duration
 }
 
+// State is what a run of a target has said of itself so far. The zero value has said nothing.
+type State struct {
+	leaving bool
+}
+
+// Take takes a notice and reports whether it is news. That a target leaves is never taken
+// back.
+func (s *State) Take(n Notice) (news bool) {
+	if !n.Leaving || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// Leaving reports whether the target said that it leaves.
+func (s *State) Leaving() bool { return s.leaving }
+
 // longestBackoff bounds what is believed of a Retry-After header.
 const longestBackoff = 24 * time.Hour
 
--- a/place/copy.go
+++ b/place/copy.go
@@ -52,7 +52,7 @@
 	if t.Unreadable || t.replaced || p.cut[t.DataCentre] {
 		return false
 	}
-	return (t.Draining || p.evacuated[t.DataCentre]) && t.circuit.allows(now)
+	return (t.drains() || p.evacuated[t.DataCentre]) && t.circuit.allows(now)
 }
 
 // copyFrom has a candidate copy what it lacks from the holder that lacks least, where
--- a/place/grade.go
+++ b/place/grade.go
@@ -20,9 +20,12 @@
 
 // leaves reports whether a target must get nothing new.
 func (p *Placer) leaves(t *target) bool {
-	return t.Draining || t.Unreadable || t.replaced || p.evacuated[t.DataCentre]
+	return t.drains() || t.Unreadable || t.replaced || p.evacuated[t.DataCentre]
 }
 
+// drains reports whether the target is leaving, by its entry or by its own word.
+func (t *target) drains() bool { return t.Draining || t.noticed != nil && t.noticed.Leaving() }
+
 // spares reports whether a target is cold and bears little. All routers together
 // may send it only a few requests a second; they send none while there are others.
 func (s *service) spares(t *target, now time.Time) bool {
--- a/place/place.go
+++ b/place/place.go
@@ -156,6 +156,8 @@
 	cut map[string]bool
 	// evacuated holds the data centres whose targets are to get nothing new.
 	evacuated map[string]bool
+	// notices is what runs of targets said of themselves.
+	notices map[Hash]*noticed
 	// warm is set until the first targets are known, if the fleet ran before.
 	warm bool
 }
@@ -170,7 +172,7 @@
 	return &Placer{
 		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring), othersUses: make(useSums),
-		heard: make(map[string]time.Time), cut: make(map[string]bool), warm: o.Warm, fresh: !o.Warm, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), placed: make(chan struct{}, 1),
+		notices: make(map[Hash]*noticed), heard: make(map[string]time.Time), cut: make(map[string]bool), warm: o.Warm, fresh: !o.Warm, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), placed: make(chan struct{}, 1),
 	}
 }
 
--- a/place/run.go
+++ b/place/run.go
@@ -53,8 +53,8 @@
 // Incarnation names the run of the target that was chosen.
 func (r *Run) Incarnation() string { return r.state.incarnation }
 
-// Leaving reports whether the target takes no new requests any more: it said so,
-// went, was found replaced or is to be evacuated since it was chosen.
+// Leaving reports whether the target takes no new requests any more: its entry or it
+// itself said so, it went, was found replaced or is to be evacuated since it was chosen.
 func (r *Run) Leaving() bool {
 	p := r.placer
 	p.mu.Lock()
--- a/place/targets.go
+++ b/place/targets.go
@@ -43,6 +43,8 @@
 	// replaced is set once another run of the target answered: this one has ended,
 	// also if its entry says nothing of it yet.
 	replaced bool
+	// noticed is what the target said of itself, nil if nothing.
+	noticed *noticed
 	// coldUntil is until when the target is cold.
 	coldUntil time.Time
 	// warmUntil is until when parts of which nothing is known count as kept.
@@ -104,6 +106,7 @@
 		s := p.service(entry.Service)
 		s.targets = append(s.targets, t)
 	}
+	p.listNotices(p.clock.Now())
 	p.warm = p.warm && len(list) == 0
 	if table != nil {
 		p.setEngines(table)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -256,7 +256,7 @@
 			continue
 		}
 		ans.facts = f.server.options.Codec.Answer(&ans.header)
-		f.said = ans.facts.Notice
+		f.takeNotice(c, ans)
 		if ans.facts.ID == f.call.ID {
 			return nil
 		}
--- a/relay/log.go
+++ b/relay/log.go
@@ -64,6 +64,13 @@
 	f.noticed(e).Msg("attempt failed")
 }
 
+// logLeaving tells that a target said that it leaves.
+func (s *Server) logLeaving(f *flight, status int) {
+	t := &f.run.Target
+	s.options.Log.Info().Str("request", f.call.ID).Str("service", f.service).Str("target", t.ID).Time("started", t.Started).
+		Int("status", status).Dur("targets_age_ms", s.options.View().TargetsAge).Msg("target says that it leaves")
+}
+
 // logRefused tells how a request ended that no target answered.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(r.counter())
--- /dev/null
+++ b/relay/notice.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/metric"
+)
+
+// takeNotice takes what a target says of itself in the head of an answer, whatever becomes
+// of that answer: only so a target that the store does not know to leave gets nothing more.
+// A late answer to another request on a used connection is the target's too. Status 421
+// comes from another run at its address, and an answer to another request on a new
+// connection from nobody knows whom.
+func (f *flight) takeNotice(c *link.Conn, ans *answer) {
+	foreign := ans.facts.ID != "" && ans.facts.ID != f.call.ID && !c.Reused
+	if foreign || ans.header.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	f.said = ans.facts.Notice
+	if f.run.Notice(f.said) {
+		f.server.options.Metrics.Inc(metric.NoticesLeaving)
+		f.server.logLeaving(f, ans.header.StatusCode())
+	}
+}
--- /dev/null
+++ b/relay/notice_test.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/place"
+)
+
+const leaves = "Server-Leaving: 1"
+
+// TestWordOfLeavingIsTakenFromEveryAnswer has one of two targets say that it leaves, in each
+// kind of answer; no request after that one may reach it.
+func TestWordOfLeavingIsTakenFromEveryAnswer(t *testing.T) {
+	tests := []struct {
+		name, path string
+		serve      func(*arrival, net.Conn) bool
+	}{
+		{"whole", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 200, a.id(), "x", seal, leaves) }},
+		{"not found", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 404, a.id(), "x", seal, leaves) }},
+		{"fault", "/repeat/", func(a *arrival, c net.Conn) bool { return reply(c, 500, a.id(), "x", seal, leaves) }},
+		{"refusal", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 503, a.id(), "", "Not-Executed: 1", leaves) }},
+		{"refusal without an id", "/once/", func(_ *arrival, c net.Conn) bool { return reply(c, 503, "", "", "Not-Executed: 1", leaves) }},
+		{"no promise", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 503, a.id(), "", leaves) }},
+		{"unsigned", "/once/", func(a *arrival, c net.Conn) bool { return reply(c, 200, a.id(), "x", leaves) }},
+		{"cut body", "/once/", func(a *arrival, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s\r\nContent-Length: 9\r\n\r\nx", a.id(), seal, leaves)
+			return false
+		}},
+		{"stream", "/model/", func(a *arrival, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n", a.id(), seal, leaves)
+			event(c, 1)
+			return endStream(c)
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			leaving := newTarget(t, "t1", tc.serve)
+			other := newTarget(t, "t2", func(a *arrival, c net.Conn) bool {
+				if tc.path != "/model/" {
+					return answers(a, c)
+				}
+				beginStream(a, c)
+				event(c, 1)
+				return endStream(c)
+			})
+			s := newSite(t, leaving, other)
+			for i := 0; len(leaving.seen()) == 0; i++ {
+				assert.Assert(t, i < 200, "the target is not used")
+				s.ask(t, "POST", tc.path, fmt.Sprint("first", i), "b", fmt.Sprintf("Prompt-Prefix: p%d:100,o:10", i))
+			}
+			for i := range 40 {
+				res := s.ask(t, "POST", tc.path, fmt.Sprint("r", i), "b", fmt.Sprintf("Prompt-Prefix: q%d:100,o:10", i))
+				assert.Equal(t, res.header.StatusCode(), 200)
+			}
+			assert.Equal(t, len(leaving.seen()), 1)
+		})
+	}
+}
+
+// TestWordOfAnotherRunIsNotTheTargets has another run answer at the address of a target, and
+// an answer to nobody knows what come on a new connection.
+func TestWordOfAnotherRunIsNotTheTargets(t *testing.T) {
+	for name, strange := range map[string]func(net.Conn) bool{
+		"another run":     func(c net.Conn) bool { return reply(c, 421, "", "", leaves) },
+		"another request": func(c net.Conn) bool { return reply(c, 200, "other", "x", seal, leaves) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTarget(t, "t1", func(_ *arrival, c net.Conn) bool { return strange(c) })
+			s := newSite(t, f)
+			s.ask(t, "POST", "/once/", "r", "b")
+			assert.Equal(t, len(s.options.Placer.SaidLeaving()), 0)
+		})
+	}
+}
+
+// TestLateAnswerTellsThatItsTargetLeaves has the answer to an earlier request come before
+// the one that is awaited.
+func TestLateAnswerTellsThatItsTargetLeaves(t *testing.T) {
+	var n atomic.Int32
+	f := newTarget(t, "t1", func(a *arrival, c net.Conn) bool {
+		if n.Add(1) == 2 {
+			reply(c, 200, "earlier", "x", seal, leaves)
+		}
+		return answers(a, c)
+	})
+	s := newSite(t, f)
+	for i := range 2 {
+		assert.Equal(t, s.ask(t, "POST", "/once/", fmt.Sprint("r", i), "b").header.StatusCode(), 200)
+	}
+	assert.Equal(t, len(s.options.Placer.SaidLeaving()), 1)
+	assert.Equal(t, s.ask(t, "POST", "/once/", "r3", "b").header.StatusCode(), 503)
+}
+
+// TestRequestThatWasPlacedBeforeTheWordIsNotSent has a target say that it leaves while the
+// router connects to it.
+func TestRequestThatWasPlacedBeforeTheWordIsNotSent(t *testing.T) {
+	targets := []*fakeTarget{newTarget(t, "t1", answers), newTarget(t, "t2", answers)}
+	var s *site
+	var left netip.AddrPort
+	s = newSiteDialling(t, func(to netip.AddrPort, _ time.Duration) (net.Conn, error) {
+		if !left.IsValid() {
+			left = to
+			for _, target := range s.targets {
+				if target.Address == to {
+					s.options.Placer.HearLeaving(place.HashOf(target.Incarnation()))
+				}
+			}
+		}
+		return net.Dial("tcp", to.String())
+	}, targets...)
+	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
+	for _, f := range targets {
+		if f.listener.Addr().(*net.TCPAddr).AddrPort() == left {
+			assert.Equal(t, len(f.seen()), 0)
+		}
+	}
+}
