Give targets work by and by after a backoff

Cause: all callers that were refused in a backoff come at its end, to the target whose backoff ends first. A target that is full then turns some away and asks for the next one. Change: for ten seconds after a backoff a target gets one request of a router, two more for each that it began to answer, and none that would wait for a slot.

--- a/place/grade.go
+++ b/place/grade.go
@@ -31,6 +31,9 @@
 // better told at once.
 func (t *target) backsOff(now time.Time) bool { return t.noticed != nil && t.noticed.BacksOff(now) }
 
+// declines reports whether the target wants no more requests of this router for now.
+func (t *target) declines(now time.Time) bool { return t.backsOff(now) || t.recovers(now) }
+
 // spares reports whether a target is cold and bears little. All routers together
 // may send it only a few requests a second; they send none while there are others.
 func (s *service) spares(t *target, now time.Time) bool {
@@ -39,7 +42,7 @@
 
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case p.leaves(t) || t.backsOff(now) || slices.Contains(r.Tried, t.incarnation):
+	case p.leaves(t) || t.declines(now) || slices.Contains(r.Tried, t.incarnation):
 		return unusable
 	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now) || s.spares(t, now):
 		return doubtful
--- a/place/notices.go
+++ b/place/notices.go
@@ -12,6 +12,8 @@
 // again: what the target says of itself outranks all that, as long as it runs.
 type noticed struct {
 	notice.State
+	// taken counts the requests that the run began to answer since its last backoff began.
+	taken int
 	// listed is when the run last stood in the list of targets, or was heard of.
 	listed time.Time
 }
@@ -58,7 +60,33 @@
 	if t := p.byHash[target]; t != nil {
 		t.noticed = s
 	}
-	return s.Take(n, now)
+	news = s.Take(n, now)
+	if news.Backoff > 0 {
+		s.taken = 0
+	}
+	return news
+}
+
+// recoversFor is how long after a backoff a target is given work by and by.
+const recoversFor = 10 * time.Second
+
+// recovers reports whether the target has as much work as it is given soon after a backoff:
+// one request of this router, two more for each that it took, and none that would wait for a
+// slot. All callers that were refused meanwhile come at its end; those that are too many
+// for it would make it ask for the next backoff.
+func (t *target) recovers(now time.Time) bool {
+	s := t.noticed
+	if s == nil || s.Until().IsZero() || now.Sub(s.Until()) >= recoversFor {
+		return false
+	}
+	return t.own.Requests > 2*s.taken || t.outstanding() >= t.Slots
+}
+
+// took notes that the target began to answer a request.
+func (t *target) took() {
+	if t.noticed != nil {
+		t.noticed.taken++
+	}
 }
 
 // SaidLeaving returns the listed targets that said that they leave while their entries do
@@ -93,7 +121,7 @@
 	for _, t := range s.targets {
 		switch {
 		case p.leaves(t):
-		case !t.backsOff(now):
+		case !t.declines(now):
 			return 0, nil
 		case first == nil || t.noticed.Until().Before(first.noticed.Until()):
 			first = t
@@ -102,7 +130,7 @@
 	if first == nil {
 		return 0, nil
 	}
-	return first.noticed.Until().Sub(now), first
+	return max(first.noticed.Until().Sub(now), 0), first
 }
 
 // returnPart is the part of the time that is left of a backoff by which callers are asked
@@ -117,8 +145,9 @@
 	if first == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
+	left = max(left, leastRetry)
 	spread := time.Duration(returnPart * rand.Float64() * float64(left))
-	return Decision{Reason: BackingOff, RetryAfter: max(left+spread, leastRetry), First: first.ID}
+	return Decision{Reason: BackingOff, RetryAfter: left + spread, First: first.ID}
 }
 
 // listNotices joins the notices with the targets of a new list, and forgets those of runs
--- a/place/notices_test.go
+++ b/place/notices_test.go
@@ -166,3 +166,32 @@
 	assert.Equal(t, p.Place(r).Reason, NoTarget, "none of them takes requests again")
 	assert.Equal(t, p.Backoff("plain"), time.Duration(0))
 }
+
+// TestEngineIsGivenWorkByAndByAfterABackoff has an engine take streams that last.
+func TestEngineIsGivenWorkByAndByAfterABackoff(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	p.SetTargets(targets("model", 1), table(t))
+	run := runAt(t, p, "model")
+	run.Notice(notice.Notice{Backoff: time.Second})
+	run.End(Refused)
+	clock.Advance(time.Second)
+	r := ask(call("some", 1000, 10), "c")
+	var running []*Run
+	for _, most := range []int{1, 3, 7, 15} {
+		for range 20 {
+			if d := p.Place(r); d.Run != nil {
+				running = append(running, d.Run)
+			} else {
+				assert.Equal(t, d.Reason, BackingOff)
+				assert.Assert(t, d.RetryAfter >= leastRetry && d.RetryAfter < 2*leastRetry, d.RetryAfter)
+			}
+		}
+		assert.Equal(t, len(running), most)
+		clock.Advance(50 * time.Millisecond)
+		for _, run := range running {
+			run.FirstEvent(true)
+		}
+	}
+	clock.Advance(recoversFor)
+	assert.Assert(t, p.Place(r).Run != nil)
+}
--- /dev/null
+++ b/place/return_test.go
@@ -0,0 +1,93 @@
+package place
+
+import (
+	"container/heap"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/notice"
+)
+
+// moments are times at which something happens, the earliest first.
+type moments []moment
+
+type moment struct {
+	at time.Time
+	do func()
+}
+
+func (m moments) Len() int           { return len(m) }
+func (m moments) Less(i, j int) bool { return m[i].at.Before(m[j].at) }
+func (m moments) Swap(i, j int)      { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)        { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	last := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return last
+}
+
+// TestCallersComeBackAfterABackoff replays calls to a plain service of which all targets
+// want a backoff of three seconds at once. Refused callers come back when they are told.
+// Targets that are full turn calls away and want another backoff, so a crowd at the end of
+// the first one would begin the next.
+func TestCallersComeBackAfterABackoff(t *testing.T) {
+	const (
+		backoff = 3 * time.Second
+		hold    = 30 * time.Millisecond
+		period  = 4 * time.Millisecond
+		length  = 10 * time.Second
+		slots   = 6
+		// room is the number of calls that a target has running or waiting at most.
+		room = 8
+	)
+	p, clock := newTestPlacer(t)
+	list := targets("plain", 3)
+	for _, target := range list {
+		target.Slots = slots
+	}
+	p.SetTargets(list, table(t))
+	began := clock.Now()
+	var (
+		due               moments
+		away, served, all int
+		come              func(first time.Time)
+	)
+	at := func(when time.Time, do func()) { heap.Push(&due, moment{when, do}) }
+	come = func(first time.Time) {
+		r := ask(call("some", 1000, 10), "c")
+		r.Service = "plain"
+		d := p.Place(r)
+		now := clock.Now()
+		if d.Run == nil {
+			at(now.Add(d.RetryAfter), func() { come(first) })
+			return
+		}
+		if now.Sub(began) < backoff || d.Outstanding >= room {
+			if now.Sub(began) >= backoff {
+				away++
+			}
+			d.Run.Notice(notice.Notice{Backoff: backoff})
+			d.Run.End(Refused)
+			at(now.Add(leastRetry), func() { come(first) })
+			return
+		}
+		at(now.Add(hold), func() {
+			d.Run.End(Answered)
+			served++
+		})
+	}
+	for when := began; when.Sub(began) < length; when = when.Add(period) {
+		all++
+		at(when, func() { come(when) })
+	}
+	for len(due) > 0 && due[0].at.Sub(began) < length {
+		m := heap.Pop(&due).(moment)
+		clock.Advance(m.at.Sub(clock.Now()))
+		m.do()
+	}
+	t.Logf("of %d calls %d served, %d turned away after the backoff", all, served, away)
+	assert.Assert(t, served > all*9/10, "%d of %d", served, all)
+	assert.Equal(t, away, 0)
+}
--- a/place/run.go
+++ b/place/run.go
@@ -77,6 +77,7 @@
 	now := p.clock.Now()
 	took := now.Sub(r.began)
 	r.first = now
+	r.state.took()
 	if telling {
 		r.learn(took, now)
 	}
@@ -157,6 +158,9 @@
 	now := p.clock.Now()
 	if result == Answered {
 		r.learnHold(now)
+		if r.first.IsZero() {
+			r.state.took()
+		}
 	}
 	if result.didNotRun() {
 		p.takeBack(r.customer, r.served, r.began, now)
