Own configurations: targets that say that they leave or want a backoff get nothing meanwhile

Callers saw calls held until their deadline (504 after 900 ms) that nobody could serve, and targets that had asked for three seconds got the next request after half a second. Change: package target hands what an answer says to the slot of the attempt; the pool leaves the target alone for as long as it asks (30 s where it leaves, as its runs have no names: one request then shows who serves at its address). Requests that wait and whose deadline passes before the first target takes requests are refused at once, targets_back_off, not run, with the time. Proof TestLeavingTargetGetsNoNewWork has both ways too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"zinccove.example/zinccove/ingress"
 	"zinccove.example/zinccove/intent"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/quarantine"
@@ -122,9 +123,9 @@
 			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: o.Dial,
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
-		dispatcher: dispatch.New(dispatchOptions(o)),
 		quarantine: quarantine.New(o.Clock),
 	}
+	d.dispatcher = dispatch.New(d.dispatchOptions(o))
 	d.claims = claim.New(claim.Options{Table: d.platform.Table(), Clock: o.Clock})
 	store := intent.New(intent.Options{Table: d.platform.Table(), Clock: o.Clock})
 	d.syncer = confsync.New(confsync.Options{Store: store, FetchPeer: d.fetchConfig, Adopt: d.adopt})
@@ -132,16 +133,27 @@
 	return d, d.start(store)
 }
 
-func dispatchOptions(o Options) dispatch.Options {
+func (d *Daemon) dispatchOptions(o Options) dispatch.Options {
 	s := o.Settings
-	d := dispatch.Options{
+	options := dispatch.Options{
 		Clock: o.Clock, Host: s.Host, DataCentre: s.DataCentre, Catchup: catchup, Overcommit: overcommit,
-		Queue: fair.Limits{PerCustomer: s.QueueLimit}, DebtRequests: s.DebtRequests,
+		Queue: fair.Limits{PerCustomer: s.QueueLimit}, DebtRequests: s.DebtRequests, Noticed: d.noticed,
 	}
 	if o.Tune != nil {
-		o.Tune(&d)
+		o.Tune(&options)
 	}
-	return d
+	return options
+}
+
+// noticed tells that a target gets nothing for a while, as it said itself.
+func (d *Daemon) noticed(t config.Target, n notice.Notice) {
+	if n.Leaving {
+		d.metrics.Inc(metric.NoticesLeaving)
+		d.log.Info().Str("target", t.Name).Stringer("address", t.Address).Msg("target says that it leaves")
+		return
+	}
+	d.metrics.Inc(metric.NoticesBackoff)
+	d.log.Info().Str("target", t.Name).Stringer("address", t.Address).Dur("backoff_ms", n.Backoff).Msg("target wants a backoff")
 }
 
 // peerTransport carries calls to other routers.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/exchange"
 	"zinccove.example/zinccove/fair"
+	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/share"
 )
 
@@ -66,6 +67,9 @@
 	// leaves them to what seems free. Routers is the number of those alive. The
 	// default is computedWindow. Experiments replace it.
 	Window func(in share.Input, self, routers int) (window int, slots []int)
+	// Noticed is told when a target gets nothing for a while, as it said itself; it must not
+	// block. Nil tells nobody.
+	Noticed func(config.Target, notice.Notice)
 	// Isolated makes the dispatcher ignore all other routers, which is the
 	// baseline of experiments.
 	Isolated bool
@@ -83,6 +87,8 @@
 	// Avoid is the number of a target that failed this request before; it is
 	// used only when no other has room. 0 avoids none.
 	Avoid uint32
+	// Deadline is when the caller gives up; zero if it does not say.
+	Deadline time.Time
 }
 
 // Cause says why a request was refused.
@@ -92,6 +98,7 @@
 const (
 	QueueFull   Cause = "queue_full"
 	NoTarget    Cause = "no_target"
+	BackingOff  Cause = "targets_back_off"
 	UnknownPool Cause = "unknown_pool"
 )
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -138,8 +138,7 @@
 		if !ok {
 			return
 		}
-		g.Item.done = true
-		close(g.Item.granted)
+		g.Item.refuse(&RefusedError{Cause: NoTarget, RetryAfter: shortestRetry})
 	}
 }
 
@@ -149,6 +148,9 @@
 	if p.closed || len(p.targets) == 0 {
 		return nil, &RefusedError{Cause: NoTarget, RetryAfter: shortestRetry}
 	}
+	if left := p.quiet(p.options.Clock.Now()); p.late(r, left) {
+		return nil, &RefusedError{Cause: BackingOff, RetryAfter: left}
+	}
 	t := &Ticket{pool: p, request: r, granted: make(chan *Slot, 1)}
 	if err := p.queue.Push(r.Customer, r.Class, t); err != nil {
 		return nil, &RefusedError{Cause: QueueFull, RetryAfter: p.retryAfter()}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/notice"
 )
 
 // Circuit breaker of a target: after this many failures in a row, or one
@@ -25,6 +26,8 @@
 	// quota is the number of its slots that are this router's part.
 	quota int
 
+	// quietUntil is until when the target gets nothing, as it said itself.
+	quietUntil time.Time
 	// leaving is set while the platform takes the target away.
 	leaving bool
 
@@ -37,7 +40,7 @@
 // usable reports whether requests may be sent to the target now.
 func (t *target) usable(now time.Time) bool {
 	switch {
-	case t.leaving:
+	case t.leaving || now.Before(t.quietUntil):
 		return false
 	case t.pause == 0:
 		return true
@@ -48,6 +51,27 @@
 	}
 }
 
+// leavingPause is how long a target gets nothing that said that it leaves, until one request
+// shows whether another run serves at its address. Operators and the platform take those away
+// that have left.
+const leavingPause = 30 * time.Second
+
+// notice takes what the target said of itself, and reports whether it gets nothing from now
+// on. It is no failure of the target's.
+func (t *target) notice(n notice.Notice, now time.Time) (quiet bool) {
+	pause := n.Backoff
+	if n.Leaving {
+		pause = max(pause, leavingPause)
+	}
+	until := now.Add(pause)
+	if !until.After(t.quietUntil) || pause <= 0 {
+		return false
+	}
+	quiet = !now.Before(t.quietUntil)
+	t.quietUntil = until
+	return quiet
+}
+
 // room returns the free slots as far as this router knows; it is negative
 // when requests wait inside the target.
 func (t *target) room() int { return int(t.config.Slots) - t.own - t.others }
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"zinccove.example/zinccove/config"
+	"zinccove.example/zinccove/notice"
 )
 
 // Ticket is a place in the queue. Either its slot is taken from Granted and
@@ -15,12 +16,23 @@
 	// slot is set once the ticket has left the queue.
 	slot *Slot
 	done bool
+	// refusal is why there will be no slot, set before granted is closed.
+	refusal *RefusedError
 }
 
 // Granted delivers the slot once the request may run. It is closed without a
-// slot when the pool is removed.
+// slot when the request is refused after all; Refusal says why.
 func (t *Ticket) Granted() <-chan *Slot { return t.granted }
 
+// Refusal is why there will be no slot, once Granted is closed without one.
+func (t *Ticket) Refusal() *RefusedError { return t.refusal }
+
+// refuse ends the wait for a slot.
+func (t *Ticket) refuse(r *RefusedError) {
+	t.done, t.refusal = true, r
+	close(t.granted)
+}
+
 // Abandon gives up the place in the queue, or the slot if it was granted but
 // not released yet. It may be called more than once.
 func (t *Ticket) Abandon() { t.pool.abandon(t) }
@@ -61,5 +73,8 @@
 // Charge adds service delivered to the request's customer.
 func (s *Slot) Charge(cost uint64) { s.pool.charge(s, cost) }
 
+// Notice takes what the target said of itself in an answer.
+func (s *Slot) Notice(n notice.Notice) { s.pool.notice(s.target, n) }
+
 // Release gives the slot back.
 func (s *Slot) Release(r Result) { s.pool.release(s, r) }
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -102,16 +102,16 @@
 	}
 	select {
 	case slot, ok := <-ticket.Granted():
-		return f.take(slot, ok)
+		return f.take(ticket, slot, ok)
 	default:
 	}
 	return f.await(ticket)
 }
 
 // take makes a granted slot the flow's own.
-func (f *flow) take(slot *dispatch.Slot, ok bool) *Refusal {
+func (f *flow) take(ticket *dispatch.Ticket, slot *dispatch.Slot, ok bool) *Refusal {
 	if !ok {
-		return f.giveUp(retryLater(refuse(CodeNoTarget, "the model or service was removed")))
+		return f.giveUp(queueRefusal(ticket.Refusal()))
 	}
 	f.slot = slot
 	f.server.options.Metrics.Observe(metric.QueueWait, f.server.options.Clock.Since(f.accepted))
@@ -125,7 +125,7 @@
 	defer timeout.Stop()
 	select {
 	case slot, ok := <-ticket.Granted():
-		return f.take(slot, ok)
+		return f.take(ticket, slot, ok)
 	case <-timeout.Chan():
 		ticket.Abandon()
 		return f.giveUp(retryLater(refuse(CodeDeadline, "the deadline passed while the request waited")))
@@ -153,6 +153,7 @@
 		Priority:     int64(f.slot.Level),
 		ModelVersion: f.slot.Target().ModelVersion,
 		Deadline:     bootclock.Steady(f.server.options.Clock, f.deadline),
+		Notice:       f.slot.Notice,
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -305,7 +305,7 @@
 	} else {
 		s.options.Metrics.Inc(metric.RequestsNotRun)
 	}
-	if r.Code == CodeQueueFull || r.Code == CodeNoTarget {
+	if r.Code == CodeQueueFull || r.Code == CodeNoTarget || r.Code == CodeBackingOff {
 		s.options.Metrics.Inc(metric.RequestsRefused)
 	}
 }
@@ -328,7 +328,7 @@
 		asks: quarantine.Content{
 			Customer: customer.Name, Method: bytes.Clone(ctx.Method()), URI: bytes.Clone(ctx.RequestURI()), Body: body,
 		},
-		submit: dispatch.Request{Pool: pool, Customer: fair.Customer(customer.Number), Class: class(ctx)},
+		submit: dispatch.Request{Pool: pool, Customer: fair.Customer(customer.Number), Class: class(ctx), Deadline: deadline},
 		request: request.New(request.Options{
 			ID: s.options.NewID(), Repeatable: repeatable, Deadline: deadline, MaxAttempts: maxAttempts,
 		}),
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -34,6 +34,7 @@
 	CodeStoreDown      Code = "store_unavailable"
 	CodeDuplicate      Code = "duplicate"
 	CodeEndsTargets    Code = "ends_targets"
+	CodeBackingOff     Code = "targets_back_off"
 )
 
 var statuses = map[Code]int{
@@ -54,6 +55,7 @@
 	CodeStoreDown:      fasthttp.StatusServiceUnavailable,
 	CodeDuplicate:      fasthttp.StatusConflict,
 	CodeEndsTargets:    fasthttp.StatusUnprocessableEntity,
+	CodeBackingOff:     fasthttp.StatusServiceUnavailable,
 }
 
 // statusCallerGone is in no answer, because nobody reads it.
@@ -84,12 +86,13 @@
 
 // queueRefusal tells a caller why its request was not queued.
 func queueRefusal(err *dispatch.RefusedError) *Refusal {
-	if err.Cause == dispatch.QueueFull {
-		r := refuse(CodeQueueFull, "too many requests of this customer wait already")
-		r.RetryAfter = err.RetryAfter
-		return r
-	}
 	r := refuse(CodeNoTarget, "no target serves this now")
+	switch err.Cause {
+	case dispatch.QueueFull:
+		r = refuse(CodeQueueFull, "too many requests of this customer wait already")
+	case dispatch.BackingOff:
+		r = refuse(CodeBackingOff, "all targets want no requests until after the deadline")
+	}
 	r.RetryAfter = err.RetryAfter
 	return r
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -14,7 +14,8 @@
 //
 // # Faults
 //
-// The steps "complete" and "load" can be switched; see package fault.
+// The steps "complete" and "load" can be switched, and "say" with the mode Leaving; see package
+// fault.
 package engine
 
 import (
@@ -208,6 +209,9 @@
 }
 
 func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	if f, ok := e.Faults.Take("say"); ok && f.Mode == fault.Leaving {
+		ctx.Response.Header.Set(target.HeaderLeaving, "1")
+	}
 	f, _ := e.Faults.Take("complete")
 	if fault.Before(ctx, f) {
 		return
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -13,6 +13,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -128,6 +129,9 @@
 	case Refuse:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return true
+	case Backoff:
+		AskBackoff(ctx, f)
+		return true
 	case DropRequest:
 		Hangup(ctx)
 		return true
@@ -137,6 +141,12 @@
 	return false
 }
 
+// AskBackoff refuses a request and asks for the time of the fault without any.
+func AskBackoff(ctx *fasthttp.RequestCtx, f Fault) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.Delay.Seconds(), 'f', -1, 64))
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
 // Hangup closes the connection without an answer.
 func Hangup(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
--- a/standin/proof/leaving_test.go
+++ b/standin/proof/leaving_test.go
@@ -19,7 +19,7 @@
 // lag of the platform's list, 100 ms here, is inside it.
 const leaveLimit = 3 * time.Second
 
-// TestLeavingTargetGetsNoNewWork has a target leave in each of three ways
+// TestLeavingTargetGetsNoNewWork has a target leave in each of five ways
 // while streams go on; none of them may be cut.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	ways := []struct {
@@ -35,6 +35,12 @@
 		{"by the platform's list", func(s *site, e *fleet.Target) error {
 			return s.ListHost(platform.Host{Name: e.Name, DataCentre: e.DataCentre, State: platform.HostLeaving})
 		}},
+		{"by its own word", func(s *site, e *fleet.Target) error {
+			return fleet.SetFaults(e.Address, fault.Fault{Step: "say", Mode: fault.Leaving})
+		}},
+		{"by its own backoff", func(s *site, e *fleet.Target) error {
+			return fleet.SetFaults(e.Address, fault.Fault{Step: "complete", Mode: fault.Backoff, Delay: 3 * leaveLimit})
+		}},
 		{"by its own refusal", func(s *site, e *fleet.Target) error {
 			return fleet.SetFaults(e.Address, fault.Fault{Step: "complete", Mode: fault.Refuse})
 		}},
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -29,7 +29,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -151,7 +150,7 @@
 	f, _ := w.Faults.Take("run")
 	w.arrived(id, f.Mode == fault.Backoff)
 	if f.Mode == fault.Backoff {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.Delay.Seconds(), 'f', -1, 64))
+		fault.AskBackoff(ctx, f)
 	}
 	if f.Mode == fault.Refuse || f.Mode == fault.Backoff || !w.begin(ctx, id) {
 		ctx.Response.Header.Set(headerNotRun, "1")
--- a/target/target.go
+++ b/target/target.go
@@ -24,7 +24,8 @@
 // attempt's id and either the index and text of a token or the usage; the
 // stream is whole only with its end mark [DONE]. "resume_from" in the body is
 // the number of tokens already delivered. POST /v1/cancel?attempt=ID ends one.
-// 429 and 503 mean that the attempt was refused and did not run.
+// 429 and 503 mean that the attempt was refused and did not run; with Retry-After the target
+// wants nothing for so long. X-Target-Leaving: 1 in any answer says that the target will end.
 package target
 
 import (
@@ -40,6 +41,7 @@
 
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/httpc"
+	"zinccove.example/zinccove/notice"
 )
 
 // Headers that identify an attempt.
@@ -50,6 +52,8 @@
 	// HeaderVersion is the version of the model that the attempt is for. An
 	// engine that has another one loaded refuses the attempt.
 	HeaderVersion = "X-Model-Version"
+	// HeaderLeaving is "1" in the answers of a target that will end and wants nothing new.
+	HeaderLeaving = "X-Target-Leaving"
 )
 
 // Kind is what is known of a failed attempt.
@@ -114,6 +118,8 @@
 	ModelVersion string
 	// Deadline is on the clock of Go's timers.
 	Deadline time.Time
+	// Notice takes what the target says of itself in its answer; nil ignores that.
+	Notice func(notice.Notice)
 }
 
 // Bounds of a client.
@@ -197,6 +203,9 @@
 		}
 		return c.fail(Broken, 0, err, step)
 	}
+	if a.Notice != nil {
+		a.Notice(notice.Notice{Leaving: string(resp.Header.Peek(HeaderLeaving)) == "1", Backoff: notice.Backoff(&resp.Header)})
+	}
 	status := resp.StatusCode()
 	if status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable {
 		return c.fail(Refused, status, fmt.Errorf("status %d", status), step)
