One place for what both control loops do to stay in touch with other routers

Cause: both loops named their run, counted heartbeats, sent and measured datagrams, told and heard suspects, noticed suspension, expired routers and published their status in code of their own, which grows with each incident. Not done of the issue: the schedule of heartbeats, to whom they go, and catching up with a configuration are still two: they differ in what they do (a budget of bytes and rows of the configuration against a period by fleet size and contacts).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,13 +170,13 @@
 func (d *Daemon) start(store *intent.Store) error {
 	var err error
 	s := d.settings
-	d.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: d.clock, Key: []byte(s.FleetKey), Receive: d.loop.receive, Reachable: d.reachable})
+	d.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: d.clock, Key: []byte(s.FleetKey), Receive: d.loop.contact.Receive, Reachable: d.reachable})
 	if err != nil {
 		return err
 	}
 	d.control, err = control.Listen(control.Options{
 		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Store: store, Syncer: d.syncer,
-		Config: d.config, Levels: d.dispatcher.Levels, Status: d.loop.statuses, Confirmed: d.askSync, Ready: d.ready,
+		Config: d.config, Levels: d.dispatcher.Levels, Status: d.loop.contact.Statuses, Confirmed: d.askSync, Ready: d.ready,
 		WrongKey: func() { d.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: d.metrics.Handler(),
 	})
 	if err != nil {
@@ -267,7 +267,7 @@
 	for {
 		err := d.syncer.Poll(ctx)
 		d.claims.Renew()
-		if err == nil && (d.loop.alone() || d.clock.Since(hostsRead) >= hostListPeriod) {
+		if err == nil && (d.loop.contact.Alone() || d.clock.Since(hostsRead) >= hostListPeriod) {
 			var hosts []platform.Host
 			if hosts, err = d.platform.Hosts(ctx); err == nil {
 				hostsRead = d.clock.Now()
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
-	"zinccove.example/zinccove/bootclock"
+	"zinccove.example/zinccove/contact"
 	"zinccove.example/zinccove/dispatch"
 	"zinccove.example/zinccove/exchange"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
@@ -31,7 +29,7 @@
 	missedBeats = 4
 	// forgetAfter is the silence after which a router is forgotten.
 	forgetAfter = time.Hour
-	// inbox holds what waits for the control loop.
+	// inbox holds the tasks that wait for the control loop.
 	inbox = 1024
 	// identifyEvery is the number of heartbeats from one that says who the
 	// sender is to the next.
@@ -44,26 +42,14 @@
 	maxTargets = 60
 )
 
-// received is a heartbeat and its size in bytes.
-type received struct {
-	heartbeat *zinccovev1.Heartbeat
-	size      int
-}
-
 // loop is the control loop. Its fields below the channels belong to its
 // goroutine.
 type loop struct {
-	daemon     *Daemon
-	heartbeats chan received
-	tasks      chan func(*loop)
-	// published is the status as of the last tick.
-	published atomic.Pointer[[]*zinccovev1.RouterStatus]
+	daemon  *Daemon
+	tasks   chan func(*loop)
+	contact *contact.Contact
 
-	members     *member.Table
 	book        *exchange.Book
-	incarnation uint64
-	started     time.Time
-	sequence    uint64
 	lastBeat    time.Time
 	nextBalance time.Time
 	// credit is what heartbeats may cost now, in bytes.
@@ -75,38 +61,25 @@
 	spent time.Duration
 	// learning is set while a configuration is fetched from a peer.
 	learning bool
-	// awake notices that the host was suspended.
-	awake bootclock.Watch
 	// levelled is set once the levels of a peer were taken.
 	levelled bool
 }
 
 func newLoop(d *Daemon) *loop {
 	return &loop{
-		daemon:      d,
-		heartbeats:  make(chan received, inbox),
-		tasks:       make(chan func(*loop), inbox),
-		members:     member.New(member.Options{Self: d.settings.Host, Clock: d.clock, Timeout: failureTimeout}),
-		book:        exchange.New(exchange.Options{Repeats: 2, Rotate: 4, MaxEntries: maxEntries}),
-		incarnation: rand.Uint64(),
-		started:     d.clock.Now(),
-		awake:       bootclock.Watch{Clock: d.clock},
-		inFlight:    make(map[string]dispatch.InFlight),
-	}
-}
-
-// receive hands a heartbeat to the loop. A heartbeat that finds the inbox full
-// is dropped like a lost one.
-func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
-	if len(hb.Suspects) > 0 {
-		for _, f := range l.daemon.quarantine.Learn(hb.Suspects) {
-			l.daemon.log.Warn().Stringer("fingerprint", f).Stringer("peer", from).Msg("request barred, as another router says")
-		}
-		return
-	}
-	select {
-	case l.heartbeats <- received{hb, size}:
-	default:
+		daemon: d,
+		tasks:  make(chan func(*loop), inbox),
+		contact: contact.New(contact.Options{
+			Host: d.settings.Host, DataCentre: d.settings.DataCentre, Clock: d.clock, Log: d.log, Metrics: d.metrics,
+			Quarantine: d.quarantine, Silence: failureTimeout,
+			Send: func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (size, sent int, err error) {
+				return d.transport.Send(hb, to...)
+			},
+			Control: func() netip.AddrPort { return d.control.Address() },
+			Peer:    func() netip.AddrPort { return d.transport.Address() },
+		}),
+		book:     exchange.New(exchange.Options{Repeats: 2, Rotate: 4, MaxEntries: maxEntries}),
+		inFlight: make(map[string]dispatch.InFlight),
 	}
 }
 
@@ -126,12 +99,12 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case r := <-l.heartbeats:
+		case r := <-l.contact.Heartbeats():
 			l.spend(func() { l.hear(ctx, r) })
 		case task := <-l.tasks:
 			l.spend(func() { task(l) })
 		case <-l.daemon.quarantine.Changed():
-			l.spend(func() { l.credit -= float64(l.tellSuspects(l.destinations())) })
+			l.spend(func() { l.credit -= float64(l.contact.TellSuspects(l.destinations()...)) })
 		case <-tick.Chan():
 			l.spend(func() { l.tick(ctx) })
 		}
@@ -146,22 +119,17 @@
 }
 
 // hear takes a heartbeat of another router.
-func (l *loop) hear(ctx context.Context, r received) {
-	m := l.daemon.metrics
-	m.Inc(metric.HeartbeatsReceived)
-	m.Add(metric.ControlBytesReceived, r.size)
-	host, news := l.members.Hear(r.heartbeat)
+func (l *loop) hear(ctx context.Context, r contact.Received) {
+	host, news := l.contact.Hear(r)
 	switch news {
 	case member.Ignored:
-		m.Inc(metric.HeartbeatsIgnored)
 		return
 	case member.Restarted:
 		_, known := l.inFlight[host.Name]
-		l.book.Restart(host.Name, !known && r.heartbeat.Sequence > lateSequence)
-		l.daemon.log.Info().Str("peer", host.Name).Msg("router heard")
+		l.book.Restart(host.Name, !known && r.Heartbeat.Sequence > lateSequence)
 	}
-	l.daemon.dispatcher.Observe(l.book.Absorb(host.Name, r.heartbeat.Pools))
-	l.inFlight[host.Name] = inFlight(r.heartbeat)
+	l.daemon.dispatcher.Observe(l.book.Absorb(host.Name, r.Heartbeat.Pools))
+	l.inFlight[host.Name] = inFlight(r.Heartbeat)
 	l.learn(ctx, host)
 }
 
@@ -195,7 +163,7 @@
 	if l.levelled || l.daemon.syncer.Current() == nil {
 		return
 	}
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if !h.Reachable || !h.Control.IsValid() {
 			continue
 		}
@@ -221,7 +189,7 @@
 			leaving[h.Name] = true
 		}
 		if h.Peer.IsValid() {
-			l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: leaving[h.Name]})
+			l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: leaving[h.Name]})
 		}
 	}
 	l.daemon.dispatcher.SetLeaving(leaving)
@@ -234,24 +202,23 @@
 		return
 	}
 	for _, h := range snap.Config.Hosts {
-		l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: h.Leaving})
+		l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Leaving: h.Leaving})
 	}
 }
 
 // tick does what is due.
 func (l *loop) tick(ctx context.Context) {
 	now := l.daemon.clock.Now()
-	if d := l.awake.Suspended(); d > 0 {
-		l.daemon.metrics.Inc(metric.Suspensions)
+	if d := l.contact.Suspended(); d > 0 {
 		l.daemon.log.Warn().Dur("suspended_ms", d).Msg("host was suspended")
 		l.daemon.platform.Reconnect()
 		l.daemon.clients.Close()
 	}
-	l.expire(now)
+	l.expire()
 	l.balance(now)
 	l.takeLevels(ctx)
 	l.beatIfDue(now)
-	l.publish(now)
+	l.publish()
 }
 
 // balance computes the windows anew. Large fleets take longer, so the next
@@ -268,14 +235,13 @@
 // balanceShare is the most of a core that computing windows may take.
 const balanceShare = 0.02
 
-func (l *loop) expire(now time.Time) {
-	for _, h := range l.members.Expire() {
+func (l *loop) expire() {
+	gone, forgotten := l.contact.Expire(forgetAfter)
+	for _, h := range gone {
 		l.book.Silence(h.Name)
 		l.inFlight[h.Name] = nil
-		l.daemon.metrics.Inc(metric.HostsLost)
-		l.daemon.log.Warn().Str("peer", h.Name).Msg("router not reachable")
 	}
-	for _, h := range l.members.Forget(now.Add(-forgetAfter)) {
+	for _, h := range forgotten {
 		l.book.Forget(h.Name)
 		delete(l.inFlight, h.Name)
 	}
@@ -285,7 +251,7 @@
 	v := dispatch.View{
 		Demands: l.book.Demands(l.daemon.settings.Host), InFlight: l.others(), DataCentres: make(map[string]string), Routers: 1,
 	}
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		v.DataCentres[h.Name] = h.DataCentre
 		if h.Reachable {
 			v.Routers++
@@ -317,7 +283,7 @@
 		return
 	}
 	if !l.lastBeat.IsZero() {
-		l.members.SetTimeout(max(failureTimeout, missedBeats*since))
+		l.contact.Members.SetTimeout(max(failureTimeout, missedBeats*since))
 	}
 	l.lastBeat = now
 	l.learnConfigured()
@@ -335,30 +301,9 @@
 // beat sends a heartbeat to every router and returns its cost in bytes.
 func (l *loop) beat() int {
 	to := l.destinations()
-	sent, cost := l.send(l.heartbeat(), to)
+	sent, cost := l.contact.Send(l.heartbeat(), to...)
 	l.daemon.metrics.Add(metric.HeartbeatsSent, sent)
-	return cost + l.tellSuspects(to)
-}
-
-// tellSuspects tells other routers of requests under which targets ended, if there is
-// anything to tell, and returns its cost in bytes.
-func (l *loop) tellSuspects(to []netip.AddrPort) int {
-	hb := l.daemon.quarantine.Tell()
-	if hb == nil {
-		return 0
-	}
-	_, cost := l.send(hb, to)
-	return cost
-}
-
-// send sends a datagram and returns to how many it left, and its cost in bytes.
-func (l *loop) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) (sent, cost int) {
-	size, sent, err := l.daemon.transport.Send(hb, to...)
-	if err != nil {
-		l.daemon.metrics.Add(metric.PeerErrors, len(to)-sent)
-	}
-	l.daemon.metrics.Add(metric.ControlBytesSent, size*sent)
-	return sent, size * sent
+	return cost + l.contact.TellSuspects(to...)
 }
 
 // destinations returns the addresses of all known routers and, while there are
@@ -366,7 +311,7 @@
 func (l *loop) destinations() []netip.AddrPort {
 	var to []netip.AddrPort
 	reachable := false
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.Peer.IsValid() {
 			to = append(to, h.Peer)
 		}
@@ -380,18 +325,12 @@
 
 func (l *loop) heartbeat() *zinccovev1.Heartbeat {
 	d := l.daemon
-	l.sequence++
 	d.dispatcher.Counters(l.book.SetLocal)
-	hb := &zinccovev1.Heartbeat{
-		Incarnation:   l.incarnation,
-		Sequence:      l.sequence,
-		ConfigVersion: d.syncer.Current().Version(),
-		Leaving:       d.stopping.Load(),
-		Pools:         l.book.Report(),
-	}
+	hb := l.contact.Header(d.syncer.Current().Version(), d.stopping.Load())
+	hb.Pools = l.book.Report()
 	hb.Targets, hb.InFlight = busiest(d.dispatcher.OwnInFlight())
-	if l.sequence <= identifyEvery/2 || l.sequence%identifyEvery == 0 {
-		hb.Host = l.identity()
+	if hb.Sequence <= identifyEvery/2 || hb.Sequence%identifyEvery == 0 {
+		hb.Host = l.contact.Identity()
 	}
 	return hb
 }
@@ -409,25 +348,11 @@
 	return targets, inFlight
 }
 
-func (l *loop) identity() *zinccovev1.HostInfo {
-	d := l.daemon
-	return &zinccovev1.HostInfo{
-		Name:          d.settings.Host,
-		DataCentre:    d.settings.DataCentre,
-		Control:       d.control.Address().String(),
-		Peer:          d.transport.Address().String(),
-		StartedUnixMs: l.started.UnixMilli(),
-	}
-}
-
 // publish makes the status that operators read, and the gauges.
-func (l *loop) publish(now time.Time) {
+func (l *loop) publish() {
 	d := l.daemon
-	own := &zinccovev1.RouterStatus{
-		Host: d.settings.Host, DataCentre: d.settings.DataCentre, ConfigVersion: d.syncer.Current().Version(),
-		Reachable: true, Leaving: d.stopping.Load(),
-	}
-	var queued, running, reachable int
+	own := &zinccovev1.RouterStatus{ConfigVersion: d.syncer.Current().Version(), Leaving: d.stopping.Load()}
+	var queued, running int
 	for _, s := range d.dispatcher.Status() {
 		queued += s.Queued
 		running += s.Running
@@ -435,38 +360,9 @@
 			Name: s.Name, Queued: uint32(s.Queued), InFlight: uint32(s.Running), Slots: uint32(s.Slots),
 		})
 	}
-	all := []*zinccovev1.RouterStatus{own}
-	for _, h := range l.members.Hosts() {
-		if h.Reachable {
-			reachable++
-		}
-		all = append(all, h.Status(now))
-	}
-	l.published.Store(&all)
+	l.contact.Publish(own)
 	d.metrics.Set(metric.RequestsQueued, float64(queued))
 	d.metrics.Set(metric.RequestsRunning, float64(running))
-	d.metrics.Set(metric.HostsReachable, float64(reachable))
 	d.metrics.Set(metric.ControlCPUSeconds, (l.spent + d.transport.Spent()).Seconds())
-	suspected, barred := d.quarantine.Counts()
-	d.metrics.Set(metric.SuspectsKnown, float64(suspected))
-	d.metrics.Set(metric.BarredKnown, float64(barred))
 	d.metrics.Set(metric.HeartbeatsForged, float64(d.transport.Forged()))
 }
-
-// statuses returns what is known of all routers as of the last tick.
-func (l *loop) statuses() []*zinccovev1.RouterStatus {
-	if p := l.published.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
-
-// alone reports whether no other router is reachable.
-func (l *loop) alone() bool {
-	for _, r := range l.statuses() {
-		if r.Reachable && r.Host != l.daemon.settings.Host {
-			return false
-		}
-	}
-	return true
-}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -27,7 +27,7 @@
 func (d *Daemon) giveOrders(ctx context.Context) error {
 	l := lease.New(lease.Options{
 		Table: d.platform.Table(), Clock: d.clock, Name: "orders/" + d.settings.DataCentre,
-		Holder: d.settings.Host + "/" + strconv.FormatUint(d.loop.incarnation, 16), TTL: leaseTTL, Flight: order.Flight,
+		Holder: d.settings.Host + "/" + strconv.FormatUint(d.loop.contact.Incarnation, 16), TTL: leaseTTL, Flight: order.Flight,
 	})
 	r := order.New(order.Options{Lease: l, Clock: d.clock, Dial: d.dial})
 	held := false
@@ -61,7 +61,7 @@
 // that are reachable.
 func (d *Daemon) candidate() bool {
 	earlier := 0
-	for _, r := range d.loop.statuses() {
+	for _, r := range d.loop.contact.Statuses() {
 		if r.Reachable && !r.Leaving && r.DataCentre == d.settings.DataCentre && r.Host < d.settings.Host {
 			earlier++
 		}
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -104,7 +104,7 @@
 	q := &question{missing: make(map[uint64]*owner.Router), done: make(chan struct{})}
 	a.register(q, byRouter)
 	for r, ask := range byRouter {
-		g.send(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
+		g.loop.contact.Send(&zinccovev1.Heartbeat{Question: ask}, r.Peer)
 	}
 	began := g.clock.Now()
 	timer := g.clock.NewTimer(askTime)
--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -43,7 +43,7 @@
 	for i := range n {
 		g := newReader(t, fmt.Sprintf("r%d", i))
 		g.clock = clock
-		g.asker = newAsker(g)
+		g.asker, g.loop = newAsker(g), newLoop(g)
 		g.transport = listenForPeers(t, func(hb *zinccovev1.Heartbeat, from netip.AddrPort, _ int) {
 			switch {
 			case hb.Question != nil:
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -13,19 +13,9 @@
 // beat sends a heartbeat to every known router.
 func (l *loop) beat() {
 	to := l.destinations()
-	sent := l.gateway.send(l.heartbeat(), to...)
+	sent, _ := l.contact.Send(l.heartbeat(), to...)
 	l.gateway.metrics.Add(metric.HeartbeatsSent, sent)
-	l.gateway.tellSuspects(to...)
-}
-
-// send sends a datagram to some routers and returns for how many it left.
-func (g *Gateway) send(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) int {
-	size, sent, err := g.transport.Send(hb, to...)
-	if err != nil {
-		g.metrics.Add(metric.PeerErrors, len(to)-sent)
-	}
-	g.metrics.Add(metric.ControlBytesSent, size*sent)
-	return sent
+	l.contact.TellSuspects(to...)
 }
 
 // usesPeriod is the time between heartbeats that carry the use by customers,
@@ -52,7 +42,7 @@
 	now := l.gateway.clock.Now()
 	var to []netip.AddrPort
 	known := make(map[netip.AddrPort]bool)
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.Peer.IsValid() && (h.Reachable || all || l.present(h, now)) {
 			to = append(to, h.Peer)
 			known[h.Peer] = true
@@ -79,7 +69,7 @@
 	hb.LeavingTargets = l.leavingTargets()
 	hb.Evacuations = l.evacuationsToTell()
 	if l.beats <= identifyEvery || l.beats%identifyEvery == 0 {
-		hb.Host = l.identity()
+		hb.Host = l.contact.Identity()
 		hb.Introduced = l.introductions()
 	}
 	if l.usesDue() {
@@ -88,15 +78,6 @@
 	return hb
 }
 
-func (l *loop) identity() *zinccovev1.HostInfo {
-	g := l.gateway
-	return &zinccovev1.HostInfo{
-		Name: g.settings.Host, DataCentre: g.settings.DataCentre,
-		Control: g.control.Address().String(), Peer: g.transport.Address().String(),
-		StartedUnixMs: l.started.UnixMilli(),
-	}
-}
-
 // introductions names some reachable routers, by turns.
 func (l *loop) introductions() []*zinccovev1.HostInfo {
 	reachable := slices.DeleteFunc(l.reachable(), func(h *member.Host) bool { return !h.Peer.IsValid() })
@@ -112,36 +93,14 @@
 // publish makes the status that operators read, and the gauges.
 func (l *loop) publish(now time.Time) {
 	g := l.gateway
-	all := []*zinccovev1.RouterStatus{{
-		Host: g.settings.Host, DataCentre: g.settings.DataCentre, ConfigVersion: l.version(), Reachable: true, Leaving: g.stopping.Load(),
-	}}
-	reachable := 0
-	for _, h := range l.members.Hosts() {
-		if h.Reachable {
-			reachable++
-		}
-		all = append(all, h.Status(now))
-	}
-	l.published.Store(&all)
+	reachable := l.contact.Publish(&zinccovev1.RouterStatus{ConfigVersion: l.version(), Leaving: g.stopping.Load()})
 	g.retries.SetBurst(burstOf(g.settings.RetrySlack, max(reachable, l.others)))
 	g.metrics.Set(metric.RequestsRunning, float64(g.relay.Running()))
-	g.metrics.Set(metric.HostsReachable, float64(reachable))
 	if age, ok := g.routesAnswered.age(now); ok {
 		g.metrics.Set(metric.RoutesAge, age.Seconds())
 	}
 	if age, ok := g.targetsAnswered.age(now); ok {
 		g.metrics.Set(metric.TargetsAge, age.Seconds())
 	}
-	suspected, barred := g.quarantine.Counts()
-	g.metrics.Set(metric.SuspectsKnown, float64(suspected))
-	g.metrics.Set(metric.BarredKnown, float64(barred))
 	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
 }
-
-// statuses returns what is known of all routers as of the last tick.
-func (l *loop) statuses() []*zinccovev1.RouterStatus {
-	if p := l.published.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -97,7 +97,7 @@
 	if g.settings.FirstStart || l.version() > 0 {
 		return false
 	}
-	waited := g.clock.Since(l.started)
+	waited := g.clock.Since(l.contact.Started)
 	if !l.heard {
 		return waited < hearTime || l.others > 0 && waited < hostsTime+hearTime
 	}
@@ -153,7 +153,7 @@
 
 // ahead returns a reachable router with a newer configuration.
 func (l *loop) ahead() *member.Host {
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.Reachable && h.Control.IsValid() && h.ConfigVersion > l.version() {
 			return h
 		}
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"zinccove.example/zinccove/contact"
 	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
@@ -70,7 +71,7 @@
 
 func hearAll(l *loop, sequence uint64) {
 	for i := range manyRouters - 1 {
-		l.hear(received{heartbeatOf(i, sequence), 900})
+		l.hear(contact.Received{Heartbeat: heartbeatOf(i, sequence), Size: 900})
 	}
 }
 
@@ -90,9 +91,9 @@
 func BenchmarkHearInLargeFleet(b *testing.B) {
 	l := newControl(b)
 	hearAll(l, 1)
-	r := received{heartbeatOf(7, 2), 900}
+	r := contact.Received{Heartbeat: heartbeatOf(7, 2), Size: 900}
 	for b.Loop() {
-		r.heartbeat.Sequence++
+		r.Heartbeat.Sequence++
 		l.hear(r)
 	}
 }
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"zinccove.example/zinccove/contact"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/quarantine"
@@ -69,7 +70,7 @@
 		return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{},"tenants":[]}`, version)
 	}
 	hear := func(l *loop, version uint64) {
-		l.hear(received{heartbeat: &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: version, Host: &zinccovev1.HostInfo{
+		l.hear(contact.Received{Heartbeat: &zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: version, Host: &zinccovev1.HostInfo{
 			Name: "b", Control: "127.0.0.1:1", Peer: "127.0.0.1:2",
 		}}})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 	g.listening.Store(true)
 	g.control, err = control.Listen(control.Options{
 		Address: s.ListenControl, FleetKey: s.FleetKey, Operators: s.Operators, Config: g.config, Follow: g.handOn,
-		Status: g.loop.statuses, Ready: g.ready, WrongKey: func() { g.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: g.metrics.Handler(),
+		Status: g.loop.contact.Statuses, Ready: g.ready, WrongKey: func() { g.metrics.Inc(metric.WrongOperatorKeys) }, Metrics: g.metrics.Handler(),
 	})
 	if err != nil {
 		return err
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -119,7 +119,7 @@
 		if tc.version > 0 {
 			g.table.Store(&adopted{table: &route.Table{Spec: route.Spec{Version: tc.version}}})
 		}
-		_, news := l.members.Hear(&zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: 5, Host: &zinccovev1.HostInfo{
+		_, news := l.contact.Members.Hear(&zinccovev1.Heartbeat{Incarnation: 1, Sequence: 1, ConfigVersion: 5, Host: &zinccovev1.HostInfo{
 			Name: "b", Control: "127.0.0.1:1", Peer: "127.0.0.1:2",
 		}})
 		assert.Equal(t, news, member.Restarted)
@@ -400,5 +400,5 @@
 	l.receive(&zinccovev1.Heartbeat{Question: &zinccovev1.Question{Number: 1}}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
 	l.receive(&zinccovev1.Heartbeat{Answer: &zinccovev1.Answer{Number: 1}}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
 	l.receive(&zinccovev1.Heartbeat{Incarnation: 1}, netip.MustParseAddrPort("127.0.0.1:9"), 50)
-	assert.Equal(t, len(l.heartbeats), 0)
+	assert.Equal(t, len(l.contact.Heartbeats()), 0)
 }
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -35,7 +35,7 @@
 func (l *loop) hostsThere(now time.Time) map[string][]*member.Host {
 	there := make(map[string][]*member.Host)
 	l.others = 0
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if l.present(h, now) {
 			l.others++
 			there[h.DataCentre] = append(there[h.DataCentre], h)
@@ -107,7 +107,7 @@
 	if h.Leaving {
 		return false
 	}
-	return h.Reachable || h.Heard.IsZero() && h.DataCentre != "" && now.Sub(l.started) < unheardFor
+	return h.Reachable || h.Heard.IsZero() && h.DataCentre != "" && now.Sub(l.contact.Started) < unheardFor
 }
 
 // controlOf returns the control address of a router. One that was not heard yet uses
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -5,10 +5,9 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
-	"zinccove.example/zinccove/bootclock"
+	"zinccove.example/zinccove/contact"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
@@ -30,7 +29,7 @@
 	missedBeats = 2.5
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
 	forgetAfter = time.Minute
-	// inbox holds what waits for the control loop.
+	// inbox holds the tasks that wait for the control loop.
 	inbox = 1024
 	// identifyEvery is the number of heartbeats from one that says who the sender
 	// is to the next.
@@ -60,21 +59,13 @@
 	sweepEvery = 10
 )
 
-// received is a heartbeat and its size in bytes.
-type received struct {
-	heartbeat *zinccovev1.Heartbeat
-	size      int
-}
-
 // loop is the control loop. Its fields below the channels belong to its
 // goroutine.
 type loop struct {
-	gateway    *Gateway
-	heartbeats chan received
-	tasks      chan func(*loop)
-	published  atomic.Pointer[[]*zinccovev1.RouterStatus]
+	gateway *Gateway
+	tasks   chan func(*loop)
+	contact *contact.Contact
 
-	members *member.Table
 	// others is the number of other routers that count as there.
 	others int
 	// routers and ownedOf are those from which it was last found out who answers for
@@ -85,12 +76,9 @@
 	roster  *roster.Roster
 	targets []*roster.Target
 	// ids are those of the targets by their hashes.
-	ids         map[place.Hash]string
-	incarnation uint64
-	started     time.Time
+	ids map[place.Hash]string
 	// random draws the times of heartbeats; tests seed it.
-	random   *rand.Rand
-	sequence uint64
+	random *rand.Rand
 	// beats counts the heartbeats to all routers.
 	beats uint64
 	// newsDue fires when others are to be told of placed prompts; nil while nothing was
@@ -118,8 +106,6 @@
 	// era is the latest of the store, eraKnown is set once something was read.
 	era      uint64
 	eraKnown bool
-	// awake notices that the host was suspended.
-	awake bootclock.Watch
 	// heard is set once a heartbeat of another router came, waiting is the configuration that
 	// is not taken before.
 	heard   bool
@@ -131,23 +117,26 @@
 
 func newLoop(g *Gateway) *loop {
 	return &loop{
-		gateway:     g,
-		heartbeats:  make(chan received, inbox),
-		tasks:       make(chan func(*loop), inbox),
-		members:     member.New(member.Options{Self: g.settings.Host, Clock: g.clock, Timeout: silence}),
+		gateway: g,
+		tasks:   make(chan func(*loop), inbox),
+		contact: contact.New(contact.Options{
+			Host: g.settings.Host, DataCentre: g.settings.DataCentre, Clock: g.clock, Log: g.log, Metrics: g.metrics,
+			Quarantine: g.quarantine, Silence: silence,
+			Send: func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (size, sent int, err error) {
+				return g.transport.Send(hb, to...)
+			},
+			Control: func() netip.AddrPort { return g.control.Address() },
+			Peer:    func() netip.AddrPort { return g.transport.Address() },
+		}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
 		leaving:     make(map[place.Hash]departure),
 		words:       make(map[place.Hash]revision.Revision),
 		evacuations: make(map[string]evacuation),
-		incarnation: rand.Uint64(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		started:     g.clock.Now(),
-		awake:       bootclock.Watch{Clock: g.clock},
 	}
 }
 
-// receive answers a question, takes an answer, or hands a heartbeat to the loop. A
-// heartbeat that finds the inbox full is dropped like a lost one.
+// receive answers a question, takes an answer, or hands on what all routers tell.
 func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
 	if !l.gateway.listening.Load() {
 		return // others may ask before this router can answer
@@ -159,14 +148,8 @@
 	case hb.Answer != nil:
 		l.gateway.asker.take(hb.Answer)
 		return
-	case len(hb.Suspects) > 0:
-		l.gateway.hearSuspects(hb.Suspects, from)
-		return
-	}
-	select {
-	case l.heartbeats <- received{hb, size}:
-	default:
 	}
+	l.contact.Receive(hb, from, size)
 }
 
 // post has task run on the loop's goroutine.
@@ -184,7 +167,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case r := <-l.heartbeats:
+		case r := <-l.contact.Heartbeats():
 			l.hear(r)
 		case task := <-l.tasks:
 			task(l)
@@ -193,7 +176,7 @@
 		case <-l.newsDue:
 			l.tellNews()
 		case <-l.gateway.quarantine.Changed():
-			l.gateway.tellSuspects(l.destinations()...)
+			l.contact.TellSuspects(l.destinations()...)
 		case <-tick.Chan():
 			l.tick(ctx)
 		}
@@ -207,14 +190,14 @@
 	l.noteSuspension()
 	l.adoptWaiting()
 	if l.ticks%lookEvery == 0 {
-		l.expire(now)
+		l.expire()
 		l.findCuts()
 		l.expireTargets()
 		l.catchUp(ctx, now)
 	}
 	if !now.Before(l.nextBeat) {
 		l.scheduleBeat(now)
-		l.members.SetTimeout(silenceTime(l.period))
+		l.contact.Members.SetTimeout(silenceTime(l.period))
 		l.beat()
 	}
 	if l.ticks%leadEvery == 0 {
@@ -233,12 +216,11 @@
 // then; what waits for the store may wait for answers that were given up meanwhile, so it is
 // asked anew at once, and idle connections to targets are not used again.
 func (l *loop) noteSuspension() {
-	d := l.awake.Suspended()
+	d := l.contact.Suspended()
 	if d == 0 {
 		return
 	}
 	g := l.gateway
-	g.metrics.Inc(metric.Suspensions)
 	g.log.Warn().Dur("suspended_ms", d).Uint64("era", l.era).Uint64("config", l.version()).Msg("host was suspended")
 	g.store.Reconnect()
 	g.links.Close()
@@ -247,7 +229,7 @@
 // findCuts notes which data centres seem to be cut off.
 func (l *loop) findCuts() {
 	beats := make(map[string]time.Time)
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.DataCentre != l.gateway.settings.DataCentre && h.Heard.After(beats[h.DataCentre]) {
 			beats[h.DataCentre] = h.Heard
 		}
@@ -263,7 +245,7 @@
 // reachable returns the other routers that are heard.
 func (l *loop) reachable() []*member.Host {
 	var hosts []*member.Host
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.Reachable {
 			hosts = append(hosts, h)
 		}
@@ -316,26 +298,21 @@
 }
 
 // hear takes a heartbeat of another router.
-func (l *loop) hear(r received) {
-	m := l.gateway.metrics
-	m.Inc(metric.HeartbeatsReceived)
-	m.Add(metric.ControlBytesReceived, r.size)
-	host, news := l.members.Hear(r.heartbeat)
+func (l *loop) hear(r contact.Received) {
+	host, news := l.contact.Hear(r)
 	switch news {
 	case member.Ignored:
-		m.Inc(metric.HeartbeatsIgnored)
 		return
 	case member.Restarted:
 		l.welcome(host)
-		l.gateway.log.Info().Str("peer", host.Name).Stringer("address", host.Peer).Msg("router heard")
 	}
-	for _, h := range r.heartbeat.Introduced {
+	for _, h := range r.Heartbeat.Introduced {
 		l.introduce(h)
 	}
 	l.heard = true
-	l.gateway.placer.SetPeer(host.Name, decodeReport(r.heartbeat))
-	l.hearLeaving(host.Name, r.heartbeat.LeavingTargets)
-	l.hearEvacuations(host.Name, r.heartbeat.Evacuations)
+	l.gateway.placer.SetPeer(host.Name, decodeReport(r.Heartbeat))
+	l.hearLeaving(host.Name, r.Heartbeat.LeavingTargets)
+	l.hearEvacuations(host.Name, r.Heartbeat.Evacuations)
 }
 
 // welcome tells a router that just started who and how far this one is, if it is among those
@@ -348,9 +325,9 @@
 	}
 	hb := l.header()
 	hb.Partial = true
-	hb.Host = l.identity()
+	hb.Host = l.contact.Identity()
 	hb.LeavingTargets = l.leavingTargets()
-	g.send(hb, h.Peer)
+	l.contact.Send(hb, h.Peer)
 }
 
 // introduce learns a router from another one.
@@ -360,14 +337,14 @@
 		l.gateway.metrics.Inc(metric.PeerErrors)
 		return
 	}
-	l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: addr})
+	l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: addr})
 }
 
 // learnHosts takes the entries of routers from the store.
 func (l *loop) learnHosts(hosts []platform.Host) {
 	for _, h := range hosts {
 		if h.Peer.IsValid() {
-			l.members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+			l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
 	}
 	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
@@ -375,11 +352,9 @@
 	close(l.gateway.learned)
 }
 
-func (l *loop) expire(now time.Time) {
-	for _, h := range l.members.Expire() {
+func (l *loop) expire() {
+	gone, _ := l.contact.Expire(forgetAfter)
+	for _, h := range gone {
 		l.gateway.placer.ForgetPeer(h.Name)
-		l.gateway.metrics.Inc(metric.HostsLost)
-		l.gateway.log.Warn().Str("peer", h.Name).Dur("silent_ms", now.Sub(h.Heard)).Msg("router not reachable")
 	}
-	l.members.Forget(now.Add(-forgetAfter))
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -19,8 +19,5 @@
 
 // header begins a heartbeat.
 func (l *loop) header() *zinccovev1.Heartbeat {
-	l.sequence++
-	return &zinccovev1.Heartbeat{
-		Incarnation: l.incarnation, Sequence: l.sequence, ConfigVersion: l.version(), Leaving: l.gateway.stopping.Load(),
-	}
+	return l.contact.Header(l.version(), l.gateway.stopping.Load())
 }
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -14,7 +14,7 @@
 func (l *loop) findOwners() {
 	g := l.gateway
 	routers := []owner.Router{{Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address()}}
-	for _, h := range l.members.Hosts() {
+	for _, h := range l.contact.Members.Hosts() {
 		if h.Reachable && !h.Leaving && h.Peer.IsValid() {
 			routers = append(routers, owner.Router{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
@@ -50,7 +50,7 @@
 			hb := l.header()
 			hb.Partial = true
 			encodeNews(hb, part)
-			g.send(hb, to)
+			g.loop.contact.Send(hb, to)
 		}
 	}
 }
@@ -92,5 +92,5 @@
 			reply.Targets = append(reply.Targets, encodeAnswer(a))
 		}
 	}
-	g.send(&zinccovev1.Heartbeat{Answer: reply}, from)
+	g.loop.contact.Send(&zinccovev1.Heartbeat{Answer: reply}, from)
 }
