A proof with processes of a router whose host was suspended

A test router stands still, and its steady clock with it, while a key is taken away and a target leaves; its calls to the store were taken just before and are never answered. Half a second after it woke the key is refused. The clock takes its sources from outside for that, and translates deadlines to the timers of such a host.

--- a/bootclock/bootclock.go
+++ b/bootclock/bootclock.go
@@ -44,6 +44,9 @@
 	steady func(now time.Time) time.Duration
 	day    func(now time.Time) time.Duration
 	boot   func() (time.Duration, error)
+	// timers translates a time of the steady clock to that of Go's timers; nil where they
+	// are the same.
+	timers func(time.Time) time.Time
 
 	// ahead is by how much the time of day was ahead of the monotonic clock when boot was
 	// read last, away the time for which the host was suspended.
@@ -63,22 +66,41 @@
 
 // New returns the clock of this host.
 func New() *Clock {
-	began := time.Now()
-	wall := began.Round(0)
-	c := &Clock{
-		Clock:  clockwork.NewRealClock(),
-		steady: func(now time.Time) time.Duration { return now.Sub(began) },
-		day:    func(now time.Time) time.Duration { return now.Round(0).Sub(wall) },
-	}
+	steady := clockwork.NewRealClock()
+	wall := steady.Now().Round(0)
 	booted, err := sinceBoot()
-	c.boot = func() (time.Duration, error) {
-		now, err := sinceBoot()
-		return now - booted, err
-	}
-	if err != nil {
-		c.boot = func() (time.Duration, error) { return 0, err }
+	return NewOf(Sources{
+		Steady: steady,
+		Day:    func(now time.Time) time.Duration { return now.Round(0).Sub(wall) },
+		Boot: func() (time.Duration, error) {
+			if err != nil {
+				return 0, err
+			}
+			now, err := sinceBoot()
+			return now - booted, err
+		},
+	})
+}
+
+// Sources are the clocks of a host that a Clock goes by. All but Timers are required.
+type Sources struct {
+	// Steady stands still while the host is suspended.
+	Steady clockwork.Clock
+	// Day is the time of day at a time of Steady, Boot counts suspension. Both are times
+	// since the start.
+	Day  func(now time.Time) time.Duration
+	Boot func() (time.Duration, error)
+	// Timers translates a time of Steady to that of Go's timers, where these do not stand
+	// still with it.
+	Timers func(time.Time) time.Time
+}
+
+// NewOf returns a clock that goes by others, for hosts whose suspension is only played.
+func NewOf(s Sources) *Clock {
+	began := s.Steady.Now()
+	return &Clock{
+		Clock: s.Steady, steady: func(now time.Time) time.Duration { return now.Sub(began) }, day: s.Day, boot: s.Boot, timers: s.Timers,
 	}
-	return c
 }
 
 // sinceBoot reads CLOCK_BOOTTIME.
@@ -133,8 +155,13 @@
 // Steady translates a time of a clock to the clock by which Go's timers and the deadlines of
 // connections run. Times of other clocks than those of this package stay as they are.
 func Steady(clock clockwork.Clock, t time.Time) time.Time {
-	if c, ok := clock.(*Clock); ok {
-		return t.Add(-c.Away())
+	c, ok := clock.(*Clock)
+	if !ok {
+		return t
+	}
+	t = t.Add(-c.Away())
+	if c.timers != nil {
+		return c.timers(t)
 	}
 	return t
 }
--- a/standin/fleet/cut.go
+++ b/standin/fleet/cut.go
@@ -3,6 +3,11 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strconv"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Cut cuts a data centre off from all others and from the platform. The
@@ -57,3 +62,15 @@
 	}
 	return put(r.faults, "/cut", body)
 }
+
+// Suspend has a test router stand still for a time that its steady clock does not count, as
+// on a host that is suspended.
+func (r *Router) Suspend(d time.Duration) error {
+	var g errgroup.Group
+	g.Go(func() error { return put(r.faults, "/suspend", []byte(strconv.FormatInt(d.Nanoseconds(), 10))) })
+	time.Sleep(d)
+	if err := r.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	return g.Wait()
+}
--- a/standin/proof/routes_test.go
+++ b/standin/proof/routes_test.go
@@ -24,9 +24,15 @@
 
 // newRouteSite starts routers and, for each, an engine and a plain target with some flags.
 func newRouteSite(t *testing.T, routers int, flags ...string) *routesite.Site {
+	t.Helper()
+	return newRouteSiteOf(t, fleet.ShippedRouter, routers, flags...)
+}
+
+func newRouteSiteOf(t *testing.T, program string, routers int, flags ...string) *routesite.Site {
 	t.Helper()
 	s, err := routesite.New(bin)
 	assert.NilError(t, err)
+	s.RouterProgram = program
 	t.Cleanup(func() {
 		s.Close()
 		for _, r := range s.Routers {
--- a/standin/testrouter/testrouter.go
+++ b/standin/testrouter/testrouter.go
@@ -1,12 +1,14 @@
 // Package testrouter runs the router daemon with seams for proofs and
-// experiments: a network that can be cut and a choice of policies.
+// experiments: a network that can be cut, a host that can be suspended and a choice of
+// policies. Routers of a store's routes have only the second one.
 //
 // # Usage
 //
 //	zinccove-testrouter --settings FILE --policy computed --faults 127.0.0.1:0
 //
 // PUT /cut on the faults address with a JSON list of addresses cuts the router
-// off from them; an empty list heals. The line {"message":"faults"} on
+// off from them; an empty list heals. PUT /suspend with a time in nanoseconds stops
+// the process, whose steady clock does not count that time. The line {"message":"faults"} on
 // standard error tells the address.
 package testrouter
 
@@ -22,13 +24,13 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"zinccove.example/zinccove/daemon"
 	"zinccove.example/zinccove/dispatch"
+	"zinccove.example/zinccove/gateway"
 	"zinccove.example/zinccove/settings"
 	"zinccove.example/zinccove/share"
 )
@@ -92,20 +94,34 @@
 		return err
 	}
 	var g errgroup.Group
-	g.Go(func() error { return ignoreClosed(fasthttp.Serve(ln, n.handle)) })
+	host, clock := newHostClock()
+	g.Go(func() error {
+		return ignoreClosed(fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/suspend" {
+				host.handle(ctx)
+				return
+			}
+			n.handle(ctx)
+		}))
+	})
 	log.Info().Stringer("faults", ln.Addr()).Msg("faults")
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	d, err := daemon.Start(daemon.Options{
-		Settings: s, Clock: clockwork.NewRealClock(), Log: log, Dial: n.dial, Reachable: n.reachable,
-		Tune: func(o *dispatch.Options) { tune(o, cl.Routers) },
-	})
+	var router io.Closer
+	if s.RouteSource == settings.SourceStore {
+		router, err = gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: errOut})
+	} else {
+		router, err = daemon.Start(daemon.Options{
+			Settings: s, Clock: clock, Log: log, Dial: n.dial, Reachable: n.reachable,
+			Tune: func(o *dispatch.Options) { tune(o, cl.Routers) },
+		})
+	}
 	if err != nil {
 		return err
 	}
 	<-signals
-	return errors.Join(d.Close(), ln.Close(), g.Wait())
+	return errors.Join(router.Close(), ln.Close(), g.Wait())
 }
 
 func ignoreClosed(err error) error {
