--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -148,7 +148,8 @@
 	if p.closed || len(p.targets) == 0 {
 		return nil, &RefusedError{Cause: NoTarget, RetryAfter: shortestRetry}
 	}
-	if left := p.quiet(p.options.Clock.Now()); p.late(r, left) {
+	now := p.options.Clock.Now()
+	if left := p.quiet(now); r.late(left, now) {
 		return nil, &RefusedError{Cause: BackingOff, RetryAfter: left}
 	}
 	t := &Ticket{pool: p, request: r, granted: make(chan *Slot, 1)}
--- a/dispatch/quiet.go
+++ b/dispatch/quiet.go
@@ -24,7 +24,7 @@
 	left := p.quiet(now)
 	for c := range p.customers {
 		p.queue.Remove(c, func(x *Ticket) bool {
-			if !p.late(x.request, left) {
+			if !x.request.late(left, now) {
 				return false
 			}
 			x.refuse(&RefusedError{Cause: BackingOff, RetryAfter: left})
@@ -51,6 +51,6 @@
 }
 
 // late reports whether the deadline of a request passes before targets take requests again.
-func (p *pool) late(r Request, left time.Duration) bool {
-	return left > 0 && !r.Deadline.IsZero() && r.Deadline.Before(p.options.Clock.Now().Add(left))
+func (r *Request) late(left time.Duration, now time.Time) bool {
+	return left > 0 && !r.Deadline.IsZero() && r.Deadline.Before(now.Add(left))
 }
--- a/place/notices.go
+++ b/place/notices.go
@@ -79,7 +79,8 @@
 	if s == nil || s.Until().IsZero() || now.Sub(s.Until()) >= recoversFor {
 		return false
 	}
-	return t.own.Requests > 2*s.taken || t.outstanding() >= t.Slots
+	full := t.Slots > 0 && t.outstanding() >= t.Slots
+	return full || t.own.Requests > 2*s.taken
 }
 
 // took notes that the target began to answer a request.
--- a/place/notices_test.go
+++ b/place/notices_test.go
@@ -195,3 +195,16 @@
 	clock.Advance(recoversFor)
 	assert.Assert(t, p.Place(r).Run != nil)
 }
+
+// TestTargetWithoutStatedSlotsIsUsedAfterABackoff has an entry that states no slots.
+func TestTargetWithoutStatedSlotsIsUsedAfterABackoff(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	list := targets("plain", 1)
+	list[0].Slots = 0
+	p.SetTargets(list, table(t))
+	run := runAt(t, p, "plain")
+	run.Notice(notice.Notice{Backoff: time.Second})
+	run.End(Refused)
+	clock.Advance(time.Second)
+	runAt(t, p, "plain").End(Answered)
+}
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -10,6 +10,7 @@
 // takeNotice takes what a target says of itself in the head of an answer, whatever becomes
 // of that answer: only so a target that the store does not know to leave gets nothing more,
 // and one that wants a backoff gets it.
+//
 // A late answer to another request on a used connection is the target's too. Status 421
 // comes from another run at its address, and an answer to another request on a new
 // connection from nobody knows whom.
