Soak: targets that want backoffs and that say that they leave

Drawn between the other faults; each such target has a connection that nothing else disturbs, so that what reaches it was sent just before. A router that was ended or stood still is excused.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -37,6 +38,8 @@
 	{"store silent", (*run).silenceStore},
 	{"store goes back", (*run).goBack},
 	{"request ends targets", (*run).endTargets},
+	{"target wants backoffs", (*run).wantBackoff},
+	{"target says that it leaves", (*run).sayLeaving},
 }
 
 func nothing() error { return nil }
@@ -121,13 +124,16 @@
 func (r *run) router() *fleet.Router { return r.site.Routers[r.draw.IntN(len(r.site.Routers))] }
 
 func (r *run) freezeRouter() (func() error, error) {
-	process := r.router().Process
+	router := r.router()
+	process := router.Process
+	r.upset(router)
 	return thaw(process), freeze(process)
 }
 
 func (r *run) freezeTarget() (func() error, error) {
 	r.mu.Lock()
-	process := r.site.Workers[r.draw.IntN(len(r.site.Workers))].Process
+	targets := slices.DeleteFunc(slices.Clone(r.site.Workers), func(w *fleet.Target) bool { return r.speakers[w] })
+	process := targets[r.draw.IntN(len(targets))].Process
 	r.mu.Unlock()
 	return thaw(process), freeze(process)
 }
@@ -160,6 +166,7 @@
 	return func() error {
 		thaw(process)() //nolint:errcheck // it may have ended
 		r.expectEnd(process)
+		r.upset(router)
 		end(process)
 		r.inspect(process)
 		r.mu.Lock()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -35,6 +35,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +101,12 @@
 	ended   map[*fleet.Process]bool
 	stopped bool
 	version int
+	// upsets are those of routers, speakers the targets that say something of themselves:
+	// what else disturbs targets leaves these alone.
+	upsets   []upset
+	speakers map[*fleet.Target]bool
+	// quiet are the proxies of speakers.
+	quiet []*proxy
 	// lives counts the targets that were started.
 	lives int
 }
@@ -110,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), version: 1}
+	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), speakers: make(map[*fleet.Target]bool), version: 1}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -139,7 +146,7 @@
 func (r *run) close() {
 	r.mend()
 	r.site.Close()
-	for _, p := range r.proxies {
+	for _, p := range slices.Concat(r.proxies, r.quiet) {
 		p.close()
 	}
 }
