Calls whose asked targets have come to want nothing go to the others

Cause: a plain call is placed among two targets, about which their routers are asked. When both said that they leave, or asked for a backoff, in the milliseconds until the answers came, there was no target left. It was so for targets that drain; backoffs that end and begin made it likely. Ruled out: that the third one declined (nothing of it in the log, another call went there). Change: where none of those that were asked about can be used, all are looked at. Test: fails before (no_target, both words), passes after.

--- a/place/plain.go
+++ b/place/plain.go
@@ -50,8 +50,19 @@
 	return p.begin(t, r, d, Use{CallsAsked: 1}, Use{CallsServed: 1}, now)
 }
 
-// leastBusy returns the target with the least work for its slots, nil if there is none.
+// leastBusy returns the target with the least work for its slots, nil if there is none: among
+// those that were asked about, unless all of these have come to want nothing meanwhile.
 func (p *Placer) leastBusy(s *service, r Request, known told, now time.Time) *target {
+	if len(known) > 0 {
+		if t := p.leastBusyOf(s, r, known, now); t != nil {
+			return t
+		}
+	}
+	return p.leastBusyOf(s, r, nil, now)
+}
+
+// leastBusyOf looks among the targets that are known, all of them if none is.
+func (p *Placer) leastBusyOf(s *service, r Request, known told, now time.Time) *target {
 	var (
 		best   *target
 		graded grade
--- a/place/plain_test.go
+++ b/place/plain_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"zinccove.example/zinccove/message"
+	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/roster"
 )
 
@@ -295,3 +296,28 @@
 	assert.Equal(t, d.Reason, Overloaded)
 	assert.Assert(t, d.RetryAfter >= 500*time.Millisecond && d.RetryAfter <= mostRetry)
 }
+
+// TestAskedTargetsThatLeaveMeanwhileAreNotAllThereAre has the two targets that were asked about
+// say something of themselves before their routers answer: the call was refused with no_target,
+// although a third one was idle.
+func TestAskedTargetsThatLeaveMeanwhileAreNotAllThereAre(t *testing.T) {
+	for name, n := range map[string]notice.Notice{"backoff": {Backoff: time.Second}, "leaving": {Leaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newTestPlacer(t)
+			r := ask(call("some", 1000, 10), "c")
+			r.Service = "plain"
+			asked := p.Questions(r)
+			assert.Equal(t, len(asked), plainChoices)
+			var answers []Answer
+			for _, q := range asked {
+				answers = append(answers, Answer{Target: q.Target, Slowness: 1})
+				p.notice(q.Target, n)
+			}
+			d := p.Place(r, answers...)
+			assert.Assert(t, d.Run != nil, d.Reason)
+			for _, q := range asked {
+				assert.Assert(t, d.Run.state.hash != q.Target)
+			}
+		})
+	}
+}
