--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -248,13 +248,17 @@
 			return err
 		}
 	}
-	line, err := p.awaitLine(func(line string) bool { return strings.Contains(line, `"started"`) })
+	line, err := p.awaitLine(saysStarted)
 	if err != nil {
 		return err
 	}
 	return r.parseStarted(line)
 }
 
+// saysStarted reports whether a line is that by which a router tells its addresses. Lines on
+// targets tell when these started.
+func saysStarted(line string) bool { return strings.Contains(line, `"message":"started"`) }
+
 func (r *Router) awaitFaults() error {
 	line, err := r.awaitLine(func(line string) bool { return strings.Contains(line, `"message":"faults"`) })
 	if err != nil {
