One test body for what was placed before a target said that it leaves

The set-up stood twice, once for the store's word and once for the target's own; the second now also holds that the other target gets the request, which only the first did.

--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -102,26 +101,13 @@
 // TestRequestThatWasPlacedBeforeTheWordIsNotSent has a target say that it leaves while the
 // router connects to it.
 func TestRequestThatWasPlacedBeforeTheWordIsNotSent(t *testing.T) {
-	targets := []*fakeTarget{newTarget(t, "t1", answers), newTarget(t, "t2", answers)}
-	var s *site
-	var left netip.AddrPort
-	s = newSiteDialling(t, func(to netip.AddrPort, _ time.Duration) (net.Conn, error) {
-		if !left.IsValid() {
-			left = to
-			for _, target := range s.targets {
-				if target.Address == to {
-					s.options.Placer.HearLeaving(place.HashOf(target.Incarnation()))
-				}
+	assertNothingSentAfter(t, func(s *site, to netip.AddrPort) {
+		for _, target := range s.targets {
+			if target.Address == to {
+				s.options.Placer.HearLeaving(place.HashOf(target.Incarnation()))
 			}
 		}
-		return net.Dial("tcp", to.String())
-	}, targets...)
-	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
-	for _, f := range targets {
-		if f.listener.Addr().(*net.TCPAddr).AddrPort() == left {
-			assert.Equal(t, len(f.seen()), 0)
-		}
-	}
+	})
 }
 
 // TestBackoffOfOneTargetLeavesItAlone has one target turn a request away and ask for a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -165,23 +165,30 @@
 	}
 }
 
-// TestTargetThatLeavesBeforeTheRequestIsSentGetsNothing has a target say that it
+// TestTargetThatLeavesBeforeTheRequestIsSentGetsNothing has the store say that a target
 // leaves while the router connects to it.
 func TestTargetThatLeavesBeforeTheRequestIsSentGetsNothing(t *testing.T) {
+	assertNothingSentAfter(t, (*site).leave)
+}
+
+// assertNothingSentAfter has something happen to the first target that a request was placed
+// at, while the router connects to it, and holds that only the other one gets the request.
+func assertNothingSentAfter(t *testing.T, happens func(*site, netip.AddrPort)) {
+	t.Helper()
 	targets := []*fakeTarget{newTarget(t, "t1", answers), newTarget(t, "t2", answers)}
 	var s *site
-	var left netip.AddrPort
+	var first netip.AddrPort
 	s = newSiteDialling(t, func(to netip.AddrPort, _ time.Duration) (net.Conn, error) {
-		if !left.IsValid() {
-			left = to
-			s.leave(to)
+		if !first.IsValid() {
+			first = to
+			happens(s, to)
 		}
 		return net.Dial("tcp", to.String())
 	}, targets...)
 	assert.Equal(t, s.ask(t, "POST", "/once/", "r", "b").header.StatusCode(), 200)
 	for _, f := range targets {
 		want := 1
-		if f.listener.Addr().String() == left.String() {
+		if f.listener.Addr().String() == first.String() {
 			want = 0
 		}
 		assert.Equal(t, len(f.seen()), want)
