Requests bound to regions run, are copied and are asked about only there

Cause: allowedRegions of routes and customers was not read, so a request bound to a region ran at any home of its prompt. Ruled out: rejecting a configuration that names an unknown region: the store took it as valid, and all other routes would stay at the old one. It is logged. Change: a route's and a customer's regions are intersected; a target elsewhere is unusable for the request, is not asked about and nothing is copied from it. Data centres' regions come from the settings. Without any allowed target the request is refused at once, no_target_in_allowed_regions. Before: TestRequestsStayInTheirRegions cannot be expressed; now green over first attempts, second attempts, questions and copies.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -78,6 +79,9 @@
 	g.metrics.Set(metric.ConfigVersion, float64(table.Version))
 	g.log.Info().Uint64("version", table.Version).Str("from", from).Int("routes", len(table.Routes)).
 		Int("customers", len(table.Customers)).Msg("configuration in force")
+	if unknown := table.UnknownRegions(slices.Collect(maps.Values(g.settings.Regions))); len(unknown) > 0 {
+		g.log.Warn().Uint64("version", table.Version).Strs("regions", unknown).Msg("configuration names regions without a data centre, requests bound to them alone are refused")
+	}
 	l.publishTargets()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,7 @@
 	g := &Gateway{
 		settings: s, clock: o.Clock, lines: l, metrics: metrics,
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
-		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart}),
+		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
 		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
--- a/place/grade.go
+++ b/place/grade.go
@@ -9,8 +9,8 @@
 type grade int
 
 const (
-	// unusable targets leave, have ended, want a backoff, were tried before or are in a data
-	// centre that is evacuated.
+	// unusable targets leave, have ended, want a backoff, were tried before, are in a data
+	// centre that is evacuated or in a region in which the request may not run.
 	unusable grade = iota
 	// doubtful targets seem cut off, fail much or are cold and bear little; they are
 	// used only if there are no others.
@@ -42,7 +42,7 @@
 
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case p.leaves(t) || t.declines(now) || slices.Contains(r.Tried, t.incarnation):
+	case !r.allows(t.region) || p.leaves(t) || t.declines(now) || slices.Contains(r.Tried, t.incarnation):
 		return unusable
 	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now) || s.spares(t, now):
 		return doubtful
--- a/place/home.go
+++ b/place/home.go
@@ -14,7 +14,7 @@
 func (p *Placer) home(s *service, r Request, known told, now time.Time) Decision {
 	homes, left := p.homes(s, r, now)
 	if len(homes) == 0 {
-		return p.none(s, now)
+		return p.none(s, &r, now)
 	}
 	for _, t := range homes {
 		p.forgetAnswer(t, now)
@@ -137,7 +137,7 @@
 		best = &first[doubtful]
 	}
 	for i, t := range first[unusable].list() {
-		if best.takes(first[unusable].weights[i]) && p.copiesFrom(t, now) {
+		if best.takes(first[unusable].weights[i]) && r.allows(t.region) && p.copiesFrom(t, now) {
 			left = append(left, t)
 		}
 	}
--- a/place/notices.go
+++ b/place/notices.go
@@ -113,15 +113,15 @@
 	if s == nil {
 		return 0
 	}
-	left, _ := p.backoff(s, p.clock.Now())
+	left, _ := p.backoff(s, new(Request), p.clock.Now())
 	return left
 }
 
 // backoff also returns the target that takes requests first.
-func (p *Placer) backoff(s *service, now time.Time) (left time.Duration, first *target) {
+func (p *Placer) backoff(s *service, r *Request, now time.Time) (left time.Duration, first *target) {
 	for _, t := range s.targets {
 		switch {
-		case p.leaves(t):
+		case p.leaves(t) || !r.allows(t.region):
 		case !t.declines(now):
 			return 0, nil
 		case first == nil || t.noticed.Until().Before(first.noticed.Until()):
@@ -141,8 +141,8 @@
 
 // none refuses a request for which there is no target. Where targets only want a backoff,
 // callers are told when the first one takes requests again.
-func (p *Placer) none(s *service, now time.Time) Decision {
-	left, first := p.backoff(s, now)
+func (p *Placer) none(s *service, r *Request, now time.Time) Decision {
+	left, first := p.backoff(s, r, now)
 	if first == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -39,6 +39,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	// Warm tells that the fleet ran before this router started, so that the
 	// targets that it finds keep parts of prompts of which it knows nothing.
 	Warm bool
+	// Regions are those of the data centres by name; data centres that are missing are in
+	// none.
+	Regions map[string]string
 }
 
 // Request is what the choice depends on.
@@ -64,6 +68,13 @@
 	Call *message.Call
 	// Tried are the incarnations of targets that the request was sent to before.
 	Tried []string
+	// Regions are those in which the request may run; nil allows all.
+	Regions []string
+}
+
+// allows reports whether a request may run in a region.
+func (r *Request) allows(region string) bool {
+	return r.Regions == nil || region != "" && slices.Contains(r.Regions, region)
 }
 
 // Reason says why a request was refused.
@@ -75,6 +86,8 @@
 	NoTarget Reason = "no_target"
 	// BackingOff: all targets that do not leave asked this router for a backoff.
 	BackingOff Reason = "targets_back_off"
+	// NotAllowed: no target of the service is in a region in which the request may run.
+	NotAllowed Reason = "no_target_in_allowed_regions"
 	// Overloaded: no target can make the objective.
 	Overloaded Reason = "overloaded"
 )
@@ -123,7 +136,8 @@
 
 // Placer chooses targets. It is safe for concurrent use.
 type Placer struct {
-	clock clockwork.Clock
+	clock   clockwork.Clock
+	regions map[string]string
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -174,7 +188,7 @@
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
-		clock: o.Clock, services: make(map[string]*service), targets: make(map[string]*target),
+		clock: o.Clock, regions: o.Regions, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*report), uses: make(map[Hash]*ring), othersUses: make(useSums),
 		notices: make(map[Hash]*noticed), heard: make(map[string]time.Time), cut: make(map[string]bool), warm: o.Warm, fresh: !o.Warm, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), placed: make(chan struct{}, 1),
 	}
@@ -191,6 +205,9 @@
 	if s == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
+	if !s.hasTargetFor(&r) {
+		return Decision{Reason: NotAllowed, RetryAfter: noTargetRetry}
+	}
 	if s.engine == nil {
 		return p.plain(s, r, known, now)
 	}
--- a/place/plain.go
+++ b/place/plain.go
@@ -31,7 +31,7 @@
 func (p *Placer) plain(s *service, r Request, known told, now time.Time) Decision {
 	t := p.leastBusy(s, r, known, now)
 	if t == nil {
-		return p.none(s, now)
+		return p.none(s, &r, now)
 	}
 	d := Decision{
 		Share:       p.currentShares(now).callPart(r.Customer),
--- /dev/null
+++ b/place/regions_test.go
@@ -0,0 +1,119 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/roster"
+)
+
+// newRegionsSite is a placer before engines that copy and plain targets, a third of them in
+// each of three data centres; x and y are in the west, z is in the east.
+func newRegionsSite(t *testing.T) *copyingSite {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock, Regions: map[string]string{"x": "west", "y": "west", "z": "east"}})
+	s := &copyingSite{Placer: p, clock: clock, list: append(targets("model", 9), targets("plain", 3)...), table: table(t)}
+	for i, x := range s.list {
+		x.DataCentre = []string{"x", "y", "z"}[i%3]
+	}
+	s.table.Services[0].Engine.CopyRate = testCopyRate
+	s.update()
+	return s
+}
+
+// in binds a request to regions.
+func in(r Request, regions ...string) Request {
+	r.Regions = append([]string{}, regions...)
+	return r
+}
+
+func callOf(customer string) Request {
+	r := ask(call("part", 0, 1), customer)
+	r.Service = "plain"
+	return r
+}
+
+// TestRequestsStayInTheirRegions places prompts of all homes and plain calls, each with a
+// second attempt, also while the targets of the only data centre are all that is left.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	s := newRegionsSite(t)
+	for i := range 60 {
+		for _, r := range []Request{in(ask(call(fmt.Sprint(i), 1000, 10), "c"), "east"), in(callOf("c"), "east")} {
+			for range 2 {
+				for _, q := range s.Questions(r) {
+					assert.Equal(t, s.byHash[q.Target].DataCentre, "z", "nobody else is asked")
+				}
+				d := s.Place(r)
+				if d.Run == nil {
+					break // the only plain target was tried
+				}
+				assert.Equal(t, d.Run.Target.DataCentre, "z")
+				r.Tried = append(r.Tried, d.Run.Incarnation())
+				d.Run.End(Failed)
+			}
+		}
+	}
+}
+
+// TestNothingIsCopiedFromAnotherRegion has the home of a prompt leave, whose parts are in a
+// region in which the request may not run.
+func TestNothingIsCopiedFromAnotherRegion(t *testing.T) {
+	s := newRegionsSite(t)
+	anywhere := ask(call("part", copiedTokens, ownTokens), "c")
+	run := s.Place(anywhere).Run
+	run.FirstEvent(false)
+	run.End(Answered)
+	region := map[string]string{"x": "west", "y": "west", "z": "east"}[run.Target.DataCentre]
+	other := map[string]string{"west": "east", "east": "west"}[region]
+	for i, x := range s.list {
+		if x.ID == run.Target.ID {
+			leaving := *x
+			leaving.Draining, leaving.Revision.Count = true, 1
+			s.list[i] = &leaving
+		}
+	}
+	s.update()
+	assert.Equal(t, s.Place(anywhere).CopyFrom, run.Target.Address)
+	d := s.Place(in(anywhere, other))
+	assert.Assert(t, d.Run != nil)
+	assert.Assert(t, !d.CopyFrom.IsValid(), "copied from %s", d.CopyFrom)
+}
+
+// TestRequestsWithoutAnAllowedTargetAreRefusedAtOnce names regions without targets of the
+// service, one that no data centre is in, and none at all.
+func TestRequestsWithoutAnAllowedTargetAreRefusedAtOnce(t *testing.T) {
+	s := newRegionsSite(t)
+	for _, regions := range [][]string{{"nowhere"}, {}, {"east"}} {
+		list := s.list
+		if len(regions) == 1 && regions[0] == "east" {
+			s.list = nil
+			for _, x := range list {
+				if x.DataCentre != "z" {
+					s.list = append(s.list, x)
+				}
+			}
+			s.update()
+		}
+		for _, r := range []Request{in(ask(call("part", 100, 10), "c"), regions...), in(callOf("c"), regions...)} {
+			d := s.Place(r)
+			assert.Assert(t, d.Run == nil)
+			assert.Equal(t, d.Reason, NotAllowed, "%v", regions)
+			assert.Assert(t, d.RetryAfter > 0)
+		}
+	}
+}
+
+// TestTargetsOfUnknownDataCentresServeOnlyUnboundRequests has a data centre of which the
+// settings say no region.
+func TestTargetsOfUnknownDataCentresServeOnlyUnboundRequests(t *testing.T) {
+	s := newRegionsSite(t)
+	s.list = []*roster.Target{{ID: "new", Service: "plain", Slots: 4, DataCentre: "unknown", Address: s.list[0].Address}}
+	s.update()
+	assert.Assert(t, s.Place(callOf("c")).Run != nil)
+	assert.Equal(t, s.Place(in(callOf("c"), "west")).Reason, NotAllowed)
+	assert.Equal(t, s.Place(in(callOf("c"), "")).Reason, NotAllowed)
+}
--- a/place/targets.go
+++ b/place/targets.go
@@ -27,7 +27,9 @@
 	hash Hash
 	// seed makes the target's weights in rendezvous hashing.
 	seed uint64
-	own  Load
+	// region is that of the data centre, "" if it is not known.
+	region string
+	own    Load
 	// others is the sum of what other routers announced.
 	others  Load
 	circuit circuit
@@ -101,6 +103,7 @@
 		}
 		t.Target = *entry
 		t.seed = xxhash.Sum64String(entry.Address.String())
+		t.region = p.regions[entry.DataCentre]
 		p.targets[incarnation] = t
 		p.byHash[t.hash] = t
 		s := p.service(entry.Service)
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -125,6 +125,7 @@
 	if f.route == nil {
 		return f, unknown(view, fasthttp.StatusNotFound, reasonNoRoute)
 	}
+	f.regions = f.route.Regions
 	if !s.endsInTime(f) {
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetry}
 	}
@@ -164,6 +165,7 @@
 	}
 	if !f.route.Public {
 		f.customer = customer.Name
+		f.regions = route.AllowedRegions(f.route, customer)
 	}
 	return nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,7 +61,7 @@
 // place asks for a target.
 func (f *flight) place() place.Decision {
 	r := place.Request{
-		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried,
+		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions,
 	}
 	s := f.server
 	var answers []place.Answer
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -46,6 +46,8 @@
 	// engine tells that the service runs model engines, which answer in streams.
 	engine   bool
 	customer string
+	// regions are those in which the request may run; nil allows all.
+	regions []string
 	// hideKey keeps the caller's API key from the target.
 	hideKey  bool
 	deadline time.Time
--- a/route/route.go
+++ b/route/route.go
@@ -69,6 +69,8 @@
 	Public bool
 	// Resumable streams may go on at another target.
 	Resumable bool
+	// Regions are those in which requests may run and leave memory; nil allows all.
+	Regions []string
 
 	weights int
 }
@@ -122,6 +124,8 @@
 	Name     string
 	Priority int
 	Keys     []string
+	// Regions are those in which its requests may run and leave memory; nil allows all.
+	Regions []string
 }
 
 // Limits are bounds of the whole deployment.
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -33,6 +33,8 @@
 	text("host", "name", "Name of this host, unique in the fleet.", func(s *Settings) *string { return &s.Host }),
 	text("host", "data-centre", "Data centre of this host.", func(s *Settings) *string { return &s.DataCentre }),
 
+	pairs("host", "regions", "Data centres and the region of each, as data-centre:region separated by commas. Routes and customers bound to regions reach no target of a data centre that is missing here.", func(s *Settings) *map[string]string { return &s.Regions }),
+
 	address("listen", "caller", "", "Address for callers (HTTP).", func(s *Settings) *netip.AddrPort { return &s.ListenCaller }),
 	address("listen", "control", "", "Address for operators, peers' calls, metrics and health (HTTP).", func(s *Settings) *netip.AddrPort { return &s.ListenControl }),
 	address("listen", "peer", "", "Address for peers' datagrams (UDP).", func(s *Settings) *netip.AddrPort { return &s.ListenPeer }),
@@ -111,6 +113,25 @@
 	return key{section: section, name: name, def: def, required: true, allowed: "IP address and port, such as 127.0.0.1:8080", doc: doc, set: set}
 }
 
+func pairs(section, name, doc string, field func(*Settings) *map[string]string) key {
+	set := func(s *Settings, v string) error {
+		m := make(map[string]string)
+		for part := range strings.FieldsFuncSeq(v, isListSeparator) {
+			k, value, ok := strings.Cut(part, ":")
+			if !ok || k == "" || value == "" || m[k] != "" {
+				return errNotAllowed
+			}
+			m[k] = value
+		}
+		*field(s) = m
+		return nil
+	}
+	return key{section: section, name: name, allowed: "names and values such as a:b, separated by commas, each name once", doc: doc, set: set}
+}
+
+// isListSeparator reports whether a character separates the entries of a list.
+func isListSeparator(r rune) bool { return r == ',' || r == ' ' }
+
 func addresses(section, name, doc string, field func(*Settings) *[]netip.AddrPort) key {
 	set := func(s *Settings, v string) error { return eachAddress(v, field(s)) }
 	return key{section: section, name: name, allowed: "IP addresses with ports, separated by commas", doc: doc, set: set}
@@ -130,7 +151,7 @@
 }
 
 func eachAddress(v string, list *[]netip.AddrPort) error {
-	for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ',' || r == ' ' }) {
+	for part := range strings.FieldsFuncSeq(v, isListSeparator) {
 		a, err := netip.ParseAddrPort(part)
 		if err != nil {
 			return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,8 @@
 type Settings struct {
 	Host       string
 	DataCentre string
+	// Regions are those of all data centres by name.
+	Regions map[string]string
 
 	ListenCaller  netip.AddrPort
 	ListenControl netip.AddrPort
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -20,13 +20,14 @@
 	body, err := os.ReadFile("../deploy/zinccoved.ini")
 	assert.NilError(t, err)
 	text := strings.Replace(string(body), "{{#seeds}}{{.}}{{,}}{{/seeds}}", values["seeds"], 1)
+	text = strings.Replace(text, "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", values["zones"], 1)
 	return gap.ReplaceAllStringFunc(text, func(g string) string { return values[strings.Trim(g, "{}")] })
 }
 
 // stated is what a platform states, all quantities as fractions.
 func stated() map[string]string {
 	return map[string]string{
-		"nodeName": "front-1", "zone": "hall-a", "ip": "10.1.0.33", "portRange.0": "7400",
+		"nodeName": "front-1", "zone": "hall-a", "zones": "hall-a:innsbruck,hall-b:innsbruck", "ip": "10.1.0.33", "portRange.0": "7400",
 		"listen.front": "10.1.0.33:8783", "listen.ready": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
 		"seeds": "10.1.0.33:8785,10.2.0.18:8785", "bootstrap": "true", "platform.address": "10.200.1.7:8781",
 		"limits.memoryMb": "184.5", "heartbeatMs": "1200.25", "bounds.graceS": "8.5", "bounds.drainMs": "4000.75",
@@ -43,6 +44,7 @@
 	assert.Equal(t, s.TargetDrain, 4000750*time.Microsecond)
 	assert.Equal(t, s.TargetHeartbeat, 1200250*time.Microsecond)
 	assert.Equal(t, s.RetryWindow, 9500*time.Millisecond)
+	assert.DeepEqual(t, s.Regions, map[string]string{"hall-a": "innsbruck", "hall-b": "innsbruck"})
 }
 
 // TestTemplateTakesMissingValues leaves out what has a default.
