Answers that callers do not take hold little, and not for good

Cause: an answer that is no stream was kept whole, up to 16 MB for each of some hundred connections, and a caller that took nothing held its connection, and the goroutine that writes, until it left by itself. Ruled out: buffering streams ahead of slow callers: a stream of these sites is some KB, less than the windows of its two connections. Change: answers from 32 KB on are passed on as they come, with their length; what breaks in the middle is cut and not asked for again. A caller that takes nothing for limits.write-timeout is cut off and counted (callers_stalled).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,7 +206,7 @@
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
 		Retries: g.retries, Quarantine: g.quarantine,
 		Limits: relay.Limits{
-			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(),
+			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), Write: s.WriteTimeout,
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
 		},
 	})
--- a/metric/names.go
+++ b/metric/names.go
@@ -19,6 +19,7 @@
 	WrongKeys
 	WrongOperatorKeys
 	CallersGone
+	CallersStalled
 	Attempts
 	Retries
 	AttemptsCrossed
@@ -62,6 +63,7 @@
 	WrongKeys:            {"wrong_keys", "*alarm* Requests with an unknown API key."},
 	WrongOperatorKeys:    {"wrong_operator_keys", "*alarm* Calls of the intent API or between routers with a wrong key."},
 	CallersGone:          {"callers_gone", "Callers that went away before their answer was whole."},
+	CallersStalled:       {"callers_stalled", "Callers that were cut off because they took no bytes of their answer."},
 	Attempts:             {"attempts", "Attempts sent to targets."},
 	Retries:              {"retries", "Attempts after a failed one."},
 	AttemptsCrossed:      {"attempts_crossed", "*alarm* Answers of other attempts that were thrown away."},
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -10,6 +10,7 @@
 func (f *flight) passWhole(ctx *fasthttp.RequestCtx, ans *answer) {
 	f.head(ctx, ans)
 	ctx.Response.SetBodyRaw(ans.body)
+	f.boundWrite()
 	f.life.Answer()
 	f.server.options.Metrics.Inc(metric.RequestsAnswered)
 	f.server.logAnswered(f, ans.header.StatusCode())
@@ -20,8 +21,9 @@
 // the stream after the handler returned, and closes it.
 func (f *flight) passStream(ctx *fasthttp.RequestCtx, ans *answer) {
 	f.head(ctx, ans)
+	f.unboundWrite()
 	ans.stream.caller = ctx
-	ctx.Response.SetBodyStream(ans.stream, -1)
+	ctx.Response.SetBodyStream(ans.stream, ans.stream.size)
 }
 
 // head copies status and headers of an answer.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -203,9 +203,13 @@
 		return ans, nil
 	}
 	var err error
-	if ans.body, err = body.whole(); err != nil {
+	if ans.body, err = body.first(inMemory); err != nil {
 		return nil, f.fail(target.Broken, status, err, "read answer")
 	}
+	if len(ans.body) == inMemory {
+		ans.stream = newLarge(f, c, ans, body, sent, ans.body)
+		return ans, nil
+	}
 	if status >= fasthttp.StatusInternalServerError {
 		f.run.End(place.Faulty) // the later End has no effect then
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -9,13 +9,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxAnswer is the largest answer in bytes that is not a stream.
-const maxAnswer = 16 << 20
+// inMemory is the size in bytes from which on answers are passed on as they come. Smaller
+// ones are kept until they are whole, so that another target may be asked for one that
+// breaks.
+const inMemory = 32 << 10
 
-var (
-	errTooLarge  = eris.New("answer exceeds the limit")
-	errTruncated = eris.Wrap(io.ErrUnexpectedEOF, "answer ended early")
-)
+var errTruncated = eris.Wrap(io.ErrUnexpectedEOF, "answer ended early")
 
 // body reads the body of an answer in the framing that its head declares.
 type body struct {
@@ -49,6 +48,9 @@
 	return b
 }
 
+// ended reports whether the whole body was read, as far as its length tells.
+func (b *body) ended() bool { return b.left != nil && b.left.N == 0 }
+
 // framed reports whether the connection can be used after the body.
 func (b *body) framed() bool { return !b.untilClose }
 
@@ -80,14 +82,9 @@
 	}
 }
 
-// whole returns the body if it is whole.
-func (b *body) whole() ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(b, maxAnswer+1))
-	if err == nil && len(text) > maxAnswer {
-		err = errTooLarge
-	}
-	return text, err
-}
+// first returns the first bytes of the body, so many at most, or all of a shorter one that
+// is whole.
+func (b *body) first(most int64) ([]byte, error) { return io.ReadAll(io.LimitReader(b, most)) }
 
 // skip reads over the body.
 func (b *body) skip() error {
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -153,6 +153,9 @@
 	return true
 }
 
+// stallTime is how long callers may take nothing.
+const stallTime = 400 * time.Millisecond
+
 // site is a server before targets.
 type site struct {
 	*Server
@@ -243,7 +246,7 @@
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
 		View: s.view, Placer: placer, Links: links, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
-		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, Quiet: 10 * time.Millisecond, Stop: time.Second},
+		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, Write: stallTime, Quiet: 10 * time.Millisecond, Stop: time.Second},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() {
@@ -293,7 +296,7 @@
 	if res.err = res.header.Read(c.r); res.err != nil {
 		return res
 	}
-	text, err := newBody(c.r, &res.header, false).whole()
+	text, err := io.ReadAll(newBody(c.r, &res.header, false))
 	res.body, res.err = string(text), err
 	return res
 }
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -30,6 +30,8 @@
 	timeUp
 	// stopped: the limit of a planned stop was reached.
 	stopped
+	// callerStalled: the caller took no bytes of its answer for too long.
+	callerStalled
 )
 
 // flight is one request on its way. One goroutine uses it; only interrupt and
@@ -74,6 +76,8 @@
 	connecting time.Duration
 	// firstEvent is the time from acceptance to the first event of a stream.
 	firstEvent time.Duration
+	// untaken tells since when the caller has not taken what a stream handed over.
+	untaken untaken
 
 	// What follows may be used by other goroutines, under mu.
 	mu sync.Mutex
--- a/relay/look.go
+++ b/relay/look.go
@@ -47,6 +47,8 @@
 			}
 		}
 		switch {
+		case f.untaken.lasts(s.options.Limits.Write, now):
+			f.cutStalled() // also after its time was up, which ends only the target's part
 		case !now.Before(limit):
 			f.interrupt(timeUp)
 		case gone(f):
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,8 @@
 	Connections int
 	// Memory is that of the process in bytes; 0 leaves it open.
 	Memory int64
+	// Write is how long a caller may take no bytes of its answer; 0 leaves it open.
+	Write time.Duration
 	// Announce is how long a planned stop goes on accepting all requests, until
 	// the balancer has noticed. Later ones are refused if they may not end in time.
 	Announce time.Duration
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -283,7 +284,7 @@
 		assert.Equal(t, string(b[:n]), fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
 		next <- struct{}{}
 	}
-	rest, err := body.whole()
+	rest, err := io.ReadAll(body)
 	assert.NilError(t, err)
 	assert.Equal(t, len(rest), 0)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,7 +15,8 @@
 
 // stream reads a target's events for a caller. Only whole events are handed
 // over, so that a stream that goes on at another target joins without a gap.
-// One goroutine uses it.
+// A large answer without events is handed over as it comes, and never goes on elsewhere.
+// One goroutine uses it; look reads handed.
 type stream struct {
 	flight *flight
 	caller *fasthttp.RequestCtx
@@ -23,6 +24,9 @@
 	answer *answer
 	body   *body
 	sent   *sending
+	// large tells that the answer has no events, size is its length, -1 if that is unknown.
+	large bool
+	size  int
 
 	buffer []byte
 	// ready is the length of the whole events at the start of buffer.
@@ -46,15 +50,33 @@
 	errLargeEvent = eris.New("event exceeds the limit")
 	errHalfEvent  = eris.New("stream ended inside an event")
 	errClosed     = eris.New("caller closed the connection")
+	errStalled    = eris.New("caller took no bytes of its answer")
 )
 
 func newStream(f *flight, c *link.Conn, ans *answer, b *body, sent *sending) *stream {
-	return &stream{flight: f, link: c, answer: ans, body: b, sent: sent, buffer: make([]byte, 0, eventBuffer)}
+	return &stream{flight: f, link: c, answer: ans, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer)}
+}
+
+// unknownSize has fasthttp send a body in chunks.
+const unknownSize = -1
+
+// newLarge returns the stream of a large answer that begins with the bytes read so far.
+func newLarge(f *flight, c *link.Conn, ans *answer, b *body, sent *sending, begin []byte) *stream {
+	s := newStream(f, c, ans, b, sent)
+	s.large, s.buffer, s.ready = true, begin, len(begin)
+	if n := ans.header.ContentLength(); n >= 0 {
+		s.size = n
+	}
+	if b.ended() {
+		s.whole()
+	}
+	return s
 }
 
 // Read hands over whole events. An error other than io.EOF makes fasthttp cut
 // the caller's connection, so that the answer does not look complete.
 func (s *stream) Read(p []byte) (int, error) {
+	s.flight.untaken.clear()
 	for s.ready == 0 {
 		if s.err != nil {
 			return 0, s.err
@@ -64,6 +86,7 @@
 	n := copy(p, s.buffer[:s.ready])
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[n:])]
 	s.ready -= n
+	s.flight.untaken.begin(s.flight.server.options.Clock.Now())
 	return n, nil
 }
 
@@ -83,6 +106,8 @@
 		s.arrived()
 	}
 	switch {
+	case err == nil && s.large && s.body.ended():
+		s.whole() // fasthttp reads no further than the length
 	case err == nil:
 	case err == io.EOF && len(s.buffer) == s.ready:
 		s.whole()
@@ -108,6 +133,10 @@
 			f.server.options.Metrics.Observe(metric.FirstToken, f.firstEvent)
 		}
 	}
+	if s.large {
+		s.ready = len(s.buffer)
+		return
+	}
 	end := endOfEvents(s.buffer)
 	if end > s.ready {
 		if id := lastID(s.buffer[s.ready:end]); id != "" {
@@ -155,7 +184,7 @@
 	s.drop(place.Failed)
 	fail := f.fail(target.Broken, 0, err, "read stream")
 	f.blame(fail, s.began)
-	for f.next(fail) {
+	for !s.large && f.next(fail) {
 		ans, again, r := f.attempt(s.caller, s.lastEvent)
 		if r != nil {
 			f.life.GiveUp(false)
@@ -202,8 +231,12 @@
 	}
 	s.done = true
 	f := s.flight
+	f.untaken.clear()
 	if s.err == nil {
 		s.err = errClosed
+		if f.interrupted() == callerStalled {
+			s.err = errStalled
+		}
 		s.drop(place.Cancelled)
 		f.interrupt(callerGone)
 		f.life.GiveUp(true)
