Bound garbage by a share of the memory, share entries of targets

Cause: the collector ran at 400 % of what lives. Change: package collector sets the percentage so that garbage keeps within a twentieth of the memory; the placer shares the roster's entries in place of copies.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -103,7 +103,6 @@
 // serveRoutes runs a router of the platform's routes until a signal asks it to
 // stop.
 func serveRoutes(s *settings.Settings, out io.Writer) int {
-	debug.SetGCPercent(gcPercent)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory()) * memoryPart))
 	}
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"zinccove.example/zinccove/collector"
 	"zinccove.example/zinccove/contact"
 	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
@@ -17,6 +18,7 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/settings"
@@ -30,7 +32,7 @@
 
 // newControl returns the control loop of one router of a large fleet, without
 // callers and store.
-func newControl(b *testing.B) *loop {
+func newControl(b testing.TB) *loop {
 	b.Helper()
 	m, err := metric.New()
 	if err != nil {
@@ -41,6 +43,7 @@
 	g := &Gateway{
 		settings: &settings.Settings{Host: "front-0", DataCentre: "dc-0"}, clock: clock, metrics: m, log: zerolog.Nop(),
 		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
+		quarantine: quarantine.New(clock), collector: collector.New(0),
 	}
 	g.transport = listenForPeers(b, nobody)
 	g.control, err = control.Listen(control.Options{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/collector"
 	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
@@ -61,6 +62,7 @@
 	// quarantine knows the requests that end their targets.
 	quarantine *quarantine.List
 	relay      *relay.Server
+	collector  *collector.Tuner
 	retries    *request.Budget
 	control    *control.Server
 	readiness  *readiness
@@ -161,6 +163,7 @@
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
 		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
+		collector: collector.New(s.Memory()),
 		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
 			return link.DialTimeout(addr, link.LongestDial)
--- /dev/null
+++ b/gateway/large_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/revision"
+)
+
+// entryOf is the entry of a target as targets write it.
+func entryOf(i int, count uint64) platform.Change {
+	value := fmt.Appendf(nil, `{"service":"model","address":"10.%d.%d.%d:8080","zone":"dc-%d","version":"v1","slots":16,"state":"ready",`+
+		`"coldLeftMs":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"seq":4,"born":1764748800%03d}`, 128+i>>16, i>>8&255, i&255, i%5, i%1000)
+	return platform.Change{Key: fmt.Sprintf("i-%08x", i*2654435761&0xffffffff), Value: value, Revision: revision.Revision{Count: count}}
+}
+
+// tableOf is a whole table of targets.
+func tableOf(n int) platform.Batch {
+	b := platform.Batch{Revision: revision.Revision{Count: uint64(n)}}
+	for i := range n {
+		b.Changes = append(b.Changes, entryOf(i, uint64(i+1)))
+	}
+	return b
+}
+
+// heapBytes is what lives in the heap.
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// newLargeControl returns the control loop of a router of a large fleet that knows so many
+// targets.
+func newLargeControl(t testing.TB, targets int) *loop {
+	t.Helper()
+	l := newControl(t)
+	b := tableOf(targets)
+	l.gateway.logs["servers"].Reset(b.Revision, rowsOf(b)...)
+	l.takeTargets(b, true)
+	return l
+}
+
+// BenchmarkMemoryOfTargets tells the bytes that a router keeps for each target.
+func BenchmarkMemoryOfTargets(b *testing.B) {
+	for _, n := range []int{1000, 10000, 20000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := heapBytes()
+			l := newLargeControl(b, n)
+			for b.Loop() {
+			}
+			b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/target")
+			runtime.KeepAlive(l)
+		})
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -207,6 +207,7 @@
 	l.tellNews()
 	if l.ticks%sweepEvery == 0 {
 		l.gateway.placer.ForgetLoads()
+		l.gateway.collector.Adjust()
 		l.sweep()
 		l.publish(now)
 	}
--- a/place/run.go
+++ b/place/run.go
@@ -24,7 +24,7 @@
 
 // Run is one request at one target. It is used by one goroutine at a time.
 type Run struct {
-	Target roster.Target
+	Target *roster.Target
 
 	placer *Placer
 	state  *target
--- a/place/targets.go
+++ b/place/targets.go
@@ -22,7 +22,8 @@
 
 // target is the state of one target.
 type target struct {
-	roster.Target
+	// Target is the entry, which is shared with the roster and never changes.
+	*roster.Target
 
 	hash Hash
 	// seed makes the target's weights in rendezvous hashing.
@@ -98,10 +99,10 @@
 				t.warmUntil = p.clock.Now().Add(warmFor)
 			}
 		}
-		if t.Revision != entry.Revision {
+		if t.Target == nil || t.Revision != entry.Revision {
 			t.coldUntil = p.clock.Now().Add(entry.ColdLeft)
 		}
-		t.Target = *entry
+		t.Target = entry
 		t.seed = xxhash.Sum64String(entry.Address.String())
 		t.region = p.regions[entry.DataCentre]
 		p.targets[incarnation] = t
--- a/relay/log.go
+++ b/relay/log.go
@@ -66,7 +66,7 @@
 
 // logNotice begins a line on what the target of the current attempt said of itself.
 func (s *Server) logNotice(f *flight, ans *answer) *zerolog.Event {
-	t := &f.run.Target
+	t := f.run.Target
 	return s.options.Log.Info().Str("request", f.call.ID).Str("service", f.service).Str("target", t.ID).Time("started", t.Started).
 		Int("status", ans.header.StatusCode()).Dur("targets_age_ms", s.options.View().TargetsAge)
 }
