Whole tables in pages encoded once, relays in large data centres

Cause: a log of changes kept 1 MB of rows. 10,000 entries of targets are more, so it kept none, and every router that was behind read the whole table from the store: 50 calls for each of 985 routers. Where rows fit, they were encoded anew for each reader in one message; three leaders of a data centre served all its routers. Ruled out: a larger constant alone: the three leaders of 217 routers would each send 2.5 MB to 72 of them at a start of all. Change: rows by revision in slots; a whole table is given in pages of 128 slots, encoded and compressed once until one of their rows changes. Only routers that serve, or are the next to, keep rows, up to an eighth of their memory. Data centres of more than 64 known routers have cells with three relays each, which follow the leaders and serve their cell. Batches of more than 32 entries are one line of the log.

--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -3,14 +3,12 @@
 import (
 	"fmt"
 	"testing"
-
-	"github.com/jonboulle/clockwork"
 )
 
 // BenchmarkKeepalive is a look of a reader that knows all 325 rows, five times a second
 // for each of twenty readers: 5.4 us when all rows were looked through, 0.04 us since.
 func BenchmarkKeepalive(b *testing.B) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	var rows []Row[string]
 	for i := range 325 {
 		rows = append(rows, row(fmt.Sprint("t", i), uint64(i+1)))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,23 +5,26 @@
 // few routers of each data centre follow the store (Leaders) and the others follow
 // them. A Log keeps the newest state of each row, so that a reader can go on from any
 // revision since the router read the table whole, also when it followed another router
-// before; one that is further behind is given the whole table. Nobody is elected: two
-// routers that both follow cost calls, not truth, as rows carry the store's revisions.
+// before; one that is further behind is given the whole table in pages, which are encoded
+// once for all readers. Nobody is elected: two routers that both follow cost calls, not
+// truth, as rows carry the store's revisions.
 //
 // The package has no I/O. A Log is safe for concurrent use.
 //
 // # Usage
 //
-//	l := feed.NewLog[platform.Change](clock)
+//	l := feed.NewLog(feed.Options[platform.Change]{Clock: clock, Pack: pack, Most: 16 << 20})
+//	l.SetKeeping(true)                   // while others may ask
 //	l.Reset(revision, rows...)           // after reading the table whole
 //	l.Append(revision, rows...)          // each change
-//	l.Confirm()                          // the store answered without changes
+//	l.Confirm(clock.Now())               // the store answered
 //	l.SetLost()                          // it does not answer
 //	news, changed, err := l.Since(known) // for a reader
 package feed
 
 import (
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -43,6 +46,10 @@
 type Row[R any] struct {
 	Key      string
 	Revision revision.Revision
+	// Removed rows tell only that there is no such row any more.
+	Removed bool
+	// Age is the time since it was read from the store.
+	Age time.Duration
 	// Size is about the memory that it takes in bytes.
 	Size  int
 	Value R
@@ -58,8 +65,10 @@
 type News[R any] struct {
 	// Rows are the newest states of the rows that changed since, by revision.
 	Rows []Dated[R]
-	// Whole tells that Rows are the whole table, because the log does not reach back.
+	// Whole tells that the log does not reach back, so that Pages have the whole table,
+	// as Options.Pack encoded them.
 	Whole bool
+	Pages [][]byte
 	// Revision is that up to which the log knows the table.
 	Revision revision.Revision
 	// Lost tells that the store does not answer the router.
@@ -68,15 +77,38 @@
 	Answered time.Time
 }
 
+// Options configure a Log. All are required.
+type Options[R any] struct {
+	Clock clockwork.Clock
+	// Pack encodes rows of a whole table for readers.
+	Pack func(rows []Row[R]) []byte
+	// Most bounds the rows kept in bytes. Of a larger table nothing is kept, and readers
+	// that are behind read the store.
+	Most int
+}
+
 // Log keeps the changes of a table.
 type Log[R any] struct {
-	clock clockwork.Clock
+	options Options[R]
 
-	mu   sync.Mutex
-	rows map[string]Dated[R]
-	size int
-	// known is set once the table was read whole, at revision base. Complete tells that
-	// all its rows are here; latest is the revision up to which they are known.
+	mu sync.Mutex
+	// keeping tells that rows are kept for readers.
+	keeping bool
+	// rows are the newest states by revision, among states that were replaced since, which
+	// are not live; at are the places of the live ones by key.
+	rows []slot[R]
+	at   map[string]int
+	// dead is the number of slots that are not live, removed that of live ones of rows that
+	// were removed.
+	dead, removed int
+	size          int
+	// tooLarge is set once the rows did not fit.
+	tooLarge bool
+	// pages are encoded rows, pageRows slots each; nil after one of them changed.
+	pages [][]byte
+	// known is set once the table was read whole; what changed before base is not known row
+	// by row. Complete tells that all its rows are here; latest is the revision up to which
+	// they are known.
 	known        bool
 	complete     bool
 	base, latest revision.Revision
@@ -87,13 +119,48 @@
 	changed chan struct{}
 }
 
-// maxSize bounds the rows kept in bytes. Of a larger table only what changes is kept,
-// and a reader that is further behind reads the table from the store.
-const maxSize = 1 << 20
+// slot is a place for the state of a row.
+type slot[R any] struct {
+	Dated[R]
+	live bool
+}
 
-// NewLog returns a log that knows nothing yet.
-func NewLog[R any](clock clockwork.Clock) *Log[R] {
-	return &Log[R]{clock: clock, rows: make(map[string]Dated[R]), changed: make(chan struct{})}
+const (
+	// pageRows is the number of slots of a page: a change has no more of them encoded anew.
+	pageRows = 128
+	// leastDead and mostRemoved bound what is kept of rows that were replaced or removed.
+	leastDead   = 4 * pageRows
+	mostRemoved = 4096
+)
+
+// NewLog returns a log that knows nothing yet, and keeps no rows.
+func NewLog[R any](o Options[R]) *Log[R] {
+	return &Log[R]{options: o, at: make(map[string]int), changed: make(chan struct{})}
+}
+
+// SetKeeping says whether rows are kept for readers. A log that begins to keep them is
+// incomplete until the next Reset.
+func (l *Log[R]) SetKeeping(keep bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keeping && !keep {
+		l.forget()
+	}
+	l.keeping = keep
+}
+
+// Wanting reports whether the table has to be read whole before it can be given to readers.
+func (l *Log[R]) Wanting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeping && !l.complete && !l.tooLarge
+}
+
+// forget drops all rows: what changed until now is not known row by row any more.
+func (l *Log[R]) forget() {
+	l.rows, l.pages, l.at = nil, nil, make(map[string]int)
+	l.dead, l.removed, l.size = 0, 0, 0
+	l.base, l.complete = l.latest, false
 }
 
 // Reset notes the rows of the table that was read whole at a revision. What changed
@@ -101,10 +168,13 @@
 func (l *Log[R]) Reset(at revision.Revision, rows ...Row[R]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.rows)
-	l.size = 0
-	l.known, l.complete, l.base, l.latest = true, true, at, at
-	l.keep(rows)
+	l.latest = at
+	l.forget()
+	l.known, l.tooLarge = true, false
+	if l.keeping {
+		l.complete = true
+		l.keep(rows)
+	}
 	l.answer()
 }
 
@@ -113,36 +183,102 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.latest = revision.Later(l.latest, at)
-	l.keep(rows)
+	if l.keeping {
+		l.keep(rows)
+	} else {
+		l.base = l.latest
+	}
 	l.answer()
 }
 
 // keep keeps rows as long as they are not too large.
 func (l *Log[R]) keep(rows []Row[R]) {
-	now := l.clock.Now()
+	now := l.options.Clock.Now()
+	inOrder := true
 	for _, r := range rows {
-		l.size += r.Size - l.rows[r.Key].Size
-		l.rows[r.Key] = Dated[R]{Row: r, At: now}
+		if i, known := l.at[r.Key]; known {
+			if r.Revision.Before(l.rows[i].Revision) {
+				continue
+			}
+			l.kill(i)
+		}
+		if n := len(l.rows); n > 0 && r.Revision.Before(l.rows[n-1].Revision) {
+			inOrder = false
+		}
+		l.put(slot[R]{Dated: Dated[R]{Row: r, At: now.Add(-r.Age)}, live: true})
+	}
+	switch {
+	case l.size > l.options.Most:
+		l.forget()
+		l.tooLarge = true
+	case !inOrder || l.dead > max(leastDead, len(l.rows)/2) || l.removed > 2*mostRemoved:
+		l.compact()
 	}
-	if l.size > maxSize {
-		clear(l.rows)
-		l.size, l.base, l.complete = 0, l.latest, false
+}
+
+// put adds a live slot.
+func (l *Log[R]) put(s slot[R]) {
+	l.at[s.Key] = len(l.rows)
+	l.rows = append(l.rows, s)
+	l.size += s.Size
+	if s.Removed {
+		l.removed++
 	}
+	l.changePage(len(l.rows) - 1)
 }
 
-// Confirm notes that the store answered.
-func (l *Log[R]) Confirm() {
+// kill marks a slot as replaced.
+func (l *Log[R]) kill(i int) {
+	s := &l.rows[i]
+	l.size -= s.Size
+	if s.Removed {
+		l.removed--
+	}
+	*s = slot[R]{Dated: Dated[R]{Row: Row[R]{Revision: s.Revision}}}
+	l.dead++
+	l.changePage(i)
+}
+
+func (l *Log[R]) changePage(i int) {
+	if page := i / pageRows; page < len(l.pages) {
+		l.pages[page] = nil
+	}
+}
+
+// compact brings the live slots in order and drops the others, and the oldest of those of
+// removed rows.
+func (l *Log[R]) compact() {
+	live := slices.DeleteFunc(l.rows, func(s slot[R]) bool { return !s.live })
+	slices.SortStableFunc(live, func(a, b slot[R]) int { return a.Revision.Compare(b.Revision) })
+	drop := max(l.removed-mostRemoved, 0)
+	l.rows, l.pages, l.at = make([]slot[R], 0, len(live)), nil, make(map[string]int, len(live))
+	l.dead, l.removed, l.size = 0, 0, 0
+	for _, s := range live {
+		if s.Removed && drop > 0 {
+			drop--
+			l.base = revision.Later(l.base, s.Revision)
+			continue
+		}
+		l.put(s)
+	}
+}
+
+// Confirm notes that the store answered at a time, this router or another one that follows
+// it.
+func (l *Log[R]) Confirm(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answered = l.clock.Now()
+	l.answered = at
 	if l.lost {
 		l.answer()
 	}
 }
 
-// answer notes an answer of the store and wakes the readers.
+// answer notes that the store is reached and wakes the readers.
 func (l *Log[R]) answer() {
-	l.answered = l.clock.Now()
+	if l.answered.IsZero() {
+		l.answered = l.options.Clock.Now()
+	}
 	l.lost = false
 	l.wake()
 }
@@ -184,14 +320,48 @@
 	}
 	n := News[R]{Revision: revision.Later(l.latest, known), Lost: l.lost || !l.known, Answered: l.answered}
 	n.Whole = l.known && known.Before(l.base)
-	if !known.Before(l.latest) {
-		return n, l.changed, nil
+	switch {
+	case !known.Before(l.latest):
+	case n.Whole:
+		n.Pages = l.wholeTable()
+	default:
+		n.Rows = l.rowsAfter(known)
+	}
+	return n, l.changed, nil
+}
+
+// rowsAfter returns the live rows that changed after a revision.
+func (l *Log[R]) rowsAfter(known revision.Revision) []Dated[R] {
+	first := sort.Search(len(l.rows), func(i int) bool { return known.Before(l.rows[i].Revision) })
+	var rows []Dated[R]
+	for _, s := range l.rows[first:] {
+		if s.live {
+			rows = append(rows, s.Dated)
+		}
+	}
+	return rows
+}
+
+// wholeTable returns the pages of all rows that were not removed. Those that were encoded
+// before and did not change are given again.
+func (l *Log[R]) wholeTable() [][]byte {
+	for len(l.pages)*pageRows < len(l.rows) {
+		l.pages = append(l.pages, nil)
 	}
-	for _, r := range l.rows {
-		if n.Whole || known.Before(r.Revision) {
-			n.Rows = append(n.Rows, r)
+	for i, page := range l.pages {
+		if page == nil {
+			l.pages[i] = l.pack(l.rows[i*pageRows : min((i+1)*pageRows, len(l.rows))])
 		}
 	}
-	slices.SortFunc(n.Rows, func(a, b Dated[R]) int { return a.Revision.Compare(b.Revision) })
-	return n, l.changed, nil
+	return slices.Clone(l.pages)
+}
+
+func (l *Log[R]) pack(slots []slot[R]) []byte {
+	rows := make([]Row[R], 0, len(slots))
+	for _, s := range slots {
+		if s.live && !s.Removed {
+			rows = append(rows, s.Row)
+		}
+	}
+	return l.options.Pack(rows)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -18,11 +20,30 @@
 	return Row[string]{Key: key, Revision: at(version), Size: 10, Value: fmt.Sprint(key, version)}
 }
 
+// most is the size of a log under test in bytes.
+const most = 1 << 20
+
+// newLog returns a log that keeps rows, and packs values one on a line.
+func newLog() *Log[string] {
+	l := NewLog(Options[string]{Clock: clockwork.NewFakeClock(), Most: most, Pack: func(rows []Row[string]) []byte {
+		var page []byte
+		for _, r := range rows {
+			page = append(page, r.Value+"\n"...)
+		}
+		return page
+	}})
+	l.SetKeeping(true)
+	return l
+}
+
+// unpack returns the values of pages.
+func unpack(pages [][]byte) []string { return strings.Fields(string(bytes.Join(pages, nil))) }
+
 func keys(t *testing.T, l *Log[string], since uint64) []string {
 	t.Helper()
 	n, _, err := l.Since(at(since))
 	assert.NilError(t, err)
-	var list []string
+	list := unpack(n.Pages)
 	for _, r := range n.Rows {
 		list = append(list, r.Value)
 	}
@@ -30,7 +51,7 @@
 }
 
 func TestReadersGoOnFromTheirVersion(t *testing.T) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	l.Reset(at(5))
 	l.Append(at(7), row("a", 6), row("b", 7))
 	l.Append(at(9), row("a", 9))
@@ -44,7 +65,7 @@
 }
 
 func TestReadersBehindTheLogAreGivenTheWholeTable(t *testing.T) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	l.Reset(at(5), row("a", 2), row("b", 4))
 	l.Append(at(6), row("a", 6))
 	n, _, err := l.Since(at(3))
@@ -58,13 +79,14 @@
 }
 
 func TestReadersBehindALargeTableReadTheStore(t *testing.T) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	l.Reset(at(5))
 	big := row("big", 6)
-	big.Size = maxSize + 1
+	big.Size = most + 1
 	l.Append(at(6), big)
 	_, _, err := l.Since(at(5))
 	assert.Assert(t, eris.Is(err, ErrHistoryLost), "memory is bounded")
+	assert.Assert(t, !l.Wanting(), "reading it again would not help")
 	l.Append(at(8), row("c", 8))
 	assert.DeepEqual(t, keys(t, l, 6), []string{"c8"})
 	l.Reset(at(30), row("d", 9))
@@ -77,7 +99,7 @@
 // which fits the log.
 func TestTablesOfThousandsAreGivenWhole(t *testing.T) {
 	const targets = 3000
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	var rows []Row[string]
 	for i := range targets {
 		r := row(fmt.Sprint("t", i), uint64(i+1))
@@ -88,7 +110,7 @@
 	n, _, err := l.Since(at(0))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Whole)
-	assert.Equal(t, len(n.Rows), targets)
+	assert.Equal(t, len(unpack(n.Pages)), targets)
 	l.Append(at(targets+1), row("t5", targets+1))
 	assert.DeepEqual(t, keys(t, l, targets), []string{"t53001"})
 }
@@ -97,7 +119,7 @@
 // are newer than the version that it was read at. What is newer comes with the next
 // changes, not with every keepalive until then.
 func TestReadersUpToDateAreToldNothing(t *testing.T) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	l.Reset(at(5), row("a", 3), row("b", 8))
 	assert.Equal(t, len(keys(t, l, 5)), 0)
 	l.Append(at(8), row("b", 8))
@@ -106,7 +128,7 @@
 }
 
 func TestReadersAreWokenByChangesLossAndEnd(t *testing.T) {
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	wakes := func(what string, act func()) {
 		t.Helper()
 		_, changed, err := l.Since(at(50))
@@ -127,39 +149,17 @@
 	n, _, err = l.Since(at(6))
 	assert.NilError(t, err)
 	assert.Assert(t, n.Lost)
-	wakes("its return", l.Confirm)
+	wakes("its return", func() { l.Confirm(l.options.Clock.Now()) })
 	wakes("the end", l.Close)
 	_, _, err = l.Since(at(6))
 	assert.Assert(t, eris.Is(err, ErrClosed))
 }
 
-func TestLeadersShareTheOthers(t *testing.T) {
-	var all []string
-	for i := range 20 {
-		all = append(all, fmt.Sprintf("r%02d", i))
-	}
-	first := make(map[string]int)
-	for i, self := range all {
-		others := append(append([]string{}, all[:i]...), all[i+1:]...)
-		assert.Equal(t, Rank(self, others), i)
-		order := Order(self, others)
-		assert.Equal(t, len(order), Leaders)
-		if i >= Leaders {
-			first[order[0]]++
-			for _, name := range order {
-				assert.Assert(t, name < all[Leaders], "%s asks %s, which does not follow the store", self, name)
-			}
-		}
-	}
-	assert.Equal(t, len(first), Leaders)
-	assert.Equal(t, len(Order("a", nil)), 0)
-}
-
 // TestReaderOfAnEarlierEraIsGivenTheWholeTable has the store come back from a copy: counts go
 // back, and what a reader knows by a higher count of the era before may be gone.
 func TestReaderOfAnEarlierEraIsGivenTheWholeTable(t *testing.T) {
 	inEra := func(era, count uint64) revision.Revision { return revision.Revision{Era: era, Count: count} }
-	l := NewLog[string](clockwork.NewFakeClock())
+	l := newLog()
 	l.Reset(inEra(1, 90), row("a", 90))
 	again := row("a", 40)
 	again.Revision = inEra(2, 40)
@@ -168,8 +168,110 @@
 	assert.NilError(t, err)
 	assert.Assert(t, n.Whole)
 	assert.Equal(t, n.Revision, inEra(2, 40))
-	assert.Equal(t, len(n.Rows), 1)
+	assert.DeepEqual(t, unpack(n.Pages), []string{"a40"})
 	n, _, err = l.Since(inEra(3, 5))
 	assert.NilError(t, err)
 	assert.Assert(t, !n.Whole && len(n.Rows) == 0, "a reader that knows a later era is told nothing")
 }
+
+// TestPagesAreEncodedOnceForAllReaders has many readers read a table of tens of thousands of
+// rows whole, and again after single changes: what is encoded grows with the changes, not
+// with the readers.
+func TestPagesAreEncodedOnceForAllReaders(t *testing.T) {
+	for _, rows := range []int{1000, 10_000, 20_000} {
+		l := newLog()
+		packed := 0
+		pack := l.options.Pack
+		l.options.Pack = func(rows []Row[string]) []byte { packed += len(rows); return pack(rows) }
+		var table []Row[string]
+		for i := range rows {
+			table = append(table, row(fmt.Sprint("t", i, "-"), uint64(i+1)))
+		}
+		l.Reset(at(uint64(rows)), table...)
+		read := func() {
+			for range 100 {
+				n, _, err := l.Since(at(0))
+				assert.NilError(t, err)
+				assert.Equal(t, len(unpack(n.Pages)), rows)
+			}
+		}
+		read()
+		assert.Equal(t, packed, rows)
+		packed = 0
+		const changes = 5
+		for i := range changes {
+			version := uint64(rows + i + 1)
+			l.Append(at(version), row(fmt.Sprint("t", 7*i, "-"), version))
+			read()
+		}
+		assert.Assert(t, packed <= changes*2*pageRows, "%d rows of %d encoded for %d changes", packed, rows, changes)
+	}
+}
+
+// TestLogOfManyChangesStaysSmall writes rows again and again, and has some removed.
+func TestLogOfManyChangesStaysSmall(t *testing.T) {
+	l := newLog()
+	l.Reset(at(1))
+	version := uint64(1)
+	for round := range 400 {
+		for i := range 100 {
+			version++
+			l.Append(at(version), row(fmt.Sprint("t", i, "-"), version))
+		}
+		version++
+		gone := row(fmt.Sprint("gone", round), version)
+		gone.Removed = true
+		l.Append(at(version), gone)
+	}
+	assert.Assert(t, len(l.rows) < 2*(100+400)+leastDead, "%d slots", len(l.rows))
+	n, _, err := l.Since(at(0))
+	assert.NilError(t, err)
+	assert.Equal(t, len(unpack(n.Pages)), 100, "removed rows are not in the whole table")
+	n, _, err = l.Since(at(version - 101))
+	assert.NilError(t, err)
+	assert.Equal(t, len(n.Rows), 101, "but are told of to those who may know them")
+	assert.Assert(t, n.Rows[100].Removed)
+}
+
+// TestRemovedRowsAreForgottenInTheEnd has more rows removed than are remembered: who may have
+// known the first of them is given the whole table.
+func TestRemovedRowsAreForgottenInTheEnd(t *testing.T) {
+	l := newLog()
+	l.Reset(at(1))
+	const gone = 2*mostRemoved + 1
+	for i := range gone {
+		r := row(fmt.Sprint("t", i), uint64(i+2))
+		r.Removed = true
+		l.Append(at(uint64(i+2)), r)
+	}
+	assert.Assert(t, len(l.rows) <= mostRemoved)
+	n, _, err := l.Since(at(2))
+	assert.NilError(t, err)
+	assert.Assert(t, n.Whole)
+	n, _, err = l.Since(at(gone))
+	assert.NilError(t, err)
+	assert.Equal(t, len(n.Rows), 1)
+}
+
+// TestLogThatKeepsNothingSaysSo has a log begin to keep rows after it was read.
+func TestLogThatKeepsNothingSaysSo(t *testing.T) {
+	l := newLog()
+	l.SetKeeping(false)
+	assert.Assert(t, !l.Wanting())
+	l.Reset(at(5), row("a", 2))
+	l.Append(at(6), row("a", 6))
+	_, _, err := l.Since(at(5))
+	assert.Assert(t, eris.Is(err, ErrHistoryLost))
+	n, _, err := l.Since(at(6))
+	assert.NilError(t, err)
+	assert.Assert(t, !n.Whole && len(n.Rows) == 0)
+	l.SetKeeping(true)
+	assert.Assert(t, l.Wanting())
+	l.Append(at(7), row("b", 7))
+	assert.DeepEqual(t, keys(t, l, 6), []string{"b7"})
+	_, _, err = l.Since(at(5))
+	assert.Assert(t, eris.Is(err, ErrHistoryLost))
+	l.Reset(at(8), row("a", 6), row("b", 7))
+	assert.Assert(t, !l.Wanting())
+	assert.DeepEqual(t, keys(t, l, 5), []string{"a6", "b7"})
+}
--- a/feed/leaders.go
+++ b/feed/leaders.go
@@ -1,33 +1,114 @@
 package feed
 
-import "slices"
-
-// Leaders is the number of routers of each data centre that follow the store for the
-// others: two may be lost in the same moment without a router that has to find out by
-// a time-out of its own.
-const Leaders = 3
-
-// Rank returns the place of a router among those of its data centre that can be
-// reached, in the order of their names. Ranks below Leaders follow the store.
-func Rank(self string, others []string) int {
-	rank := 0
-	for _, name := range others {
-		if name < self {
-			rank++
+import (
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Leaders is the number of routers of each data centre that follow the store for the
+	// others, and of relays of each cell: two may be lost in the same moment without a router
+	// that has to find out by a time-out of its own.
+	Leaders = 3
+	// cellSize is the most routers of a cell, on average. Each relay serves a part of them.
+	cellSize = 64
+)
+
+// Role is what a router does for the others of its data centre.
+//
+// The first Leaders by name follow the store. In a large data centre the routers are spread
+// over cells by the hashes of their names, and the first Leaders of each cell, its relays,
+// follow the leaders and serve the cell: so nobody serves more routers than a cell has,
+// however many there are. Routers that see others differently for a while ask some that do
+// not serve, and go on to the next.
+type Role struct {
+	// Rank is the place among the routers of the data centre that can be reached, by name.
+	Rank int
+	// Leads tells that the router follows the store.
+	Leads bool
+	// Serves tells that others may follow this router.
+	Serves bool
+	// Keeps tells that the router serves, or is among the next to.
+	Keeps bool
+	// Cell are the other routers of the cell, by name.
+	Cell []string
+	// Relays are the first of the cell that are not this one, by name.
+	Relays []string
+	// Sources are the routers to follow in the order to try them; none if the router leads.
+	Sources []string
+}
+
+// RoleOf returns the role of a router among the others of its data centre that can be
+// reached, of which so many are known at all, itself included.
+func RoleOf(self string, others []string, known int) Role {
+	all := append(slices.Clone(others), self)
+	slices.Sort(all)
+	cells := Cells(known)
+	own := CellOf(self, cells)
+	r := Role{Rank: slices.Index(all, self)}
+	var cell []string
+	for _, name := range all {
+		if CellOf(name, cells) == own {
+			cell = append(cell, name)
 		}
 	}
-	return rank
+	inCell := slices.Index(cell, self)
+	r.Leads = r.Rank < Leaders
+	r.Serves = r.Leads || inCell < Leaders
+	r.Keeps = r.Rank < 2*Leaders || inCell < 2*Leaders
+	r.Cell = slices.Delete(cell, inCell, inCell+1)
+	r.Relays = r.Cell[:min(Leaders, len(r.Cell))]
+	leaders := without(all[:min(Leaders, len(all))], self)
+	switch {
+	case r.Leads:
+	case r.Serves:
+		r.Sources = rotate(leaders, inCell)
+	default:
+		r.Sources = rotate(r.Relays, inCell)
+		for _, name := range leaders {
+			if !slices.Contains(r.Sources, name) {
+				r.Sources = append(r.Sources, name)
+			}
+		}
+	}
+	return r
+}
+
+// Cells is the number of cells of a data centre with so many known routers. It doubles when
+// they have outgrown their size, so that few routers change their cell.
+func Cells(routers int) int {
+	full := (routers + cellSize - 1) / cellSize
+	if full <= 1 {
+		return 1
+	}
+	return 1 << bits.Len(uint(full-1))
+}
+
+// CellOf returns the cell of a router among so many, from 0 on.
+func CellOf(name string, cells int) int { return int(xxhash.Sum64String(name) % uint64(cells)) }
+
+// Relays returns the first routers of a cell among those of a data centre, by name.
+func Relays(cell, cells int, routers []string) []string {
+	var first []string
+	for _, name := range slices.Sorted(slices.Values(routers)) {
+		if CellOf(name, cells) == cell && len(first) < Leaders {
+			first = append(first, name)
+		}
+	}
+	return first
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 }
 
-// Order returns the first leaders among the other routers of a data centre in the
-// order in which a router is to try them. Routers begin with different ones, so that
-// each leader serves a part of them.
-func Order(self string, others []string) []string {
-	sorted := slices.Sorted(slices.Values(others))
-	first := sorted[:min(Leaders, len(sorted))]
-	if len(first) == 0 {
+// rotate has routers begin with different sources, so that each serves a part of them.
+func rotate(names []string, by int) []string {
+	if len(names) == 0 {
 		return nil
 	}
-	begin := Rank(self, others) % len(first)
-	return slices.Concat(first[begin:], first[:begin])
+	begin := by % len(names)
+	return slices.Concat(names[begin:], names[:begin])
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,6 +19,14 @@
 
 func (a *answered) set(now time.Time) { a.at.Store(&now) }
 
+// time is when the store answered, zero if it never did.
+func (a *answered) time() time.Time {
+	if at := a.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // age is the time since the store answered. It reports whether it ever did.
 func (a *answered) age(now time.Time) (time.Duration, bool) {
 	at := a.at.Load()
@@ -50,6 +58,9 @@
 			return b, b.Revision, err
 		},
 		Feed: func(ctx context.Context, since revision.Revision, wait time.Duration) (platform.Batch, revision.Revision, error) {
+			if t.wantsWhole(log.Wanting()) {
+				return platform.Batch{}, since, platform.ErrHistoryLost
+			}
 			b, ask, err := t.next(ctx, since, wait)
 			if ask {
 				b, err = g.store.Feed(ctx, table, since, wait)
@@ -73,10 +84,11 @@
 		},
 		Regained: func() { g.log.Info().Str("table", table).Msg("store regained") },
 		Alive: func() {
+			heard := g.heardOf(table)
 			if !t.active() { // else the other router says when the store answered
-				g.heardOf(table).set(g.clock.Now())
+				heard.set(g.clock.Now())
 			}
-			log.Confirm()
+			log.Confirm(heard.time())
 		},
 		Hold: func() time.Duration { return holdTime(int(g.rank.Load())) },
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,9 +98,11 @@
 	unannounced chan struct{}
 	// ownRank is the place of this router in its data centre by name.
 	ownRank atomic.Int64
-	// leads is set while this router follows the store for others; else leaders are
-	// those through which it does, in the order to try them.
+	// leads is set while this router follows the store by itself, serves while others may
+	// follow this router. Leaders are those through which it follows the store if it does not
+	// lead, in the order to try them.
 	leads   atomic.Bool
+	serves  atomic.Bool
 	leaders atomic.Pointer[[]leader]
 
 	group errgroup.Group
@@ -164,7 +166,7 @@
 		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
 		collector: collector.New(s.Memory()),
-		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
+		peers:     &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
 			return link.DialTimeout(addr, link.LongestDial)
 		}}},
@@ -180,6 +182,8 @@
 	g.asker = newAsker(g)
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
+	g.serves.Store(true)
+	g.logs.setKeeping(true)
 	g.loop = newLoop(g)
 	if err := g.start(); err != nil {
 		return nil, errors.Join(err, g.metrics.Close(), l.Close())
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -27,10 +27,29 @@
 // tableLogs are what this router reads of the tables that it follows.
 type tableLogs map[string]*feed.Log[platform.Change]
 
+const (
+	// logShare is the share of the memory that the rows of one table may take, usualLog
+	// the bytes where the memory is not known.
+	logShare = 0.125
+	usualLog = 32 << 20
+)
+
 func (g *Gateway) newLogs() tableLogs {
-	return tableLogs{
-		wire.TableOperator: feed.NewLog[platform.Change](g.clock),
-		wire.TableTargets:  feed.NewLog[platform.Change](g.clock),
+	most := usualLog
+	if memory := g.settings.Memory(); memory > 0 {
+		most = int(logShare * float64(memory))
+	}
+	logs := make(tableLogs)
+	for _, table := range []string{wire.TableOperator, wire.TableTargets} {
+		logs[table] = feed.NewLog(feed.Options[platform.Change]{Clock: g.clock, Pack: packRows, Most: most})
+	}
+	return logs
+}
+
+// setKeeping says whether the tables are kept for others.
+func (t tableLogs) setKeeping(keep bool) {
+	for _, l := range t {
+		l.SetKeeping(keep)
 	}
 }
 
@@ -55,11 +74,13 @@
 			return connect.NewError(connect.CodeOutOfRange, err)
 		case err != nil:
 			return connect.NewError(connect.CodeUnavailable, err)
-		case !g.leads.Load():
+		case !g.serves.Load():
 			return connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
 		}
-		if err := send(encodeRows(news, g.clock.Now())); err != nil {
-			return err
+		for _, msg := range encodeTableNews(news, g.clock.Now()) {
+			if err := send(msg); err != nil {
+				return err
+			}
 		}
 		since = news.Revision
 		select {
@@ -71,34 +92,61 @@
 	}
 }
 
-func encodeRows(n feed.News[platform.Change], now time.Time) *zinccovev1.FollowTableResponse {
-	resp := &zinccovev1.FollowTableResponse{Version: n.Revision.Count, Era: n.Revision.Era, Lost: n.Lost, Whole: n.Whole, AgeMs: sinceMs(n.Answered, now)}
-	for _, r := range n.Rows {
-		resp.Rows = append(resp.Rows, &zinccovev1.TableRow{
-			Key: r.Key, Value: r.Value.Value, Version: r.Revision.Count, Era: r.Revision.Era, Removed: r.Value.Removed, AgeMs: sinceMs(r.At, now),
-		})
+// encodeTableNews returns the messages that tell news: one, or one for each page of a whole table.
+func encodeTableNews(n feed.News[platform.Change], now time.Time) []*zinccovev1.FollowTableResponse {
+	begin := func() *zinccovev1.FollowTableResponse {
+		return &zinccovev1.FollowTableResponse{Version: n.Revision.Count, Era: n.Revision.Era, Lost: n.Lost, Whole: n.Whole, AgeMs: sinceMs(n.Answered, now)}
+	}
+	if len(n.Pages) == 0 {
+		msg := begin()
+		for _, r := range n.Rows {
+			row := encodeRow(r.Row)
+			row.AgeMs = sinceMs(r.At, now)
+			msg.Rows = append(msg.Rows, row)
+		}
+		return []*zinccovev1.FollowTableResponse{msg}
+	}
+	var list []*zinccovev1.FollowTableResponse
+	for i, page := range n.Pages {
+		msg := begin()
+		msg.Page, msg.More = page, i+1 < len(n.Pages)
+		list = append(list, msg)
 	}
-	return resp
+	return list
+}
+
+func encodeRow(r feed.Row[platform.Change]) *zinccovev1.TableRow {
+	return &zinccovev1.TableRow{Key: r.Key, Value: r.Value.Value, Version: r.Revision.Count, Era: r.Revision.Era, Removed: r.Removed}
 }
 
 func sinceMs(t, now time.Time) uint64 { return uint64(max(now.Sub(t), 0).Milliseconds()) }
 
-// decodeRows returns the changes of a message.
-func decodeRows(resp *zinccovev1.FollowTableResponse) platform.Batch {
-	b := platform.Batch{Revision: revision.Revision{Era: resp.Era, Count: resp.Version}}
-	for _, r := range resp.Rows {
-		b.Changes = append(b.Changes, platform.Change{
+// decodeTableNews returns the changes of a message.
+func decodeTableNews(resp *zinccovev1.FollowTableResponse) (platform.Batch, error) {
+	b := platform.Batch{Revision: revision.Revision{Era: resp.Era, Count: resp.Version}, Changes: decodeChanges(resp.Rows)}
+	if len(resp.Page) == 0 {
+		return b, nil
+	}
+	rows, err := unpackRows(resp.Page)
+	b.Changes = append(b.Changes, rows...)
+	return b, err
+}
+
+func decodeChanges(rows []*zinccovev1.TableRow) []platform.Change {
+	list := make([]platform.Change, len(rows))
+	for i, r := range rows {
+		list[i] = platform.Change{
 			Key: r.Key, Value: r.Value, Revision: revision.Revision{Era: r.Era, Count: r.Version}, Removed: r.Removed, Age: time.Duration(r.AgeMs) * time.Millisecond,
-		})
+		}
 	}
-	return b
+	return list
 }
 
 // rowsOf returns the changes of a batch as rows of a log.
 func rowsOf(b platform.Batch) []feed.Row[platform.Change] {
 	rows := make([]feed.Row[platform.Change], len(b.Changes))
 	for i, c := range b.Changes {
-		rows[i] = feed.Row[platform.Change]{Key: c.Key, Revision: c.Revision, Size: len(c.Key) + len(c.Value), Value: c}
+		rows[i] = feed.Row[platform.Change]{Key: c.Key, Revision: c.Revision, Removed: c.Removed, Age: c.Age, Size: len(c.Key) + len(c.Value), Value: c}
 	}
 	return rows
 }
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"zinccove.example/zinccove/feed"
@@ -19,15 +20,23 @@
 func (l *loop) findLeaders(now time.Time) {
 	there := l.hostsThere(now)
 	l.countFollowers(there)
-	own := there[l.gateway.settings.DataCentre]
-	rank := feed.Rank(l.gateway.settings.Host, namesOf(own))
-	l.gateway.ownRank.Store(int64(rank))
-	leads := rank < feed.Leaders
-	var leaders []leader
-	if !leads {
-		leaders = l.leadersAmong(own)
+	g := l.gateway
+	own := there[g.settings.DataCentre]
+	role := feed.RoleOf(g.settings.Host, namesOf(own), l.knownInDataCentre())
+	g.ownRank.Store(int64(role.Rank))
+	l.setRole(role, l.leadersAmong(role.Sources, own))
+}
+
+// knownInDataCentre is the number of routers of this data centre, this one and those that
+// cannot be reached included.
+func (l *loop) knownInDataCentre() int {
+	known := 1
+	for _, h := range l.contact.Members.Hosts() {
+		if h.DataCentre == l.gateway.settings.DataCentre {
+			known++
+		}
 	}
-	l.setLeaders(leads, leaders)
+	return known
 }
 
 // hostsThere returns the other routers that count as there by data centre, in the order
@@ -52,6 +61,12 @@
 	return names
 }
 
+// rankOf is the place of a name among others in order.
+func rankOf(name string, others []string) int {
+	rank, _ := slices.BinarySearch(others, name)
+	return rank
+}
+
 // countFollowers counts the other routers that follow the store, and those of them before
 // this one by name.
 func (l *loop) countFollowers(there map[string][]*member.Host) {
@@ -60,7 +75,7 @@
 	for dc, hosts := range there {
 		names := namesOf(hosts)
 		most := feed.Leaders
-		if dc == self.DataCentre && feed.Rank(self.Host, names) < feed.Leaders {
+		if dc == self.DataCentre && rankOf(self.Host, names) < feed.Leaders {
 			most-- // this one is among them
 		}
 		for _, name := range names[:min(most, len(names))] {
@@ -74,32 +89,29 @@
 	l.gateway.rank.Store(int64(before))
 }
 
-// leadersAmong returns the routers of this data centre that follow the store, in the order
-// in which this one is to try them.
-func (l *loop) leadersAmong(hosts []*member.Host) []leader {
-	byName := make(map[string]*member.Host, len(hosts))
-	for _, h := range hosts {
-		byName[h.Name] = h
-	}
+// leadersAmong returns the routers with some names among those of this data centre.
+func (l *loop) leadersAmong(names []string, hosts []*member.Host) []leader {
 	var leaders []leader
-	for _, name := range feed.Order(l.gateway.settings.Host, namesOf(hosts)) {
-		leaders = append(leaders, leader{name: name, control: l.controlOf(byName[name])})
+	for _, name := range names {
+		i, _ := slices.BinarySearchFunc(hosts, name, func(h *member.Host, name string) int { return strings.Compare(h.Name, name) })
+		leaders = append(leaders, leader{name: name, control: l.controlOf(hosts[i])})
 	}
 	return leaders
 }
 
-// setLeaders publishes whom this router follows, and logs it if that changed.
-func (l *loop) setLeaders(leads bool, leaders []leader) {
+// setRole publishes what this router does for others and whom it follows, and logs it if
+// that changed.
+func (l *loop) setRole(role feed.Role, leaders []leader) {
 	g := l.gateway
-	if leads != g.leads.Load() || !slices.Equal(*g.leaders.Load(), leaders) {
-		var through []string
-		for _, x := range leaders {
-			through = append(through, x.name)
-		}
-		g.log.Info().Bool("follows_store", leads).Strs("through", through).Int64("others_that_follow", g.followers.Load()).Msg("routers that follow the store")
+	if role.Leads != g.leads.Load() || role.Serves != g.serves.Load() || !slices.Equal(*g.leaders.Load(), leaders) {
+		g.log.Info().Bool("follows_store", role.Leads).Bool("serves", role.Serves).Strs("through", role.Sources).
+			Int("cell", len(role.Cell)+1).Int64("others_that_follow", g.followers.Load()).Msg("routers that follow the store")
 	}
 	g.leaders.Store(&leaders)
-	g.leads.Store(leads)
+	g.leads.Store(role.Leads)
+	g.serves.Store(role.Serves)
+	g.logs.setKeeping(role.Keeps && len(role.Cell) > 0)
+	l.role = role
 }
 
 // present reports whether a router counts as there.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinccove.example/zinccove/contact"
+	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
@@ -66,8 +67,10 @@
 	tasks   chan func(*loop)
 	contact *contact.Contact
 
-	// others is the number of other routers that count as there.
+	// others is the number of other routers that count as there, role is what this one does
+	// for those of its data centre.
 	others int
+	role   feed.Role
 	// routers and ownedOf are those from which it was last found out who answers for
 	// which target, owned is the number of targets that this router answers for.
 	routers []owner.Router
@@ -321,7 +324,7 @@
 // which come each 2.4 s in a fleet of 295.
 func (l *loop) welcome(h *member.Host) {
 	g := l.gateway
-	if !g.leads.Load() || !h.Peer.IsValid() {
+	if !g.serves.Load() || !h.Peer.IsValid() {
 		return
 	}
 	hb := l.header()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,6 +70,6 @@
 	}
 	t.end()
 	t.stream.Close() //nolint:errcheck // nothing more is read
-	t.stream, t.first, t.left = nil, nil, t.from
+	t.stream, t.first, t.begun, t.left = nil, nil, nil, t.from
 	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
 }
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -15,6 +15,10 @@
 // takeTargets takes entries of targets.
 func (l *loop) takeTargets(b platform.Batch, whole bool) {
 	l.noteEra(b.Revision)
+	single := len(b.Changes) <= linesOfBatch
+	if !single {
+		l.gateway.log.Info().Int("entries", len(b.Changes)).Bool("whole", whole).Uint64("era", b.Revision.Era).Uint64("version", b.Revision.Count).Msg("target entries")
+	}
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
@@ -22,6 +26,9 @@
 			continue
 		}
 		t := l.readTarget(c)
+		if single || t.Draining {
+			l.logEntry(t)
+		}
 		entries = append(entries, t)
 		if whole {
 			continue
@@ -53,11 +60,21 @@
 			Msg("target entry rejected, it gets nothing new until a good one follows")
 		return roster.Target{ID: c.Key, Revision: c.Revision, Unreadable: true}
 	}
-	g.log.Info().Str("target", t.ID).Time("started", t.Started).Str("service", t.Service).Stringer("address", t.Address).
-		Bool("draining", t.Draining).Uint64("era", t.Revision.Era).Uint64("version", t.Revision.Count).Msg("target entry")
 	return t
 }
 
+// linesOfBatch is the most entries that are logged one by one when they come together: all
+// routers of a large fleet read thousands at a start. Those of targets that leave always are.
+const linesOfBatch = 32
+
+func (l *loop) logEntry(t roster.Target) {
+	if t.Unreadable {
+		return // logged as such
+	}
+	l.gateway.log.Info().Str("target", t.ID).Time("started", t.Started).Str("service", t.Service).Stringer("address", t.Address).
+		Bool("draining", t.Draining).Uint64("era", t.Revision.Era).Uint64("version", t.Revision.Count).Msg("target entry")
+}
+
 // removeTarget notes that an entry went.
 func (l *loop) removeTarget(c platform.Change) {
 	gone, left := l.roster.Remove(c.Key, c.Revision, c.Age)
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -54,8 +54,11 @@
 	end    context.CancelFunc
 	// first is the first message of the stream until it is taken.
 	first *zinccovev1.FollowTableResponse
-	// whole is the whole table as the router gave it, until it is taken.
-	whole *platform.Batch
+	// whole is the whole table as the router gave it, until it is taken; begun is the part
+	// of it that came so far.
+	whole, begun *platform.Batch
+	// wanted is when the whole table was wanted last to be given to others.
+	wanted time.Time
 	// left is the router that was left last: the others are tried before it.
 	left leader
 	// lost is set once it was told that the routers do not reach the store.
@@ -217,10 +220,15 @@
 			return platform.Batch{}, err
 		}
 		now := g.clock.Now()
-		b := decodeRows(msg)
+		b, err := decodeTableNews(msg)
+		if err != nil {
+			return platform.Batch{}, err
+		}
 		if msg.Whole {
-			t.whole = &b
-			return platform.Batch{}, platform.ErrHistoryLost
+			if t.collect(b, msg.More) {
+				return platform.Batch{}, platform.ErrHistoryLost
+			}
+			continue
 		}
 		if len(b.Changes) > 0 {
 			return b, nil
@@ -239,6 +247,35 @@
 	}
 }
 
+// collect takes a page of the whole table and reports whether it was the last one.
+func (t *through) collect(page platform.Batch, more bool) (last bool) {
+	if t.begun == nil {
+		t.begun = new(platform.Batch)
+	}
+	t.begun.Revision = page.Revision
+	t.begun.Changes = append(t.begun.Changes, page.Changes...)
+	if more {
+		return false
+	}
+	t.whole, t.begun = t.begun, nil
+	return true
+}
+
+// wantWholeEvery is the least time between readings of a whole table for others.
+const wantWholeEvery = 5 * time.Second
+
+// wantsWhole reports whether the whole table is to be read anew, as this router is to give
+// it to others and lacks rows. What it follows goes on from there.
+func (t *through) wantsWhole(wanting bool) bool {
+	now := t.gateway.clock.Now()
+	if !wanting || now.Sub(t.wanted) < wantWholeEvery {
+		return false
+	}
+	t.wanted = now
+	t.close("the whole table is wanted")
+	return true
+}
+
 // withoutStore decides what follows when the router that is followed does not reach
 // the store: others are looked for that do, the loss is told once, and the store is
 // asked from time to time, in case only the others do not reach it.
--- a/gateway/through_test.go
+++ b/gateway/through_test.go
@@ -40,6 +40,7 @@
 		clock:    clockwork.NewRealClock(), metrics: m, log: zerolog.New(io.Discard), streams: &http.Client{}, placer: newPlacer(t),
 	}
 	g.logs = g.newLogs()
+	g.logs.setKeeping(true)
 	g.leaders.Store(new([]leader))
 	return g
 }
@@ -48,6 +49,7 @@
 func serveTables(t *testing.T, g *Gateway) leader {
 	t.Helper()
 	g.leads.Store(true)
+	g.serves.Store(true)
 	s, err := control.Listen(control.Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), FleetKey: testFleetKey, Follow: g.handOn, WrongKey: func() {},
 		Ready: func() bool { return true }, Metrics: http.NotFoundHandler(),
@@ -149,7 +151,7 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		time.Sleep(2 * keepalive)
-		first.logs[wire.TableTargets].Confirm()
+		first.logs[wire.TableTargets].Confirm(time.Now())
 		return nil
 	})
 	_, ask, err = r.next(ctx, at(5), time.Minute)
@@ -191,7 +193,7 @@
 func TestReaderBehindALargeTableReadsTheStore(t *testing.T) {
 	r, first, _ := followTwo(t, clockwork.NewRealClock())
 	large := change("t", 8)
-	large.Size = 2 << 20
+	large.Size = usualLog + 1
 	first.logs[wire.TableTargets].Append(at(8), large)
 	_, ask, err := r.next(context.Background(), at(5), time.Second)
 	assert.Assert(t, eris.Is(err, platform.ErrHistoryLost) && !ask)
