One change of a target costs one target

Cause: each change of one of 10,000 targets had all of them sorted, hashed, put into maps and their routers found anew: 28 ms of a core a change (owner.New 19 ms, SetTargets 9.1 ms and 1.3 MB), 46 ms at twice the size. Ruled out: collecting changes for longer: targets that leave have to be left alone within their drain. Change: the roster tells which entries changed; the placer takes these alone; who answers for a target is found when it is asked for, among the routers of its data centre. Targets at one address are ordered by their names, so that routers agree.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -71,7 +71,8 @@
 // ownerOf returns the router that answers for a target: the next one if the first has
 // been silent.
 func (a *asker) ownerOf(target place.Hash) *owner.Router {
-	first, second := a.gateway.owners.Load().Of(target)
+	g := a.gateway
+	first, second := g.owners.Load().Of(owner.Target{Hash: target, DataCentre: g.placer.DataCentre(target)})
 	if first == nil || second == nil || first.Name == a.gateway.settings.Host {
 		return first
 	}
--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -57,7 +57,7 @@
 		all = append(all, g)
 		routers = append(routers, owner.Router{Name: g.settings.Host, DataCentre: "dc", Peer: g.transport.Address()})
 	}
-	table := owner.New([]owner.Target{{Hash: place.HashOf("t"), DataCentre: "dc"}}, routers)
+	table := owner.New(routers)
 	for _, g := range all {
 		g.owners.Store(table)
 	}
@@ -116,7 +116,7 @@
 
 func TestRouterThatAnswersForATargetKnowsWhatOthersPlacedThere(t *testing.T) {
 	all, clock := newAskers(t, 4, new(sync.Map))
-	first, second := all[0].owners.Load().Of(place.HashOf("t"))
+	first, second := all[0].owners.Load().Of(owner.Target{Hash: place.HashOf("t")})
 	byName(all, first).placer.Place(ask("a"))
 	g := another(all, first, second)
 	r := ask("b")
@@ -132,7 +132,7 @@
 func TestSilentRouterDelaysFewRequests(t *testing.T) {
 	silent := new(sync.Map)
 	all, clock := newAskers(t, 4, silent)
-	first, second := all[0].owners.Load().Of(place.HashOf("t"))
+	first, second := all[0].owners.Load().Of(owner.Target{Hash: place.HashOf("t")})
 	silent.Store(first.Name, true)
 	byName(all, second).placer.Place(ask("a"))
 	g := another(all, first, second)
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -82,7 +82,7 @@
 	if unknown := table.UnknownRegions(slices.Collect(maps.Values(g.settings.Regions))); len(unknown) > 0 {
 		g.log.Warn().Uint64("version", table.Version).Strs("regions", unknown).Msg("configuration names regions without a data centre, requests bound to them alone are refused")
 	}
-	l.publishTargets()
+	l.publishServices()
 }
 
 // hearTime is how long a router that starts waits at most to hear of another one, before it
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -16,7 +16,6 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
-	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
@@ -55,7 +54,6 @@
 	b.Cleanup(func() { g.control.Close() }) //nolint:errcheck // nobody calls it
 	g.logs = g.newLogs()
 	g.leaders.Store(new([]leader))
-	g.owners.Store(new(owner.Table))
 	g.asker = newAsker(g)
 	g.retries = request.NewBudget(0, 0)
 	return newLoop(g)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,6 @@
 	g.retries = newRetries(s)
 	g.started, g.learned, g.unannounced = o.Clock.Now(), make(chan struct{}), make(chan struct{}, 1)
 	g.logs = g.newLogs()
-	g.owners.Store(new(owner.Table))
 	g.asker = newAsker(g)
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -40,6 +40,14 @@
 	return p
 }
 
+// newEmptyPlacer returns a placer whose targets come from a control loop.
+func newEmptyPlacer(t *testing.T) *place.Placer {
+	t.Helper()
+	p := newPlacer(t)
+	p.SetTargets(nil, nil)
+	return p
+}
+
 func ask(id string) place.Request {
 	return place.Request{Service: "m", Customer: "c", Objective: 1e9, Call: &message.Call{
 		Parts: []message.Part{{ID: "shared", Tokens: 900}, {ID: id, Tokens: 100}}, PromptTokens: 1000, MaxTokens: 10,
--- a/gateway/large_test.go
+++ b/gateway/large_test.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/revision"
 )
@@ -58,3 +60,38 @@
 		})
 	}
 }
+
+// TestOneChangeCostsTheSameAtAnySize has one target of many change its entry, leave and
+// come: what is allocated for it does not grow with the targets.
+func TestOneChangeCostsTheSameAtAnySize(t *testing.T) {
+	var least float64
+	for i, n := range []int{1000, 10_000, 20_000} {
+		l := newLargeControl(t, n)
+		l.findOwners()
+		version := uint64(n)
+		allocs := testing.AllocsPerRun(20, func() {
+			version++
+			l.takeTargets(platform.Batch{Revision: revision.Revision{Count: version}, Changes: []platform.Change{entryOf(int(version)%n, version)}}, false)
+		})
+		if i == 0 {
+			least = allocs
+		}
+		assert.Assert(t, allocs <= least+8, "%v allocations at %d targets, %v at the fewest", allocs, n, least)
+	}
+}
+
+// BenchmarkChangeOfTarget takes one changed entry.
+func BenchmarkChangeOfTarget(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := newLargeControl(b, n)
+			hearAll(l, 1)
+			l.findOwners()
+			version := uint64(n)
+			for b.Loop() {
+				version++
+				l.takeTargets(platform.Batch{Revision: revision.Revision{Count: version}, Changes: []platform.Change{entryOf(int(version)%n, version)}}, false)
+			}
+		})
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -71,15 +71,11 @@
 	// for those of its data centre.
 	others int
 	role   feed.Role
-	// routers and ownedOf are those from which it was last found out who answers for
-	// which target, owned is the number of targets that this router answers for.
+	// routers are those from which it was last found out who answers for targets.
 	routers []owner.Router
-	ownedOf []*roster.Target
-	owned   int
 	roster  *roster.Roster
-	targets []*roster.Target
-	// ids are those of the targets by their hashes.
-	ids map[place.Hash]string
+	// published are the entries that the placer has by id.
+	published map[string]*roster.Target
 	// random draws the times of heartbeats; tests seed it.
 	random *rand.Rand
 	// beats counts the heartbeats to all routers.
@@ -119,6 +115,7 @@
 }
 
 func newLoop(g *Gateway) *loop {
+	g.owners.Store(owner.New(nil))
 	return &loop{
 		gateway: g,
 		tasks:   make(chan func(*loop), inbox),
@@ -132,6 +129,7 @@
 			Peer:    func() netip.AddrPort { return g.transport.Address() },
 		}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
+		published:   make(map[string]*roster.Target),
 		leaving:     make(map[place.Hash]departure),
 		words:       make(map[place.Hash]revision.Revision),
 		evacuations: make(map[string]evacuation),
@@ -294,11 +292,7 @@
 }
 
 func (l *loop) sweep() {
-	known := make(map[string]bool, len(l.targets))
-	for _, t := range l.targets {
-		known[t.Incarnation()] = true
-	}
-	l.gateway.links.Sweep(func(id string) bool { return known[id] })
+	l.gateway.links.Sweep(l.gateway.placer.Knows)
 }
 
 // hear takes a heartbeat of another router.
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -7,10 +7,10 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/roster"
 )
 
-// findOwners finds out which routers answer for the targets, if routers or targets
-// changed.
+// findOwners finds out which routers answer for targets, if routers changed.
 func (l *loop) findOwners() {
 	g := l.gateway
 	routers := []owner.Router{{Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address()}}
@@ -19,22 +19,34 @@
 			routers = append(routers, owner.Router{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
 	}
-	if slices.Equal(routers, l.routers) && slices.Equal(l.targets, l.ownedOf) {
+	if slices.Equal(routers, l.routers) {
 		return
 	}
-	l.routers, l.ownedOf = routers, l.targets
-	targets := make([]owner.Target, len(l.targets))
-	for i, t := range l.targets {
-		targets[i] = owner.Target{Hash: place.HashOf(t.Incarnation()), DataCentre: t.DataCentre}
-	}
-	table := owner.New(targets, routers)
+	l.routers = routers
+	table := owner.New(routers)
 	g.owners.Store(table)
-	owned := table.Owned(g.settings.Host)
+	owned := make(map[place.Hash]bool)
+	for _, t := range l.published {
+		if target := ownerTarget(t); l.answersFor(target) {
+			owned[target.Hash] = true
+		}
+	}
 	g.placer.SetOwned(owned)
-	if len(owned) != l.owned {
-		l.owned = len(owned)
-		g.log.Info().Int("targets", len(owned)).Int("routers", len(routers)).Msg("targets that this router answers for")
+	g.log.Info().Int("targets", len(owned)).Int("routers", len(routers)).Msg("targets that this router answers for")
+}
+
+func ownerTarget(t *roster.Target) owner.Target {
+	return owner.Target{Hash: place.HashOf(t.Incarnation()), DataCentre: t.DataCentre}
+}
+
+// answersFor reports whether this router answers for a target.
+func (l *loop) answersFor(t owner.Target) bool {
+	table := l.gateway.owners.Load()
+	if t.DataCentre != l.gateway.settings.DataCentre && table.HasRouter(t.DataCentre) {
+		return false
 	}
+	first, _ := table.Of(t)
+	return first != nil && first.Name == l.gateway.settings.Host
 }
 
 // tellNews tells the routers that answer for targets what this one did there.
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -167,7 +167,7 @@
 	changed := false
 	for _, t := range leaving {
 		hash, at := place.Hash(t.Target), revision.Revision{Era: t.Era, Count: t.Version}
-		id, known := l.ids[hash]
+		id, known := l.gateway.placer.TargetID(hash)
 		switch {
 		case t.Said:
 			l.hearSaid(hash, id, from)
@@ -219,17 +219,37 @@
 	}
 }
 
-// publishTargets gives targets and engines to the placer.
+// publishTargets gives the targets that changed to the placer.
 func (l *loop) publishTargets() {
-	var table *route.Table
-	if a := l.gateway.table.Load(); a != nil {
-		table = a.table
+	var entries []*roster.Target
+	var gone []string
+	for _, id := range l.roster.TakeChanged() {
+		before, now := l.published[id], l.roster.Get(id)
+		if before != nil && (now == nil || now.Incarnation() != before.Incarnation()) {
+			gone = append(gone, before.Incarnation())
+		}
+		if now == nil {
+			delete(l.published, id)
+			continue
+		}
+		l.published[id] = now
+		entries = append(entries, now)
 	}
-	l.targets = l.roster.Targets()
-	l.ids = make(map[place.Hash]string, len(l.targets))
-	for _, t := range l.targets {
-		l.ids[place.HashOf(t.Incarnation())] = t.ID
+	l.gateway.placer.ChangeTargets(entries, gone, l.routes())
+	for _, t := range entries {
+		if target := ownerTarget(t); l.answersFor(target) {
+			l.gateway.placer.Own(target.Hash)
+		}
+	}
+}
+
+// publishServices gives the services of the configuration in force to the placer.
+func (l *loop) publishServices() { l.gateway.placer.ChangeTargets(nil, nil, l.routes()) }
+
+// routes is the table in force, nil if there is none.
+func (l *loop) routes() *route.Table {
+	if a := l.gateway.table.Load(); a != nil {
+		return a.table
 	}
-	l.gateway.placer.SetTargets(l.targets, table)
-	l.findOwners()
+	return nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -9,11 +9,14 @@
 // different ones, which costs accuracy: an answer is a hint, and a router that gets none
 // in time goes by what it knows itself.
 //
+// A Table knows only routers, so that a target that comes or goes changes nothing, and a
+// router that comes or goes concerns the targets of its own data centre.
+//
 // The package has no I/O. A Table is immutable.
 //
 // # Usage
 //
-//	t := owner.New(targets, routers)
+//	t := owner.New(routers)
 //	first, second := t.Of(target)
 package owner
 
@@ -38,31 +41,10 @@
 	DataCentre string
 }
 
-// pair are the routers of a target: the one that answers for it and the next one.
-type pair struct{ first, second *Router }
-
-// Table holds the routers of all targets.
-type Table struct{ pairs map[place.Hash]pair }
-
-// New finds the routers of targets among those that are there. Targets of data centres
-// without a router go to any.
-func New(targets []Target, routers []Router) *Table {
-	byDataCentre := make(map[string][]candidate)
-	var all []candidate
-	for i := range routers {
-		c := candidate{router: &routers[i], seed: xxhash.Sum64String(routers[i].Name)}
-		byDataCentre[c.router.DataCentre] = append(byDataCentre[c.router.DataCentre], c)
-		all = append(all, c)
-	}
-	t := &Table{pairs: make(map[place.Hash]pair, len(targets))}
-	for _, target := range targets {
-		among := byDataCentre[target.DataCentre]
-		if len(among) == 0 {
-			among = all
-		}
-		t.pairs[target.Hash] = choose(target.Hash, among)
-	}
-	return t
+// Table holds the routers that answer for targets.
+type Table struct {
+	byDataCentre map[string][]candidate
+	all          []candidate
 }
 
 type candidate struct {
@@ -70,36 +52,38 @@
 	seed   uint64
 }
 
-// choose returns the two routers with the greatest weights.
-func choose(target place.Hash, among []candidate) pair {
-	var p pair
-	var first, second uint64
-	for _, c := range among {
-		switch w := place.Mix(c.seed ^ uint64(target)); {
-		case p.first == nil || w > first:
-			p.second, second = p.first, first
-			p.first, first = c.router, w
-		case p.second == nil || w > second:
-			p.second, second = c.router, w
-		}
+// New returns the table of the routers that are there.
+func New(routers []Router) *Table {
+	t := &Table{byDataCentre: make(map[string][]candidate)}
+	for i := range routers {
+		r := &routers[i]
+		c := candidate{router: r, seed: xxhash.Sum64String(r.Name)}
+		t.byDataCentre[r.DataCentre] = append(t.byDataCentre[r.DataCentre], c)
+		t.all = append(t.all, c)
 	}
-	return p
+	return t
 }
 
+// HasRouter reports whether a data centre has a router. Targets of one that has none are
+// answered for by any router.
+func (t *Table) HasRouter(dataCentre string) bool { return len(t.byDataCentre[dataCentre]) > 0 }
+
 // Of returns the router that answers for a target and the one that does if the first
 // is silent; nil if there is none.
-func (t *Table) Of(target place.Hash) (first, second *Router) {
-	p := t.pairs[target]
-	return p.first, p.second
-}
-
-// Owned returns the targets for which a router answers.
-func (t *Table) Owned(name string) map[place.Hash]bool {
-	owned := make(map[place.Hash]bool)
-	for h, p := range t.pairs {
-		if p.first != nil && p.first.Name == name {
-			owned[h] = true
+func (t *Table) Of(target Target) (first, second *Router) {
+	among := t.byDataCentre[target.DataCentre]
+	if len(among) == 0 {
+		among = t.all
+	}
+	var most, next uint64
+	for _, c := range among {
+		switch w := place.Mix(c.seed ^ uint64(target.Hash)); {
+		case first == nil || w > most:
+			second, next = first, most
+			first, most = c.router, w
+		case second == nil || w > next:
+			second, next = c.router, w
 		}
 	}
-	return owned
+	return first, second
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -27,14 +27,17 @@
 
 func TestTargetsAreSpreadOverTheRoutersOfTheirDataCentre(t *testing.T) {
 	targets, routers := fleet(59)
-	table := New(targets, routers)
+	table := New(routers)
+	owned := make(map[string]int)
 	most := 0
-	for _, r := range routers {
-		most = max(most, len(table.Owned(r.Name)))
+	for _, x := range targets {
+		first, _ := table.Of(x)
+		owned[first.Name]++
+		most = max(most, owned[first.Name])
 	}
 	assert.Assert(t, most <= 6, "one router answers for %d of 320 targets", most)
 	for _, x := range targets {
-		first, second := table.Of(x.Hash)
+		first, second := table.Of(x)
 		assert.Equal(t, first.DataCentre, x.DataCentre)
 		assert.Equal(t, second.DataCentre, x.DataCentre)
 		assert.Assert(t, first != second)
@@ -45,12 +48,12 @@
 // one that answers once the first is known to be lost.
 func TestLostRouterMovesOnlyItsTargets(t *testing.T) {
 	targets, routers := fleet(59)
-	before := New(targets, routers)
+	before := New(routers)
 	lost := routers[17].Name
-	after := New(targets, append(append([]Router{}, routers[:17]...), routers[18:]...))
+	after := New(append(append([]Router{}, routers[:17]...), routers[18:]...))
 	for _, x := range targets {
-		first, second := before.Of(x.Hash)
-		now, _ := after.Of(x.Hash)
+		first, second := before.Of(x)
+		now, _ := after.Of(x)
 		if first.Name == lost {
 			assert.Equal(t, now.Name, second.Name)
 		} else {
@@ -61,18 +64,22 @@
 
 func TestDataCentreWithoutRoutersIsAnsweredForElsewhere(t *testing.T) {
 	targets, routers := fleet(3)
-	table := New(targets, routers[:3])
-	first, _ := table.Of(targets[319].Hash)
+	table := New(routers[:3])
+	first, _ := table.Of(targets[319])
 	assert.Equal(t, first.DataCentre, "dc0")
-	first, second := New(targets, nil).Of(targets[0].Hash)
+	first, second := New(nil).Of(targets[0])
 	assert.Assert(t, first == nil && second == nil)
 }
 
-// BenchmarkNew finds out who answers for 320 targets among 295 routers, which is done
-// when a router or target comes or goes.
-func BenchmarkNew(b *testing.B) {
-	targets, routers := fleet(59)
-	for b.Loop() {
-		New(targets, routers)
+// BenchmarkOf finds out who answers for a target among the routers of a data centre.
+func BenchmarkOf(b *testing.B) {
+	for _, n := range []int{20, 59, 197, 400} {
+		targets, routers := fleet(n)
+		table := New(routers)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				table.Of(targets[0])
+			}
+		})
 	}
 }
--- a/place/ask.go
+++ b/place/ask.go
@@ -138,10 +138,7 @@
 		return
 	}
 	t.answered = time.Time{}
-	t.others = Load{}
-	for _, r := range p.peers {
-		t.others.Requests += r.loads[t.hash].Requests
-	}
+	t.others = p.loadOfOthers(t.hash)
 }
 
 // SetOwned takes the targets for which this router answers. What one that it did not
@@ -149,13 +146,28 @@
 func (p *Placer) SetOwned(targets map[Hash]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for h := range targets {
+		p.own(h)
+	}
+	p.owned = targets
+}
+
+// Own has this router answer for one more target.
+func (p *Placer) Own(target Hash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own(target)
+	if p.owned == nil {
+		p.owned = make(map[Hash]bool)
+	}
+	p.owned[target] = true
+}
+
+func (p *Placer) own(target Hash) {
 	now := p.clock.Now()
 	// At the first start of a fleet its targets keep nothing.
 	began := p.fresh && now.Sub(p.started) < warmFor
-	for h := range targets {
-		if t := p.byHash[h]; t != nil && !p.owned[h] && !began && !t.late {
-			t.warmUntil = now.Add(warmFor)
-		}
+	if t := p.byHash[target]; t != nil && !p.owned[target] && !began && !t.late {
+		t.warmUntil = now.Add(warmFor)
 	}
-	p.owned = targets
 }
--- a/place/home.go
+++ b/place/home.go
@@ -126,7 +126,7 @@
 	var first [good + 1]ranking
 	for _, t := range s.targets {
 		weight := Mix(key ^ t.seed)
-		if !first[good].takes(weight) {
+		if !first[good].takes(t, weight) {
 			continue
 		}
 		g := p.grade(s, t, r, now)
@@ -137,7 +137,7 @@
 		best = &first[doubtful]
 	}
 	for i, t := range first[unusable].list() {
-		if best.takes(first[unusable].weights[i]) && r.allows(t.region) && p.copiesFrom(t, now) {
+		if best.takes(t, first[unusable].weights[i]) && r.allows(t.region) && p.copiesFrom(t, now) {
 			left = append(left, t)
 		}
 	}
@@ -151,15 +151,23 @@
 	n       int
 }
 
-// takes reports whether a weight is among the greatest.
-func (r *ranking) takes(weight uint64) bool { return r.n < maxHomes || weight > r.weights[maxHomes-1] }
+// takes reports whether a target is among those with the greatest weights.
+func (r *ranking) takes(t *target, weight uint64) bool {
+	return r.n < maxHomes || r.follows(maxHomes-1, t, weight)
+}
+
+// follows reports whether the target at a place comes after another one. Targets at the same
+// address have the same weight and go by their names, so that all routers agree.
+func (r *ranking) follows(at int, t *target, weight uint64) bool {
+	return r.weights[at] < weight || r.weights[at] == weight && r.targets[at].incarnation > t.incarnation
+}
 
 func (r *ranking) add(t *target, weight uint64) {
-	if !r.takes(weight) {
+	if !r.takes(t, weight) {
 		return
 	}
 	at := min(r.n, maxHomes-1)
-	for at > 0 && r.weights[at-1] < weight {
+	for at > 0 && r.follows(at-1, t, weight) {
 		r.targets[at], r.weights[at] = r.targets[at-1], r.weights[at-1]
 		at--
 	}
--- a/place/news.go
+++ b/place/news.go
@@ -178,14 +178,11 @@
 	}
 }
 
-// sumLoads counts the loads of all other routers anew.
-func (p *Placer) sumLoads() {
-	for _, t := range p.targets {
-		t.others = Load{}
-	}
+// loadOfOthers sums up what other routers told of their work at a target.
+func (p *Placer) loadOfOthers(h Hash) Load {
+	var sum Load
 	for _, r := range p.peers {
-		for h, l := range r.loads {
-			p.count(h, l.Requests)
-		}
+		sum.Requests += r.loads[h].Requests
 	}
+	return sum
 }
--- a/place/notices.go
+++ b/place/notices.go
@@ -151,15 +151,10 @@
 	return Decision{Reason: BackingOff, RetryAfter: left + spread, First: first.ID}
 }
 
-// listNotices joins the notices with the targets of a new list, and forgets those of runs
-// that have not been in it for long.
-func (p *Placer) listNotices(now time.Time) {
+// forgetNotices forgets what runs said that have not been listed for long.
+func (p *Placer) forgetNotices(now time.Time) {
 	for h, s := range p.notices {
-		switch t := p.byHash[h]; {
-		case t != nil:
-			t.noticed = s
-			s.listed = now
-		case now.Sub(s.listed) >= noticesFor:
+		if p.byHash[h] == nil && now.Sub(s.listed) >= noticesFor {
 			delete(p.notices, h)
 		}
 	}
--- a/place/targets.go
+++ b/place/targets.go
@@ -40,6 +40,8 @@
 	slow    slowness
 	// incarnation names the run of the target that this state is of.
 	incarnation string
+	// place is that in the list of its service.
+	place int
 	// late tells that the target started after this router had learned of others, so
 	// that it keeps nothing which this router does not know of.
 	late bool
@@ -83,39 +85,124 @@
 func (p *Placer) SetTargets(list []*roster.Target, table *route.Table) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.targets
-	first := len(known) == 0
-	p.targets = make(map[string]*target, len(list))
-	p.byHash = make(map[Hash]*target, len(list))
-	for _, s := range p.services {
-		s.targets = nil
-	}
+	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
-		incarnation := entry.Incarnation()
-		t := known[incarnation]
-		if t == nil {
-			t = &target{incarnation: incarnation, hash: HashOf(incarnation), late: !first}
-			if p.warm {
-				t.warmUntil = p.clock.Now().Add(warmFor)
-			}
+		listed[entry.Incarnation()] = true
+	}
+	var gone []string
+	for incarnation := range p.targets {
+		if !listed[incarnation] {
+			gone = append(gone, incarnation)
+		}
+	}
+	p.change(list, gone, table)
+}
+
+// ChangeTargets takes entries that are new or changed, and the incarnations that went. It
+// costs as much as there are of these, however many targets there are.
+func (p *Placer) ChangeTargets(entries []*roster.Target, gone []string, table *route.Table) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.change(entries, gone, table)
+}
+
+func (p *Placer) change(entries []*roster.Target, gone []string, table *route.Table) {
+	first := len(p.targets) == 0
+	now := p.clock.Now()
+	for _, incarnation := range gone {
+		if t := p.targets[incarnation]; t != nil {
+			p.remove(t)
 		}
-		if t.Target == nil || t.Revision != entry.Revision {
-			t.coldUntil = p.clock.Now().Add(entry.ColdLeft)
+	}
+	for _, entry := range entries {
+		p.put(entry, first, now)
+	}
+	p.forgetNotices(now)
+	p.warm = p.warm && len(p.targets) == 0
+	if table != nil {
+		p.setEngines(table)
+	}
+}
+
+// put takes an entry. First tells that no target was known before.
+func (p *Placer) put(entry *roster.Target, first bool, now time.Time) {
+	incarnation := entry.Incarnation()
+	t := p.targets[incarnation]
+	if t == nil {
+		t = &target{incarnation: incarnation, hash: HashOf(incarnation), late: !first}
+		if p.warm {
+			t.warmUntil = now.Add(warmFor)
 		}
-		t.Target = entry
-		t.seed = xxhash.Sum64String(entry.Address.String())
-		t.region = p.regions[entry.DataCentre]
 		p.targets[incarnation] = t
 		p.byHash[t.hash] = t
+		t.others = p.loadOfOthers(t.hash)
+		t.noticed = p.notices[t.hash]
+	} else if t.Service != entry.Service {
+		p.unlist(t)
+	}
+	if t.Target == nil || t.Revision != entry.Revision {
+		t.coldUntil = now.Add(entry.ColdLeft)
+	}
+	listed := t.Target != nil && t.Service == entry.Service
+	t.Target = entry
+	t.seed = xxhash.Sum64String(entry.Address.String())
+	t.region = p.regions[entry.DataCentre]
+	if !listed {
 		s := p.service(entry.Service)
+		t.place = len(s.targets)
 		s.targets = append(s.targets, t)
 	}
-	p.listNotices(p.clock.Now())
-	p.warm = p.warm && len(list) == 0
-	if table != nil {
-		p.setEngines(table)
+}
+
+// remove forgets a target. What it said of itself is kept for a while, as its entry may
+// come back.
+func (p *Placer) remove(t *target) {
+	delete(p.targets, t.incarnation)
+	if p.byHash[t.hash] == t {
+		delete(p.byHash, t.hash)
+		delete(p.owned, t.hash)
+	}
+	if t.noticed != nil {
+		t.noticed.listed = p.clock.Now()
+	}
+	p.unlist(t)
+}
+
+// unlist takes a target out of the list of its service.
+func (p *Placer) unlist(t *target) {
+	s := p.service(t.Service)
+	last := len(s.targets) - 1
+	s.targets[t.place] = s.targets[last]
+	s.targets[t.place].place = t.place
+	s.targets[last] = nil
+	s.targets = s.targets[:last]
+}
+
+// Knows reports whether a run of a target is listed.
+func (p *Placer) Knows(incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.targets[incarnation] != nil
+}
+
+// TargetID returns the id of a listed target.
+func (p *Placer) TargetID(target Hash) (id string, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byHash[target]; t != nil {
+		return t.ID, true
+	}
+	return "", false
+}
+
+// DataCentre returns that of a listed target, "" if it is not known.
+func (p *Placer) DataCentre(target Hash) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byHash[target]; t != nil {
+		return t.DataCentre
 	}
-	p.sumLoads()
+	return ""
 }
 
 // SetEvacuated takes the data centres whose targets are to get nothing new.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -36,6 +36,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -121,7 +122,9 @@
 	// the entries of such runs in a copy.
 	gone     map[string]time.Time
 	withheld map[string]Target
-	away     bool
+	// changed are the ids of targets whose entry is another than TakeChanged told last.
+	changed map[string]bool
+	away    bool
 	// catching is set until the changes made during an outage were taken.
 	catching bool
 	// settled is when entries that are missing after an outage count as gone.
@@ -133,6 +136,7 @@
 	return &Roster{
 		options: o, targets: make(map[string]*Target), doubted: make(map[string]doubt),
 		copied: make(map[string]bool), gone: make(map[string]time.Time), withheld: make(map[string]Target),
+		changed: make(map[string]bool),
 	}
 }
 
@@ -174,7 +178,7 @@
 	case known == nil && t.Unreadable:
 		return Departure{}, false
 	case known == nil:
-		r.targets[t.ID] = &t
+		r.set(&t)
 		return Departure{}, false
 	case t.Revision.Before(known.Revision):
 		return Departure{}, false
@@ -185,7 +189,7 @@
 	case t.Started.Before(known.Started) && !t.Started.IsZero():
 		return Departure{}, false
 	}
-	r.targets[t.ID] = &t
+	r.set(&t)
 	delete(r.doubted, t.ID)
 	if t.Incarnation() == known.Incarnation() {
 		return Departure{}, false
@@ -193,6 +197,19 @@
 	return known.Departure(t.Revision), true
 }
 
+// set makes t the entry of its target.
+func (r *Roster) set(t *Target) {
+	r.targets[t.ID] = t
+	r.changed[t.ID] = true
+}
+
+// TakeChanged returns the ids of the targets whose entry changed or went since the last call.
+func (r *Roster) TakeChanged() []string {
+	ids := slices.Collect(maps.Keys(r.changed))
+	clear(r.changed)
+	return ids
+}
+
 // putCopied takes an entry of a table that came back from a copy.
 func (r *Roster) putCopied(t Target) (gone Departure, ended bool) {
 	if until, ok := r.gone[t.Incarnation()]; ok && r.options.Clock.Now().Before(until) {
@@ -245,7 +262,7 @@
 	}
 	leaving := *t
 	leaving.Draining = true
-	r.targets[id] = &leaving
+	r.set(&leaving)
 	return true
 }
 
@@ -253,6 +270,7 @@
 func (r *Roster) drop(id string) {
 	r.gone[r.targets[id].Incarnation()] = r.options.Clock.Now().Add(goneFor)
 	delete(r.targets, id)
+	r.changed[id] = true
 	delete(r.doubted, id)
 	delete(r.copied, id)
 }
