Routers of large fleets report on each other by cells

Cause: heartbeats of all to all, each 8 ms x routers: 7.9 s at 985, so that a router that ended was noticed after 20 s, and everything told with heartbeats came as late. At a start routers that knew few others sent and expected heartbeats often, those that knew many seldom: 100 to 200 'router not reachable' and 40 to 90 changes of leaders a second on 120 routers. Announcements of all went to one part of the store, which takes 300 writes a second; each router read the whole list of 985. Change: package presence. Routers send heartbeats to the relays of their cell (package feed), these report to the leaders of the data centre, leaders to each other and back down. Sums of customers' use take the same way (place.Totals): the 64 customers that ask for most one by one, the others as one mean. Entries of routers stand in parts by data centre; a router of a large fleet reads its own part and follows the others through leaders; the first leader removes entries of routers that are gone for a minute. Up to 128 known routers all still hear all.

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 // starts for the first time has none.
 func (g *Gateway) introduce(ctx context.Context, self platform.Host) ([]platform.Host, error) {
 	if !g.settings.FirstStart {
-		hosts, err := g.store.Hosts(ctx)
+		hosts, err := g.hosts(ctx)
 		if err != nil || slices.Contains(hosts, self) {
 			return hosts, err
 		}
@@ -45,7 +46,36 @@
 	if err := g.store.Announce(ctx, self); err != nil {
 		return nil, err
 	}
-	return g.store.Hosts(ctx)
+	return g.hosts(ctx)
+}
+
+// fewHosts is the number of routers in the own data centre up to which those of the others
+// are read in the store too. Routers of large fleets learn of them through leaders.
+const fewHosts = 48
+
+// hosts returns the entries of the routers of this data centre, and of the others if there
+// are few.
+func (g *Gateway) hosts(ctx context.Context) ([]platform.Host, error) {
+	own := g.settings.DataCentre
+	hosts, err := g.store.Hosts(ctx, own)
+	if err != nil || len(hosts) > fewHosts {
+		return hosts, err
+	}
+	others := slices.DeleteFunc(g.dataCentres(), func(dc string) bool { return dc == own })
+	if len(others) == 0 {
+		return hosts, nil
+	}
+	more, err := g.store.Hosts(ctx, others...)
+	return append(hosts, more...), err
+}
+
+// dataCentres returns all that the settings name, this router's among them.
+func (g *Gateway) dataCentres() []string {
+	list := slices.Sorted(maps.Keys(g.settings.Regions))
+	if !slices.Contains(list, g.settings.DataCentre) {
+		list = append(list, g.settings.DataCentre)
+	}
+	return list
 }
 
 // Pauses between tries to announce this router. Heartbeats to known contacts
@@ -72,7 +102,7 @@
 			return nil
 		case <-g.unannounced:
 		}
-		if g.clock.Since(written) > revision.CopyAge {
+		if !g.withdrawn.Swap(false) && g.clock.Since(written) > revision.CopyAge {
 			continue
 		}
 		if err := g.store.Announce(ctx, self); err != nil {
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -91,6 +91,8 @@
 const (
 	hearTime  = 300 * time.Millisecond
 	fetchTime = 2 * time.Second
+	// othersTime is hearTime where others are known to be there.
+	othersTime = 800 * time.Millisecond
 )
 
 // mayBeBehind reports whether others have a newer configuration than the one of a version
@@ -103,7 +105,7 @@
 	}
 	waited := g.clock.Since(l.contact.Started)
 	if !l.heard {
-		return waited < hearTime || l.others > 0 && waited < hostsTime+hearTime
+		return waited < hearTime || l.others > 0 && waited < othersTime
 	}
 	newer := func(h *member.Host) bool { return h.ConfigVersion > version }
 	return waited < fetchTime && slices.ContainsFunc(l.reachable(), newer)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -38,12 +38,23 @@
 
 // heardOf returns when the store last answered about a table.
 func (g *Gateway) heardOf(table string) *answered {
-	if table == wire.TableOperator {
+	switch table {
+	case wire.TableOperator:
 		return &g.routesAnswered
+	case wire.TableRouters:
+		return &g.routersAnswered
 	}
 	return &g.targetsAnswered
 }
 
+// parts are those of the store's table.
+func (g *Gateway) parts(table string) []string {
+	if table == wire.TableRouters {
+		return g.dataCentres()
+	}
+	return nil
+}
+
 // source follows a table of the store, by itself or through another router, and notes
 // when the store answered.
 func (g *Gateway) source(t *through, take func(platform.Batch, bool)) follow.Options[platform.Batch] {
@@ -54,7 +65,7 @@
 			if b, ok := t.snapshot(ctx); ok {
 				return b, b.Revision, nil
 			}
-			b, err := g.store.Snapshot(ctx, table)
+			b, err := g.store.Snapshot(ctx, table, g.parts(table)...)
 			return b, b.Revision, err
 		},
 		Feed: func(ctx context.Context, since revision.Revision, wait time.Duration) (platform.Batch, revision.Revision, error) {
@@ -177,3 +188,18 @@
 	o.Regained = func() { g.loop.post(ctx, func(l *loop) { l.roster.Resumed() }); regained() }
 	return follow.Run(ctx, o)
 }
+
+// followRouters follows the entries of other routers once there are many: in small fleets all
+// hear all.
+func (g *Gateway) followRouters(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.many:
+	}
+	t := &through{gateway: g, table: wire.TableRouters}
+	defer t.close("stopping")
+	return follow.Run(ctx, g.source(t, func(b platform.Batch, _ bool) {
+		g.loop.post(ctx, func(l *loop) { l.takeRouters(b) })
+	}))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	// list of targets may be.
 	routesAnswered  answered
 	targetsAnswered answered
+	routersAnswered answered
 	storeLost       atomic.Bool
 	stopping        atomic.Bool
 	// followers is the number of other routers that follow the store, rank that of those
@@ -94,8 +95,13 @@
 	// others there are.
 	started time.Time
 	learned chan struct{}
+	// many is closed once there are so many routers that not all hear all.
+	many chan struct{}
 	// unannounced receives when the store may have lost this router's entry.
 	unannounced chan struct{}
+	// withdrawn is set while another router has removed this one's entry, as it took it for
+	// gone.
+	withdrawn atomic.Bool
 	// ownRank is the place of this router in its data centre by name.
 	ownRank atomic.Int64
 	// leads is set while this router follows the store by itself, serves while others may
@@ -176,7 +182,7 @@
 		}),
 	}
 	g.retries = newRetries(s)
-	g.started, g.learned, g.unannounced = o.Clock.Now(), make(chan struct{}), make(chan struct{}, 1)
+	g.started, g.learned, g.many, g.unannounced = o.Clock.Now(), make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	g.logs = g.newLogs()
 	g.asker = newAsker(g)
 	g.leaders.Store(new([]leader))
@@ -229,6 +235,7 @@
 	g.group.Go(func() error { return g.loop.run(ctx) })
 	g.group.Go(func() error { return g.followRoutes(ctx) })
 	g.group.Go(func() error { return g.followTargets(ctx) })
+	g.group.Go(func() error { return g.followRouters(ctx) })
 	g.group.Go(func() error { return g.announce(ctx) })
 	keeper := quarantine.Keeper{List: g.quarantine, Table: g.store.Table(), Clock: g.clock, Log: g.log, Metrics: g.metrics}
 	g.group.Go(func() error { return keeper.Run(ctx) })
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -16,8 +16,20 @@
 )
 
 // keepalive is the time between messages to a router that follows a table through
-// this one. It is told of a change at once.
-const keepalive = 200 * time.Millisecond
+// this one, rareKeepalive that for the table of routers, which has other ways to be known. It
+// is told of a change at once.
+const (
+	keepalive     = 200 * time.Millisecond
+	rareKeepalive = time.Second
+)
+
+// keepaliveOf is the time between messages on a table.
+func keepaliveOf(table string) time.Duration {
+	if table == wire.TableRouters {
+		return rareKeepalive
+	}
+	return keepalive
+}
 
 var (
 	errNotLeading = eris.New("this router does not follow the store for others")
@@ -40,7 +52,7 @@
 		most = int(logShare * float64(memory))
 	}
 	logs := make(tableLogs)
-	for _, table := range []string{wire.TableOperator, wire.TableTargets} {
+	for _, table := range []string{wire.TableOperator, wire.TableTargets, wire.TableRouters} {
 		logs[table] = feed.NewLog(feed.Options[platform.Change]{Clock: g.clock, Pack: packRows, Most: most})
 	}
 	return logs
@@ -87,7 +99,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-		case <-g.clock.After(keepalive):
+		case <-g.clock.After(keepaliveOf(req.Table)):
 		}
 	}
 }
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -25,6 +25,7 @@
 	role := feed.RoleOf(g.settings.Host, namesOf(own), l.knownInDataCentre())
 	g.ownRank.Store(int64(role.Rank))
 	l.setRole(role, l.leadersAmong(role.Sources, own))
+	l.presence.SetRole(role, l.knownInDataCentre())
 }
 
 // knownInDataCentre is the number of routers of this data centre, this one and those that
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/presence"
 	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/roster"
 )
@@ -67,6 +69,14 @@
 	tasks   chan func(*loop)
 	contact *contact.Contact
 
+	// presence finds out who is there in a large fleet, totals are the sums of use that other
+	// routers told, lastTotals is when this one told some.
+	presence   *presence.Node
+	totals     totalsBoard
+	lastTotals time.Time
+	// withdrew is when entries of routers that are gone were last looked for.
+	withdrew time.Time
+
 	// others is the number of other routers that count as there, role is what this one does
 	// for those of its data centre.
 	others int
@@ -116,7 +126,7 @@
 
 func newLoop(g *Gateway) *loop {
 	g.owners.Store(owner.New(nil))
-	return &loop{
+	l := &loop{
 		gateway: g,
 		tasks:   make(chan func(*loop), inbox),
 		contact: contact.New(contact.Options{
@@ -133,8 +143,13 @@
 		leaving:     make(map[place.Hash]departure),
 		words:       make(map[place.Hash]revision.Revision),
 		evacuations: make(map[string]evacuation),
+		totals:      make(totalsBoard),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	l.presence = presence.New(presence.Options{
+		Host: g.settings.Host, DataCentre: g.settings.DataCentre, Clock: g.clock, Members: l.contact.Members, Random: l.random,
+	})
+	return l
 }
 
 // receive answers a question, takes an answer, or hands on what all routers tell.
@@ -196,7 +211,13 @@
 		l.expireTargets()
 		l.catchUp(ctx, now)
 	}
-	if !now.Before(l.nextBeat) {
+	switch {
+	case l.reporting():
+		if l.ticks%lookEvery == 0 {
+			l.exchange(now)
+			l.withdraw(ctx, now)
+		}
+	case !now.Before(l.nextBeat):
 		l.scheduleBeat(now)
 		l.contact.Members.SetTimeout(silenceTime(l.period))
 		l.beat()
@@ -230,7 +251,8 @@
 
 // findCuts notes which data centres seem to be cut off.
 func (l *loop) findCuts() {
-	beats := make(map[string]time.Time)
+	beats := l.presence.Heard()
+	delete(beats, l.gateway.settings.DataCentre)
 	for _, h := range l.contact.Members.Hosts() {
 		if h.DataCentre != l.gateway.settings.DataCentre && h.Heard.After(beats[h.DataCentre]) {
 			beats[h.DataCentre] = h.Heard
@@ -309,6 +331,7 @@
 	}
 	l.heard = true
 	l.gateway.placer.SetPeer(host.Name, decodeReport(r.Heartbeat))
+	l.hearReport(host, r.Heartbeat.Report)
 	l.hearLeaving(host.Name, r.Heartbeat.LeavingTargets)
 	l.hearEvacuations(host.Name, r.Heartbeat.Evacuations)
 }
@@ -347,11 +370,18 @@
 	}
 	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
 	l.findLeaders(l.gateway.clock.Now())
+	if len(hosts) > fewHosts {
+		l.greet()
+	}
 	close(l.gateway.learned)
 }
 
 func (l *loop) expire() {
-	gone, _ := l.contact.Expire(forgetAfter)
+	after := forgetAfter
+	if l.reporting() {
+		after = math.MaxInt64 // they go with their entries
+	}
+	gone, _ := l.contact.Expire(after)
 	for _, h := range gone {
 		l.gateway.placer.ForgetPeer(h.Name)
 	}
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -61,6 +61,9 @@
 		for !part.Empty() {
 			hb := l.header()
 			hb.Partial = true
+			if l.reporting() {
+				hb.Host = l.contact.Identity() // the router that answers does not hear this one else
+			}
 			encodeNews(hb, part)
 			g.loop.contact.Send(hb, to)
 		}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -14,13 +14,32 @@
 func encodeUses(hb *zinccovev1.Heartbeat, p *place.Placer) {
 	room := room{left: peer.MaxBody - proto.Size(hb)}
 	for customer, use := range p.Uses() {
-		u := &zinccovev1.CustomerUse{Customer: uint32(customer), Served: uint32(use.Served), Asked: uint32(use.Asked), CallsServed: uint32(use.CallsServed), CallsAsked: uint32(use.CallsAsked)}
+		u := encodeUse(customer, use)
 		if room.takes(u) {
 			hb.Uses = append(hb.Uses, u)
 		}
 	}
 }
 
+func encodeUse(customer place.Hash, u place.Use) *zinccovev1.CustomerUse {
+	return &zinccovev1.CustomerUse{
+		Customer: uint32(customer), Served: uint32(max(u.Served, 0)), Asked: uint32(max(u.Asked, 0)),
+		CallsServed: uint32(max(u.CallsServed, 0)), CallsAsked: uint32(max(u.CallsAsked, 0)),
+	}
+}
+
+func decodeUse(u *zinccovev1.CustomerUse) place.Use {
+	return place.Use{Asked: int(u.Asked), Served: int(u.Served), CallsAsked: int(u.CallsAsked), CallsServed: int(u.CallsServed)}
+}
+
+func decodeUses(uses []*zinccovev1.CustomerUse) map[place.Hash]place.Use {
+	m := make(map[place.Hash]place.Use, len(uses))
+	for _, u := range uses {
+		m[place.Hash(u.Customer)] = decodeUse(u)
+	}
+	return m
+}
+
 // encodeNews moves news to a datagram as far as they fit.
 func encodeNews(hb *zinccovev1.Heartbeat, n *place.News) {
 	room := room{left: peer.MaxBody - proto.Size(hb)}
@@ -107,10 +126,7 @@
 		})
 	}
 	if len(hb.Uses) > 0 {
-		r.Uses = make(map[place.Hash]place.Use, len(hb.Uses))
-	}
-	for _, u := range hb.Uses {
-		r.Uses[place.Hash(u.Customer)] = place.Use{Asked: int(u.Asked), Served: int(u.Served), CallsAsked: int(u.CallsAsked), CallsServed: int(u.CallsServed)}
+		r.Uses = decodeUses(hb.Uses)
 	}
 	return r
 }
--- /dev/null
+++ b/gateway/reports.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/member"
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/presence"
+)
+
+const (
+	// meshLimit is the most routers of which each sends heartbeats to all others. Beyond,
+	// they come so rarely that a router that ends is noticed late.
+	meshLimit = 128
+	// totalsEvery is the time between reports that carry sums of use: with four of them
+	// under way the sums are less than two seconds old.
+	totalsEvery = 400 * time.Millisecond
+	// toldCustomers is the number of customers that sums tell one by one.
+	toldCustomers = 64
+)
+
+// reporting reports whether the fleet is so large that routers report on each other.
+func (l *loop) reporting() bool { return len(l.contact.Members.Hosts()) >= meshLimit }
+
+// exchange sends the heartbeats and reports that are due, and makes known what came.
+func (l *loop) exchange(now time.Time) {
+	l.contact.Members.SetTimeout(presence.StaleAfter)
+	l.noteMany()
+	if l.presence.Apply() {
+		l.findLeaders(now)
+	}
+	withTotals := now.Sub(l.lastTotals) >= totalsEvery
+	messages := l.presence.Due()
+	for _, m := range messages {
+		l.sendMessage(m, withTotals)
+	}
+	if withTotals && len(messages) > 0 {
+		l.lastTotals = now
+		l.totals.drop(now.Add(-presence.StaleAfter))
+	}
+}
+
+// noteMany has the entries of routers followed from now on.
+func (l *loop) noteMany() {
+	select {
+	case <-l.gateway.many:
+	default:
+		close(l.gateway.many)
+	}
+}
+
+// takeRouters takes changed entries of routers. One that is removed although its router runs
+// is written again.
+func (l *loop) takeRouters(b platform.Batch) {
+	g := l.gateway
+	hosts, err := platform.DecodeHosts(b)
+	if err != nil {
+		g.metrics.Inc(metric.EntriesRejected)
+		g.log.Warn().Err(err).Msg("router entries rejected")
+	}
+	for _, h := range hosts {
+		if h.Peer.IsValid() {
+			l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+		}
+	}
+	for _, c := range b.Changes {
+		switch {
+		case !c.Removed:
+		case c.Key == g.settings.Host:
+			g.withdrawn.Store(true)
+			g.announceAgain()
+		default:
+			l.contact.Members.Remove(c.Key)
+		}
+	}
+}
+
+const (
+	// withdrawEvery is the least time between removals of entries of routers that are gone.
+	withdrawEvery = 10 * time.Second
+	// mostWithdrawn bounds the entries of one removal.
+	mostWithdrawn = 64
+)
+
+// withdraw has the entries of routers of this data centre removed that are gone for long, if
+// this router is the first there: reports name each one that has an entry and is not heard.
+func (l *loop) withdraw(ctx context.Context, now time.Time) {
+	if l.role.Rank > 0 || now.Sub(l.withdrew) < withdrawEvery {
+		return
+	}
+	l.withdrew = now
+	g := l.gateway
+	var names []string
+	for _, h := range l.contact.Members.Hosts() {
+		last := h.Heard
+		if last.Before(h.Learned) {
+			last = h.Learned
+		}
+		if h.DataCentre == g.settings.DataCentre && !h.Reachable && now.Sub(last) > forgetAfter && len(names) < mostWithdrawn {
+			names = append(names, h.Name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	g.group.Go(func() error {
+		err := g.store.Withdraw(ctx, g.settings.DataCentre, names...)
+		g.log.Info().Err(err).Strs("routers", names).Msg("entries of routers that are gone removed")
+		return nil
+	})
+}
+
+// sendMessage sends a heartbeat or report.
+func (l *loop) sendMessage(m presence.Message, withTotals bool) {
+	g := l.gateway
+	hb := l.header()
+	hb.Host = l.contact.Identity()
+	hb.Report = &zinccovev1.Report{Scope: scopes[m.Scope]}
+	if m.Scope == presence.Beat {
+		encodeUses(hb, g.placer)
+	} else {
+		hb.Evacuations = l.evacuationsToTell()
+		hb.LeavingTargets = l.leavingTargets()
+	}
+	for _, part := range l.reportParts(hb, m, withTotals) {
+		sent, _ := l.contact.Send(part, m.To...)
+		g.metrics.Add(metric.HeartbeatsSent, sent)
+	}
+}
+
+// reportParts returns a report in datagrams: the cells in as many as they need, and the sums
+// in one of their own.
+func (l *loop) reportParts(hb *zinccovev1.Heartbeat, m presence.Message, withTotals bool) []*zinccovev1.Heartbeat {
+	now := l.gateway.clock.Now()
+	list := []*zinccovev1.Heartbeat{hb}
+	room := room{left: peer.MaxBody - proto.Size(hb) - itemOverhead}
+	next := func() *zinccovev1.Heartbeat {
+		more := l.header()
+		more.Host = hb.Host
+		more.Report = &zinccovev1.Report{Scope: hb.Report.Scope}
+		list = append(list, more)
+		return more
+	}
+	at := hb
+	for _, r := range m.Reports {
+		cell := encodeCell(r, now)
+		if !room.takes(cell) {
+			at = next()
+			room.left = peer.MaxBody - proto.Size(at) - itemOverhead
+			room.takes(cell)
+		}
+		at.Report.Cells = append(at.Report.Cells, cell)
+	}
+	if totals, ok := l.totalsOf(m.Scope, now); ok && withTotals {
+		next().Report.Totals = encodeTotals(totals, now)
+	}
+	return list
+}
+
+// mostKeys bounds the routers that a report on a cell names, so that it fits a datagram;
+// cells are smaller.
+const mostKeys = 120
+
+var scopes = map[presence.Scope]zinccovev1.Report_Scope{
+	presence.Beat: zinccovev1.Report_SCOPE_BEAT, presence.Up: zinccovev1.Report_SCOPE_UP,
+	presence.Across: zinccovev1.Report_SCOPE_ACROSS, presence.Down: zinccovev1.Report_SCOPE_DOWN,
+}
+
+func decodeScope(s zinccovev1.Report_Scope) presence.Scope {
+	for scope, code := range scopes {
+		if code == s {
+			return scope
+		}
+	}
+	return presence.Beat
+}
+
+func encodeCell(r presence.Report, now time.Time) *zinccovev1.CellReport {
+	return &zinccovev1.CellReport{
+		DataCentre: r.Cell.DataCentre, Number: uint32(r.Cell.Number), Of: uint32(r.Cell.Of), AgeMs: sinceMs(r.At, now),
+		Gone: r.Gone[:min(len(r.Gone), mostKeys)], Leaving: r.Leaving[:min(len(r.Leaving), mostKeys)],
+	}
+}
+
+func decodeCells(cells []*zinccovev1.CellReport, now time.Time) []presence.Report {
+	var list []presence.Report
+	for _, c := range cells {
+		if c.Of == 0 || c.Number >= c.Of {
+			continue
+		}
+		list = append(list, presence.Report{
+			Cell: presence.Cell{DataCentre: c.DataCentre, Number: int(c.Number), Of: int(c.Of)},
+			At:   now.Add(-time.Duration(c.AgeMs) * time.Millisecond), Gone: c.Gone, Leaving: c.Leaving,
+		})
+	}
+	return list
+}
+
+// hearReport takes the report of a router.
+func (l *loop) hearReport(host *member.Host, r *zinccovev1.Report) {
+	if r == nil {
+		return
+	}
+	now := l.gateway.clock.Now()
+	scope := decodeScope(r.Scope)
+	if r.Totals != nil {
+		l.hearTotals(host, scope, decodeTotals(r.Totals, now))
+		return
+	}
+	if reply := l.presence.Take(host, scope, decodeCells(r.Cells, now)); reply != nil {
+		l.sendMessage(*reply, false)
+	}
+}
+
+// greet tells the routers of the data centre of this one, which just read who they are: those
+// that read the list before it do not know it yet.
+func (l *loop) greet() {
+	hb := l.header()
+	hb.Host = l.contact.Identity()
+	hb.Partial = true
+	var to []netip.AddrPort
+	for _, h := range l.contact.Members.Hosts() {
+		if h.DataCentre == l.gateway.settings.DataCentre && h.Peer.IsValid() {
+			to = append(to, h.Peer)
+		}
+	}
+	l.contact.Send(hb, to...)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
@@ -22,7 +23,7 @@
 		// Keepalives are some bytes; preparing to compress them took 4 % of a router's time.
 		connect.WithAcceptCompression("gzip", nil, nil))
 	ctx, cancel := context.WithCancel(ctx)
-	watch := g.clock.AfterFunc(leaderSilence, cancel)
+	watch := g.clock.AfterFunc(t.patience(), cancel)
 	stream, err := client.FollowTable(ctx, &zinccovev1.FollowTableRequest{Table: t.table, Since: since.Count, SinceEra: since.Era})
 	if err != nil || !watch.Stop() {
 		cancel()
@@ -38,6 +39,11 @@
 	return true
 }
 
+// patience is how long the router that is followed may say nothing.
+func (t *through) patience() time.Duration {
+	return leaderSilence + keepaliveOf(t.table) - keepalive
+}
+
 // maxNews bounds one message of another router in bytes.
 const maxNews = 8 << 20
 
@@ -47,7 +53,7 @@
 		t.first = nil
 		return msg, nil
 	}
-	watch := t.gateway.clock.AfterFunc(leaderSilence, t.end)
+	watch := t.gateway.clock.AfterFunc(t.patience(), t.end)
 	received := t.stream.Receive()
 	watch.Stop()
 	if received {
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -107,7 +107,7 @@
 
 // hostsTime is how long a router that starts waits until it has read which others there
 // are, before it follows a table: each one that does not know asks the store by itself.
-const hostsTime = 500 * time.Millisecond
+const hostsTime = 2 * time.Second
 
 // awaitHosts waits until the other routers were read, for hostsTime at most.
 func (g *Gateway) awaitHosts(ctx context.Context) {
--- a/member/member.go
+++ b/member/member.go
@@ -29,6 +29,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
@@ -45,7 +46,9 @@
 
 // Host is what is known of another router.
 type Host struct {
-	Name       string
+	Name string
+	// Key names the host in reports of many.
+	Key        uint32
 	DataCentre string
 	Peer       netip.AddrPort
 	Control    netip.AddrPort
@@ -56,8 +59,13 @@
 	ConfigVersion uint64
 	Reachable     bool
 	Leaving       bool
-	// Heard is when the last heartbeat arrived.
-	Heard time.Time
+	// Heard is when the host was last known to be there, Direct when the last heartbeat
+	// arrived here, Told as of when others last said whether it is there, Learned when it
+	// became known.
+	Heard   time.Time
+	Direct  time.Time
+	Told    time.Time
+	Learned time.Time
 }
 
 // Status is the host as operators see it.
@@ -143,10 +151,30 @@
 	h.ConfigVersion = max(h.ConfigVersion, hb.ConfigVersion)
 	h.Leaving = h.Leaving || hb.Leaving
 	h.Heard = t.options.Clock.Now()
+	h.Direct = h.Heard
 	h.Reachable = true
 	return h, news
 }
 
+// Tell notes whether a host is there and leaving as others said at a time, and reports
+// whether that is news. What is older than what is known counts nothing.
+func (t *Table) Tell(h *Host, there, leaving bool, at time.Time) (news bool) {
+	if !h.Told.Before(at) || !there && h.Direct.After(at) {
+		return false
+	}
+	h.Told = at
+	if there && h.Heard.Before(at) {
+		h.Heard = at
+	}
+	if h.Direct.Before(at) {
+		news = h.Leaving != leaving
+		h.Leaving = leaving
+	}
+	news = news || h.Reachable != there
+	h.Reachable = there
+	return news
+}
+
 // admit makes an unknown run the current one of its host, unless the host has
 // a later run that is still heard.
 func (t *Table) admit(hb *zinccovev1.Heartbeat) *Host {
@@ -189,7 +217,7 @@
 	now := t.options.Clock.Now()
 	pause := now.Sub(t.ticked)
 	t.ticked = now
-	if pause > t.options.Timeout/2 {
+	if pause > min(t.options.Timeout/2, longPause) {
 		t.excuse(pause)
 		return nil
 	}
@@ -203,10 +231,14 @@
 	return gone
 }
 
+// longPause is a pause of this process in which many heartbeats waited unread.
+const longPause = time.Second
+
 func (t *Table) excuse(pause time.Duration) {
 	for _, h := range t.hosts {
 		if h.Reachable {
 			h.Heard = h.Heard.Add(pause)
+			h.Direct = h.Direct.Add(pause)
 		}
 	}
 }
@@ -217,7 +249,7 @@
 func (t *Table) Forget(before time.Time) []*Host {
 	var gone []*Host
 	for name, h := range t.hosts {
-		if !h.Reachable && h.Incarnation != 0 && h.Heard.Before(before) {
+		if !h.Reachable && !h.Heard.IsZero() && h.Heard.Before(before) {
 			delete(t.hosts, name)
 			delete(t.runs, h.Incarnation)
 			t.sorted = nil
@@ -227,12 +259,24 @@
 	return gone
 }
 
+// Remove removes a host that is not there, as its entry went.
+func (t *Table) Remove(name string) {
+	h := t.hosts[name]
+	if h == nil || h.Reachable {
+		return
+	}
+	delete(t.hosts, name)
+	delete(t.runs, h.Incarnation)
+	t.sorted = nil
+}
+
 // SetTimeout changes the silence after which a host is not reachable. Heartbeats
 // come less often in large fleets.
 func (t *Table) SetTimeout(d time.Duration) { t.options.Timeout = d }
 
 // add makes h a member.
 func (t *Table) add(h *Host) *Host {
+	h.Key, h.Learned = uint32(xxhash.Sum64String(h.Name)), t.options.Clock.Now()
 	t.hosts[h.Name] = h
 	t.sorted = nil
 	return h
--- a/place/peers.go
+++ b/place/peers.go
@@ -25,6 +25,8 @@
 	uses  map[Hash]Use
 	loads map[Hash]loadAt
 	at    time.Time
+	// usesAt is when the uses were told.
+	usesAt time.Time
 }
 
 // loadAt is a load as told at a time.
@@ -46,7 +48,7 @@
 	known.at = now
 	if r.Uses != nil {
 		p.othersUses.remove(known.uses)
-		known.uses = r.Uses
+		known.uses, known.usesAt = r.Uses, now
 		p.othersUses.add(known.uses)
 	}
 	p.hear(HashOf(router), r.News, known, now)
--- a/place/place.go
+++ b/place/place.go
@@ -148,8 +148,10 @@
 	// othersUses are the sums over the reports of all peers. Summing up 294 reports
 	// anew for each comparison of customers took 1.0 ms, 2 % of a core.
 	othersUses useSums
-	oldest     oldest
-	shares     shares
+	// totals are the uses of the whole fleet; nil if nobody sums them up.
+	totals *Totals
+	oldest oldest
+	shares shares
 	// news is what others are to be told, changed are the targets at which the requests
 	// of this router changed.
 	news    News
--- a/place/shares.go
+++ b/place/shares.go
@@ -43,7 +43,11 @@
 		return &p.shares
 	}
 	uses := p.ownUses(now)
-	useSums(uses).add(p.othersUses)
+	if p.totals != nil && now.Sub(p.totals.At) < totalsFor {
+		uses = p.totals.compared(uses)
+	} else {
+		useSums(uses).add(p.othersUses)
+	}
 	p.shares = computeShares(uses, p.stated)
 	p.shares.at = now
 	return &p.shares
--- /dev/null
+++ b/presence/presence.go
@@ -0,0 +1,470 @@
+// Package presence finds out which routers of a large fleet are there.
+//
+// Heartbeats of all to all cost each router as much as there are routers, or come so rarely
+// that a router that ends is noticed after half a minute. Here each router sends heartbeats
+// to the relays of its cell alone (package feed), which report the routers of the cell that
+// they do not hear to the leaders of their data centre; leaders tell each other, and the
+// relays, which tell their cells. What a router sends and hears depends on the size of cells
+// and data centres, and on what happens; a router that ends is known to all after some
+// heartbeats and four reports, and reports are repeated, so that lost ones only cost time.
+//
+//	member --heartbeat--> relays --report--> leaders <--report--> leaders of other data centres
+//	member <---report---- relays <--report-- leaders
+//
+// Relays and leaders follow from names, so that nobody is elected. Three of each report the
+// same; a router is gone that none of them hears. Who hears no reports for some time takes
+// it that those are gone that should send them, and goes on to the next.
+//
+// The package has no I/O. The control loop owns a Node.
+//
+// # Usage
+//
+//	n := presence.New(presence.Options{Host: name, DataCentre: dc, Clock: clock, Members: table, Random: random})
+//	n.SetRole(feed.RoleOf(...))
+//	for _, m := range n.Due() { ... }  // on every tick: what to send to whom
+//	reply := n.Take(host, scope, reports) // what came from a router
+//	changed := n.Apply()               // on every tick: makes it known to Members
+//
+// # Limits
+//
+// A router that cannot be reached by its relays is taken for gone by all, also by those that
+// could reach it. A data centre from which no reports come is gone after StaleAfter.
+package presence
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/feed"
+	"zinccove.example/zinccove/member"
+)
+
+const (
+	// beatEvery is the time between heartbeats, and between reports without a change.
+	beatEvery = 280 * time.Millisecond
+	// beatSpread is the part of it by which two may be closer or further apart.
+	beatSpread = 0.1
+	// pushAfter is the least time between reports when something changed.
+	pushAfter = 100 * time.Millisecond
+	// silentAfter is the time without heartbeats or reports after which a router is gone.
+	silentAfter = 5 * beatEvery
+	// StaleAfter is the time after which reports say nothing any more.
+	StaleAfter = 13 * beatEvery
+	// searched is the number of routers, drawn by chance, to which a leader turns in a data
+	// centre from which nothing comes.
+	searched = 2
+	// mostReplies bounds the answers to routers that turn to the wrong one, in each period.
+	mostReplies = 16
+)
+
+// Scope says on which way a message is, and so what its sums are of.
+type Scope int
+
+// The scopes.
+const (
+	// Beat is a heartbeat to the relays of the own cell.
+	Beat Scope = iota
+	// Up is a report of a cell to the leaders of its data centre.
+	Up
+	// Across is a report of a data centre to the leaders of others.
+	Across
+	// Down is a report of the whole fleet to those who follow.
+	Down
+)
+
+// Message is to be sent to some routers.
+type Message struct {
+	Scope   Scope
+	To      []netip.AddrPort
+	Reports []Report
+}
+
+// Options configure a Node. All are required.
+type Options struct {
+	Host       string
+	DataCentre string
+	Clock      clockwork.Clock
+	Members    *member.Table
+	Random     *rand.Rand
+}
+
+// Node is one router's part.
+type Node struct {
+	options Options
+	role    feed.Role
+	// known is the number of known routers of the data centre, this one included.
+	known int
+	board board
+	// serves and leads are since when this router does so; zero if it does not.
+	serves, leads time.Time
+	// reported is when the last report came down, or those that should send it were given
+	// up.
+	reported time.Time
+	// givenUp is when that was done.
+	givenUp time.Time
+	// relays are those of the own cell since a time.
+	relays      []string
+	relaysSince time.Time
+	// last and next are when messages were sent and are due again; changed tells that there
+	// is something new to say.
+	last, next time.Time
+	changed    bool
+	said       []Report
+	replies    int
+}
+
+// New returns a node that knows nothing of others yet.
+func New(o Options) *Node {
+	return &Node{options: o, board: newBoard(), reported: o.Clock.Now(), role: feed.Role{Leads: true, Serves: true}, known: 1}
+}
+
+// SetRole takes the router's role in its data centre, of which so many routers are known.
+func (n *Node) SetRole(role feed.Role, known int) {
+	now := n.options.Clock.Now()
+	if role.Serves && !n.role.Serves || role.Leads && !n.role.Leads {
+		n.board = newBoard() // what others made of older reports would count beside new ones
+	}
+	n.role, n.known = role, known
+	n.serves = since(role.Serves, n.serves, now)
+	n.leads = since(role.Leads, n.leads, now)
+}
+
+// since is from when something holds that holds now or not.
+func since(holds bool, before, now time.Time) time.Time {
+	switch {
+	case !holds:
+		return time.Time{}
+	case before.IsZero():
+		return now
+	}
+	return before
+}
+
+// Due returns the messages that are due now.
+func (n *Node) Due() []Message {
+	now := n.options.Clock.Now()
+	n.board.drop(now.Add(-StaleAfter))
+	n.look(now)
+	n.suspect(now)
+	if now.Before(n.next) && (!n.changed || now.Sub(n.last) < pushAfter) {
+		return nil
+	}
+	n.last, n.next, n.changed, n.replies = now, now.Add(n.period()), false, 0
+	list := []Message{{Scope: Beat, To: addresses(n.hosts(n.role.Relays))}}
+	if n.role.Serves {
+		list = append(list, n.reports()...)
+	}
+	return slices.DeleteFunc(list, func(m Message) bool { return len(m.To) == 0 })
+}
+
+func (n *Node) period() time.Duration {
+	spread := 1 + beatSpread*(2*n.options.Random.Float64()-1)
+	return time.Duration(spread * float64(beatEvery))
+}
+
+// reports returns those of a relay or leader.
+func (n *Node) reports() []Message {
+	list := []Message{{Scope: Down, To: addresses(n.followers()), Reports: n.board.all("")}}
+	// What the leaders of the data centre are told is what this router heard itself: they
+	// find out together who is gone, and would else hear their own words again.
+	var own []Report
+	if r, ok := n.board.reports[n.cell()][n.options.Host]; ok {
+		own = append(own, r)
+	}
+	list = append(list, Message{Scope: Up, To: addresses(n.leaders(n.options.DataCentre)), Reports: own})
+	if !n.role.Leads {
+		return list
+	}
+	var others []*member.Host
+	for _, dc := range n.dataCentres() {
+		if dc == n.options.DataCentre {
+			continue
+		}
+		others = append(others, n.leaders(dc)...)
+		if !n.hears(dc) {
+			others = append(others, n.search(dc)...)
+		}
+	}
+	return append(list, Message{Scope: Across, To: addresses(others), Reports: n.board.all(n.options.DataCentre)})
+}
+
+// cell is that of this router.
+func (n *Node) cell() Cell {
+	of := feed.Cells(n.known)
+	return Cell{DataCentre: n.options.DataCentre, Number: feed.CellOf(n.options.Host, of), Of: of}
+}
+
+// CellName names the cell of a router in a data centre of which so many are known.
+func CellName(host string, known int) string {
+	of := feed.Cells(known)
+	return strconv.Itoa(feed.CellOf(host, of)) + "/" + strconv.Itoa(of)
+}
+
+// look looks at the cell that this router is a relay of. It says nothing of it before its
+// routers had time to find out that it is.
+func (n *Node) look(now time.Time) {
+	if n.serves.IsZero() || now.Sub(n.serves) < silentAfter {
+		return
+	}
+	cell := n.cell()
+	r := Report{Cell: cell, At: now}
+	for _, h := range n.options.Members.Hosts() {
+		if h.DataCentre != cell.DataCentre || feed.CellOf(h.Name, cell.Of) != cell.Number {
+			continue
+		}
+		if now.Sub(latest(h.Direct, h.Learned, n.serves)) >= silentAfter {
+			r.Gone = append(r.Gone, h.Key)
+		}
+		if h.Leaving {
+			r.Leaving = append(r.Leaving, h.Key)
+		}
+	}
+	slices.Sort(r.Gone)
+	slices.Sort(r.Leaving)
+	n.board.put(n.options.Host, r)
+}
+
+// suspect takes routers for gone that should have sent reports: for a router that is no relay
+// the one that reports to it, and all relays if nothing comes from the others either.
+func (n *Node) suspect(now time.Time) {
+	if !n.leads.IsZero() {
+		n.giveUp(n.leaders(n.options.DataCentre), n.leads, now)
+		return
+	}
+	if now.Sub(n.reported) < silentAfter {
+		return
+	}
+	first := now.Sub(n.givenUp) >= 2*silentAfter
+	n.reported, n.givenUp = now, now
+	switch {
+	case n.role.Serves:
+		n.giveUp(n.leaders(n.options.DataCentre), time.Time{}, now)
+	case first && len(n.role.Sources) > 0:
+		n.giveUp(n.hosts(n.role.Sources[:1]), time.Time{}, now)
+	default:
+		n.giveUp(n.hosts(n.role.Relays), time.Time{}, now)
+	}
+}
+
+// giveUp takes routers for gone that are not heard, nor had time to be heard since.
+func (n *Node) giveUp(hosts []*member.Host, since, now time.Time) {
+	for _, h := range hosts {
+		if now.Sub(latest(h.Direct, h.Learned, since)) >= silentAfter {
+			n.options.Members.Tell(h, false, h.Leaving, now)
+		}
+	}
+}
+
+// Take takes a message of another router. It returns what to answer: a router that turns to
+// one that does not lead learns from it who does.
+func (n *Node) Take(from *member.Host, scope Scope, reports []Report) (reply *Message) {
+	for _, r := range reports {
+		if scope == Down && n.role.Leads && len(n.board.reports[r.Cell]) > 0 {
+			continue // made of what leaders said, this one among them
+		}
+		n.board.put(from.Name, r)
+	}
+	if scope == Down {
+		n.reported = n.options.Clock.Now()
+	}
+	if (scope == Up || scope == Across) && !n.role.Leads && n.replies < mostReplies {
+		n.replies++
+		return &Message{Scope: Down, To: []netip.AddrPort{from.Peer}, Reports: n.board.all("")}
+	}
+	return nil
+}
+
+// Apply makes the reports known to Members, and reports whether something changed.
+func (n *Node) Apply() (changed bool) {
+	all := n.board.all("")
+	if !slices.EqualFunc(all, n.said, sameWord) {
+		n.changed = true
+	}
+	n.said = all
+	byCell := make(map[Cell]*Report, len(all))
+	of := make(map[string][]int)
+	for i := range all {
+		r := &all[i]
+		byCell[r.Cell] = r
+		if dc := r.Cell.DataCentre; !slices.Contains(of[dc], r.Cell.Of) {
+			of[dc] = append(of[dc], r.Cell.Of)
+		}
+	}
+	for _, h := range n.options.Members.Hosts() {
+		var best *Report
+		for _, cells := range of[h.DataCentre] {
+			r := byCell[Cell{DataCentre: h.DataCentre, Number: feed.CellOf(h.Name, cells), Of: cells}]
+			if r != nil && (best == nil || best.At.Before(r.At)) {
+				best = r
+			}
+		}
+		if best != nil && n.options.Members.Tell(h, !has(best.Gone, h.Key), has(best.Leaving, h.Key), best.At) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Heard returns when the latest report on each data centre was made.
+func (n *Node) Heard() map[string]time.Time {
+	heard := make(map[string]time.Time)
+	for _, r := range n.said {
+		if r.At.After(heard[r.Cell.DataCentre]) {
+			heard[r.Cell.DataCentre] = r.At
+		}
+	}
+	return heard
+}
+
+func sameWord(a, b Report) bool {
+	return a.Cell == b.Cell && slices.Equal(a.Gone, b.Gone) && slices.Equal(a.Leaving, b.Leaving)
+}
+
+func has(keys []uint32, key uint32) bool {
+	_, ok := slices.BinarySearch(keys, key)
+	return ok
+}
+
+// dataCentres returns those of all known routers.
+func (n *Node) dataCentres() []string {
+	list := []string{n.options.DataCentre}
+	for _, h := range n.options.Members.Hosts() {
+		if h.DataCentre != "" && !slices.Contains(list, h.DataCentre) {
+			list = append(list, h.DataCentre)
+		}
+	}
+	return list
+}
+
+// hears reports whether reports on a data centre come.
+func (n *Node) hears(dataCentre string) bool {
+	return slices.ContainsFunc(n.said, func(r Report) bool { return r.Cell.DataCentre == dataCentre })
+}
+
+// leaders returns the leaders of a data centre, as far as this router knows, but itself.
+func (n *Node) leaders(dataCentre string) []*member.Host {
+	left := feed.Leaders
+	if dataCentre == n.options.DataCentre && n.role.Leads {
+		left--
+	}
+	var list []*member.Host
+	for _, h := range n.options.Members.Hosts() {
+		if left > 0 && h.DataCentre == dataCentre && here(h) {
+			list = append(list, h)
+			left--
+		}
+	}
+	return list
+}
+
+// here reports whether a router may be there: it is not known to be gone.
+func here(h *member.Host) bool { return h.Reachable || h.Heard.IsZero() && h.Told.IsZero() }
+
+// search returns routers of a data centre that may know who leads there.
+func (n *Node) search(dataCentre string) []*member.Host {
+	var of []*member.Host
+	for _, h := range n.options.Members.Hosts() {
+		if h.DataCentre == dataCentre {
+			of = append(of, h)
+		}
+	}
+	list := slices.Clone(of[:min(feed.Leaders, len(of))])
+	for range min(searched, len(of)) {
+		list = append(list, of[n.options.Random.IntN(len(of))])
+	}
+	return list
+}
+
+// followers returns those to whom this router reports down: its part of the cell that it is
+// a relay of, and the relays of all cells if it leads. Leaders need no reports of others.
+func (n *Node) followers() []*member.Host {
+	own := n.cell()
+	cells := make(map[int][]string)
+	names := []string{n.options.Host}
+	silent := n.board.reports[own][n.options.Host].Gone // before the others agree
+	for _, h := range n.options.Members.Hosts() {
+		if h.DataCentre == own.DataCentre && here(h) && !has(silent, h.Key) {
+			names = append(names, h.Name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		number := feed.CellOf(name, own.Of)
+		cells[number] = append(cells[number], name)
+	}
+	list := n.share(cells[own.Number])
+	if n.role.Leads {
+		for number := range own.Of {
+			list = append(list, relaysOf(cells[number])...)
+		}
+	}
+	leaders := names[:min(feed.Leaders, len(names))]
+	return n.hosts(slices.DeleteFunc(list, func(name string) bool { return slices.Contains(leaders, name) }))
+}
+
+func relaysOf(cell []string) []string { return cell[:min(feed.Leaders, len(cell))] }
+
+// share returns the routers of a cell that this one reports to: its relays share those that
+// are none. For a while after one was lost each reports to all, until the next one knows
+// that it is a relay.
+func (n *Node) share(cell []string) []string {
+	now := n.options.Clock.Now()
+	relays := relaysOf(cell)
+	if !slices.Equal(relays, n.relays) {
+		n.relays, n.relaysSince = slices.Clone(relays), now
+	}
+	own := slices.Index(relays, n.options.Host)
+	if own < 0 {
+		return nil
+	}
+	others := cell[len(relays):]
+	if now.Sub(n.relaysSince) < StaleAfter {
+		return others
+	}
+	var names []string
+	for i, name := range others {
+		if i%len(relays) == own {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// hosts returns the routers with some names, but this one.
+func (n *Node) hosts(names []string) []*member.Host {
+	all := n.options.Members.Hosts()
+	var list []*member.Host
+	for _, name := range names {
+		i, ok := slices.BinarySearchFunc(all, name, func(h *member.Host, name string) int { return strings.Compare(h.Name, name) })
+		if ok {
+			list = append(list, all[i])
+		}
+	}
+	return list
+}
+
+func addresses(hosts []*member.Host) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, h := range hosts {
+		if h.Peer.IsValid() && !slices.Contains(list, h.Peer) {
+			list = append(list, h.Peer)
+		}
+	}
+	return list
+}
+
+func latest(times ...time.Time) time.Time {
+	var last time.Time
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -83,8 +83,8 @@
 // copyFor is how long copies are kept.
 const copyFor = 20 * time.Second
 
-// id names a row. The stand-in keeps a single part.
-type id struct{ table, key string }
+// id names a row.
+type id struct{ table, part, key string }
 
 // hostChange is an entry of the host list and when it becomes visible.
 type hostChange struct {
@@ -195,11 +195,11 @@
 // before.
 func (s *Store) put(r wire.Row) {
 	r.Ver, r.Gone = s.version, false
-	s.rows[id{r.Table, r.Key}] = r
+	s.rows[id{r.Table, r.Part, r.Key}] = r
 }
 
 func (s *Store) remove(r wire.Row) {
-	name := id{r.Table, r.Key}
+	name := id{r.Table, r.Part, r.Key}
 	if _, ok := s.rows[name]; !ok {
 		return
 	}
@@ -283,13 +283,14 @@
 func (s *Store) list(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	from, before := string(args.Peek(wire.ParamFrom)), string(args.Peek(wire.ParamBefore))
+	part := string(args.Peek(wire.ParamPart))
 	limit, err := args.GetUint(wire.ParamLimit)
 	if err != nil || limit > wire.MaxRows {
 		limit = wire.MaxRows
 	}
 	answer := wire.Rows{Rows: []wire.Row{}, Ver: s.version}
 	for _, r := range s.table(string(args.Peek(wire.ParamTable))) {
-		if r.Key < from || before != "" && r.Key >= before {
+		if r.Part != part || r.Key < from || before != "" && r.Key >= before {
 			continue
 		}
 		if len(answer.Rows) == limit {
@@ -366,7 +367,7 @@
 	var found []wire.Row
 	holds := true
 	for _, e := range t.ExpectedRev {
-		r := s.rows[id{e.Table, e.Key}]
+		r := s.rows[id{e.Table, e.Part, e.Key}]
 		holds = holds && r.Ver == e.Ver
 		if r.Ver > 0 {
 			found = append(found, r)
