Services move to new versions by steps, judged by their answers

Cause: op/rollout was not read; a service with targets of two versions got both mixed. Ruled out: a lease for one decider (a decider that dies or is cut off delays the roll-back by its time-out): every router judges by the counts of all, the store's condition decides between two states. The share follows from the time since the order; a bad version gets nothing more from any router that found or heard so. A request keeps to one version; its next attempt goes to the old one; nothing is copied between versions. With it: looks at all routers each 0.5 s in large fleets, ticks and keepalives of little-changed tables half as often.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -26,6 +26,7 @@
 func (l *loop) takeOperators(b platform.Batch, whole bool) {
 	wentBack := l.noteEra(b.Revision)
 	l.takeEvacuations(b, whole, wentBack)
+	l.takeRollouts(b, whole)
 	for _, c := range b.Changes {
 		if c.Key == wire.ConfigKey && !c.Removed {
 			l.adopt(c.Value, "store")
--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -13,6 +13,7 @@
 	"zinccove.example/zinccove/collector"
 	"zinccove.example/zinccove/contact"
 	"zinccove.example/zinccove/control"
+	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
@@ -20,6 +21,7 @@
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/settings"
 )
 
@@ -40,9 +42,9 @@
 	b.Cleanup(func() { m.Close() }) //nolint:errcheck // nothing is written
 	clock := clockwork.NewFakeClock()
 	g := &Gateway{
-		settings: &settings.Settings{Host: "front-0", DataCentre: "dc-0"}, clock: clock, metrics: m, log: zerolog.Nop(),
+		settings: &settings.Settings{Host: "z-last", DataCentre: "dc-0"}, clock: clock, metrics: m, log: zerolog.Nop(),
 		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
-		quarantine: quarantine.New(clock), collector: collector.New(0),
+		quarantine: quarantine.New(clock), collector: collector.New(0), rollouts: rollout.New(rollout.Options{Clock: clock, ExposeShare: 0.1}),
 	}
 	g.transport = listenForPeers(b, nobody)
 	g.control, err = control.Listen(control.Options{
@@ -56,6 +58,7 @@
 	g.leaders.Store(new([]leader))
 	g.asker = newAsker(g)
 	g.retries = request.NewBudget(0, 0)
+	g.many = make(chan struct{})
 	return newLoop(g)
 }
 
@@ -88,6 +91,42 @@
 	}
 }
 
+// BenchmarkSecondOfControl is what the control loop of a member of a large fleet does in a
+// second in which nothing happens, in which it hears reports of its relay.
+func BenchmarkSecondOfControl(b *testing.B) {
+	for _, n := range []int{300, 1000, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := newLargeControl(b, 10*n)
+			clock := l.gateway.clock.(*clockwork.FakeClock)
+			for i := range n - 1 {
+				l.hear(contact.Received{Heartbeat: heartbeatOf(i, 1), Size: 900})
+			}
+			l.findLeaders(clock.Now())
+			l.findOwners()
+			relay := heartbeatOf(n/2, 1)
+			relay.Uses = nil
+			relay.Report = &zinccovev1.Report{Scope: zinccovev1.Report_SCOPE_DOWN}
+			for dc := range 5 {
+				of := feed.Cells(n / 5)
+				for cell := range of {
+					relay.Report.Cells = append(relay.Report.Cells, &zinccovev1.CellReport{DataCentre: fmt.Sprint("dc-", dc), Number: uint32(cell), Of: uint32(of)})
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				for tick := range 20 {
+					clock.Advance(tickPeriod)
+					if tick%5 == 0 {
+						relay.Sequence++
+						l.hear(contact.Received{Heartbeat: relay, Size: 900})
+					}
+					l.tick(context.Background())
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkHearInLargeFleet takes one heartbeat.
 func BenchmarkHearInLargeFleet(b *testing.B) {
 	l := newControl(b)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/settings"
 )
@@ -64,9 +65,11 @@
 	relay      *relay.Server
 	collector  *collector.Tuner
 	retries    *request.Budget
-	control    *control.Server
-	readiness  *readiness
-	transport  *peer.Transport
+	// rollouts are the services that move to new versions.
+	rollouts  *rollout.Set
+	control   *control.Server
+	readiness *readiness
+	transport *peer.Transport
 	// listening is set once transport may be used.
 	listening atomic.Bool
 	peers     *http.Client
@@ -95,6 +98,8 @@
 	// others there are.
 	started time.Time
 	learned chan struct{}
+	// large is set while there are so many routers that not all hear all.
+	large atomic.Bool
 	// many is closed once there are so many routers that not all hear all.
 	many chan struct{}
 	// unannounced receives when the store may have lost this router's entry.
@@ -171,8 +176,8 @@
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
 		placer: place.New(place.Options{Clock: o.Clock, Warm: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
-		collector: collector.New(s.Memory()),
-		peers:     &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
+		collector: collector.New(s.Memory()), rollouts: rollout.New(rollout.Options{Clock: o.Clock, ExposeShare: s.ExposeShare}),
+		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streams: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
 			return link.DialTimeout(addr, link.LongestDial)
 		}}},
@@ -216,7 +221,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.lines.requests(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Ask: g.asker.ask,
-		Retries: g.retries, Quarantine: g.quarantine,
+		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, Judged: g.loop.judged,
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), Write: s.WriteTimeout,
 			Announce: s.StopDelay, Quiet: stopQuiet, Stop: s.StopTimeout - stopMargin,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,7 @@
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/revision"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/roster"
 	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/settings"
@@ -40,6 +41,11 @@
 	return p
 }
 
+// newRollouts returns a set without orders.
+func newRollouts(clock clockwork.Clock) *rollout.Set {
+	return rollout.New(rollout.Options{Clock: clock, ExposeShare: 0.1})
+}
+
 // newEmptyPlacer returns a placer whose targets come from a control loop.
 func newEmptyPlacer(t *testing.T) *place.Placer {
 	t.Helper()
@@ -199,7 +205,8 @@
 // TestEvacuationsAreFollowed has operators ask for evacuations and take them back,
 // one of them while the history is lost.
 func TestEvacuationsAreFollowed(t *testing.T) {
-	g := &Gateway{settings: &settings.Settings{Host: "a"}, clock: clockwork.NewFakeClock(), log: zerolog.Nop(), placer: newPlacer(t)}
+	clock := clockwork.NewFakeClock()
+	g := &Gateway{settings: &settings.Settings{Host: "a"}, clock: clock, log: zerolog.Nop(), placer: newPlacer(t), rollouts: newRollouts(clock)}
 	l := newLoop(g)
 	row := func(dc string, gone bool) platform.Change {
 		return platform.Change{Key: "evacuate/" + dc, Removed: gone}
--- a/gateway/handon.go
+++ b/gateway/handon.go
@@ -15,17 +15,18 @@
 	"zinccove.example/zinccove/revision"
 )
 
-// keepalive is the time between messages to a router that follows a table through
-// this one, rareKeepalive that for the table of routers, which has other ways to be known. It
-// is told of a change at once.
 const (
-	keepalive     = 200 * time.Millisecond
+	// keepalive is the time between messages to a router that follows a table through this
+	// one. It is told of a change at once.
+	keepalive = 200 * time.Millisecond
+	// rareKeepalive is that in large fleets for tables in which little changes: one that ends
+	// is noticed by the others.
 	rareKeepalive = time.Second
 )
 
 // keepaliveOf is the time between messages on a table.
-func keepaliveOf(table string) time.Duration {
-	if table == wire.TableRouters {
+func (g *Gateway) keepaliveOf(table string) time.Duration {
+	if g.large.Load() && table != wire.TableTargets {
 		return rareKeepalive
 	}
 	return keepalive
@@ -89,7 +90,9 @@
 		case !g.serves.Load():
 			return connect.NewError(connect.CodeFailedPrecondition, errNotLeading)
 		}
+		pause := g.keepaliveOf(req.Table)
 		for _, msg := range encodeTableNews(news, g.clock.Now()) {
+			msg.KeepaliveMs = uint32(pause.Milliseconds())
 			if err := send(msg); err != nil {
 				return err
 			}
@@ -99,7 +102,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-		case <-g.clock.After(keepaliveOf(req.Table)):
+		case <-g.clock.After(pause):
 		}
 	}
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -74,6 +74,10 @@
 	presence   *presence.Node
 	totals     totalsBoard
 	lastTotals time.Time
+	// reported is set while reports came that are not known to Members yet.
+	reported bool
+	// rollouts is what is known of the states of services that move to new versions.
+	rollouts rolloutWrites
 	// withdrew is when entries of routers that are gone were last looked for.
 	withdrew time.Time
 
@@ -85,15 +89,17 @@
 	routers []owner.Router
 	roster  *roster.Roster
 	// published are the entries that the placer has by id.
-	published map[string]*roster.Target
+	published map[string]published
 	// random draws the times of heartbeats; tests seed it.
 	random *rand.Rand
 	// beats counts the heartbeats to all routers.
 	beats uint64
 	// newsDue fires when others are to be told of placed prompts; nil while nothing was
 	// placed.
-	newsDue  <-chan time.Time
-	ticks    int
+	newsDue <-chan time.Time
+	ticks   int
+	// slow is set while fewer ticks come.
+	slow     bool
 	nextBeat time.Time
 	// period is that of heartbeats when the last one was sent.
 	period     time.Duration
@@ -139,11 +145,12 @@
 			Peer:    func() netip.AddrPort { return g.transport.Address() },
 		}),
 		roster:      roster.New(roster.Options{Clock: g.clock, Return: targetReturn, Renewal: renewalTime(g.settings.TargetDrain, g.settings.TargetHeartbeat)}),
-		published:   make(map[string]*roster.Target),
+		published:   make(map[string]published),
 		leaving:     make(map[place.Hash]departure),
 		words:       make(map[place.Hash]revision.Revision),
 		evacuations: make(map[string]evacuation),
 		totals:      make(totalsBoard),
+		rollouts:    newRolloutWrites(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	l.presence = presence.New(presence.Options{
@@ -191,25 +198,50 @@
 			l.placed()
 		case <-l.newsDue:
 			l.tellNews()
+		case <-l.rollouts.due:
+			l.tellJudged()
 		case <-l.gateway.quarantine.Changed():
 			l.contact.TellSuspects(l.destinations()...)
 		case <-tick.Chan():
 			l.tick(ctx)
+			if reporting := l.reporting(); reporting != l.slow {
+				l.slow = reporting
+				tick.Reset(l.tickTime())
+			}
 		}
 	}
 }
 
+// ticksAtOnce is the number of ticks that pass at once in a large fleet, where nothing comes
+// more often than that.
+const ticksAtOnce = 2
+
+// tickTime is the time between ticks.
+func (l *loop) tickTime() time.Duration {
+	if l.slow {
+		return ticksAtOnce * tickPeriod
+	}
+	return tickPeriod
+}
+
 // tick does what is due.
 func (l *loop) tick(ctx context.Context) {
 	now := l.gateway.clock.Now()
+	if l.slow {
+		l.ticks += l.ticks % ticksAtOnce
+		l.ticks += ticksAtOnce - 1
+	}
 	l.ticks++
 	l.noteSuspension()
 	l.adoptWaiting()
-	if l.ticks%lookEvery == 0 {
+	if l.ticks%l.lookEvery() == 0 {
 		l.expire()
 		l.findCuts()
+	}
+	if l.ticks%lookEvery == 0 {
 		l.expireTargets()
 		l.catchUp(ctx, now)
+		l.moveServices(ctx, now)
 	}
 	switch {
 	case l.reporting():
@@ -235,6 +267,14 @@
 	}
 }
 
+// lookEvery is the number of ticks between looks at all other routers.
+func (l *loop) lookEvery() int {
+	if l.reporting() {
+		return leadEvery
+	}
+	return lookEvery
+}
+
 // noteSuspension notices that the host was suspended. All that goes by the clock is older by
 // then; what waits for the store may wait for answers that were given up meanwhile, so it is
 // asked anew at once, and idle connections to targets are not used again.
@@ -332,6 +372,7 @@
 	l.heard = true
 	l.gateway.placer.SetPeer(host.Name, decodeReport(r.Heartbeat))
 	l.hearReport(host, r.Heartbeat.Report)
+	l.hearRollouts(host.Name, host.DataCentre, r.Heartbeat)
 	l.hearLeaving(host.Name, r.Heartbeat.LeavingTargets)
 	l.hearEvacuations(host.Name, r.Heartbeat.Evacuations)
 }
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -7,7 +7,6 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
-	"zinccove.example/zinccove/roster"
 )
 
 // findOwners finds out which routers answer for targets, if routers changed.
@@ -22,12 +21,16 @@
 	if slices.Equal(routers, l.routers) {
 		return
 	}
+	before := g.owners.Load()
 	l.routers = routers
 	table := owner.New(routers)
 	g.owners.Store(table)
+	if table.SameFor(before, g.settings.DataCentre) {
+		return
+	}
 	owned := make(map[place.Hash]bool)
 	for _, t := range l.published {
-		if target := ownerTarget(t); l.answersFor(target) {
+		if target := (owner.Target{Hash: t.hash, DataCentre: t.entry.DataCentre}); l.answersFor(target) {
 			owned[target.Hash] = true
 		}
 	}
@@ -35,10 +38,6 @@
 	g.log.Info().Int("targets", len(owned)).Int("routers", len(routers)).Msg("targets that this router answers for")
 }
 
-func ownerTarget(t *roster.Target) owner.Target {
-	return owner.Target{Hash: place.HashOf(t.Incarnation()), DataCentre: t.DataCentre}
-}
-
 // answersFor reports whether this router answers for a target.
 func (l *loop) answersFor(t owner.Target) bool {
 	table := l.gateway.owners.Load()
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -33,8 +33,11 @@
 func (l *loop) exchange(now time.Time) {
 	l.contact.Members.SetTimeout(presence.StaleAfter)
 	l.noteMany()
-	if l.presence.Apply() {
-		l.findLeaders(now)
+	if l.reported || l.ticks%leadEvery == 0 {
+		l.reported = false
+		if l.presence.Apply() {
+			l.findLeaders(now)
+		}
 	}
 	withTotals := now.Sub(l.lastTotals) >= totalsEvery
 	messages := l.presence.Due()
@@ -49,6 +52,7 @@
 
 // noteMany has the entries of routers followed from now on.
 func (l *loop) noteMany() {
+	l.gateway.large.Store(true)
 	select {
 	case <-l.gateway.many:
 	default:
@@ -123,6 +127,7 @@
 	hb := l.header()
 	hb.Host = l.contact.Identity()
 	hb.Report = &zinccovev1.Report{Scope: scopes[m.Scope]}
+	hb.Rollouts = l.rolloutsOf(m.Scope)
 	if m.Scope == presence.Beat {
 		encodeUses(hb, g.placer)
 	} else {
@@ -214,6 +219,7 @@
 		l.hearTotals(host, scope, decodeTotals(r.Totals, now))
 		return
 	}
+	l.reported = l.reported || len(r.Cells) > 0
 	if reply := l.presence.Take(host, scope, decodeCells(r.Cells, now)); reply != nil {
 		l.sendMessage(*reply, false)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,7 +41,7 @@
 
 // patience is how long the router that is followed may say nothing.
 func (t *through) patience() time.Duration {
-	return leaderSilence + keepaliveOf(t.table) - keepalive
+	return leaderSilence + max(t.keepalive-keepalive, 0)
 }
 
 // maxNews bounds one message of another router in bytes.
@@ -57,6 +57,7 @@
 	received := t.stream.Receive()
 	watch.Stop()
 	if received {
+		t.keepalive = time.Duration(t.stream.Msg().KeepaliveMs) * time.Millisecond
 		return t.stream.Msg(), nil
 	}
 	err := t.stream.Err()
@@ -76,6 +77,6 @@
 	}
 	t.end()
 	t.stream.Close() //nolint:errcheck // nothing more is read
-	t.stream, t.first, t.begun, t.left = nil, nil, nil, t.from
+	t.stream, t.first, t.begun, t.left, t.keepalive = nil, nil, nil, t.from, 0
 	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
 }
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -5,6 +5,7 @@
 
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/revision"
@@ -219,12 +220,18 @@
 	}
 }
 
+// published is an entry that the placer has, and the hash of its run.
+type published struct {
+	entry *roster.Target
+	hash  place.Hash
+}
+
 // publishTargets gives the targets that changed to the placer.
 func (l *loop) publishTargets() {
 	var entries []*roster.Target
 	var gone []string
 	for _, id := range l.roster.TakeChanged() {
-		before, now := l.published[id], l.roster.Get(id)
+		before, now := l.published[id].entry, l.roster.Get(id)
 		if before != nil && (now == nil || now.Incarnation() != before.Incarnation()) {
 			gone = append(gone, before.Incarnation())
 		}
@@ -232,12 +239,12 @@
 			delete(l.published, id)
 			continue
 		}
-		l.published[id] = now
+		l.published[id] = published{entry: now, hash: place.HashOf(now.Incarnation())}
 		entries = append(entries, now)
 	}
 	l.gateway.placer.ChangeTargets(entries, gone, l.routes())
 	for _, t := range entries {
-		if target := ownerTarget(t); l.answersFor(target) {
+		if target := (owner.Target{Hash: l.published[t.ID].hash, DataCentre: t.DataCentre}); l.answersFor(target) {
 			l.gateway.placer.Own(target.Hash)
 		}
 	}
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -27,7 +27,7 @@
 	clock := clockwork.NewFakeClock()
 	return newLoop(&Gateway{
 		settings: &settings.Settings{Host: "a", TargetDrain: 2 * time.Second, TargetHeartbeat: time.Second},
-		clock:    clock, metrics: m, log: zerolog.Nop(), placer: newEmptyPlacer(t), transport: listenForPeers(t, nobody),
+		clock:    clock, metrics: m, rollouts: newRollouts(clock), log: zerolog.Nop(), placer: newEmptyPlacer(t), transport: listenForPeers(t, nobody),
 	}), clock
 }
 
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -52,6 +52,8 @@
 	from   leader
 	stream *connect.ServerStreamForClient[zinccovev1.FollowTableResponse]
 	end    context.CancelFunc
+	// keepalive is the time between its messages, as it says.
+	keepalive time.Duration
 	// first is the first message of the stream until it is taken.
 	first *zinccovev1.FollowTableResponse
 	// whole is the whole table as the router gave it, until it is taken; begun is the part
--- a/gateway/through_test.go
+++ b/gateway/through_test.go
@@ -37,6 +37,7 @@
 	t.Cleanup(func() { assert.NilError(t, m.Close()) })
 	g := &Gateway{
 		settings: &settings.Settings{Host: name, DataCentre: "dc", FleetKey: testFleetKey, TargetDrain: 4 * time.Second, TargetHeartbeat: time.Second},
+		rollouts: newRollouts(clockwork.NewRealClock()),
 		clock:    clockwork.NewRealClock(), metrics: m, log: zerolog.New(io.Discard), streams: &http.Client{}, placer: newPlacer(t),
 	}
 	g.logs = g.newLogs()
--- a/place/ask.go
+++ b/place/ask.go
@@ -45,6 +45,7 @@
 	if s == nil {
 		return nil
 	}
+	p.liftVersions(s, &r)
 	now := p.clock.Now()
 	if s.engine == nil {
 		return p.plainQuestions(s, r, now)
--- a/place/grade.go
+++ b/place/grade.go
@@ -42,7 +42,7 @@
 
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case !r.allows(t.region) || p.leaves(t) || t.declines(now) || slices.Contains(r.Tried, t.incarnation):
+	case !r.allows(t.region) || !r.Versions.allow(t.Version) || p.leaves(t) || t.declines(now) || slices.Contains(r.Tried, t.incarnation):
 		return unusable
 	case !t.circuit.allows(now) || p.cut[t.DataCentre] || s.grey(t, now) || s.spares(t, now):
 		return doubtful
--- a/place/home.go
+++ b/place/home.go
@@ -137,7 +137,7 @@
 		best = &first[doubtful]
 	}
 	for i, t := range first[unusable].list() {
-		if best.takes(t, first[unusable].weights[i]) && r.allows(t.region) && p.copiesFrom(t, now) {
+		if best.takes(t, first[unusable].weights[i]) && r.allows(t.region) && r.Versions.allow(t.Version) && p.copiesFrom(t, now) {
 			left = append(left, t)
 		}
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -70,6 +70,21 @@
 	Tried []string
 	// Regions are those in which the request may run; nil allows all.
 	Regions []string
+	// Versions are those of targets at which it may run.
+	Versions Versions
+}
+
+// Versions bound the versions of targets while a service moves from one to another.
+type Versions struct {
+	// Only is the version that a request is to go to, Not the one that it must not. "" bounds
+	// nothing.
+	Only, Not string
+	// Strict tells that nothing else will do. Else a bound that no target fulfils is lifted.
+	Strict bool
+}
+
+func (v *Versions) allow(version string) bool {
+	return (v.Only == "" || version == v.Only) && (v.Not == "" || version != v.Not)
 }
 
 // allows reports whether a request may run in a region.
@@ -207,6 +222,7 @@
 	if s == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
 	}
+	p.liftVersions(s, &r)
 	if !s.hasTargetFor(&r) {
 		return Decision{Reason: NotAllowed, RetryAfter: noTargetRetry}
 	}
--- a/place/run.go
+++ b/place/run.go
@@ -48,6 +48,8 @@
 	served   Use
 	began    time.Time
 	ended    bool
+	// Ended is called when the run ended, if it is set.
+	Ended func()
 }
 
 // Incarnation names the run of the target that was chosen.
@@ -151,6 +153,9 @@
 		return
 	}
 	r.ended = true
+	if r.Ended != nil {
+		r.Ended()
+	}
 	r.state.queue.drop(r.unread)
 	r.unread = 0
 	r.state.own.Requests--
--- /dev/null
+++ b/place/versions_test.go
@@ -0,0 +1,71 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// newVersionsSite is a placer before engines that copy, every third of a new version.
+func newVersionsSite(t *testing.T) *copyingSite {
+	t.Helper()
+	s := newCopyingSite(t, testCopyRate)
+	for i, x := range s.list {
+		next := *x
+		next.Version = []string{"v1", "v1", "v2"}[i%3]
+		next.Revision.Count = 1
+		s.list[i] = &next
+	}
+	s.update()
+	return s
+}
+
+func to(r Request, v Versions) Request {
+	r.Versions = v
+	return r
+}
+
+// TestRequestsKeepToTheirVersion places prompts of all homes, and their second attempts.
+func TestRequestsKeepToTheirVersion(t *testing.T) {
+	s := newVersionsSite(t)
+	for i := range 60 {
+		for _, v := range []Versions{{Only: "v2"}, {Not: "v2"}, {Not: "v2", Strict: true}} {
+			r := to(ask(call(fmt.Sprint(i), 1000, 10), "c"), v)
+			for range 2 {
+				for _, q := range s.Questions(r) {
+					assert.Assert(t, v.allow(s.byHash[q.Target].Version), "nobody else is asked")
+				}
+				d := s.Place(r)
+				assert.Assert(t, d.Run != nil)
+				assert.Assert(t, v.allow(d.Run.Target.Version), "%v got %s", v, d.Run.Target.Version)
+				if d.CopyFrom.IsValid() {
+					for _, x := range s.list {
+						assert.Assert(t, x.Address != d.CopyFrom || v.allow(x.Version), "copied from another version")
+					}
+				}
+				r.Tried = append(r.Tried, d.Run.Incarnation())
+				d.Run.End(Cancelled)
+			}
+		}
+	}
+}
+
+// TestVersionWithoutTargetsIsNotWaitedFor has all targets of one version leave.
+func TestVersionWithoutTargetsIsNotWaitedFor(t *testing.T) {
+	s := newVersionsSite(t)
+	for i, x := range s.list {
+		if x.Version == "v1" {
+			next := *x
+			next.Draining, next.Revision.Count = true, 2
+			s.list[i] = &next
+		}
+	}
+	s.update()
+	d := s.Place(to(s.request, Versions{Not: "v2"}))
+	assert.Assert(t, d.Run != nil && d.Run.Target.Version == "v2")
+	d = s.Place(to(s.request, Versions{Not: "v2", Strict: true}))
+	assert.Assert(t, d.Run == nil, "a version that was rolled back gets nothing")
+	d = s.Place(to(s.request, Versions{Only: "v3"}))
+	assert.Assert(t, d.Run != nil)
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -156,6 +156,11 @@
 		return nil
 	}
 	n.last, n.next, n.changed, n.replies = now, now.Add(n.period()), false, 0
+	return n.Messages()
+}
+
+// Messages returns the messages as they are now, whether they are due or not.
+func (n *Node) Messages() []Message {
 	list := []Message{{Scope: Beat, To: addresses(n.hosts(n.role.Relays))}}
 	if n.role.Serves {
 		list = append(list, n.reports()...)
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -168,8 +168,10 @@
 // another one of its cell knows.
 func (f *fleet) beat(r *router) {
 	sample := f.sample[f.cellOf(r, len(f.routers))]
+	cell := append(slices.Clone(sample.role.Cell), sample.name)
+	slices.Sort(cell)
 	var to []netip.AddrPort
-	for _, name := range sample.role.Relays {
+	for _, name := range relaysOf(cell) {
 		to = append(to, f.byName[name].peer)
 	}
 	f.send(r, Message{Scope: Beat, To: to})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/target"
 )
 
@@ -47,6 +48,7 @@
 	}
 	f.run, f.said = d.Run, notice.Notice{}
 	f.tried = append(f.tried, d.Run.Incarnation())
+	f.beginVersion()
 	f.life.Queue()
 	f.life.Dispatch()
 	s.logPlaced(f)
@@ -54,6 +56,7 @@
 	if fail != nil {
 		d.Run.End(f.result(fail.Kind))
 		f.blame(fail, fail.Status != 0)
+		f.judgeFailure(fail)
 	}
 	return ans, fail, nil
 }
@@ -61,7 +64,7 @@
 // place asks for a target.
 func (f *flight) place() place.Decision {
 	r := place.Request{
-		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions,
+		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
 	}
 	s := f.server
 	var answers []place.Answer
@@ -214,6 +217,7 @@
 		f.run.End(place.Faulty) // the later End has no effect then
 	}
 	f.run.End(place.Answered)
+	f.judge(rollout.Answer{Failed: status >= fasthttp.StatusInternalServerError, Took: f.sinceSent(), Size: 1})
 	f.clear(body)
 	f.finish(c, ans, body, sent)
 	return ans, nil
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -50,6 +50,8 @@
 	customer string
 	// regions are those in which the request may run; nil allows all.
 	regions []string
+	// versions are those of targets at which it may run.
+	versions place.Versions
 	// hideKey keeps the caller's API key from the target.
 	hideKey  bool
 	deadline time.Time
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,7 @@
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/route"
 )
 
@@ -61,7 +62,7 @@
 	TargetsAge time.Duration
 }
 
-// Options configure a server. All but Ask are required.
+// Options configure a server. All but Ask and Rollouts are required.
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
@@ -77,7 +78,11 @@
 	Retries *request.Budget
 	// Quarantine knows the requests that end their targets.
 	Quarantine *quarantine.List
-	Limits     Limits
+	// Rollouts are the services that move to new versions; nil are none. Judged is called
+	// when an answer spoke against a new version.
+	Rollouts *rollout.Set
+	Judged   func()
+	Limits   Limits
 }
 
 // Limits bound what callers can take.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/target"
 )
 
@@ -34,6 +35,8 @@
 	// lastEvent is the id of the last event that was handed over.
 	lastEvent string
 	began     bool
+	// events is the number of events that the current target sent.
+	events int
 	// err is the end of the stream; io.EOF after a whole one.
 	err  error
 	done bool
@@ -139,6 +142,7 @@
 	}
 	end := endOfEvents(s.buffer)
 	if end > s.ready {
+		s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
 		if id := lastID(s.buffer[s.ready:end]); id != "" {
 			s.lastEvent = id
 		}
@@ -174,6 +178,7 @@
 func (s *stream) whole() {
 	s.err = io.EOF
 	s.flight.run.End(place.Answered)
+	s.flight.judge(rollout.Answer{Took: s.flight.sinceSent(), Size: float64(s.events + firstEventSize)})
 	s.flight.clear(s.body)
 	s.flight.finish(s.link, s.answer, s.body, s.sent)
 }
@@ -184,6 +189,7 @@
 	s.drop(place.Failed)
 	fail := f.fail(target.Broken, 0, err, "read stream")
 	f.blame(fail, s.began)
+	f.judgeFailure(fail)
 	for !s.large && f.next(fail) {
 		ans, again, r := f.attempt(s.caller, s.lastEvent)
 		if r != nil {
@@ -210,7 +216,7 @@
 	s.flight.server.options.Metrics.Inc(metric.StreamsResumed)
 	s.link, s.answer, s.body, s.sent = ans.stream.link, ans, ans.stream.body, ans.stream.sent
 	s.buffer = s.buffer[:s.ready]
-	s.began = false
+	s.began, s.events = false, 0
 }
 
 // drop closes the connection to the target.
--- /dev/null
+++ b/relay/version.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/rollout"
+	"zinccove.example/zinccove/target"
+)
+
+// firstEventSize is how many events the time to the first one of a stream counts as.
+const firstEventSize = 2
+
+// chooseVersions draws at which version of a service that moves to a new one the request may
+// run.
+func (f *flight) chooseVersions() {
+	if rollouts := f.server.options.Rollouts; rollouts != nil {
+		c := rollouts.Choose(f.service, rand.Float64())
+		f.versions = place.Versions{Only: c.Only, Not: c.Not, Strict: c.Strict}
+	}
+}
+
+// beginVersion counts the attempt at the version of its target.
+func (f *flight) beginVersion() {
+	if rollouts := f.server.options.Rollouts; rollouts != nil {
+		f.run.Ended = rollouts.Begin(f.service, f.run.Target.Version)
+	}
+}
+
+// judge takes an answer of the target of the current attempt.
+func (f *flight) judge(a rollout.Answer) {
+	o := &f.server.options
+	if o.Rollouts != nil && o.Rollouts.Note(f.service, f.route.Name, f.run.Target.Version, a) {
+		o.Judged()
+	}
+}
+
+// judgeFailure takes a failure of the target. What follows it is not sent to the new version
+// again.
+func (f *flight) judgeFailure(fail *target.Failure) {
+	if f.interrupted() != running {
+		return
+	}
+	if fail.Kind == target.Broken || fail.Kind == target.Crossed {
+		f.judge(rollout.Answer{Failed: true})
+	}
+	if only := f.versions.Only; only != "" {
+		f.versions = place.Versions{Not: only}
+	}
+}
+
+// sinceSent is the time since the current attempt was sent.
+func (f *flight) sinceSent() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server.options.Clock.Since(f.sent)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -57,6 +57,8 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
+	// Version is that of its software.
+	Version string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// Draining targets take no new work.
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -74,6 +74,8 @@
 	decimal("retry", "slack", 50, 0, 1<<20, "Second attempts that all routers together may make beyond the ratio, in one window.", func(s *Settings) *float64 { return &s.RetrySlack }),
 	duration("retry", "window", 10*time.Second, time.Second, time.Minute, "Window of the retry limits.", func(s *Settings) *time.Duration { return &s.RetryWindow }),
 
+	decimal("rollout", "expose-share", 0.1, 0.001, 1, "Most of a service's requests that a new version may get which turns out to be bad.", func(s *Settings) *float64 { return &s.ExposeShare }),
+
 	number("fair", "debt-requests", 4, 2, 1000, "Most that a waiting customer can be ahead of the least served one, in requests of the largest recent cost. What it got beyond that, as in a partition, is forgiven.", func(s *Settings) *int { return &s.DebtRequests }),
 
 	level("log", "level", "Least level of log lines.", func(s *Settings) *zerolog.Level { return &s.LogLevel }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,9 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 
+	// ExposeShare is the part of a service's requests that a bad new version may get.
+	ExposeShare float64
+
 	DebtRequests int
 
 	LogLevel zerolog.Level
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -57,7 +57,11 @@
 	ID         string
 	Service    string
 	DataCentre string
-	Slots      int
+	// Version is that of its software.
+	Version string
+	// FailEvery has every so many runs fail; 0 has none.
+	FailEvery int
+	Slots     int
 	// Events is the number of events of a stream; 0 makes a plain service.
 	Events    int
 	EventTime time.Duration
@@ -96,6 +100,8 @@
 
 	mu      sync.Mutex
 	running int
+	// begun counts the runs.
+	begun int
 	// written counts the writes of the entry.
 	written uint64
 	runs    map[string]*Run
@@ -106,6 +112,7 @@
 // New returns a worker.
 func New(o Options) *Worker {
 	o.Slots = cmp.Or(o.Slots, 8)
+	o.Version = cmp.Or(o.Version, "v1")
 	return &Worker{options: o, started: time.Now(), runs: make(map[string]*Run)}
 }
 
@@ -170,6 +177,11 @@
 		return
 	}
 	ctx.Response.Header.Set(headerSeal, Seal(id, w.options.ID))
+	if w.fails() {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		w.end(id, true)
+		return
+	}
 	if w.options.Events == 0 {
 		fmt.Fprintf(ctx, "%s %s %s", ctx.Method(), ctx.RequestURI(), id)
 		w.end(id, true)
@@ -223,6 +235,14 @@
 	return true
 }
 
+// fails reports whether the run that begins fails.
+func (w *Worker) fails() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun++
+	return w.options.FailEvery > 0 && w.begun%w.options.FailEvery == 0
+}
+
 func (w *Worker) end(id string, whole bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -297,7 +317,7 @@
 	seq := w.written
 	w.mu.Unlock()
 	body, err := json.Marshal(entry{
-		Service: w.options.Service, Address: listen.String(), Zone: w.options.DataCentre, Version: "v1",
+		Service: w.options.Service, Address: listen.String(), Zone: w.options.DataCentre, Version: w.options.Version,
 		Slots: w.options.Slots, State: state, Seq: seq, Born: w.started.UnixMilli(),
 	})
 	if err != nil {
