--- a/follow/follow.go
+++ b/follow/follow.go
@@ -34,8 +34,8 @@
 	"zinccove.example/zinccove/revision"
 )
 
-// Options configure a follower of batches of type B. All but Settle are
-// required.
+// Options configure a follower of batches of type B. All but Full and
+// Settle are required.
 type Options[B any] struct {
 	Clock clockwork.Clock
 	// Snapshot reads the whole table and returns the revision it is of.
@@ -55,6 +55,9 @@
 	Alive func()
 	// Hold is how long the next feed is held open without news.
 	Hold func() time.Duration
+	// Full reports whether a batch has as much as one answer can have, so that more waits to
+	// be asked for at once; nil takes none for full.
+	Full func(B) bool
 	// Settle is how long to wait at most after changes before asking for more, so
 	// that changes in quick succession come in one answer; nil asks at once. The
 	// wait is drawn from its last quarter: processes that read the same change would
@@ -139,9 +142,10 @@
 		return nil
 	}
 	f.options.Changed(batch)
-	if f.options.Settle != nil {
-		f.rest(ctx, settled(f.options.Settle()))
+	if f.options.Settle == nil || f.options.Full != nil && f.options.Full(batch) {
+		return nil
 	}
+	f.rest(ctx, settled(f.options.Settle()))
 	return nil
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -178,6 +178,7 @@
 		g.loop.post(ctx, func(l *loop) { l.takeTargets(b, whole) })
 	})
 	lost, regained := o.Lost, o.Regained
+	o.Full = func(b platform.Batch) bool { return len(b.Changes) >= wire.MaxRows }
 	o.Settle = func() time.Duration {
 		if t.active() {
 			return 0 // the other router collects changes
--- a/presence/board.go
+++ b/presence/board.go
@@ -53,8 +53,8 @@
 }
 
 // merged returns what the reporters of a cell say together: a router is gone that none of
-// them hears, as one of them alone may have trouble of its own. Reporters that are silent
-// for some time while others are not do not count.
+// them hears, as one of them alone may have trouble of its own. What one said earlier than the
+// others does not count: the router may have ended since.
 func (b *board) merged(cell Cell) (sum Report, ok bool) {
 	of := b.reports[cell]
 	for _, r := range of {
@@ -65,7 +65,7 @@
 	first := true
 	for _, r := range of {
 		switch {
-		case sum.At.Sub(r.At) >= silentAfter:
+		case sum.At.Sub(r.At) >= togetherWithin:
 			continue
 		case first:
 			sum.Gone = r.Gone
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -54,6 +54,8 @@
 	pushAfter = 100 * time.Millisecond
 	// silentAfter is the time without heartbeats or reports after which a router is gone.
 	silentAfter = 5 * beatEvery
+	// togetherWithin is the time within which reports count together.
+	togetherWithin = 2 * beatEvery
 	// StaleAfter is the time after which reports say nothing any more.
 	StaleAfter = 13 * beatEvery
 	// searched is the number of routers, drawn by chance, to which a leader turns in a data
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -280,7 +280,9 @@
 				relay = r
 			}
 		}
-		for kind, r := range map[string]*router{"member": member, "leader": leader, "relay": relay} {
+		kinds := []string{"member", "relay", "leader"}
+		for i, r := range []*router{member, relay, leader} {
+			kind := kinds[i]
 			if r == nil {
 				continue // the leaders are the only relays
 			}
