--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -137,3 +137,29 @@
 		"snapshot", "whole all", "feed", "snapshot", "whole copy", "feed", "snapshot", "lost", "snapshot", "regained", "whole again", "feed",
 	})
 }
+
+// TestFullAnswersAreFollowedAtOnce has a table change faster than one answer carries: what
+// waits behind a full answer is not collected any longer.
+func TestFullAnswersAreFollowedAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	asked := 0
+	err := Run(ctx, Options[string]{
+		Clock: clockwork.NewFakeClock(), // which nobody advances
+		Snapshot: func(context.Context) (string, revision.Revision, error) {
+			return "all", revision.Revision{Count: 1}, nil
+		},
+		Feed: func(_ context.Context, from revision.Revision, _ time.Duration) (string, revision.Revision, error) {
+			asked++
+			if asked == 4 {
+				cancel()
+			}
+			return "full", revision.Revision{Count: from.Count + 1}, nil
+		},
+		HistoryLost: func(error) bool { return false }, Whole: func(string) {}, Changed: func(string) {},
+		Lost: func(Loss) {}, Regained: func() {}, Alive: func() {}, Hold: func() time.Duration { return testHold },
+		Full: func(b string) bool { return b == "full" }, Settle: func() time.Duration { return time.Hour },
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, asked, 4)
+}
