Targets, parts and customers are named by 64 bits, reports fit datagrams

Cause: place.Hash had 32 bits; two of 10,000 runs of targets share a name in one or two of a hundred fleets, one in six of 40,000, and loads, words of leaving and questions then speak of the wrong one. Sums of use of 64 customers with large figures were 2,078 bytes. Change: 64 bits on the wire and in all maps; sums tell as many customers one by one as fit.

--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -16,6 +16,7 @@
 	"zinccove.example/zinccove/feed"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
+	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
@@ -68,11 +69,28 @@
 		Name: fmt.Sprintf("front-%d", i+1), DataCentre: fmt.Sprintf("dc-%d", i%5), Control: "127.0.0.1:1", Peer: "127.0.0.1:9",
 	}}
 	for c := range manyCustomers {
-		hb.Uses = append(hb.Uses, &zinccovev1.CustomerUse{Customer: uint32(place.HashOf(fmt.Sprint(c))), Served: 1000, Asked: 1200})
+		hb.Uses = append(hb.Uses, &zinccovev1.CustomerUse{Customer: uint64(place.HashOf(fmt.Sprint(c))), Served: 1000, Asked: 1200})
 	}
 	return hb
 }
 
+// hearHost has a router be heard.
+func (l *loop) hearHost(name, dataCentre string, incarnation uint64) {
+	l.contact.Hear(contact.Received{Heartbeat: &zinccovev1.Heartbeat{Incarnation: incarnation, Sequence: 1, Host: &zinccovev1.HostInfo{
+		Name: name, DataCentre: dataCentre, Control: "127.0.0.1:1", Peer: "127.0.0.1:9",
+	}}})
+}
+
+// host returns a router that was heard.
+func (l *loop) host(name string) *member.Host {
+	for _, h := range l.contact.Members.Hosts() {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
 func hearAll(l *loop, sequence uint64) {
 	for i := range manyRouters - 1 {
 		l.hear(contact.Received{Heartbeat: heartbeatOf(i, sequence), Size: 900})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -198,7 +198,7 @@
 	l.expireTargets()
 	told := l.leavingTargets()
 	assert.Equal(t, len(told), 1)
-	assert.Equal(t, told[0].Target, uint32(place.HashOf("goes@0")))
+	assert.Equal(t, told[0].Target, uint64(place.HashOf("goes@0")))
 	assert.Equal(t, told[0].Version, uint64(9))
 }
 
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -23,7 +23,7 @@
 
 func encodeUse(customer place.Hash, u place.Use) *zinccovev1.CustomerUse {
 	return &zinccovev1.CustomerUse{
-		Customer: uint32(customer), Served: uint32(max(u.Served, 0)), Asked: uint32(max(u.Asked, 0)),
+		Customer: uint64(customer), Served: uint32(max(u.Served, 0)), Asked: uint32(max(u.Asked, 0)),
 		CallsServed: uint32(max(u.CallsServed, 0)), CallsAsked: uint32(max(u.CallsAsked, 0)),
 	}
 }
@@ -52,7 +52,7 @@
 		n.Readings = n.Readings[1:]
 	}
 	for target, load := range n.Loads {
-		l := &zinccovev1.TargetLoad{Target: uint32(target), Requests: uint32(load.Requests)}
+		l := &zinccovev1.TargetLoad{Target: uint64(target), Requests: uint32(load.Requests)}
 		if !room.takes(l) {
 			return
 		}
@@ -61,7 +61,7 @@
 	}
 	for len(n.FirstEvents) > 0 {
 		e := n.FirstEvents[0]
-		event := &zinccovev1.FirstEvent{Target: uint32(e.Target), Number: e.Number, TookUs: uint32(e.Took.Microseconds()), ToRead: uint32(e.ToRead)}
+		event := &zinccovev1.FirstEvent{Target: uint64(e.Target), Number: e.Number, TookUs: uint32(e.Took.Microseconds()), ToRead: uint32(e.ToRead)}
 		if !room.takes(event) {
 			return
 		}
@@ -71,18 +71,18 @@
 }
 
 func encodeReading(r place.Reading) *zinccovev1.Reading {
-	return &zinccovev1.Reading{Target: uint32(r.Target), Number: r.Number, Unread: uint32(r.Unread), Copied: uint32(r.Copied), Parts: numbers(r.Parts)}
+	return &zinccovev1.Reading{Target: uint64(r.Target), Number: r.Number, Unread: uint32(r.Unread), Copied: uint32(r.Copied), Parts: numbers(r.Parts)}
 }
 
-func numbers(hashes []place.Hash) []uint32 {
-	list := make([]uint32, len(hashes))
+func numbers(hashes []place.Hash) []uint64 {
+	list := make([]uint64, len(hashes))
 	for i, h := range hashes {
-		list[i] = uint32(h)
+		list[i] = uint64(h)
 	}
 	return list
 }
 
-func hashes(numbers []uint32) []place.Hash {
+func hashes(numbers []uint64) []place.Hash {
 	list := make([]place.Hash, len(numbers))
 	for i, n := range numbers {
 		list[i] = place.Hash(n)
@@ -132,7 +132,7 @@
 }
 
 func encodeQuestion(q place.Question) *zinccovev1.TargetQuestion {
-	t := &zinccovev1.TargetQuestion{Target: uint32(q.Target), Parts: numbers(q.Parts), Total: uint32(q.Total), First: q.First}
+	t := &zinccovev1.TargetQuestion{Target: uint64(q.Target), Parts: numbers(q.Parts), Total: uint32(q.Total), First: q.First}
 	for _, size := range q.Sizes {
 		t.Sizes = append(t.Sizes, uint32(size))
 	}
@@ -151,7 +151,7 @@
 
 func encodeAnswer(a place.Answer) *zinccovev1.TargetAnswer {
 	return &zinccovev1.TargetAnswer{
-		Target: uint32(a.Target), Waiting: uint32(a.Waiting), Requests: uint32(a.Requests), Unread: uint32(a.Unread), Slowness: float32(a.Slowness),
+		Target: uint64(a.Target), Waiting: uint32(a.Waiting), Requests: uint32(a.Requests), Unread: uint32(a.Unread), Slowness: float32(a.Slowness),
 	}
 }
 
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -11,6 +11,7 @@
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/presence"
 )
@@ -22,7 +23,7 @@
 	// totalsEvery is the time between reports that carry sums of use: with four of them
 	// under way the sums are less than two seconds old.
 	totalsEvery = 400 * time.Millisecond
-	// toldCustomers is the number of customers that sums tell one by one.
+	// toldCustomers is the most customers that sums tell one by one.
 	toldCustomers = 64
 )
 
@@ -164,14 +165,30 @@
 		at.Report.Cells = append(at.Report.Cells, cell)
 	}
 	if totals, ok := l.totalsOf(m.Scope, now); ok && withTotals {
-		next().Report.Totals = encodeTotals(totals, now)
+		at := next()
+		at.Report.Totals = fitTotals(totals, now, peer.MaxBody-proto.Size(at)-itemOverhead)
 	}
 	return list
 }
 
-// mostKeys bounds the routers that a report on a cell names, so that it fits a datagram;
-// cells are smaller.
-const mostKeys = 120
+// fitTotals encodes sums in so many bytes, with as many customers told one by one as fit.
+func fitTotals(t place.Totals, now time.Time, room int) *zinccovev1.Totals {
+	const step = 8
+	for most := toldCustomers; ; most -= step {
+		t.Trim(max(most, 0))
+		enc := encodeTotals(t, now)
+		if most <= 0 || proto.Size(enc)+itemOverhead <= room {
+			return enc
+		}
+	}
+}
+
+// mostGone and mostLeaving bound the routers that a report on a cell names, so that it fits a
+// datagram; cells are smaller, and stop a part of their routers at a time.
+const (
+	mostGone    = 100
+	mostLeaving = 40
+)
 
 var scopes = map[presence.Scope]zinccovev1.Report_Scope{
 	presence.Beat: zinccovev1.Report_SCOPE_BEAT, presence.Up: zinccovev1.Report_SCOPE_UP,
@@ -190,7 +207,7 @@
 func encodeCell(r presence.Report, now time.Time) *zinccovev1.CellReport {
 	return &zinccovev1.CellReport{
 		DataCentre: r.Cell.DataCentre, Number: uint32(r.Cell.Number), Of: uint32(r.Cell.Of), AgeMs: sinceMs(r.At, now),
-		Gone: r.Gone[:min(len(r.Gone), mostKeys)], Leaving: r.Leaving[:min(len(r.Leaving), mostKeys)],
+		Gone: r.Gone[:min(len(r.Gone), mostGone)], Leaving: r.Leaving[:min(len(r.Leaving), mostLeaving)],
 	}
 }
 
--- /dev/null
+++ b/gateway/reports_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/peer"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/presence"
+)
+
+// TestReportsFitDatagrams reports on an outage in forty cells, with sums of many customers and
+// everything else that goes with reports.
+func TestReportsFitDatagrams(t *testing.T) {
+	l := newControl(t)
+	now := l.gateway.clock.Now()
+	m := presence.Message{Scope: presence.Down, To: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:9")}}
+	for i := range 40 {
+		r := presence.Report{Cell: presence.Cell{DataCentre: fmt.Sprint("data-centre-", i/8), Number: i % 8, Of: 8}, At: now.Add(-time.Second)}
+		for key := range uint64(300) {
+			r.Gone = append(r.Gone, key<<32)
+			r.Leaving = append(r.Leaving, key<<33)
+		}
+		m.Reports = append(m.Reports, r)
+	}
+	totals := place.Totals{Uses: make(map[place.Hash]place.Use), Others: 1000, Rest: place.Use{Asked: 1 << 30, Served: 1 << 30}, At: now}
+	for i := range toldCustomers {
+		totals.Uses[place.HashOf(fmt.Sprint(i))] = place.Use{Asked: 1 << 28, Served: 1 << 28, CallsAsked: 1 << 20, CallsServed: 1 << 20}
+	}
+	l.totals.put(group{}, "leader", totals)
+	for i := range 2 * maxLeaving {
+		l.leaving[place.HashOf(fmt.Sprint(i))] = departure{at: now}
+	}
+	hb := l.header()
+	hb.Host = l.contact.Identity()
+	hb.Report = &zinccovev1.Report{Scope: scopes[m.Scope]}
+	hb.LeavingTargets = l.leavingTargets()
+	parts := l.reportParts(hb, m, true)
+	cells, told := 0, 0
+	for _, part := range parts {
+		assert.Assert(t, proto.Size(part) <= peer.MaxBody, "%d bytes", proto.Size(part))
+		assert.Assert(t, part.Host != nil, "each says who sends it")
+		cells += len(decodeCells(part.Report.Cells, now))
+		if part.Report.Totals != nil {
+			got := decodeTotals(part.Report.Totals, now)
+			told = len(got.Uses)
+			assert.Assert(t, got.Others == 1000 && got.Rest.Asked >= totals.Rest.Asked)
+		}
+	}
+	assert.Equal(t, cells, 40)
+	assert.Assert(t, told >= toldCustomers/2, "%d customers one by one", told)
+}
+
+// TestSumsOfUseCountEachRouterOnce has relays of two cells and leaders of another data centre
+// tell the same sums, each of them for itself.
+func TestSumsOfUseCountEachRouterOnce(t *testing.T) {
+	l := newControl(t)
+	clock := l.gateway.clock
+	for i := range 200 {
+		l.hearHost(fmt.Sprintf("a%03d", i), "dc-0", uint64(i+1))
+	}
+	l.hearHost("b1", "dc-1", 1001)
+	l.hearHost("b2", "dc-1", 1002)
+	customer := place.HashOf("c")
+	sums := func(asked int) place.Totals {
+		return place.Totals{Uses: map[place.Hash]place.Use{customer: {Asked: asked, Served: asked}}, At: clock.Now()}
+	}
+	byCell := make(map[group][]string)
+	for i := range 200 {
+		name := fmt.Sprintf("a%03d", i)
+		byCell[l.groupOf(name)] = append(byCell[l.groupOf(name)], name)
+	}
+	cells := 0
+	for g, names := range byCell {
+		if g == l.ownGroup() {
+			continue // its sum is made here
+		}
+		cells++
+		for _, name := range names[:3] {
+			l.hearTotals(l.host(name), presence.Up, sums(100))
+		}
+	}
+	assert.Assert(t, cells >= 2)
+	for _, name := range []string{"b1", "b2"} {
+		l.hearTotals(l.host(name), presence.Across, sums(1000))
+	}
+	assert.Equal(t, l.dataCentreTotals(clock.Now()).Uses[customer].Asked, 100*cells)
+	assert.Equal(t, l.fleetTotals(clock.Now()).Uses[customer].Asked, 100*cells+1000)
+}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -145,7 +145,7 @@
 	var list []*zinccovev1.LeavingTarget
 	for _, hash := range l.gateway.placer.SaidLeaving() {
 		if len(list) < maxLeaving {
-			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Said: true})
+			list = append(list, &zinccovev1.LeavingTarget{Target: uint64(hash), Said: true})
 		}
 	}
 	for hash, d := range l.leaving {
@@ -153,7 +153,7 @@
 		case now.Sub(d.at) > leavingFor:
 			delete(l.leaving, hash)
 		case len(list) < maxLeaving:
-			list = append(list, &zinccovev1.LeavingTarget{Target: uint32(hash), Version: d.revision.Count, Era: d.revision.Era})
+			list = append(list, &zinccovev1.LeavingTarget{Target: uint64(hash), Version: d.revision.Count, Era: d.revision.Era})
 		}
 	}
 	return list
@@ -186,7 +186,7 @@
 // hearSaid takes another router's word that a target said itself that it leaves.
 func (l *loop) hearSaid(target place.Hash, id, from string) {
 	if l.gateway.placer.HearLeaving(target) {
-		l.gateway.log.Info().Str("target", id).Uint32("run", uint32(target)).Str("peer", from).Msg("target says that it leaves, as another router heard")
+		l.gateway.log.Info().Str("target", id).Uint64("run", uint64(target)).Str("peer", from).Msg("target says that it leaves, as another router heard")
 	}
 }
 
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -111,8 +111,8 @@
 		t.Run(name, func(t *testing.T) {
 			l, _ := newTargetLoop(t)
 			l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("again", 2, 1000)}}, true)
-			first, second := uint32(place.HashOf("again@1000")), uint32(place.HashOf("again@2000"))
-			leaves := func(run uint32) {
+			first, second := uint64(place.HashOf("again@1000")), uint64(place.HashOf("again@2000"))
+			leaves := func(run uint64) {
 				l.hearLeaving("b", []*zinccovev1.LeavingTarget{{Target: run, Version: 100}})
 			}
 			leaves(second)
@@ -145,7 +145,7 @@
 			l, clock := newTargetLoop(t)
 			l.takeTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: []platform.Change{entry("leaves", 2, 1000), entry("other", 1, 0)}}, true)
 			run := place.HashOf("leaves@1000")
-			l.hearLeaving("b", []*zinccovev1.LeavingTarget{{Target: uint32(run), Said: true}})
+			l.hearLeaving("b", []*zinccovev1.LeavingTarget{{Target: uint64(run), Said: true}})
 			for i := range 3 {
 				take(l, entry("leaves", uint64(10+i), 1000))
 				clock.Advance(leavingFor)
@@ -154,7 +154,7 @@
 				}
 				told := l.leavingTargets()
 				assert.Equal(t, len(told), 1)
-				assert.Assert(t, told[0].Said && told[0].Target == uint32(run))
+				assert.Assert(t, told[0].Said && told[0].Target == uint64(run))
 			}
 			other, _ := newTargetLoop(t)
 			other.hearLeaving("a", l.leavingTargets())
--- a/gateway/totals.go
+++ b/gateway/totals.go
@@ -60,7 +60,6 @@
 	case scope == presence.Down:
 		t, ok = l.totals.latest(group{})
 	}
-	t.Trim(toldCustomers)
 	return t, ok
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -48,7 +48,7 @@
 type Host struct {
 	Name string
 	// Key names the host in reports of many.
-	Key        uint32
+	Key        uint64
 	DataCentre string
 	Peer       netip.AddrPort
 	Control    netip.AddrPort
@@ -276,7 +276,7 @@
 
 // add makes h a member.
 func (t *Table) add(h *Host) *Host {
-	h.Key, h.Learned = uint32(xxhash.Sum64String(h.Name)), t.options.Clock.Now()
+	h.Key, h.Learned = xxhash.Sum64String(h.Name), t.options.Clock.Now()
 	t.hosts[h.Name] = h
 	t.sorted = nil
 	return h
--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -89,7 +89,7 @@
 }
 
 // owner returns the router that answers for a target.
-func (r *routers) owner(target Hash) int { return int(target) % len(r.placers) }
+func (r *routers) owner(target Hash) int { return int(uint64(target) % uint64(len(r.placers))) }
 
 // answers has the routers answer that a request's targets belong to.
 func (r *routers) answers(router int, q Request) []Answer {
--- a/place/peers.go
+++ b/place/peers.go
@@ -6,8 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Hash names a target or customer in messages between routers.
-type Hash uint32
+// Hash names a target, a part of a prompt or a customer in messages between routers. Of ten
+// thousand names in 32 bits two would be the same in one of a hundred fleets.
+type Hash uint64
 
 // HashOf returns the hash of an id or name.
 func HashOf(name string) Hash { return Hash(xxhash.Sum64String(name)) }
--- a/place/totals.go
+++ b/place/totals.go
@@ -47,10 +47,15 @@
 		return cmp.Or(cmp.Compare(y.Asked, x.Asked), cmp.Compare(y.CallsAsked, x.CallsAsked), cmp.Compare(a, b))
 	})
 	t.Others = max(t.Others, len(ranked)-most)
-	for _, h := range ranked[most:] {
-		t.Rest.add(t.Uses[h], 1)
-		delete(t.Uses, h)
+	uses := make(map[Hash]Use, most) // others may have the one before
+	for i, h := range ranked {
+		if i < most {
+			uses[h] = t.Uses[h]
+		} else {
+			t.Rest.add(t.Uses[h], 1)
+		}
 	}
+	t.Uses = uses
 }
 
 // compared returns the uses by which customers are compared: those of the totals, of which
--- a/presence/board.go
+++ b/presence/board.go
@@ -20,7 +20,7 @@
 	// At is when they were looked at.
 	At time.Time
 	// Gone and Leaving are the keys of routers, in order.
-	Gone, Leaving []uint32
+	Gone, Leaving []uint64
 }
 
 // board keeps the latest reports of all cells by reporter.
@@ -98,8 +98,8 @@
 }
 
 // common returns the keys that are in both of two ordered lists.
-func common(a, b []uint32) []uint32 {
-	var both []uint32
+func common(a, b []uint64) []uint64 {
+	var both []uint64
 	for _, key := range a {
 		if _, ok := slices.BinarySearch(b, key); ok {
 			both = append(both, key)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -333,7 +333,7 @@
 	return a.Cell == b.Cell && slices.Equal(a.Gone, b.Gone) && slices.Equal(a.Leaving, b.Leaving)
 }
 
-func has(keys []uint32, key uint32) bool {
+func has(keys []uint64, key uint64) bool {
 	_, ok := slices.BinarySearch(keys, key)
 	return ok
 }
