--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -104,3 +105,39 @@
 	}
 	g.metrics.Set(metric.HeartbeatsForged, float64(g.transport.Forged()))
 }
+
+// beatInterval grows with the number of routers, so that what each of them
+// receives stays the same. Those that are not heard yet count too while this router
+// starts: else 295 routers that start at once send each other heartbeats each 100 ms,
+// and take those for lost that already send theirs each 2.4 s (59 of 294).
+func (l *loop) beatInterval() time.Duration {
+	return max(l.gateway.settings.HeartbeatInterval, time.Duration(l.others)*beatCost)
+}
+
+// beatSpread is the part of the period by which two heartbeats may be closer or further
+// apart than usual.
+const beatSpread = 0.1
+
+// scheduleBeat draws when the next heartbeat comes.
+func (l *loop) scheduleBeat(now time.Time) {
+	period := l.beatInterval()
+	l.nextBeat = now.Add(untilBeat(l.random, period, period > 2*l.period))
+	l.period = period
+}
+
+// untilBeat draws the time to the next heartbeat. The next one after the period grew, as
+// when a router that starts has read who is there, comes at any time in it: routers that
+// start at once would otherwise all speak at once and then be silent together for two
+// seconds in a fleet of 295, in which whole data centres count as cut off.
+func untilBeat(random *rand.Rand, period time.Duration, grew bool) time.Duration {
+	if grew {
+		return time.Duration(random.Int64N(int64(period)))
+	}
+	spread := 1 + beatSpread*(2*random.Float64()-1)
+	return time.Duration(spread * float64(period))
+}
+
+// silenceTime is how long routers may be silent that send a heartbeat each period.
+func silenceTime(period time.Duration) time.Duration {
+	return max(silence, time.Duration(missedBeats*float64(period)))
+}
