Routers that start leave whole tables to leaders for as long as those need

Cause: a router that got no whole table from a leader within 0.3 s read the store. At a start of all, leaders need some seconds for 10,000 rows on a host of 0.192 of a core, so that 970 others would read the store too: 48,000 calls and 4 GB. Ruled out: no bound (leaders may all be cut off from the store). Change: 15 ms more for each known router of the data centre beyond a cell (2.6 s at 217, 5.9 s at 435); tries come further apart, and only those that stay are logged.

--- a/feed/leaders.go
+++ b/feed/leaders.go
@@ -12,8 +12,8 @@
 	// others, and of relays of each cell: two may be lost in the same moment without a router
 	// that has to find out by a time-out of its own.
 	Leaders = 3
-	// cellSize is the most routers of a cell, on average. Each relay serves a part of them.
-	cellSize = 64
+	// CellSize is the most routers of a cell, on average. Each relay serves a part of them.
+	CellSize = 64
 )
 
 // Role is what a router does for the others of its data centre.
@@ -79,7 +79,7 @@
 // Cells is the number of cells of a data centre with so many known routers. It doubles when
 // they have outgrown their size, so that few routers change their cell.
 func Cells(routers int) int {
-	full := (routers + cellSize - 1) / cellSize
+	full := (routers + CellSize - 1) / CellSize
 	if full <= 1 {
 		return 1
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,8 @@
 	// withdrawn is set while another router has removed this one's entry, as it took it for
 	// gone.
 	withdrawn atomic.Bool
+	// known is the number of routers of this data centre that are known.
+	known atomic.Int64
 	// ownRank is the place of this router in its data centre by name.
 	ownRank atomic.Int64
 	// leads is set while this router follows the store by itself, serves while others may
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -24,6 +24,7 @@
 	own := there[g.settings.DataCentre]
 	role := feed.RoleOf(g.settings.Host, namesOf(own), l.knownInDataCentre())
 	g.ownRank.Store(int64(role.Rank))
+	g.known.Store(int64(l.knownInDataCentre()))
 	l.setRole(role, l.leadersAmong(role.Sources, own))
 	l.presence.SetRole(role, l.knownInDataCentre())
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,14 +31,17 @@
 		return false
 	}
 	t.from, t.stream, t.end = l, stream, cancel
-	g.log.Info().Str("table", t.table).Str("peer", l.name).Stringer("since", since).Msg("follows a table through a router")
 	if t.first, err = t.message(); err != nil && !eris.Is(err, platform.ErrHistoryLost) {
-		t.close(err.Error())
+		t.drop()
 		return false
 	}
 	return true
 }
 
+func (t *through) logOpened(since revision.Revision) {
+	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Stringer("since", since).Msg("follows a table through a router")
+}
+
 // patience is how long the router that is followed may say nothing.
 func (t *through) patience() time.Duration {
 	return leaderSilence + max(t.keepalive-keepalive, 0)
@@ -75,8 +78,13 @@
 	if t.stream == nil {
 		return
 	}
+	t.drop()
+	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
+}
+
+// drop ends the stream.
+func (t *through) drop() {
 	t.end()
 	t.stream.Close() //nolint:errcheck // nothing more is read
 	t.stream, t.first, t.begun, t.left, t.keepalive = nil, nil, nil, t.from, 0
-	t.gateway.log.Info().Str("table", t.table).Str("peer", t.from.name).Str("reason", why).Msg("does not follow a table through a router any more")
 }
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -135,28 +135,39 @@
 }
 
 const (
-	// snapshotTime is how long a router that starts tries to get a whole table from one
-	// that follows the store: some of them may just start too.
-	snapshotTime  = 300 * time.Millisecond
-	snapshotPause = 30 * time.Millisecond
+	// leastSnapshotTime is how long a router that starts at least tries to get a whole table
+	// from one that follows the store: some of them may just start too. All routers of a
+	// large data centre that start at once would read tables of thousands of rows in the
+	// store, where leaders and relays have them some seconds later; each further router takes
+	// its part of that time.
+	leastSnapshotTime = 300 * time.Millisecond
+	snapshotStep      = 15 * time.Millisecond
+	// snapshotPause is the first pause between tries; it doubles up to longestSnapshotPause.
+	snapshotPause        = 30 * time.Millisecond
+	longestSnapshotPause = 300 * time.Millisecond
 )
 
+// snapshotTime is how long a router tries in a data centre of so many known routers.
+func snapshotTime(known int) time.Duration {
+	return leastSnapshotTime + time.Duration(max(known-feed.CellSize, 0))*snapshotStep
+}
+
 // snapshot returns the whole table as a router that follows the store gives it; ok is
 // false if none does soon.
 func (t *through) snapshot(ctx context.Context) (b platform.Batch, ok bool) {
 	g := t.gateway
 	g.awaitHosts(ctx)
-	until := g.clock.Now().Add(snapshotTime)
-	for ctx.Err() == nil && len(*g.leaders.Load()) > 0 {
+	began := g.clock.Now()
+	for pause := snapshotPause; ctx.Err() == nil && len(*g.leaders.Load()) > 0; pause = min(2*pause, longestSnapshotPause) {
 		if b, ok := t.takeWhole(); ok {
 			return b, true
 		}
 		_, _, err := t.next(ctx, revision.Revision{}, 0)
-		if err == nil || !g.clock.Now().Before(until) {
+		if err == nil || g.clock.Since(began) >= snapshotTime(int(g.known.Load())) {
 			break
 		}
 		if t.whole == nil {
-			g.clock.Sleep(snapshotPause)
+			g.clock.Sleep(pause)
 		}
 	}
 	return t.takeWhole()
@@ -194,14 +205,19 @@
 			continue
 		}
 		if t.first == nil || !t.first.Lost {
+			t.logOpened(since)
 			return true
 		}
 		if without == nil {
 			without = &order[i]
 		}
-		t.close("it does not reach the store")
+		t.drop()
 	}
-	return without != nil && t.open(ctx, since, *without)
+	if without == nil || !t.open(ctx, since, *without) {
+		return false
+	}
+	t.logOpened(since)
+	return true
 }
 
 // standing orders routers: the one that was left last comes last.
