Routers of large fleets learn how fast engines read from each other

Cause: a router expects first events by a line that it learns from requests, and sees one or two a second where a thousand routers share the load. Ruled out: another first guess (nothing states how fast engines read); bigger steps (the first ones are a fifth already). Change: answers about targets carry the line of the router that answers; a router that has learned less takes it until it has learned from thirty itself.

--- a/gateway/report.go
+++ b/gateway/report.go
@@ -152,11 +152,13 @@
 func encodeAnswer(a place.Answer) *zinccovev1.TargetAnswer {
 	return &zinccovev1.TargetAnswer{
 		Target: uint64(a.Target), Waiting: uint32(a.Waiting), Requests: uint32(a.Requests), Unread: uint32(a.Unread), Slowness: float32(a.Slowness),
+		BaseMs: float32(a.Line.Base), PerTokenMs: float32(a.Line.PerToken), Learned: uint32(a.Line.Learned),
 	}
 }
 
 func decodeAnswer(t *zinccovev1.TargetAnswer) place.Answer {
 	return place.Answer{
 		Target: place.Hash(t.Target), Waiting: int(t.Waiting), Requests: int(t.Requests), Unread: int(t.Unread), Slowness: float64(t.Slowness),
+		Line: place.Line{Base: float64(t.BaseMs), PerToken: float64(t.PerTokenMs), Learned: int(t.Learned)},
 	}
 }
--- a/place/ask.go
+++ b/place/ask.go
@@ -31,6 +31,9 @@
 	Unread int
 	// Slowness is the part by which the target takes longer than others.
 	Slowness float64
+	// Line is what the router that answers has learned of first events at the targets of the
+	// service; zero for plain services.
+	Line Line
 }
 
 // plainChoices is the number of targets of a plain service that a request is placed
@@ -101,6 +104,7 @@
 	slow := t.slow.factor(now)
 	a = Answer{Target: q.Target, Waiting: s.backlog(t, slow, now), Requests: t.outstanding(), Slowness: slow}
 	if s.engine != nil {
+		a.Line = s.speed.Line
 		pr := prompt{shared: q.Parts, sizes: q.Sizes, total: max(q.Total, 1)}
 		a.Unread = pr.unread(&t.kept, s.engine.MemoryTokens, q.First && t.warm(now))
 	}
@@ -119,6 +123,7 @@
 			continue
 		}
 		known[a.Target] = a
+		p.service(t.Service).speed.adopt(a.Line)
 		t.slow = slowness{log: math.Log(min(max(a.Slowness, 1/mostSlowness), mostSlowness)), at: now}
 		t.queue.set(a.Waiting, now)
 		t.others.Requests = max(a.Requests-t.own.Requests, 0)
--- a/place/idle_test.go
+++ b/place/idle_test.go
@@ -39,11 +39,11 @@
 	for range 20 {
 		s.learn(5000, time.Duration((guessBase+5000*actual)*float64(time.Millisecond)))
 	}
-	assert.Assert(t, s.perToken < 1.5*actual, "%v", s.perToken)
+	assert.Assert(t, s.PerToken < 1.5*actual, "%v", s.PerToken)
 	slow := newSpeed()
 	slow.guess(1000 / (actual * readPart))
 	for range 20 {
 		slow.learn(5000, time.Second)
 	}
-	assert.Assert(t, slow.perToken < 1.5*actual, "late first events have many causes: %v", slow.perToken)
+	assert.Assert(t, slow.PerToken < 1.5*actual, "late first events have many causes: %v", slow.PerToken)
 }
--- /dev/null
+++ b/place/line_test.go
@@ -0,0 +1,190 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/route"
+)
+
+// learners is a fleet that starts before idle engines, which read forty times faster than
+// their service is stated to produce: far more engines than the fleet needs. Each router sees
+// a request a second.
+type learners struct {
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	placers []*Placer
+	// shares tells whether routers learn from each other's answers.
+	shares bool
+	// due are the first events to come.
+	due []dueEvent
+}
+
+type dueEvent struct {
+	at  time.Time
+	run *Run
+}
+
+const (
+	idlePerToken = 20 * time.Microsecond
+	idleBase     = 50 * time.Millisecond
+	statedRatio  = 40
+)
+
+func newLearners(t *testing.T, routers, engines int, shares bool, seed uint64) *learners {
+	t.Helper()
+	l := &learners{clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 9)), shares: shares}
+	stated := float64(engines) * 1000 / (statedRatio * float64(idlePerToken) / float64(time.Millisecond) * readPart)
+	table, err := route.New(route.Spec{
+		Version: 1, Limits: route.Limits{TokensPerSecond: stated},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 16, MemoryTokens: 500_000}}},
+	})
+	assert.NilError(t, err)
+	list := targets("model", engines)
+	for i, x := range list {
+		x.ID = fmt.Sprint("e", i)
+	}
+	for range routers {
+		p := New(Options{Clock: l.clock})
+		p.SetTargets(list, table)
+		l.placers = append(l.placers, p)
+	}
+	return l
+}
+
+func (l *learners) owner(target Hash) *Placer {
+	return l.placers[uint64(target)%uint64(len(l.placers))]
+}
+
+// run plays the traffic of customers of which one asks for most, and returns the ratios of
+// expected to actual times of what is placed after a time, and the part that is refused.
+func (l *learners) run(d, after time.Duration) (ratios []float64, refused float64) {
+	asked, refusals := 0, 0
+	for now := time.Duration(0); now < d; now += 10 * time.Millisecond {
+		l.clock.Advance(10 * time.Millisecond)
+		l.events()
+		for i, p := range l.placers {
+			if l.random.Float64() >= 0.01 {
+				continue
+			}
+			customer := "large"
+			if l.random.Float64() < 0.5 {
+				customer = fmt.Sprint(l.random.IntN(20))
+			}
+			q := ask(call(fmt.Sprint(l.random.IntN(400)), 8000, 500+l.random.IntN(4000)), customer)
+			d := p.Place(q, l.answers(p, q)...)
+			asked++
+			if d.Run == nil {
+				refusals++
+				continue
+			}
+			took := idleBase + time.Duration(d.Unread)*idlePerToken
+			l.due = append(l.due, dueEvent{l.clock.Now().Add(took), d.Run})
+			if now >= after {
+				ratios = append(ratios, float64(d.Predicted)/float64(took))
+			}
+			l.tell(i, p)
+		}
+	}
+	slices.Sort(ratios)
+	return ratios, float64(refusals) / float64(asked)
+}
+
+func (l *learners) events() {
+	now := l.clock.Now()
+	left := l.due[:0]
+	for _, e := range l.due {
+		if e.at.After(now) {
+			left = append(left, e)
+			continue
+		}
+		e.run.FirstEvent(true)
+		e.run.End(Answered)
+	}
+	l.due = left
+}
+
+func (l *learners) answers(p *Placer, q Request) []Answer {
+	var list []Answer
+	for _, question := range p.Questions(q) {
+		owner := l.owner(question.Target)
+		if owner == p {
+			continue
+		}
+		if a, ok := owner.Answer(question); ok {
+			if !l.shares {
+				a.Line = Line{}
+			}
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// tell tells the routers that answer for targets what a router did there.
+func (l *learners) tell(router int, p *Placer) {
+	n := p.TakeNews()
+	parts := make(map[*Placer]*News)
+	of := func(target Hash) *News {
+		owner := l.owner(target)
+		if parts[owner] == nil {
+			parts[owner] = &News{Loads: make(map[Hash]Load)}
+		}
+		return parts[owner]
+	}
+	for _, x := range n.Readings {
+		of(x.Target).Readings = append(of(x.Target).Readings, x)
+	}
+	for _, x := range n.FirstEvents {
+		of(x.Target).FirstEvents = append(of(x.Target).FirstEvents, x)
+	}
+	for h, load := range n.Loads {
+		of(h).Loads[h] = load
+	}
+	for owner, part := range parts {
+		if owner != p {
+			owner.SetPeer(fmt.Sprint(router), Report{News: *part})
+		}
+	}
+}
+
+// TestRoutersOfALargeFleetLearnFromEachOther replays the first seconds of a fleet with far
+// more engines than are stated, with routers that learn alone and with such that take each
+// other's lines. Idle engines refused customers ahead of others as they seemed to read many
+// times slower than they do.
+func TestRoutersOfALargeFleetLearnFromEachOther(t *testing.T) {
+	const routers, engines = 60, 600
+	for seed := range uint64(3) {
+		alone, refusedAlone := newLearners(t, routers, engines, false, seed).run(10*time.Second, 8*time.Second)
+		together, refused := newLearners(t, routers, engines, true, seed).run(10*time.Second, 8*time.Second)
+		nine := func(ratios []float64) float64 { return ratios[len(ratios)*9/10] }
+		t.Logf("seed %d: expected over actual time, nine of ten: alone %.1f, together %.1f; refused %.3f, %.3f", seed, nine(alone), nine(together), refusedAlone, refused)
+		assert.Assert(t, nine(together) < 2, "nine of ten are expected within twice the actual time, not %v", nine(together))
+		assert.Assert(t, nine(together) < nine(alone))
+		assert.Assert(t, refused <= refusedAlone)
+	}
+}
+
+// TestLinesOfRoutersThatLearnedLessAreNotTaken has lines come that are older, empty or wrong.
+func TestLinesOfRoutersThatLearnedLessAreNotTaken(t *testing.T) {
+	s := newSpeed()
+	s.guess(1000)
+	s.learn(5000, time.Second)
+	own := s.Line
+	for _, l := range []Line{{}, {Base: 50, PerToken: 1, Learned: 1}, {Base: 50, Learned: 100}, {PerToken: 1, Learned: 100}} {
+		s.adopt(l)
+		assert.Equal(t, s.Line, own)
+	}
+	other := Line{Base: 60, PerToken: 0.02, Learned: 7}
+	s.adopt(other)
+	assert.Equal(t, s.Line, other)
+	s.Learned = minRequests
+	s.adopt(Line{Base: 50, PerToken: 5, Learned: 1000})
+	assert.Equal(t, s.PerToken, 0.02, "it has learned enough itself")
+}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -21,7 +21,7 @@
 	for i := range list {
 		list[i] = &roster.Target{
 			ID: fmt.Sprintf("%s-%d", service, i), Service: service, Slots: 64,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 80),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(1 + i>>8), byte(i)}), 80),
 		}
 	}
 	return list
@@ -334,6 +334,10 @@
 
 func BenchmarkPlaceAmong320(b *testing.B) { benchmarkPlace(b, 320) }
 
+func BenchmarkPlaceAmong10000(b *testing.B) { benchmarkPlace(b, 10_000) }
+
+func BenchmarkPlaceAmong20000(b *testing.B) { benchmarkPlace(b, 20_000) }
+
 func benchmarkPlace(b *testing.B, n int) {
 	clock := clockwork.NewFakeClock()
 	p := New(Options{Clock: clock})
--- a/place/speed.go
+++ b/place/speed.go
@@ -11,12 +11,19 @@
 // are slow for a while so do not move it much: least squares took 12 s to come
 // back to 52 ms after all hosts lost power, as routers that start know nothing of
 // what waits; small steps stay within 12 ms of it.
-type speed struct {
-	// base is the time of a prompt that is kept whole in milliseconds, perToken what
-	// each token adds.
-	base, perToken float64
-	// learned counts the requests that the line was learned from.
-	learned int
+//
+// A router of a large fleet sees a request a second, and would take half a minute to learn.
+// So routers that have learned little take the line of one that learned more, which comes with
+// its answers about targets.
+type speed struct{ Line }
+
+// Line is the time to the first event as a function of tokens.
+type Line struct {
+	// Base is the time of a prompt that is kept whole in milliseconds, PerToken what each
+	// token adds.
+	Base, PerToken float64
+	// Learned counts the requests that the line was learned from.
+	Learned int
 }
 
 const (
@@ -50,50 +57,58 @@
 	leanDown = 1.2
 )
 
-func newSpeed() *speed { return &speed{base: guessBase} }
+func newSpeed() *speed { return &speed{Line{Base: guessBase}} }
 
 // guess sets the slope from the stated tokens a second of one engine, until
 // answers tell better.
 func (s *speed) guess(tokensPerSecond float64) {
-	if s.learned < minRequests && tokensPerSecond > 0 {
-		s.perToken = 1000 / (tokensPerSecond * readPart)
+	if s.Learned < minRequests && tokensPerSecond > 0 {
+		s.PerToken = 1000 / (tokensPerSecond * readPart)
+	}
+}
+
+// adopt takes the line of another router that has learned more, until this one has learned
+// enough itself.
+func (s *speed) adopt(l Line) {
+	if s.Learned < minRequests && s.Learned < l.Learned && l.PerToken > 0 && l.Base >= leastBase {
+		s.Line = l
 	}
 }
 
 // learn takes the time to the first event of a request that was sent with so
 // many tokens to read before it, its own included.
 func (s *speed) learn(tokens int, took time.Duration) {
-	s.learned++
+	s.Learned++
 	step := 1.0
 	if took < s.predict(tokens) {
 		step = -leanDown
 	}
-	s.base = max(s.base+step*baseStep, leastBase)
+	s.Base = max(s.Base+step*baseStep, leastBase)
 	slope := step * slopeStep
-	if step < 0 && s.learned < minRequests {
+	if step < 0 && s.Learned < minRequests {
 		slope = -firstDown
 	}
-	s.perToken *= 1 + slope*min(float64(tokens)/fullStep, 1)
+	s.PerToken *= 1 + slope*min(float64(tokens)/fullStep, 1)
 }
 
 // predict returns the expected time to the first event.
 func (s *speed) predict(tokens int) time.Duration {
-	return time.Duration(s.base*float64(time.Millisecond)) + s.reading(tokens)
+	return time.Duration(s.Base*float64(time.Millisecond)) + s.reading(tokens)
 }
 
 // reading returns the time that reading tokens takes.
 func (s *speed) reading(tokens int) time.Duration {
-	return time.Duration(s.perToken * float64(tokens) * float64(time.Millisecond))
+	return time.Duration(s.PerToken * float64(tokens) * float64(time.Millisecond))
 }
 
 // rate is the number of tokens read in a millisecond; 0 if nothing tells it yet.
 func (s *speed) rate() float64 {
-	if s.perToken <= 0 {
+	if s.PerToken <= 0 {
 		return 0
 	}
-	return 1 / s.perToken
+	return 1 / s.PerToken
 }
 
 // after is the number of tokens that are read between the end of a prompt and its
 // first event.
-func (s *speed) after() float64 { return s.base * s.rate() }
+func (s *speed) after() float64 { return s.Base * s.rate() }
