--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,7 +1,7 @@
 // Package feed hands on what one router reads of a table of the platform's store.
 //
 // A store prices each call, and a fleet whose routers all follow it by themselves
-// makes as many calls for each change as it has routers: 12,895 on a day of 295. So a
+// makes as many calls for each change as it has routers. So a
 // few routers of each data centre follow the store (Leaders) and the others follow
 // them. A Log keeps the newest state of each row, so that a reader can go on from any
 // revision since the router read the table whole, also when it followed another router
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -108,8 +108,8 @@
 
 // beatInterval grows with the number of routers, so that what each of them
 // receives stays the same. Those that are not heard yet count too while this router
-// starts: else 295 routers that start at once send each other heartbeats each 100 ms,
-// and take those for lost that already send theirs each 2.4 s (59 of 294).
+// starts: routers that start at once would else send each other heartbeats at the shortest
+// interval, and take those for lost that already send theirs at a longer one.
 func (l *loop) beatInterval() time.Duration {
 	return max(l.gateway.settings.HeartbeatInterval, time.Duration(l.others)*beatCost)
 }
@@ -127,8 +127,8 @@
 
 // untilBeat draws the time to the next heartbeat. The next one after the period grew, as
 // when a router that starts has read who is there, comes at any time in it: routers that
-// start at once would otherwise all speak at once and then be silent together for two
-// seconds in a fleet of 295, in which whole data centres count as cut off.
+// start at once would otherwise all speak at once and then be silent together, so that whole
+// data centres count as cut off.
 func untilBeat(random *rand.Rand, period time.Duration, grew bool) time.Duration {
 	if grew {
 		return time.Duration(random.Int64N(int64(period)))
--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -11,8 +11,8 @@
 )
 
 // unheardFor is how long after its start a router takes it that others are there of
-// which it only read in the store: all routers may start at once, and of 295 each one
-// says only each 2.4 s who it is. With 5 s most took the lead for some seconds.
+// which it only read in the store: all routers may start at once, and those that have not
+// heard of the others yet would all take the lead.
 const unheardFor = 10 * time.Second
 
 // findLeaders finds out which routers follow the store for others, by what is known of
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -20,9 +20,8 @@
 	// tickPeriod is the time between looks at what is due.
 	tickPeriod = 50 * time.Millisecond
 	// silence is how long a router may at least be silent before it counts as not
-	// reachable; what it announced is forgotten then. In large fleets it may be silent
-	// for missedBeats periods of heartbeats: with 295 routers, whose period is 2.4 s,
-	// each one would lose six others a second that are well.
+	// reachable; what it announced is forgotten then. Where heartbeats come seldom it may be
+	// silent for missedBeats periods, so that a lost one makes nobody go.
 	silence     = 2 * time.Second
 	missedBeats = 2.5
 	// forgetAfter is the silence after which no heartbeats are sent to a router.
@@ -49,8 +48,8 @@
 	// about a hundredth of a core.
 	beatCost = 8 * time.Millisecond
 	// lookEvery is the number of ticks between looks at who is silent, leadEvery that
-	// between looks at who follows the store and answers for targets. Each tick took
-	// 15 % of the processor time of a fleet of 295 routers when all were looked at.
+	// between looks at who follows the store and answers for targets, which concern all
+	// other routers.
 	lookEvery = 2
 	leadEvery = 10
 	// sweepEvery is the number of ticks between sweeps of idle connections.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,7 +20,7 @@
 	g := t.gateway
 	client := zinccovev1connect.NewPeerServiceClient(g.streams, "http://"+l.control.String(), control.Authorize("", g.settings.FleetKey),
 		connect.WithReadMaxBytes(maxNews),
-		// Keepalives are some bytes; preparing to compress them took 4 % of a router's time.
+		// Keepalives are some bytes, and pages of tables are compressed.
 		connect.WithAcceptCompression("gzip", nil, nil))
 	ctx, cancel := context.WithCancel(ctx)
 	watch := g.clock.AfterFunc(t.patience(), cancel)
--- a/gateway/through.go
+++ b/gateway/through.go
@@ -29,8 +29,8 @@
 	leaderSilence = 700 * time.Millisecond
 	// askStoreEvery is the least time between calls to the store of a router that
 	// reaches none that follows it, seldomAskEvery that of all but the next ones by name.
-	// An outage of the store that all 295 routers tried to end would cost 250 calls a
-	// second; each 3 s for all of them it cost 1,100 calls in 6 s.
+	// An outage that all routers of a large fleet tried to end would cost the store as many
+	// calls a second.
 	askStoreEvery  = 3 * time.Second
 	seldomAskEvery = 12 * time.Second
 	// lookAroundEvery is the least time between looks for a router that reaches it.
--- a/member/member.go
+++ b/member/member.go
@@ -98,9 +98,8 @@
 	hosts   map[string]*Host
 	runs    map[uint64]*Host
 	ticked  time.Time
-	// sorted holds hosts by name; nil after one was added or removed. The control loop
-	// of a fleet of 295 routers asks for it some 100 times a second: sorting it each
-	// time took 0.35 % of a core.
+	// sorted holds hosts by name; nil after one was added or removed. The control loop asks
+	// for it many times a second.
 	sorted []*Host
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -162,8 +162,7 @@
 
 // Send sends a heartbeat to some routers. It returns its size on the wire in bytes,
 // headers included, the number of routers it left for, and the last error. It does
-// not wait for the receivers. The datagram is made once for all: made for each of 294
-// routers it took two thirds of the time.
+// not wait for the receivers. The datagram is made once for all.
 func (t *Transport) Send(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (size, sent int, err error) {
 	datagram, err := Seal(t.options.Key, hb)
 	if err != nil {
--- a/place/ask.go
+++ b/place/ask.go
@@ -8,7 +8,7 @@
 
 // Question asks the router that answers for a target how things are there. All
 // routers tell that one what they place at the target, so that it alone knows what
-// waits: in a fleet of 295 each of them sees one in 295 requests, and a queue at an
+// waits: each router of a large fleet sees a small part of the requests, and a queue at an
 // engine lives for some 100 ms.
 type Question struct {
 	Target Hash
--- a/place/place.go
+++ b/place/place.go
@@ -160,8 +160,8 @@
 	byHash   map[Hash]*target
 	peers    map[string]*report
 	uses     map[Hash]*ring
-	// othersUses are the sums over the reports of all peers. Summing up 294 reports
-	// anew for each comparison of customers took 1.0 ms, 2 % of a core.
+	// othersUses are the sums over the reports of all peers, kept so that a comparison of
+	// customers need not sum them up.
 	othersUses useSums
 	// totals are the uses of the whole fleet; nil if nobody sums them up.
 	totals *Totals
