A router that is cut off removes nobody's entry

Cause: the first router of a data centre removes entries of those gone for a minute; one that is cut off from all others takes itself for the first and the others for gone. Change: none is removed unless at least as many are heard.

--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -101,25 +101,42 @@
 		return
 	}
 	l.withdrew = now
+	names := l.goneForLong(now)
+	if len(names) == 0 {
+		return
+	}
 	g := l.gateway
+	g.group.Go(func() error {
+		err := g.store.Withdraw(ctx, g.settings.DataCentre, names...)
+		g.log.Info().Err(err).Strs("routers", names).Msg("entries of routers that are gone removed")
+		return nil
+	})
+}
+
+// goneForLong returns routers of this data centre that are gone for long; none while this one
+// hears few others, as it may be cut off itself.
+func (l *loop) goneForLong(now time.Time) []string {
 	var names []string
+	heard := 0
 	for _, h := range l.contact.Members.Hosts() {
+		if h.DataCentre != l.gateway.settings.DataCentre {
+			continue
+		}
 		last := h.Heard
 		if last.Before(h.Learned) {
 			last = h.Learned
 		}
-		if h.DataCentre == g.settings.DataCentre && !h.Reachable && now.Sub(last) > forgetAfter && len(names) < mostWithdrawn {
+		switch {
+		case h.Reachable:
+			heard++
+		case now.Sub(last) > forgetAfter && len(names) < mostWithdrawn:
 			names = append(names, h.Name)
 		}
 	}
-	if len(names) == 0 {
-		return
-	}
-	g.group.Go(func() error {
-		err := g.store.Withdraw(ctx, g.settings.DataCentre, names...)
-		g.log.Info().Err(err).Strs("routers", names).Msg("entries of routers that are gone removed")
+	if heard < len(names) {
 		return nil
-	})
+	}
+	return names
 }
 
 // sendMessage sends a heartbeat or report.
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -93,3 +94,25 @@
 	assert.Equal(t, l.dataCentreTotals(clock.Now()).Uses[customer].Asked, 100*cells)
 	assert.Equal(t, l.fleetTotals(clock.Now()).Uses[customer].Asked, 100*cells+1000)
 }
+
+// TestEntriesOfRoutersThatAreGoneAreRemovedByWhoHearsTheOthers has some routers end, and then
+// this one be cut off from all.
+func TestEntriesOfRoutersThatAreGoneAreRemovedByWhoHearsTheOthers(t *testing.T) {
+	l := newControl(t)
+	clock := l.gateway.clock.(*clockwork.FakeClock)
+	for i := range 20 {
+		l.hearHost(fmt.Sprintf("a%02d", i), "dc-0", uint64(i+1))
+		l.hearHost(fmt.Sprintf("b%02d", i), "dc-1", uint64(i+101))
+	}
+	for i := range 3 {
+		l.host(fmt.Sprintf("a%02d", i)).Reachable = false
+	}
+	l.host("b00").Reachable = false
+	assert.Equal(t, len(l.goneForLong(clock.Now())), 0, "they may come back")
+	clock.Advance(forgetAfter + time.Second)
+	assert.DeepEqual(t, l.goneForLong(clock.Now()), []string{"a00", "a01", "a02"})
+	for i := range 17 {
+		l.host(fmt.Sprintf("a%02d", i)).Reachable = false
+	}
+	assert.Equal(t, len(l.goneForLong(clock.Now())), 0, "it seems to be cut off itself")
+}
