Answers of a cell count once with its own relays

Cause: a leader hears the members of its cell, and the sums that the other relays of the cell make of the same answers. Change: of these only the state counts. TestCountsOfServicesThatMoveTakeTheWayOfReports fails before with 30 answers in place of 15.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -221,23 +221,28 @@
 	return encodeRollouts(counts)
 }
 
-// hearRollouts takes what another router says of services that move.
+// hearRollouts takes what another router says of services that move. What other relays say of
+// the cell of this one is made of answers that it was told of itself.
 func (l *loop) hearRollouts(host, dataCentre string, hb *zinccovev1.Heartbeat) {
 	if len(hb.Rollouts) == 0 {
 		return
 	}
-	from := host
+	from, known := host, false
 	if hb.Report != nil {
 		switch decodeScope(hb.Report.Scope) {
 		case presence.Up:
 			g := l.groupOf(host)
-			from = dataCentreName(g.dataCentre) + g.cell
+			from, known = dataCentreName(g.dataCentre)+g.cell, g == l.ownGroup()
 		case presence.Across:
 			from = dataCentreName(dataCentre)
 		}
 	}
-	for _, c := range hb.Rollouts {
-		l.gateway.rollouts.Hear(from, decodeRollout(c))
+	for _, enc := range hb.Rollouts {
+		c := decodeRollout(enc)
+		if known {
+			c.Tallies, c.OldRunning = nil, 0
+		}
+		l.gateway.rollouts.Hear(from, c)
 	}
 }
 
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -70,6 +70,16 @@
 	}
 	relays := []*loop{newLoop(), newLoop(), newLoop()}
 	leader, elsewhere := newLoop(), newLoop()
+	var names []string // of relays of one cell that is not the leader's
+	for i := range 200 {
+		leader.hearHost(fmt.Sprint("r", i), "dc-0", uint64(i+1))
+	}
+	for i := range 200 {
+		name := fmt.Sprint("r", i)
+		if g := leader.groupOf(name); g != leader.ownGroup() && (len(names) == 0 || g == leader.groupOf(names[0])) {
+			names = append(names, name)
+		}
+	}
 	for i := range 5 {
 		member := newLoop()
 		noteAnswers(member, 3, 0)
@@ -82,9 +92,13 @@
 	for _, relay := range relays {
 		assert.Equal(t, sum(relay).Answers, 15)
 	}
-	// All relays are of one cell here, as few routers are known.
 	for i, relay := range relays {
-		tell(relay, leader, fmt.Sprint("relay", i), "dc-0", presence.Up)
+		tell(relay, leader, names[i], "dc-0", presence.Up)
+	}
+	for i := range 200 {
+		if name := fmt.Sprint("r", i); leader.groupOf(name) == leader.ownGroup() {
+			tell(relays[0], leader, name, "dc-0", presence.Up) // a relay of its own cell
+		}
 	}
 	assert.Equal(t, sum(leader).Answers, 15)
 	for range 3 {
