Routers learn those of their data centre first; small heaps may have more garbage

Where the settings name no data centres, routers did not find each other. A second attempt after complete went to the old targets. Change: the own part first, the others beside the rest; the unnamed part without names; the second attempt is drawn anew. Garbage up to 400 % of a small heap, within its share.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -23,8 +23,10 @@
 	// usualGarbage is that of a process of unknown memory in bytes.
 	usualGarbage = 16 << 20
 	// leastPercent bounds how often a heap is collected that outgrows its share, mostPercent
-	// the heap of a process that just started, which the runtime takes to be 4 MB.
-	leastPercent, mostPercent = 40, 200
+	// how much of a small heap may be garbage.
+	leastPercent, mostPercent = 40, 400
+	// leastHeap is what the runtime takes to live at least, in bytes.
+	leastHeap = 4 << 20
 	// tolerance is the change of the percentage that is not worth setting, as each one stops
 	// the process for a moment.
 	tolerance = 0.15
@@ -47,9 +49,9 @@
 func New(memory int64) *Tuner { return newTuner(memory, func(p int) { debug.SetGCPercent(p) }) }
 
 func newTuner(memory int64, set func(int)) *Tuner {
-	t := &Tuner{memory: memory, percent: mostPercent, set: set}
+	t := &Tuner{memory: memory, percent: percentOf(leastHeap, memory), set: set}
 	t.sample[0].Name = liveMetric
-	set(mostPercent)
+	set(t.percent)
 	return t
 }
 
@@ -74,8 +76,6 @@
 	if memory > 0 {
 		garbage = garbageShare * float64(memory)
 	}
-	if live == 0 {
-		return mostPercent
-	}
-	return int(min(max(100*garbage/float64(live), leastPercent), mostPercent))
+	heap := max(float64(live), leastHeap)
+	return int(min(max(100*garbage/heap, leastPercent), mostPercent))
 }
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -22,6 +22,7 @@
 		hosts, err := g.introduce(ctx, self)
 		if err == nil {
 			g.loop.post(ctx, func(l *loop) { l.learnHosts(hosts) })
+			g.readOtherHosts(ctx, len(hosts))
 			return g.keepAnnounced(ctx, self)
 		}
 		g.log.Warn().Err(err).Msg("router not announced, trying again")
@@ -34,48 +35,62 @@
 	}
 }
 
-// introduce returns the entries of all routers, with this one's among them. A fleet that
-// starts for the first time has none.
+// introduce returns the entries of the routers of this data centre, with this one's among
+// them. A fleet that starts for the first time has none.
 func (g *Gateway) introduce(ctx context.Context, self platform.Host) ([]platform.Host, error) {
 	if !g.settings.FirstStart {
-		hosts, err := g.hosts(ctx)
+		hosts, err := g.store.Hosts(ctx, g.ownPart())
 		if err != nil || slices.Contains(hosts, self) {
 			return hosts, err
 		}
 	}
-	if err := g.store.Announce(ctx, self); err != nil {
+	if err := g.store.Announce(ctx, self, g.ownPart()); err != nil {
 		return nil, err
 	}
-	return g.hosts(ctx)
+	return g.store.Hosts(ctx, g.ownPart())
 }
 
 // fewHosts is the number of routers in the own data centre up to which those of the others
 // are read in the store too. Routers of large fleets learn of them through leaders.
 const fewHosts = 48
 
-// hosts returns the entries of the routers of this data centre, and of the others if there
-// are few.
-func (g *Gateway) hosts(ctx context.Context) ([]platform.Host, error) {
-	own := g.settings.DataCentre
-	hosts, err := g.store.Hosts(ctx, own)
-	if err != nil || len(hosts) > fewHosts {
-		return hosts, err
+// readOtherHosts reads the entries of the routers of the other data centres if this one has
+// few. Nothing waits for them.
+func (g *Gateway) readOtherHosts(ctx context.Context, own int) {
+	others := slices.DeleteFunc(g.hostParts(), func(part string) bool { return part == g.ownPart() })
+	if own > fewHosts || len(others) == 0 {
+		return
 	}
-	others := slices.DeleteFunc(g.dataCentres(), func(dc string) bool { return dc == own })
-	if len(others) == 0 {
-		return hosts, nil
+	for pause := announcePause; ctx.Err() == nil; pause = min(2*pause, longestAnnouncePause) {
+		hosts, err := g.store.Hosts(ctx, others...)
+		if err == nil {
+			g.loop.post(ctx, func(l *loop) { l.learnAddresses(hosts) })
+			return
+		}
+		g.log.Warn().Err(err).Msg("routers of other data centres not read, trying again")
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(pause):
+		}
+	}
+}
+
+// ownPart is the part of the table that has the entries of this data centre's routers. Where
+// the settings name no data centres all routers use the unnamed part.
+func (g *Gateway) ownPart() string {
+	if len(g.settings.Regions) == 0 {
+		return ""
 	}
-	more, err := g.store.Hosts(ctx, others...)
-	return append(hosts, more...), err
+	return g.settings.DataCentre
 }
 
-// dataCentres returns all that the settings name, this router's among them.
-func (g *Gateway) dataCentres() []string {
-	list := slices.Sorted(maps.Keys(g.settings.Regions))
-	if !slices.Contains(list, g.settings.DataCentre) {
-		list = append(list, g.settings.DataCentre)
+// hostParts returns all parts of the table of routers.
+func (g *Gateway) hostParts() []string {
+	parts := slices.Sorted(maps.Keys(g.settings.Regions))
+	if own := g.ownPart(); !slices.Contains(parts, own) {
+		parts = append(parts, own)
 	}
-	return list
+	return parts
 }
 
 // Pauses between tries to announce this router. Heartbeats to known contacts
@@ -105,7 +120,7 @@
 		if !g.withdrawn.Swap(false) && g.clock.Since(written) > revision.CopyAge {
 			continue
 		}
-		if err := g.store.Announce(ctx, self); err != nil {
+		if err := g.store.Announce(ctx, self, g.ownPart()); err != nil {
 			g.log.Warn().Err(err).Msg("router not announced again, trying again")
 			g.clock.Sleep(announcePause)
 			g.announceAgain()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -50,7 +50,7 @@
 // parts are those of the store's table.
 func (g *Gateway) parts(table string) []string {
 	if table == wire.TableRouters {
-		return g.dataCentres()
+		return g.hostParts()
 	}
 	return nil
 }
--- a/gateway/hear.go
+++ b/gateway/hear.go
@@ -97,13 +97,18 @@
 	l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: addr})
 }
 
-// learnHosts takes the entries of routers from the store.
-func (l *loop) learnHosts(hosts []platform.Host) {
+// learnAddresses takes the entries of routers from the store.
+func (l *loop) learnAddresses(hosts []platform.Host) {
 	for _, h := range hosts {
 		if h.Peer.IsValid() {
 			l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
 	}
+}
+
+// learnHosts takes the entries of the routers of this data centre, which now has this one's.
+func (l *loop) learnHosts(hosts []platform.Host) {
+	l.learnAddresses(hosts)
 	l.gateway.log.Info().Int("routers", len(hosts)).Msg("router announced")
 	l.findLeaders(l.gateway.clock.Now())
 	if len(hosts) > fewHosts {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -70,11 +70,7 @@
 		g.metrics.Inc(metric.EntriesRejected)
 		g.log.Warn().Err(err).Msg("router entries rejected")
 	}
-	for _, h := range hosts {
-		if h.Peer.IsValid() {
-			l.contact.Members.Learn(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
-		}
-	}
+	l.learnAddresses(hosts)
 	for _, c := range b.Changes {
 		switch {
 		case !c.Removed:
@@ -107,7 +103,7 @@
 	}
 	g := l.gateway
 	g.group.Go(func() error {
-		err := g.store.Withdraw(ctx, g.settings.DataCentre, names...)
+		err := g.store.Withdraw(ctx, g.ownPart(), names...)
 		g.log.Info().Err(err).Strs("routers", names).Msg("entries of routers that are gone removed")
 		return nil
 	})
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -179,7 +179,7 @@
 	f.deadline = f.received.Add(f.limit())
 	f.service = f.route.Pick(rand.IntN)
 	f.engine = table.Service(f.service).Engine != nil
-	f.chooseVersions()
+	f.chooseVersions(rand.Float64())
 	f.life = request.New(request.Options{
 		ID: f.call.ID, Repeatable: f.route.Repeats(), Deadline: f.deadline, MaxAttempts: f.route.MaxAttempts,
 		FreeUnsent: freeUnsent,
--- a/relay/version.go
+++ b/relay/version.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"zinccove.example/zinccove/place"
@@ -12,11 +11,11 @@
 // firstEventSize is how many events the time to the first one of a stream counts as.
 const firstEventSize = 2
 
-// chooseVersions draws at which version of a service that moves to a new one the request may
-// run.
-func (f *flight) chooseVersions() {
+// chooseVersions decides at which version of a service that moves to a new one the request may
+// run, by a number from 0 to 1: 1 is the old one while there are two.
+func (f *flight) chooseVersions(draw float64) {
 	if rollouts := f.server.options.Rollouts; rollouts != nil {
-		c := rollouts.Choose(f.service, rand.Float64())
+		c := rollouts.Choose(f.service, draw)
 		f.versions = place.Versions{Only: c.Only, Not: c.Not, Strict: c.Strict}
 	}
 }
@@ -36,8 +35,8 @@
 	}
 }
 
-// judgeFailure takes a failure of the target. What follows it is not sent to the new version
-// again.
+// judgeFailure takes a failure of the target. What follows it is not sent to a new version
+// that is still judged.
 func (f *flight) judgeFailure(fail *target.Failure) {
 	if f.interrupted() != running {
 		return
@@ -45,8 +44,8 @@
 	if fail.Kind == target.Broken || fail.Kind == target.Crossed {
 		f.judge(rollout.Answer{Failed: true})
 	}
-	if only := f.versions.Only; only != "" {
-		f.versions = place.Versions{Not: only}
+	if f.versions.Only != "" {
+		f.chooseVersions(1)
 	}
 }
 
