A router that the store turns away at its start follows others as soon as it hears of them

Cause: a router that starts waits up to two seconds for the list of routers, also when others told it of themselves meanwhile. Change: it looks each 50 ms whether it knows whom to follow.

--- a/gateway/through.go
+++ b/gateway/through.go
@@ -107,20 +107,25 @@
 	return b, t.mayAsk(), err
 }
 
-// hostsTime is how long a router that starts waits until it has read which others there
-// are, before it follows a table: each one that does not know asks the store by itself.
-const hostsTime = 2 * time.Second
+const (
+	// hostsTime is how long a router that starts waits until it has read which others there
+	// are, before it follows a table: each one that does not know asks the store by itself.
+	hostsTime = 2 * time.Second
+	// hostsPause is the time between looks whether it heard of them from others meanwhile, as
+	// while the store turns it away.
+	hostsPause = 50 * time.Millisecond
+)
 
-// awaitHosts waits until the other routers were read, for hostsTime at most.
+// awaitHosts waits until the other routers are known, for hostsTime at most.
 func (g *Gateway) awaitHosts(ctx context.Context) {
-	left := hostsTime - g.clock.Since(g.started)
-	if left <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-g.learned:
-	case <-g.clock.After(left):
+	for g.clock.Since(g.started) < hostsTime && len(*g.leaders.Load()) == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.learned:
+			return
+		case <-g.clock.After(hostsPause):
+		}
 	}
 }
 
