--- a/gateway/hear.go
+++ b/gateway/hear.go
@@ -73,8 +73,7 @@
 }
 
 // welcome tells a router that just started who and how far this one is, if it is among those
-// that follow the store for others: so the new one need not wait for the next heartbeats,
-// which come each 2.4 s in a fleet of 295.
+// that serve others: so the new one need not wait for the next heartbeats.
 func (l *loop) welcome(h *member.Host) {
 	g := l.gateway
 	if !g.serves.Load() || !h.Peer.IsValid() {
