--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -20,8 +20,7 @@
 	// meshLimit is the most routers of which each sends heartbeats to all others. Beyond,
 	// they come so rarely that a router that ends is noticed late.
 	meshLimit = 128
-	// totalsEvery is the time between reports that carry sums of use: with four of them
-	// under way the sums are less than two seconds old.
+	// totalsEvery is the least time between reports that carry sums of use.
 	totalsEvery = 400 * time.Millisecond
 	// toldCustomers is the most customers that sums tell one by one.
 	toldCustomers = 64
