Find routers by name in one place, count the data centre once a look

Two searches by name over the sorted list of routers, in gateway and in presence, are one method of the member table, which has a map by name. The look for leaders counted the routers of its data centre three times; it counts them once. The number of ticks between looks at others has a name of its own.

Behaviour is unchanged.

--- a/gateway/leaders.go
+++ b/gateway/leaders.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"zinccove.example/zinccove/feed"
@@ -21,12 +20,12 @@
 	there := l.hostsThere(now)
 	l.countFollowers(there)
 	g := l.gateway
-	own := there[g.settings.DataCentre]
-	role := feed.RoleOf(g.settings.Host, namesOf(own), l.knownInDataCentre())
+	known := l.knownInDataCentre()
+	role := feed.RoleOf(g.settings.Host, namesOf(there[g.settings.DataCentre]), known)
 	g.ownRank.Store(int64(role.Rank))
-	g.known.Store(int64(l.knownInDataCentre()))
-	l.setRole(role, l.leadersAmong(role.Sources, own))
-	l.presence.SetRole(role, l.knownInDataCentre())
+	g.known.Store(int64(known))
+	l.setRole(role, l.leadersOf(role.Sources))
+	l.presence.SetRole(role, known)
 }
 
 // knownInDataCentre is the number of routers of this data centre, this one and those that
@@ -91,12 +90,13 @@
 	l.gateway.rank.Store(int64(before))
 }
 
-// leadersAmong returns the routers with some names among those of this data centre.
-func (l *loop) leadersAmong(names []string, hosts []*member.Host) []leader {
+// leadersOf returns the routers to follow by their names.
+func (l *loop) leadersOf(names []string) []leader {
 	var leaders []leader
 	for _, name := range names {
-		i, _ := slices.BinarySearchFunc(hosts, name, func(h *member.Host, name string) int { return strings.Compare(h.Name, name) })
-		leaders = append(leaders, leader{name: name, control: l.controlOf(hosts[i])})
+		if h, ok := l.contact.Members.Host(name); ok {
+			leaders = append(leaders, leader{name: name, control: l.controlOf(h)})
+		}
 	}
 	return leaders
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -228,7 +228,7 @@
 	l.ticks++
 	l.noteSuspension()
 	l.adoptWaiting()
-	if l.ticks%l.lookEvery() == 0 {
+	if l.ticks%l.hostLookEvery() == 0 {
 		l.expire()
 		l.findCuts()
 	}
@@ -261,8 +261,8 @@
 	}
 }
 
-// lookEvery is the number of ticks between looks at all other routers.
-func (l *loop) lookEvery() int {
+// hostLookEvery is the number of ticks between looks at all other routers.
+func (l *loop) hostLookEvery() int {
 	if l.reporting() {
 		return leadEvery
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -281,6 +281,12 @@
 	return h
 }
 
+// Host returns a known host; ok is false for a name that is not known.
+func (t *Table) Host(name string) (h *Host, ok bool) {
+	h, ok = t.hosts[name]
+	return h, ok
+}
+
 // Hosts returns all known hosts by name. The list and its entries stay owned by the
 // table.
 func (t *Table) Hosts() []*Host {
--- a/presence/addressees.go
+++ b/presence/addressees.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 
 	"zinccove.example/zinccove/feed"
 	"zinccove.example/zinccove/member"
@@ -116,12 +115,10 @@
 
 // hosts returns the routers with some names, but this one.
 func (n *Node) hosts(names []string) []*member.Host {
-	all := n.options.Members.Hosts()
 	var list []*member.Host
 	for _, name := range names {
-		i, ok := slices.BinarySearchFunc(all, name, func(h *member.Host, name string) int { return strings.Compare(h.Name, name) })
-		if ok {
-			list = append(list, all[i])
+		if h, ok := n.options.Members.Host(name); ok {
+			list = append(list, h)
 		}
 	}
 	return list
