Log the usage by which a customer was compared, and the exchange of routers

A customer got 16 of the 44 million tokens that it requested while another one got 45.

Change: each decision carries the compared usage, both levels, the number of customers and the age of the totals; a line tells when a router changes between heartbeats to all and reports. No decision changes.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -198,14 +198,25 @@
 			l.contact.SendSuspects(l.destinations()...)
 		case <-tick.Chan():
 			l.tick(ctx)
-			if reporting := l.usesReports(); reporting != l.slowTicks {
-				l.slowTicks = reporting
+			if l.updateExchange() {
 				tick.Reset(l.tickInterval())
 			}
 		}
 	}
 }
 
+// updateExchange records whether this router exchanges heartbeats with all others or reports, and
+// returns whether that changed.
+func (l *loop) updateExchange() (changed bool) {
+	reporting := l.usesReports()
+	if reporting == l.slowTicks {
+		return false
+	}
+	l.slowTicks = reporting
+	l.gateway.log.Info().Bool("reports", reporting).Int("known_routers", len(l.contact.Members.Hosts())).Msg("exchange with other routers changed")
+	return true
+}
+
 // ticksPerSlowTick is the number of tick periods between two ticks in a large fleet, where nothing
 // happens more often than that.
 const ticksPerSlowTick = 2
--- a/place/home.go
+++ b/place/home.go
@@ -20,11 +20,12 @@
 		p.expireReply(t, now)
 	}
 	pr := newPrompt(r.Call)
-	st := p.currentShares(now).standing(r.Customer)
+	shares := p.currentShares(now)
+	st := shares.standing(r.Customer)
 	best := s.cheapest(s.cacheHolders(homes, formerHomes, &pr, replies, now), &pr, now)
 	d := Decision{
 		CopiedTokens: best.copiedTokens, CopyFrom: best.copyFrom,
-		Rank: best.rank, Share: st.limitFactor, AboveShare: st.above,
+		Rank: best.rank, Share: st.limitFactor, AboveShare: st.above, Comparison: shares.comparison(r.Customer, now),
 		Backlog: best.backlog, PrefillTokens: best.prefillTokens, SharedTokens: best.prefillTokens - pr.uniqueTokens, Outstanding: best.target.outstanding(),
 		Wait: best.wait, Predicted: best.predicted, Slowness: best.slowness, Replies: len(replies), ReportAge: p.oldestReportAge(now),
 		HasFreeSlot: best.target.outstanding() < best.target.Slots,
--- a/place/place.go
+++ b/place/place.go
@@ -121,6 +121,8 @@
 	// customer has more than it is owed.
 	Share      float64
 	AboveShare bool
+	// Comparison is what the customer's share was derived from.
+	Comparison Comparison
 	// Backlog is the number of tokens pending at the target, PrefillTokens the number of tokens
 	// that the request adds to it.
 	Backlog       int
--- a/place/plain.go
+++ b/place/plain.go
@@ -34,8 +34,10 @@
 	if t == nil {
 		return p.refuseNoTarget(s, &r, now)
 	}
+	shares := p.currentShares(now)
 	d := Decision{
-		Share:       p.currentShares(now).callLimitFactor(r.Customer),
+		Share:       shares.callLimitFactor(r.Customer),
+		Comparison:  shares.callComparison(r.Customer, now),
 		Outstanding: t.outstanding(), HasFreeSlot: t.outstanding() < t.Slots,
 		Replies: len(replies), ReportAge: p.oldestReportAge(now),
 	}
--- a/place/shares.go
+++ b/place/shares.go
@@ -11,6 +11,8 @@
 type shares struct {
 	at    time.Time
 	usage map[Hash]Usage
+	// totalsAsOf is the time of the totals that were used; zero if none were.
+	totalsAsOf time.Time
 	// owedLevel is the level for the stated capacity of the engines, or for what they serve if
 	// that is less; evenLevel is the level for what they serve. Engines with cached prefixes
 	// serve about twice the stated capacity, so that a customer up to its owed level gets
@@ -31,6 +33,40 @@
 	calls callShares
 }
 
+// Comparison holds the figures by which a customer was compared with the others, in tokens, or in
+// calls for plain services.
+type Comparison struct {
+	// Requested and Served are the usage of the customer.
+	Requested, Served int
+	// OwedLevel and EvenLevel are the max-min levels for the stated capacity and for what is
+	// served. Plain services have no stated capacity, so their OwedLevel is 0.
+	OwedLevel, EvenLevel int
+	// Customers is the number of customers that were compared.
+	Customers int
+	// TotalsAge is the age of the totals that were used; 0 if the reports of individual routers
+	// were.
+	TotalsAge time.Duration
+}
+
+// comparison returns the comparison of a customer by tokens.
+func (s *shares) comparison(customer string, now time.Time) Comparison {
+	u := s.usage[HashOf(customer)]
+	return Comparison{Requested: u.Requested, Served: u.Served, OwedLevel: s.owedLevel, EvenLevel: s.evenLevel, Customers: len(s.usage), TotalsAge: s.totalsAge(now)}
+}
+
+// callComparison returns the comparison of a customer by calls of plain services.
+func (s *shares) callComparison(customer string, now time.Time) Comparison {
+	u := s.usage[HashOf(customer)]
+	return Comparison{Requested: u.CallsRequested, Served: u.CallsServed, EvenLevel: s.calls.evenLevel, Customers: len(s.usage), TotalsAge: s.totalsAge(now)}
+}
+
+func (s *shares) totalsAge(now time.Time) time.Duration {
+	if s.totalsAsOf.IsZero() {
+		return 0
+	}
+	return now.Sub(s.totalsAsOf)
+}
+
 // sharesTTL is the time for which computed shares are used.
 const sharesTTL = 50 * time.Millisecond
 
@@ -43,13 +79,15 @@
 		return &p.shares
 	}
 	uses := p.ownUsage(now)
+	var totalsAsOf time.Time
 	if p.totals != nil && now.Sub(p.totals.AsOf) < totalsTTL {
 		uses = p.totals.comparableUsage(uses)
+		totalsAsOf = p.totals.AsOf
 	} else {
 		usageSums(uses).add(p.othersUsage)
 	}
 	p.shares = computeShares(uses, p.statedCapacity)
-	p.shares.at = now
+	p.shares.at, p.shares.totalsAsOf = now, totalsAsOf
 	return &p.shares
 }
 
