--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -18,6 +18,7 @@
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/member"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
@@ -35,32 +36,47 @@
 // newLargeFleetLoop returns the control loop of one router of a large fleet, without callers and
 // store.
 func newLargeFleetLoop(b testing.TB) *loop {
+	b.Helper()
+	return newLoop(newControlParts(b).gateway(clockwork.NewFakeClock(), "z-last", "dc-0"))
+}
+
+// controlParts are the parts of a gateway without callers and store that several of them can share.
+type controlParts struct {
+	metrics   *metric.Metrics
+	transport *peer.Transport
+	control   *control.Server
+}
+
+func newControlParts(b testing.TB) controlParts {
 	b.Helper()
 	m, err := metric.New()
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { m.Close() }) //nolint:errcheck // nothing is written
-	clock := clockwork.NewFakeClock()
-	g := &Gateway{
-		settings: &settings.Settings{Host: "z-last", DataCentre: "dc-0"}, clock: clock, metrics: m, log: zerolog.Nop(),
-		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
-		quarantine: quarantine.New(clock), collector: collector.New(0), rollouts: rollout.New(rollout.Options{Clock: clock, ExposeShare: 0.1}),
-	}
-	g.transport = listenForPeers(b, discardDatagrams)
-	g.control, err = control.Listen(control.Options{
+	c, err := control.Listen(control.Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), FleetKey: "0123456789abcdef", Ready: func() bool { return true }, Metrics: m.Handler(),
 	})
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { g.control.Close() }) //nolint:errcheck // has no clients
+	b.Cleanup(func() { c.Close() }) //nolint:errcheck // has no clients
+	return controlParts{metrics: m, transport: listenForPeers(b, discardDatagrams), control: c}
+}
+
+// gateway returns a gateway that a control loop can use.
+func (c controlParts) gateway(clock clockwork.Clock, host, dataCentre string) *Gateway {
+	g := &Gateway{
+		settings: &settings.Settings{Host: host, DataCentre: dataCentre}, clock: clock, metrics: c.metrics, log: zerolog.Nop(),
+		transport: c.transport, control: c.control,
+		placer: place.New(place.Options{Clock: clock}), relay: new(relay.Server), links: link.NewPool(link.Options{Clock: clock}),
+		quarantine: quarantine.New(clock), collector: collector.New(0), rollouts: rollout.New(rollout.Options{Clock: clock, ExposeShare: 0.1}),
+		retries: request.NewBudget(0, 0), becameLarge: make(chan struct{}), routersKnown: make(chan struct{}),
+	}
 	g.logs = g.newLogs()
 	g.leaders.Store(new([]leader))
 	g.querier = newQuerier(g)
-	g.retries = request.NewBudget(0, 0)
-	g.becameLarge = make(chan struct{})
-	return newLoop(g)
+	return g
 }
 
 // heartbeatOf returns a heartbeat of another router with the usage of all customers.
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/contact"
+	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
+	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/presence"
+	"zinccove.example/zinccove/settings"
+)
+
+const (
+	// fleetStep is the resolution of a simulated fleet, and the transit time of its datagrams.
+	fleetStep = 10 * time.Millisecond
+	// startSpread is the time within which the routers of a fleet start.
+	startSpread = 300 * time.Millisecond
+	// storeDelay is the time after which a router has read entries of others.
+	storeDelay = 200 * time.Millisecond
+	// settleLimit is the time after a start by which routers must agree on who is reachable: the
+	// users' platform sends traffic 14 s after it starts the hosts.
+	settleLimit = 14 * time.Second
+)
+
+// fleetRouter is a control loop of a simulated fleet.
+type fleetRouter struct {
+	loop    *loop
+	started time.Time
+	// readOwn and readAll are set once it has read the entries of its data centre, and of all.
+	readOwn, readAll bool
+	// becameLarge is when it began to exchange reports.
+	becameLarge time.Time
+	nextTick    time.Time
+	messages    map[string]int
+}
+
+// Run counts a log line; it implements zerolog.Hook.
+func (r *fleetRouter) Run(_ *zerolog.Event, _ zerolog.Level, message string) { r.messages[message]++ }
+
+// routerFleet drives the control loops of a fleet, which exchange datagrams, by one clock.
+type routerFleet struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	routers []*fleetRouter
+	byPeer  map[netip.AddrPort]*fleetRouter
+	hosts   []platform.Host
+	// lossRate is the fraction of datagrams that are lost.
+	lossRate float64
+	transit  []transit
+}
+
+type transit struct {
+	to        *fleetRouter
+	heartbeat *zinccovev1.Heartbeat
+	size      int
+}
+
+// newRouterFleet returns a fleet with data centres of the given sizes. The first routers of the
+// first three are the contacts of all.
+func newRouterFleet(t *testing.T, seed uint64, sizes ...int) *routerFleet {
+	f := &routerFleet{t: t, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*fleetRouter)}
+	parts := newControlParts(t)
+	port := parts.transport.Address().Port()
+	address := func(dc, i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc + 1), byte(i >> 8), byte(i)}), port)
+	}
+	var contacts []netip.Addr
+	for dc := range min(3, len(sizes)) {
+		contacts = append(contacts, address(dc, 1).Addr())
+	}
+	regions := make(map[string]string)
+	for dc := range sizes {
+		regions[fmt.Sprint("dc-", dc)] = "region"
+	}
+	for dc, size := range sizes {
+		for i := range size {
+			host := platform.Host{Name: fmt.Sprintf("front-%d-%d", dc, i+1), DataCentre: fmt.Sprint("dc-", dc), Peer: address(dc, i+1)}
+			f.hosts = append(f.hosts, host)
+			f.add(parts, host, settings.Settings{Host: host.Name, DataCentre: host.DataCentre, Contacts: contacts, Regions: regions, HeartbeatInterval: 100 * time.Millisecond})
+		}
+	}
+	return f
+}
+
+// add adds a router that starts within startSpread.
+func (f *routerFleet) add(parts controlParts, host platform.Host, s settings.Settings) {
+	r := &fleetRouter{messages: make(map[string]int)}
+	g := parts.gateway(f.clock, s.Host, s.DataCentre)
+	g.settings = &s
+	g.log = zerolog.New(discard{}).Hook(r)
+	l := newLoop(g)
+	l.random = rand.New(rand.NewPCG(f.random.Uint64(), 1))
+	l.contact = contact.New(contact.Options{
+		Host: s.Host, DataCentre: s.DataCentre, Clock: f.clock, Log: g.log, Metrics: g.metrics, Quarantine: g.quarantine, FailureTimeout: minFailureTimeout,
+		Send:    func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (int, int, error) { return f.send(hb, to) },
+		Control: func() netip.AddrPort { return netip.AddrPortFrom(host.Peer.Addr(), 1) }, Peer: func() netip.AddrPort { return host.Peer },
+	})
+	l.presence = presence.New(presence.Options{Host: s.Host, DataCentre: s.DataCentre, Clock: f.clock, Members: l.contact.Members, Random: l.random})
+	g.loop = l
+	r.loop = l
+	r.started = f.clock.Now().Add(time.Duration(f.random.Int64N(int64(startSpread))))
+	r.nextTick = r.started
+	f.routers = append(f.routers, r)
+	f.byPeer[host.Peer] = r
+}
+
+// discard is a writer that drops all lines.
+type discard struct{}
+
+func (discard) Write(line []byte) (int, error) { return len(line), nil }
+
+// send puts a datagram in transit to some routers.
+func (f *routerFleet) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) (size, sent int, err error) {
+	size = proto.Size(hb)
+	for _, addr := range to {
+		if r := f.byPeer[addr]; r != nil && f.random.Float64() >= f.lossRate {
+			f.transit = append(f.transit, transit{to: r, heartbeat: hb, size: size})
+		}
+	}
+	return size, len(to), nil
+}
+
+// run advances the time by d.
+func (f *routerFleet) run(d time.Duration) {
+	for range d / fleetStep {
+		f.clock.Advance(fleetStep)
+		now := f.clock.Now()
+		queue := f.transit
+		f.transit = nil
+		for _, x := range queue {
+			if !now.Before(x.to.started) {
+				x.to.loop.handleHeartbeat(contact.Received{Heartbeat: x.heartbeat, Size: x.size})
+			}
+		}
+		for _, r := range f.routers {
+			if !now.Before(r.nextTick) {
+				f.tick(r, now)
+			}
+		}
+	}
+}
+
+// tick does what the goroutines of a router do on a tick.
+func (f *routerFleet) tick(r *fleetRouter, now time.Time) {
+	f.readEntries(r, now)
+	r.loop.tick(context.Background())
+	r.loop.updateExchange()
+	r.nextTick = now.Add(r.loop.tickInterval())
+}
+
+// readEntries has a router read the entries of its data centre after its start, and those of all
+// data centres once it exchanges reports.
+func (f *routerFleet) readEntries(r *fleetRouter, now time.Time) {
+	g := r.loop.gateway
+	if !r.readOwn && now.Sub(r.started) >= storeDelay {
+		r.readOwn = true
+		var own []platform.Host
+		for _, h := range f.hosts {
+			if h.DataCentre == g.settings.DataCentre {
+				own = append(own, h)
+			}
+		}
+		r.loop.learnHosts(own)
+	}
+	if r.becameLarge.IsZero() && g.large.Load() {
+		r.becameLarge = now
+	}
+	if !r.readAll && !r.becameLarge.IsZero() && now.Sub(r.becameLarge) >= storeDelay {
+		r.readAll = true
+		r.loop.learnAddresses(f.hosts)
+	}
+}
+
+// count returns how many lines with a message were logged, and clears the counts.
+func (f *routerFleet) count(message string) (lines int) {
+	for _, r := range f.routers {
+		lines += r.messages[message]
+		delete(r.messages, message)
+	}
+	return lines
+}
+
+// exchanging returns the number of routers that exchange reports.
+func (f *routerFleet) exchanging() (n int) {
+	for _, r := range f.routers {
+		if r.loop.usesReports() {
+			n++
+		}
+	}
+	return n
+}
+
+// assertNoFalseFailures fails the test if a router considered another one or a data centre failed
+// within d.
+func (f *routerFleet) assertNoFalseFailures(d time.Duration) {
+	f.t.Helper()
+	lines := []string{"router not reachable", "data centres considered cut off", "role or leaders of this router changed", "targets owned by this router changed"}
+	for _, line := range lines {
+		f.count(line)
+	}
+	f.run(d)
+	for _, line := range lines {
+		n := f.count(line)
+		assert.Check(f.t, n == 0, "%d times: %s", n, line)
+	}
+}
+
+// largeFleet are the sizes of the data centres of a fleet of 295 routers.
+var largeFleet = []int{68, 68, 50, 50, 59}
+
+// TestLargeFleetDoesNotMixHeartbeatsAndReports starts routers that know only their data centre and three contacts.
+func TestLargeFleetDoesNotMixHeartbeatsAndReports(t *testing.T) {
+	f := newRouterFleet(t, 1, largeFleet...)
+	f.run(settleLimit)
+	assert.Check(t, f.exchanging() == len(f.routers), "%d of %d routers exchange reports", f.exchanging(), len(f.routers))
+	f.assertNoFalseFailures(10 * time.Second)
+}
