Exchange reports with all routers of a fleet once one of them does

Cause: each router chose by the number of others that it knew whether it sends heartbeats to all or reports. At a start most routers know only their data centre, and the contacts, which know all, stop to introduce others as soon as they send reports. So most routers stayed with heartbeats for good. Each side counts the other as failed; relays that send no reports leave a third of their cell without any. Routers then have no totals of the fleet, or wrong ones: in one second a customer's usage was 0.5 million tokens to one router and 28 million to another. Class: a protocol that all have to follow alike is chosen by each from a partial view.

Change: a router exchanges reports once it knows 128 others or receives a report, and does not return to heartbeats.

TestFleetThatGrowsReportsNoFailedRouters covers the change at 128 routers.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -17,7 +18,6 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/presence"
-	"zinccove.example/zinccove/settings"
 )
 
 const (
@@ -52,9 +52,13 @@
 	t       *testing.T
 	clock   *clockwork.FakeClock
 	random  *rand.Rand
+	parts   controlParts
 	routers []*fleetRouter
 	byPeer  map[netip.AddrPort]*fleetRouter
-	hosts   []platform.Host
+	// hosts are the entries of the store; contacts and regions are settings of all routers.
+	hosts    []platform.Host
+	contacts []netip.Addr
+	regions  map[string]string
 	// lossRate is the fraction of datagrams that are lost.
 	lossRate float64
 	transit  []transit
@@ -69,57 +73,52 @@
 // newRouterFleet returns a fleet with data centres of the given sizes. The first routers of the
 // first three are the contacts of all.
 func newRouterFleet(t *testing.T, seed uint64, sizes ...int) *routerFleet {
-	f := &routerFleet{t: t, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*fleetRouter)}
-	parts := newControlParts(t)
-	port := parts.transport.Address().Port()
-	address := func(dc, i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc + 1), byte(i >> 8), byte(i)}), port)
+	f := &routerFleet{
+		t: t, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*fleetRouter),
+		parts: newControlParts(t), regions: make(map[string]string),
 	}
-	var contacts []netip.Addr
 	for dc := range min(3, len(sizes)) {
-		contacts = append(contacts, address(dc, 1).Addr())
+		f.contacts = append(f.contacts, f.address(dc, 0).Addr())
 	}
-	regions := make(map[string]string)
 	for dc := range sizes {
-		regions[fmt.Sprint("dc-", dc)] = "region"
+		f.regions[fmt.Sprint("dc-", dc)] = "region"
 	}
 	for dc, size := range sizes {
 		for i := range size {
-			host := platform.Host{Name: fmt.Sprintf("front-%d-%d", dc, i+1), DataCentre: fmt.Sprint("dc-", dc), Peer: address(dc, i+1)}
-			f.hosts = append(f.hosts, host)
-			f.add(parts, host, settings.Settings{Host: host.Name, DataCentre: host.DataCentre, Contacts: contacts, Regions: regions, HeartbeatInterval: 100 * time.Millisecond})
+			f.add(dc, i)
 		}
 	}
 	return f
 }
 
+// address returns the address of a router of a data centre.
+func (f *routerFleet) address(dc, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc), byte(i >> 8), byte(i)}), f.parts.transport.Address().Port())
+}
+
 // add adds a router that starts within startSpread.
-func (f *routerFleet) add(parts controlParts, host platform.Host, s settings.Settings) {
+func (f *routerFleet) add(dc, i int) {
+	host := platform.Host{Name: fmt.Sprintf("front-%d-%d", dc, i), DataCentre: fmt.Sprint("dc-", dc), Peer: f.address(dc, i)}
 	r := &fleetRouter{messages: make(map[string]int)}
-	g := parts.gateway(f.clock, s.Host, s.DataCentre)
-	g.settings = &s
-	g.log = zerolog.New(discard{}).Hook(r)
+	g := f.parts.gateway(f.clock, host.Name, host.DataCentre)
+	g.settings.Contacts, g.settings.Regions, g.settings.HeartbeatInterval = f.contacts, f.regions, 100*time.Millisecond
+	g.log = zerolog.New(io.Discard).Hook(r)
 	l := newLoop(g)
 	l.random = rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	l.contact = contact.New(contact.Options{
-		Host: s.Host, DataCentre: s.DataCentre, Clock: f.clock, Log: g.log, Metrics: g.metrics, Quarantine: g.quarantine, FailureTimeout: minFailureTimeout,
+		Host: host.Name, DataCentre: host.DataCentre, Clock: f.clock, Log: g.log, Metrics: g.metrics, Quarantine: g.quarantine, FailureTimeout: minFailureTimeout,
 		Send:    func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (int, int, error) { return f.send(hb, to) },
-		Control: func() netip.AddrPort { return netip.AddrPortFrom(host.Peer.Addr(), 1) }, Peer: func() netip.AddrPort { return host.Peer },
+		Control: func() netip.AddrPort { return host.Peer }, Peer: func() netip.AddrPort { return host.Peer },
 	})
-	l.presence = presence.New(presence.Options{Host: s.Host, DataCentre: s.DataCentre, Clock: f.clock, Members: l.contact.Members, Random: l.random})
-	g.loop = l
+	l.presence = presence.New(presence.Options{Host: host.Name, DataCentre: host.DataCentre, Clock: f.clock, Members: l.contact.Members, Random: l.random})
 	r.loop = l
 	r.started = f.clock.Now().Add(time.Duration(f.random.Int64N(int64(startSpread))))
 	r.nextTick = r.started
 	f.routers = append(f.routers, r)
 	f.byPeer[host.Peer] = r
+	f.hosts = append(f.hosts, host)
 }
 
-// discard is a writer that drops all lines.
-type discard struct{}
-
-func (discard) Write(line []byte) (int, error) { return len(line), nil }
-
 // send puts a datagram in transit to some routers.
 func (f *routerFleet) send(hb *zinccovev1.Heartbeat, to []netip.AddrPort) (size, sent int, err error) {
 	size = proto.Size(hb)
@@ -226,3 +225,16 @@
 	assert.Check(t, f.exchanging() == len(f.routers), "%d of %d routers exchange reports", f.exchanging(), len(f.routers))
 	f.assertNoFalseFailures(10 * time.Second)
 }
+
+// TestFleetThatGrowsReportsNoFailedRouters adds routers to a fleet that exchanges heartbeats.
+func TestFleetThatGrowsReportsNoFailedRouters(t *testing.T) {
+	f := newRouterFleet(t, 1, 43, 42, 42)
+	f.run(settleLimit)
+	assert.Equal(t, f.exchanging(), 0, "routers that exchange reports")
+	for i := range 6 {
+		f.add(i%3, 50+i)
+	}
+	f.run(5 * time.Second)
+	assert.Equal(t, f.exchanging(), len(f.routers), "routers that exchange reports")
+	assert.Equal(t, f.count("router not reachable"), 0)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,8 +98,8 @@
 	// other routers.
 	started      time.Time
 	routersKnown chan struct{}
-	// large is set once the fleet is so large that routers no longer send heartbeats to all
-	// others.
+	// large is set once this router exchanges reports with the others instead of heartbeats to
+	// all; see noteLarge.
 	large atomic.Bool
 	// becameLarge is closed when large is set.
 	becameLarge chan struct{}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -237,6 +237,9 @@
 		l.ticks += ticksPerSlowTick - 1
 	}
 	l.ticks++
+	if len(l.contact.Members.Hosts()) >= meshLimit {
+		l.noteLarge()
+	}
 	l.checkSuspension()
 	l.adoptPending()
 	if l.ticks%l.hostCheckTicks() == 0 {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// meshLimit is the number of routers up to which each sends heartbeats to all others. In
-	// larger fleets such heartbeats would be so rare that a failed router is noticed late.
+	// meshLimit is the number of known routers from which on a router sends reports instead of
+	// heartbeats to all others. In larger fleets such heartbeats would be so rare that a failed
+	// router is noticed late.
 	meshLimit = 128
 	// totalsInterval is the minimum interval between reports that carry usage totals.
 	totalsInterval = 400 * time.Millisecond
@@ -26,15 +27,14 @@
 	maxTotalsCustomers = 64
 )
 
-// usesReports reports whether the fleet is so large that routers exchange reports on each other
-// instead of heartbeats to all.
-func (l *loop) usesReports() bool { return len(l.contact.Members.Hosts()) >= meshLimit }
+// usesReports reports whether this router exchanges reports with the others instead of heartbeats
+// to all.
+func (l *loop) usesReports() bool { return l.gateway.large.Load() }
 
 // exchangeReports applies the reports that were received and sends the heartbeats and reports that
 // are due.
 func (l *loop) exchangeReports(now time.Time) {
 	l.contact.Members.SetTimeout(presence.ReportTTL)
-	l.noteLarge()
 	if l.reportsPending || l.ticks%roleTicks == 0 {
 		l.reportsPending = false
 		if l.presence.Apply() {
@@ -52,8 +52,11 @@
 	}
 }
 
-// noteLarge records that the fleet is large, so that the entries of routers are followed from now
-// on.
+// noteLarge has this router exchange reports, and follow the entries of routers, from now on. It is
+// called once this router knows many others, and once it receives a report, whose sender knows them.
+// All routers have to exchange the same: one that only sends heartbeats reports on nobody, and to it
+// all routers seem failed that only send reports. For the same reason a router does not return to
+// heartbeats when fewer routers are left.
 func (l *loop) noteLarge() {
 	l.gateway.large.Store(true)
 	select {
@@ -263,6 +266,7 @@
 	if r == nil {
 		return
 	}
+	l.noteLarge()
 	now := l.gateway.clock.Now()
 	scope := decodeScope(r.Scope)
 	if r.Totals != nil {
