Leaders of large data centres read the routers of the others from the store

What callers would see: after all routers start again while the contacts of their settings are gone, data centres of more than 48 routers do not know each other for good, so that customers are compared within a data centre only.

Cause: routers of large data centres read only the entries of their own, and learn the others from contacts or through leaders, which know no more.

Change: the three leaders of a large data centre read the others' entries, as all routers of small ones do.

Test: TestRestartedDataCentresFindEachOtherWithoutContacts failed before (each router knows 49 to 67 others of 294), passes now.

Cost: by arithmetic twelve more reads of the store by data centre of five at a start, none later; not measured apart.

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"zinccove.example/zinccove/feed"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/revision"
 )
@@ -51,15 +52,27 @@
 	return g.store.Hosts(ctx, g.ownPart())
 }
 
-// smallDataCentre is the number of routers in the own data centre up to which the entries of the
-// other data centres are read from the store too. Routers of large fleets learn them from leaders.
+// smallDataCentre is the number of routers in the own data centre up to which each of them reads the
+// entries of the other data centres from the store too. In larger ones only the leaders do, and the
+// others learn them from the leaders: the contacts of the settings may all be gone.
 const smallDataCentre = 48
 
-// readOtherHosts reads the entries of the routers of the other data centres if this data centre is
-// small. No other step depends on them.
+// readsOtherHosts reports whether this router reads the entries of the routers of the other data
+// centres from the store. Own is the number of entries of its data centre.
+func (g *Gateway) readsOtherHosts(own int) bool {
+	return own <= smallDataCentre || g.dataCentreRank.Load() < feed.LeaderCount
+}
+
+// readOtherHosts reads the entries of the routers of the other data centres if this router has to.
+// No other step depends on them.
 func (g *Gateway) readOtherHosts(ctx context.Context, own int) {
 	others := slices.DeleteFunc(g.hostParts(), func(part string) bool { return part == g.ownPart() })
-	if own > smallDataCentre || len(others) == 0 {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.routersKnown:
+	}
+	if len(others) == 0 || !g.readsOtherHosts(own) {
 		return
 	}
 	for pause := announceDelay; ctx.Err() == nil; pause = min(2*pause, maxAnnounceDelay) {
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -25,8 +25,9 @@
 	fleetStep = 10 * time.Millisecond
 	// startSpread is the time within which the routers of a fleet start.
 	startSpread = 300 * time.Millisecond
-	// storeDelay is the time after which a router has read entries of others.
-	storeDelay = 200 * time.Millisecond
+	// storeDelay is the time after its start in which a router writes its entry, and after that
+	// the time in which it reads those of others.
+	storeDelay = 100 * time.Millisecond
 	// settleLimit is the time after a start by which routers must agree on who is reachable: the
 	// users' platform sends traffic 14 s after it starts the hosts.
 	settleLimit = 14 * time.Second
@@ -59,6 +60,8 @@
 	hosts    []platform.Host
 	contacts []netip.Addr
 	regions  map[string]string
+	// restarted is set if the entries of all routers are in the store from before.
+	restarted bool
 	// lossRate is the fraction of datagrams that are lost.
 	lossRate float64
 	transit  []transit
@@ -158,29 +161,41 @@
 	r.nextTick = now.Add(r.loop.tickInterval())
 }
 
-// readEntries has a router read the entries of its data centre after its start, and those of all
-// data centres once it exchanges reports.
+// readEntries has a router read the entries of its data centre after its start, those of the others
+// if it has to, and those of all once it exchanges reports.
 func (f *routerFleet) readEntries(r *fleetRouter, now time.Time) {
 	g := r.loop.gateway
-	if !r.readOwn && now.Sub(r.started) >= storeDelay {
+	if !r.readOwn && now.Sub(r.started) >= 2*storeDelay {
 		r.readOwn = true
-		var own []platform.Host
-		for _, h := range f.hosts {
-			if h.DataCentre == g.settings.DataCentre {
-				own = append(own, h)
-			}
-		}
+		own, others := f.entries(g.settings.DataCentre, now)
 		r.loop.learnHosts(own)
+		if g.readsOtherHosts(len(own)) {
+			r.loop.learnAddresses(others)
+		}
 	}
 	if r.becameLarge.IsZero() && g.large.Load() {
 		r.becameLarge = now
 	}
-	if !r.readAll && !r.becameLarge.IsZero() && now.Sub(r.becameLarge) >= storeDelay {
+	if !r.readAll && !r.becameLarge.IsZero() && now.Sub(r.becameLarge) >= 2*storeDelay {
 		r.readAll = true
 		r.loop.learnAddresses(f.hosts)
 	}
 }
 
+// entries returns the entries in the store of a data centre and of the others.
+func (f *routerFleet) entries(dataCentre string, now time.Time) (own, others []platform.Host) {
+	for i, h := range f.hosts {
+		switch {
+		case !f.restarted && now.Sub(f.routers[i].started) < storeDelay:
+		case h.DataCentre == dataCentre:
+			own = append(own, h)
+		default:
+			others = append(others, h)
+		}
+	}
+	return own, others
+}
+
 // count returns how many lines with a message were logged, and clears the counts.
 func (f *routerFleet) count(message string) (lines int) {
 	for _, r := range f.routers {
@@ -215,15 +230,15 @@
 	}
 }
 
-// largeFleet are the sizes of the data centres of a fleet of 295 routers.
-var largeFleet = []int{68, 68, 50, 50, 59}
-
 // TestLargeFleetDoesNotMixHeartbeatsAndReports starts routers that know only their data centre and three contacts.
 func TestLargeFleetDoesNotMixHeartbeatsAndReports(t *testing.T) {
-	f := newRouterFleet(t, 1, largeFleet...)
-	f.run(settleLimit)
-	assert.Check(t, f.exchanging() == len(f.routers), "%d of %d routers exchange reports", f.exchanging(), len(f.routers))
-	f.assertNoFalseFailures(10 * time.Second)
+	for _, restarted := range []bool{false, true} {
+		f := newRouterFleet(t, 1, largeFleet...)
+		f.restarted = restarted
+		f.run(settleLimit)
+		assert.Check(t, f.exchanging() == len(f.routers), "%d of %d routers exchange reports", f.exchanging(), len(f.routers))
+		f.assertNoFalseFailures(10 * time.Second)
+	}
 }
 
 // TestFleetThatGrowsReportsNoFailedRouters adds routers to a fleet that exchanges heartbeats.
@@ -238,3 +253,18 @@
 	assert.Equal(t, f.exchanging(), len(f.routers), "routers that exchange reports")
 	assert.Equal(t, f.count("router not reachable"), 0)
 }
+
+// TestRestartedDataCentresFindEachOtherWithoutContacts starts a large fleet again whose contacts do not respond.
+func TestRestartedDataCentresFindEachOtherWithoutContacts(t *testing.T) {
+	f := newRouterFleet(t, 1, largeFleet...)
+	f.restarted = true
+	for _, r := range f.routers {
+		r.loop.gateway.settings.Contacts = nil
+	}
+	f.run(settleLimit)
+	for _, r := range f.routers {
+		known := len(r.loop.contact.Members.Hosts())
+		assert.Check(t, known == len(f.routers)-1, "%s knows %d others", r.loop.gateway.settings.Host, known)
+	}
+	f.assertNoFalseFailures(10 * time.Second)
+}
