Slots hold the configuration of their target as of the grant

What callers saw: nothing on record.

Cause: Slot.Target returned the configuration of the pool's target without the lock of the pool. A lock alone would leave attempts that are sent to one version and report another, as an attempt asks for its target several times. Class: state under a lock is reached through an object that outlives the locked section; no other method does so (place.Run holds an entry that is never changed).

Change: a slot keeps the configuration of its target as of the grant.

Test: TestGrantedSlotDoesNotMixConfigurations failed before on each run, with the race detector by the same two lines (setTargets, Slot.Target), without it because a held slot turned from v1 to v2. It passes 90 of 90 times with the race detector.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -127,6 +128,29 @@
 	}
 }
 
+// TestGrantedSlotDoesNotMixConfigurations configures another model version while a slot is held.
+func TestGrantedSlotDoesNotMixConfigurations(t *testing.T) {
+	f := newFixture(t, 1)
+	slot := granted(f.submit(t, 1))
+	want := slot.Target()
+	changed := f.cfg.Targets[0]
+	changed.ModelVersion = "v2"
+	cfg, err := f.cfg.Apply([]config.Change{config.Put(config.Model{Name: "m", ModelVersion: "v2"}), config.Put(changed)})
+	assert.NilError(t, err)
+	var group errgroup.Group
+	group.Go(func() error {
+		f.Configure(cfg)
+		return nil
+	})
+	for range 1000 {
+		assert.Equal(t, slot.Target(), want)
+	}
+	assert.NilError(t, group.Wait())
+	assert.Equal(t, slot.Target(), want)
+	slot.Release(Completed)
+	assert.Equal(t, granted(f.submit(t, 1)).Target().ModelVersion, "v2")
+}
+
 func TestTargetDrainedByPlatformReceivesNoNewRequests(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.SetDraining(map[string]bool{"t1": true, "r9": true})
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -213,9 +213,11 @@
 func (p *pool) grant(g fair.Grant[*Ticket], now time.Time) {
 	t := g.Item
 	cu := p.customer(g.Customer)
+	chosen := p.chooseTarget(t.request.Avoid, now)
 	s := &Slot{
 		pool:     p,
-		target:   p.chooseTarget(t.request.Avoid, now),
+		target:   chosen,
+		config:   chosen.config,
 		request:  t.request,
 		started:  now,
 		reserved: p.estimate(cu, t.request),
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -56,8 +56,11 @@
 // Slot is a request's place at a target. Its methods are safe for concurrent
 // use; Release takes effect once.
 type Slot struct {
-	pool     *pool
-	target   *target
+	pool   *pool
+	target *target
+	// config is the configuration of the target as of the grant. That of target belongs to the
+	// pool, which replaces it.
+	config   config.Target
 	request  Request
 	started  time.Time
 	reserved float64
@@ -68,8 +71,8 @@
 	Level float64
 }
 
-// Target returns the target to send the request to.
-func (s *Slot) Target() config.Target { return s.target.config }
+// Target returns the target to send the request to, as it was configured when the slot was granted.
+func (s *Slot) Target() config.Target { return s.config }
 
 // Charge adds the cost of delivered service to the request's customer.
 func (s *Slot) Charge(cost uint64) { s.pool.charge(s, cost) }
