Test that small fleets may exchange reports

Routers do not return to heartbeats when a fleet shrinks. The test drives fleets of 9 and 58 routers that exchange reports: no router or data centre counts as failed in ten seconds.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -254,6 +254,18 @@
 	assert.Equal(t, f.count("router not reachable"), 0)
 }
 
+// TestSmallFleetsThatExchangeReportsReportNoFailures covers fleets that were large before.
+func TestSmallFleetsThatExchangeReportsReportNoFailures(t *testing.T) {
+	for _, sizes := range [][]int{{9}, {3, 3, 3}, {30, 28}} {
+		f := newRouterFleet(t, 1, sizes...)
+		for _, r := range f.routers {
+			r.loop.noteLarge()
+		}
+		f.run(settleLimit)
+		f.assertNoFalseFailures(10 * time.Second)
+	}
+}
+
 // TestRestartedDataCentresFindEachOtherWithoutContacts starts a large fleet again whose contacts do not respond.
 func TestRestartedDataCentresFindEachOtherWithoutContacts(t *testing.T) {
 	f := newRouterFleet(t, 1, largeFleet...)
