Connections count as slow by what they take beyond the distance

Cause: a router takes the median time of its new connections for its own delay. A connection to the other region takes 62 ms by distance alone, above the 45 ms from which on a router counts as overloaded. It lowered its rate to 20 streams a second and refused 436 of the 862 requests of that customer as router_busy, while a host of the same size that connected within its region placed 190 a second. Class: a measure of oneself that contains what lies outside.

Ruled out: differing views (usage of a customer differs by the age of reports, 0.6 s); processor time of the host (lag 0.3 to 1.4 ms).

Change: a connection counts by what it took beyond the shortest one to its data centre in the last one to two minutes. The first connection to a distant target gets the complete connect budget, as it got when the median was slow.

TestSlowConnectionsToMostTargets- ImpairRouter holds as before, now with the distance of its targets on top of the slow connections.

--- a/relay/connect.go
+++ b/relay/connect.go
@@ -30,7 +30,8 @@
 		return link.MaxDialTimeout // the caller already has a part of the response
 	}
 	left := f.connectBudget()
-	if f.server.connectHistory.median() > slowConnect {
+	history := &f.server.connectHistory
+	if max(history.median(), history.distance(f.run.Target.DataCentre)) > slowConnect {
 		return min(max(left, minConnectTimeout), link.MaxDialTimeout)
 	}
 	return min(max(left/2, minConnectTimeout), max(left, minConnectTimeout), link.MaxDialTimeout)
@@ -74,7 +75,7 @@
 	if err == nil && c.Reused {
 		return c, nil
 	}
-	s.connectHistory.record(incarnation, took)
+	s.connectHistory.record(f.run.Target.DataCentre, incarnation, took, err == nil)
 	if err != nil && s.connectHistory.impaired() {
 		// Most connections are slow or fail, whatever the target. The cause is this router, so
 		// the attempt is no evidence about the target. A later End has no effect.
@@ -107,23 +108,49 @@
 	return nil
 }
 
-// connectHistory holds the latest new connections to targets. Their median time shows the delay
-// of this router itself: a host without processor time or with a saturated link connects slowly
-// to all targets.
+// connectHistory holds the latest new connections to targets. The median of what they took beyond
+// the distance of their data centres shows the delay of this router itself: a host without
+// processor time or with a saturated link connects slowly to all targets.
 type connectHistory struct {
 	clock clockwork.Clock
 
-	mu     sync.Mutex
-	latest [connectSamples]connectResult
-	next   int
+	mu        sync.Mutex
+	latest    [connectSamples]connectResult
+	next      int
+	distances map[string]*minimum
+}
+
+func newConnectHistory(clock clockwork.Clock) connectHistory {
+	return connectHistory{clock: clock, distances: make(map[string]*minimum)}
 }
 
 type connectResult struct {
 	at     time.Time
 	target string
-	took   time.Duration
+	// delay is what the connection took beyond the distance of the target.
+	delay time.Duration
+}
+
+// minimum is the shortest of the times recorded in the current and the previous distanceWindow.
+type minimum struct {
+	current, previous time.Duration
+	since             time.Time
+}
+
+// record adds a time.
+func (m *minimum) record(d time.Duration, now time.Time) {
+	switch age := now.Sub(m.since); {
+	case age >= 2*distanceWindow:
+		m.current, m.previous, m.since = d, d, now
+	case age >= distanceWindow:
+		m.current, m.previous, m.since = d, m.current, now
+	default:
+		m.current = min(m.current, d)
+	}
 }
 
+func (m *minimum) value() time.Duration { return min(m.current, m.previous) }
+
 const (
 	// connectSamples is the number of connections in the history: enough for a median that four
 	// failed targets do not change.
@@ -133,6 +160,9 @@
 	connectSampleTTL = 300 * time.Millisecond
 	// minConnectSamples is the number of connections below which there is no median.
 	minConnectSamples = 5
+	// distanceWindow is the time after which a shorter connection to a data centre is forgotten, as
+	// the path to it may change. Even an overloaded host connects fast once in a while.
+	distanceWindow = time.Minute
 	// normalConnect is the longest median at which a host is not overloaded: a small host that
 	// accepts and refuses requests at its full capacity needs 20 to 40 ms for a connection,
 	// which callers do not notice.
@@ -141,21 +171,50 @@
 	// and the first event that follows it pass the same host some four times, which then takes
 	// more than half of the shortest objective of streams.
 	saturatedConnect = 90 * time.Millisecond
-	// slowConnect is the median from which on the first connection gets the complete connect
-	// budget, because its target is not the cause of the delay.
+	// slowConnect is the median, or the distance of the target, from which on the first connection
+	// gets the complete connect budget, because its target is not the cause of the delay.
 	slowConnect = 15 * time.Millisecond
 )
 
-// record adds a new connection, or one that failed.
-func (c *connectHistory) record(target string, took time.Duration) {
+// record adds a new connection to a target of a data centre, or a failure to connect.
+func (c *connectHistory) record(dataCentre, target string, took time.Duration, connected bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.latest[c.next] = connectResult{at: c.clock.Now(), target: target, took: took}
+	now := c.clock.Now()
+	if connected {
+		c.recordDistance(dataCentre, took, now)
+	}
+	c.latest[c.next] = connectResult{at: now, target: target, delay: max(took-c.shortest(dataCentre), 0)}
 	c.next = (c.next + 1) % connectSamples
 }
 
-// median returns the median time of the latest connections, counting each target once; 0 if
-// there are too few.
+func (c *connectHistory) recordDistance(dataCentre string, took time.Duration, now time.Time) {
+	m := c.distances[dataCentre]
+	if m == nil {
+		m = new(minimum)
+		c.distances[dataCentre] = m
+	}
+	m.record(took, now)
+}
+
+// distance returns the shortest time that a connection to a target of a data centre took lately; 0
+// if there was none.
+func (c *connectHistory) distance(dataCentre string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shortest(dataCentre)
+}
+
+// shortest is distance while c.mu is held.
+func (c *connectHistory) shortest(dataCentre string) time.Duration {
+	if m := c.distances[dataCentre]; m != nil {
+		return m.value()
+	}
+	return 0
+}
+
+// median returns the median delay of the latest connections, counting each target once; 0 if there
+// are too few.
 func (c *connectHistory) median() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,14 +226,14 @@
 		}
 	}
 	slices.SortFunc(recent, func(a, b connectResult) int {
-		return cmp.Or(cmp.Compare(a.target, b.target), cmp.Compare(a.took, b.took))
+		return cmp.Or(cmp.Compare(a.target, b.target), cmp.Compare(a.delay, b.delay))
 	})
 	recent = slices.CompactFunc(recent, func(a, b connectResult) bool { return a.target == b.target })
 	if len(recent) < minConnectSamples {
 		return 0
 	}
-	slices.SortFunc(recent, func(a, b connectResult) int { return cmp.Compare(a.took, b.took) })
-	return recent[len(recent)/2].took
+	slices.SortFunc(recent, func(a, b connectResult) int { return cmp.Compare(a.delay, b.delay) })
+	return recent[len(recent)/2].delay
 }
 
 // impaired reports whether connections to most targets are slow.
--- a/relay/connect_test.go
+++ b/relay/connect_test.go
@@ -12,26 +12,29 @@
 	"gotest.tools/v3/assert"
 )
 
+// near is the time of a connection to a target in the same data centre.
+const near = 2 * time.Millisecond
+
 // TestSlowConnectionsToMostTargetsImpairRouter has some failed targets, then only slow ones.
 func TestSlowConnectionsToMostTargetsImpairRouter(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	c := &connectHistory{clock: clock}
+	c := newConnectHistory(clock)
 	name := func(i int) string { return string(rune('a' + i)) }
 	for i := range connectSamples {
-		took := 2 * time.Millisecond
 		if i < 4 {
-			took = 60 * time.Millisecond
+			c.record("dc", name(i), 60*time.Millisecond, false)
+		} else {
+			c.record("dc", name(i), near, true)
 		}
-		c.record(name(i), took)
 	}
 	assert.Assert(t, !c.impaired(), "four of nine targets have failed")
 	assert.Equal(t, c.excess(), 0.0)
 	for range connectSamples {
-		c.record("dead", 60*time.Millisecond)
+		c.record("dc", "dead", 60*time.Millisecond, false)
 	}
 	assert.Assert(t, !c.impaired(), "one target is connected to again and again")
 	for i := range connectSamples {
-		c.record(name(i), saturatedConnect)
+		c.record("dc", name(i), near+saturatedConnect, true)
 	}
 	assert.Assert(t, c.impaired(), "all are slow")
 	assert.Equal(t, c.excess(), 1.0)
@@ -39,6 +42,38 @@
 	assert.Equal(t, c.excess(), 0.0, "old samples do not count, so that some streams are admitted again")
 }
 
+// TestDistantTargetsDoNotCountAsOverload connects to targets of another region, then slowly to all.
+func TestDistantTargetsDoNotCountAsOverload(t *testing.T) {
+	const far = 62 * time.Millisecond
+	c := newConnectHistory(clockwork.NewFakeClock())
+	targets := func(took time.Duration) {
+		for i := range connectSamples {
+			c.record("far", string(rune('a'+i)), took, true)
+		}
+	}
+	targets(far)
+	assert.Assert(t, !c.impaired())
+	assert.Equal(t, c.excess(), 0.0)
+	assert.Equal(t, c.distance("far"), far)
+	targets(far + saturatedConnect)
+	assert.Assert(t, c.impaired())
+	assert.Equal(t, c.excess(), 1.0)
+}
+
+// TestDistanceFollowsThePath has the path to a data centre become longer.
+func TestDistanceFollowsThePath(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newConnectHistory(clock)
+	c.record("dc", "t", near, true)
+	c.record("dc", "t", 0, false)
+	assert.Equal(t, c.distance("dc"), near, "failures have no distance")
+	for range 3 {
+		clock.Advance(distanceWindow)
+		c.record("dc", "t", saturatedConnect, true)
+	}
+	assert.Equal(t, c.distance("dc"), saturatedConnect)
+}
+
 // TestFailedConnectsTakeAnEighthOfObjective has three targets, all of them unreachable.
 func TestFailedConnectsTakeAnEighthOfObjective(t *testing.T) {
 	var (
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: connectHistory{clock: o.Clock}, overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
+	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: newConnectHistory(o.Clock), overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		Concurrency:                  maxConnections(o.Limits.Connections, o.Limits.Memory),
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -65,7 +65,7 @@
 	}
 	took := h.behind() + time.Millisecond
 	h.due = append(h.due, h.work(streamWork))
-	h.connectHistory.record(string(rune('a'+h.random.IntN(26))), min(took, 100*time.Millisecond))
+	h.connectHistory.record("dc", string(rune('a'+h.random.IntN(26))), min(took, 100*time.Millisecond), true)
 	if took < 150*time.Millisecond {
 		h.served++
 	} else {
@@ -75,7 +75,7 @@
 
 func newSmallHost() *smallHost {
 	clock := clockwork.NewFakeClock()
-	return &smallHost{clock: clock, random: rand.New(rand.NewPCG(3, 4)), connectHistory: connectHistory{clock: clock}}
+	return &smallHost{clock: clock, random: rand.New(rand.NewPCG(3, 4)), connectHistory: newConnectHistory(clock)}
 }
 
 // TestFloodIsAdmittedUpToCapacity simulates 590 streams per second at a host with capacity for
