--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -28,8 +28,8 @@
 	// storeDelay is the time after its start in which a router writes its entry, and after that
 	// the time in which it reads those of others.
 	storeDelay = 100 * time.Millisecond
-	// settleLimit is the time after a start by which routers must agree on who is reachable: the
-	// users' platform sends traffic 14 s after it starts the hosts.
+	// settleLimit is the time after a start by which routers must agree on who is reachable, as
+	// the first callers come then.
 	settleLimit = 14 * time.Second
 )
 
