Log whether a customer is ahead and contested, and how many streams wait to be sent

"request placed" and "request refused" say whether the customer is ahead of an even part and whether others are starved meanwhile; refusals at the router's own limit say how many streams wait to be sent, which tells its two limits apart. No decision changes.

--- a/place/place.go
+++ b/place/place.go
@@ -118,9 +118,12 @@
 	// Rank is the position of the target in the order of homes, 0 for the first.
 	Rank int
 	// Share is the share of the usual limit that the customer got. AboveShare is set if the
-	// customer has more than it is owed.
+	// customer has more than it is owed, Ahead if it also has more than an even part of what is
+	// served, and Contested if others that have less are starved meanwhile.
 	Share      float64
 	AboveShare bool
+	Ahead      bool
+	Contested  bool
 	// Comparison is what the customer's share was derived from.
 	Comparison Comparison
 	// Backlog is the number of tokens pending at the target, PrefillTokens the number of tokens
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -187,3 +187,10 @@
 	defer t.mu.Unlock()
 	return t.rate
 }
+
+// waiting returns the number of admitted streams that were not sent to a target yet.
+func (t *throttle) waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.dispatching
+}
