--- /dev/null
+++ b/relay/usage_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStreamsRefusedByFullRouterCountAsRequested guards against a customer that seems to request
+// little because its router is full.
+func TestStreamsRefusedByFullRouterCountAsRequested(t *testing.T) {
+	f := newTarget(t, "t", respondOK)
+	s := newTestServer(t, f)
+	s.throttle.rate, s.throttle.at = 1e-9, s.options.Clock.Now()
+	const streams, tokens = 5, 1200
+	for range streams {
+		res := s.do(t, "POST", "/model/", "r", "b", "Token-Usage: 1000,100")
+		assert.Equal(t, res.header.StatusCode(), 503)
+	}
+	requested, served := 0, 0
+	for _, u := range s.options.Placer.Usage() {
+		requested += u.Requested
+		served += u.Served
+	}
+	assert.Equal(t, requested, streams*tokens)
+	assert.Equal(t, served, 0)
+}
