Streams refused by a full router count as requested

Callers saw: a customer behind one full host got 15.0 of 83.7 million tokens while another got 47.4. Cause: a router refuses at its own limits before the placer sees the request, so what is refused there is not in the customer's demand. The level of the others rises by what it leaves, and it never counts as starved. The refusal is now counted by the placer, by the size that a placed request has.

--- a/place/home.go
+++ b/place/home.go
@@ -32,7 +32,7 @@
 	}
 	limit := time.Duration(float64(r.Objective) * admitShare * st.limitFactor)
 	if !s.admits(d, limit, r.Objective, st) {
-		return p.refuse(r, d, Usage{Requested: costOf(r.Call)}, limit, minRetryAfter, now)
+		return p.refuse(r, d, s.sizeOf(r.Call), limit, minRetryAfter, now)
 	}
 	return p.accept(s, r, &pr, best.target, d, now)
 }
--- a/place/plain.go
+++ b/place/plain.go
@@ -48,7 +48,7 @@
 	limit := time.Duration(plainObjectiveShare * d.Share * float64(r.Objective))
 	if !d.HasFreeSlot && d.Predicted > limit {
 		d.AboveShare = d.Share < 1
-		return p.refuse(r, d, Usage{CallsRequested: 1}, limit, time.Duration(minRetryShare*float64(s.slotTime.mean)), now)
+		return p.refuse(r, d, s.sizeOf(r.Call), limit, time.Duration(minRetryShare*float64(s.slotTime.mean)), now)
 	}
 	return p.begin(t, r, d, Usage{CallsRequested: 1}, Usage{CallsServed: 1}, now)
 }
--- a/place/usage.go
+++ b/place/usage.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"zinccove.example/zinccove/message"
+)
 
 // Usage is what customers requested and were served in the last seconds, in tokens prefilled and
 // generated, and in calls of plain services.
@@ -108,6 +112,23 @@
 	r.add(slotOf(now), u)
 }
 
+// RecordRefusal counts a request as requested by its customer that was refused without Place.
+func (p *Placer) RecordRefusal(r Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.services[r.Service]; s != nil {
+		p.recordUsage(r.Customer, firstAttemptUsage(r, s.sizeOf(r.Call)), p.clock.Now())
+	}
+}
+
+// sizeOf returns the size of a request of the service, by which customers are compared.
+func (s *service) sizeOf(c *message.RequestInfo) Usage {
+	if s.engine == nil {
+		return Usage{CallsRequested: 1}
+	}
+	return Usage{Requested: costOf(c)}
+}
+
 // refundUsage subtracts what a run that began at start was counted as served, because it provably
 // did not run. Targets that crash refuse hundreds of requests in a second; counted as served,
 // these made a customer appear better served than another one that got half of the tokens it
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -137,6 +137,7 @@
 	f.setLimits(view.Table)
 	if f.engine && !s.throttle.allow(f.customer, f.received) {
 		s.options.Metrics.Inc(metric.RequestsShed)
+		s.options.Placer.RecordRefusal(f.placement())
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: routerBusyRetry}
 	}
 	f.dispatching = f.engine
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,12 +61,17 @@
 	return resp, fail, nil
 }
 
+// placement returns the request as the placer sees it.
+func (f *flight) placement() place.Request {
+	return place.Request{
+		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
+	}
+}
+
 // place chooses a target, after querying the owners of candidates unless this router is
 // impaired.
 func (f *flight) place() place.Decision {
-	r := place.Request{
-		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
-	}
+	r := f.placement()
 	s := f.server
 	var replies []place.Reply
 	if s.options.Query != nil && !s.impaired() {
