Log each second what the limits of a router admit and refuse

Lines about requests are sampled at 600 a second, and the sampler keeps the first of each second: in the logs of a flooded host "request placed" seems to fall from 254 to 57 a second while the lines are missing, and three of four changes of the overload state were dropped with them. A host that is full now tells once a second how many streams its limits admitted and refused, and lines about the state of the router go past the sampler. No decision changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 		return err
 	}
 	g.relay, err = relay.Listen(relay.Options{
-		Address: s.ListenCaller, Clock: g.clock, Log: g.logWriter.requestLogger(g.log), Metrics: g.metrics, Codec: platform.Codec,
+		Address: s.ListenCaller, Clock: g.clock, Log: g.log, RequestLog: g.logWriter.requestLogger(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
 		Limits: relay.Limits{
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -246,7 +246,7 @@
 	placer.SetTargets(s.targets, s.table)
 	links := link.NewPool(link.Options{Clock: clock, Dial: dial})
 	s.Server, err = Listen(Options{
-		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), RequestLog: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
 		View: s.view, Placer: placer, Links: links, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
 		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
 	})
--- a/relay/flood_bench_test.go
+++ b/relay/flood_bench_test.go
@@ -14,7 +14,7 @@
 // the flood of its customer. Caller and router are one process.
 func BenchmarkRefusal(b *testing.B) {
 	s := newTestServer(b)
-	s.options.Log = zerolog.New(io.Discard)
+	s.options.RequestLog = zerolog.New(io.Discard)
 	clock := clockwork.NewRealClock()
 	s.throttle.rate, s.throttle.at = 1e-9, clock.Now()
 	body := strings.Repeat("b", 17_000)
--- a/relay/log.go
+++ b/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -48,7 +49,7 @@
 
 // logPlaced logs which target was chosen and the inputs of that decision.
 func (s *Server) logPlaced(f *flight) {
-	e := s.requestEvent(s.options.Log.Info(), f).
+	e := s.requestEvent(s.options.RequestLog.Info(), f).
 		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Revision.Count).Int("attempt", len(f.tried)).
 		Dur("targets_age_ms", s.options.View().TargetsAge)
 	f.withDecision(e).Msg("request placed")
@@ -56,7 +57,7 @@
 
 // logAttempt logs why an attempt failed.
 func (s *Server) logAttempt(f *flight, kind string, status int, fail *target.Failure) {
-	e := s.requestEvent(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
 		Str("failure", kind).Int("status", status)
 	if fail != nil && !fail.Kind.NotRun() {
 		e = e.Stringer("fingerprint", f.requestContent().Fingerprint())
@@ -70,14 +71,14 @@
 // logNotice begins a line about a notice of the target of the current attempt.
 func (s *Server) logNotice(f *flight, resp *response) *zerolog.Event {
 	t := f.run.Target
-	return s.options.Log.Info().Str("request", f.call.ID).Str("service", f.service).Str("target", t.ID).Time("started", t.Started).
+	return s.options.RequestLog.Info().Str("request", f.call.ID).Str("service", f.service).Str("target", t.ID).Time("started", t.Started).
 		Int("status", resp.header.StatusCode()).Dur("targets_age_ms", s.options.View().TargetsAge)
 }
 
 // logRefused logs how a request ended that got no response of a target.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(r.counter())
-	e := s.requestEvent(s.options.Log.Info(), f).Int("status", r.status).Str("reason", r.reason).
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Int("status", r.status).Str("reason", r.reason).
 		Dur("retry_after_ms", r.retryAfter).Dur("took_ms", s.options.Clock.Since(f.received))
 	switch r.reason {
 	case string(place.Overloaded):
@@ -94,14 +95,14 @@
 
 // logAnswered logs that a complete response was passed on.
 func (s *Server) logAnswered(f *flight, status int) {
-	e := s.requestEvent(s.options.Log.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("status", status).
 		Dur("took_ms", s.options.Clock.Since(f.received))
 	f.withNotice(e).Msg("request answered")
 }
 
 // logStream logs how a stream ended.
 func (s *Server) logStream(f *flight, err error) {
-	e := s.requestEvent(s.options.Log.Info(), f).Str("target", f.run.Target.ID).
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).
 		Dur("first_event_ms", f.firstEvent).Dur("took_ms", s.options.Clock.Since(f.received))
 	e = f.withNotice(e)
 	if err == io.EOF {
@@ -110,3 +111,30 @@
 	}
 	e.Err(err).Msg("stream cut")
 }
+
+// limitSummaryInterval is the time between two lines about the limits of this router.
+const limitSummaryInterval = time.Second
+
+// limitSummary counts the streams that this router admitted and refused by its own limits. Lines
+// about single requests are sampled, and of a flood mostly those about refusals are left.
+type limitSummary struct {
+	admitted, refused int
+	since             time.Time
+}
+
+// logLimits logs how many streams the limits of this router admitted and refused, once a second
+// while they refuse any.
+func (s *Server) logLimits(admitted, refused int, now time.Time) {
+	sum := &s.limitSummary
+	sum.admitted += admitted
+	sum.refused += refused
+	if now.Sub(sum.since) < limitSummaryInterval {
+		return
+	}
+	if sum.refused > 0 {
+		s.options.Log.Info().Int("admitted", sum.admitted).Int("refused", sum.refused).Float64("rate", s.throttle.current()).
+			Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).Bool("overloaded", s.Overloaded()).
+			Msg("streams refused by the limits of this router")
+	}
+	*sum = limitSummary{since: now}
+}
--- a/relay/monitor.go
+++ b/relay/monitor.go
@@ -26,8 +26,10 @@
 		case <-clock.After(checkInterval):
 		}
 		s.options.Metrics.Observe(metric.ProcessLag, s.lag.recordTick())
-		refused := s.throttle.adjust(s.excess(), s.options.Clock.Now())
-		if s.overload.update(refused) {
+		now := clock.Now()
+		admitted, refused := s.throttle.adjust(s.excess(), now)
+		s.logLimits(admitted, refused, now)
+		if s.overload.update(shareOf(refused, admitted+refused)) {
 			s.options.Log.Warn().Bool("strained", s.Overloaded()).Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).
 				Msg("overload state changed; the readiness check reports it")
 		}
@@ -35,6 +37,9 @@
 	}
 }
 
+// shareOf returns the share of part in all, 0 if all is 0.
+func shareOf(part, all int) float64 { return float64(part) / float64(max(all, 1)) }
+
 func (s *Server) checkRequests() {
 	now := s.options.Clock.Now()
 	table := s.options.View().Table
--- a/relay/path_bench_test.go
+++ b/relay/path_bench_test.go
@@ -14,7 +14,7 @@
 // that are reused. Caller, router and target are one process: 104 us for all three.
 func BenchmarkPath(b *testing.B) {
 	s := newTestServer(b, newTarget(b, "t", respondOK))
-	s.options.Log = zerolog.New(io.Discard)
+	s.options.RequestLog = zerolog.New(io.Discard)
 	conn, err := net.Dial("tcp", s.Address().String())
 	if err != nil {
 		b.Fatal(err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,10 @@
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
-	Log     zerolog.Logger
+	// Log is for lines about the router, RequestLog for those about single requests, whose number
+	// may be limited.
+	Log, RequestLog zerolog.Logger
+
 	Metrics *metric.Metrics
 	Codec   message.Codec
 	View    func() View
@@ -119,6 +122,7 @@
 	large          *largeBodies
 	overload       overload
 	throttle       throttle
+	limitSummary   limitSummary
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -126,14 +126,14 @@
 }
 
 // adjust adapts the rate to the share of streams that this router cannot serve in time, and
-// returns the share that was refused since the last adjustment.
-func (t *throttle) adjust(excess float64, now time.Time) (refused float64) {
+// returns how many were admitted and refused since the last adjustment.
+func (t *throttle) adjust(excess float64, now time.Time) (admitted, refused int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	period := now.Sub(t.lastAdjusted).Seconds()
 	taken := float64(t.admitted) / max(period, checkInterval.Seconds())
 	limited := t.refused > 0
-	refused = float64(t.refused) / float64(max(t.admitted+t.refused, 1))
+	admitted, refused = t.admitted, t.refused
 	t.admitted, t.refused, t.lastAdjusted = 0, 0, now
 	easing := t.rate > 0 && excess < t.excess
 	t.excess = excess
@@ -147,7 +147,7 @@
 	case now.Sub(t.refusedAt) >= unlimitAfter:
 		t.rate = 0
 	}
-	return refused
+	return admitted, refused
 }
 
 // increase raises the rate after an interval without overload.
