A router that refuses a quarter of its streams is not ready

Cause: it had to refuse half of its streams in each of five intervals in a row, and a flood has intervals with fewer refusals, also because those of the placer count as admitted. Now a weighted mean share of a quarter for 200 ms suffices: the other hosts are idle (0.011 cores in the mean). TestFloodStaysAtRouterThatServesSomeOfIt failed before.

--- a/relay/overload.go
+++ b/relay/overload.go
@@ -12,27 +12,34 @@
 // saturated: the bytes of a request have arrived before it can be refused.
 type overload struct {
 	clock clockwork.Clock
+	// refused is the weighted mean share of refused streams.
+	refused float64
 	// since is when the overload began, calmSince when it last ended; zero if it has not.
 	since, calmSince time.Time
 	active           atomic.Bool
 }
 
 const (
-	// overloadShare is the share of refused streams from which on a router is overloaded.
-	overloadShare = 0.5
+	// overloadShare is the mean share of refused streams from which on a router is overloaded:
+	// other routers are usually idle and would serve these streams. refusedWeight is the weight of
+	// one interval in that mean, because a flood has intervals with few refusals.
+	overloadShare = 0.25
+	refusedWeight = 0.5
 	// overloadDelay is how long a router has to be overloaded before it reports this,
 	// recoveryDelay how long it has to be without overload before it accepts callers again. The
 	// balancer checks each second and then sends a complete flood to the next host; the longer
 	// this router stays out, the more hosts share the flood, as callers keep the connections on
 	// which they are served.
-	overloadDelay = 500 * time.Millisecond
+	overloadDelay = 200 * time.Millisecond
 	recoveryDelay = 8 * time.Second
 )
 
-// update takes the current share of refused streams, and reports whether the state changed.
-func (s *overload) update(part float64) (changed bool) {
+// update takes the share of streams that were refused since the last call, and reports whether the
+// state changed.
+func (s *overload) update(refused float64) (changed bool) {
 	now := s.clock.Now()
-	if part >= overloadShare {
+	s.refused += refusedWeight * (refused - s.refused)
+	if s.refused >= overloadShare {
 		s.calmSince = time.Time{}
 		if s.since.IsZero() {
 			s.since = now
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -8,6 +8,18 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestFloodStaysAtRouterThatServesSomeOfIt guards against a flood that stays at one router for
+// seconds because some intervals have few refusals.
+func TestFloodStaysAtRouterThatServesSomeOfIt(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := &overload{clock: clock}
+	for i := range int(time.Second / checkInterval) {
+		clock.Advance(checkInterval)
+		s.update([]float64{0.6, 0.2, 0.45}[i%3])
+	}
+	assert.Assert(t, s.active.Load())
+}
+
 func TestOverloadedRouterIsNotReadyForAWhile(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := &overload{clock: clock}
