Requests refused while no target accepts any count as requested

Found by looking for the same cause elsewhere: requests, calls of plain services among them, that are refused because all targets are in backoff, or none is left, were not in the demand of their customer either. TestRefusalsWithoutTargetCountAsRequested failed before (0 tokens and 0 calls).

--- a/place/notices.go
+++ b/place/notices.go
@@ -146,6 +146,7 @@
 // refuseNoTarget refuses a request for which there is no target. If targets are only in backoff,
 // the retry delay lasts at least until the first of them accepts requests again.
 func (p *Placer) refuseNoTarget(s *service, r *Request, now time.Time) Decision {
+	p.recordUsage(r.Customer, firstAttemptUsage(*r, s.sizeOf(r.Call)), now)
 	remaining, first := p.backoff(s, r, now)
 	if first == nil {
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
--- a/place/usage_test.go
+++ b/place/usage_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/notice"
 )
 
 func TestShareLevelIsMaxMin(t *testing.T) {
@@ -153,3 +156,19 @@
 	p.RemovePeer("a")
 	assert.Equal(t, len(p.othersUsage), 0)
 }
+
+// TestRefusalsWithoutTargetCountAsRequested guards against customers whose demand is lost while all
+// targets are in backoff.
+func TestRefusalsWithoutTargetCountAsRequested(t *testing.T) {
+	want := map[string]Usage{"model": {Requested: costOf(call("a", 100, 10))}, "plain": {CallsRequested: 1}}
+	for service, size := range want {
+		p, _ := newTestPlacer(t)
+		for _, target := range p.services[service].targets {
+			p.applyNotice(target.hash, notice.Notice{Backoff: time.Minute})
+		}
+		r := promptRequest(call("a", 100, 10), "c")
+		r.Service = service
+		assert.Equal(t, p.Place(r).Reason, BackingOff)
+		assert.Equal(t, p.Usage()[HashOf("c")], size)
+	}
+}
