Each report of a large fleet carries usage totals

Cause: totals travel over four reports, of which only every second carried them, so that routers compared customers by totals that were 1.0 s old in the median and 1.3 in the worst tenth on the large site; what a customer over all routers gets in that time is beyond its share. The interval is now shorter than that between reports.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -281,3 +282,28 @@
 	}
 	f.assertNoFalseFailures(10 * time.Second)
 }
+
+// maxTotalsAge is a quarter of the window in which customers are compared.
+const maxTotalsAge = time.Second
+
+// TestRoutersCompareCustomersByOldTotals guards against floods that all routers of a fleet admit until
+// the totals show them.
+func TestRoutersCompareCustomersByOldTotals(t *testing.T) {
+	f := newRouterFleet(t, 1, largeFleet...)
+	f.run(settleLimit)
+	var ages []time.Duration
+	for range 20 {
+		f.run(170 * time.Millisecond)
+		for _, r := range f.routers {
+			if r.loop.role.Leads {
+				continue // leaders sum up the totals themselves
+			}
+			totals, ok := r.loop.totals.latest(group{})
+			assert.Assert(t, ok, "%s has no totals", r.loop.gateway.settings.Host)
+			ages = append(ages, f.clock.Since(totals.AsOf))
+		}
+	}
+	slices.Sort(ages)
+	t.Logf("totals are %v old in the median, %v at most", ages[len(ages)/2], ages[len(ages)-1])
+	assert.Assert(t, ages[len(ages)-1] <= maxTotalsAge)
+}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -21,8 +21,10 @@
 	// heartbeats to all others. In larger fleets such heartbeats would be so rare that a failed
 	// router is noticed late.
 	meshLimit = 128
-	// totalsInterval is the minimum interval between reports that carry usage totals.
-	totalsInterval = 400 * time.Millisecond
+	// totalsInterval is the minimum interval between reports that carry usage totals: less than that
+	// between reports, so that each regular report carries them. What customers were served since
+	// the totals of four reports ago is admitted beyond their shares.
+	totalsInterval = 200 * time.Millisecond
 	// maxTotalsCustomers is the maximum number of customers that usage totals list individually.
 	maxTotalsCustomers = 64
 )
