Requests refused for the memory of their bodies count as requested

The same cause in the other limit of a router: bodies above 32 KB are refused when their memory is used up, before the placer sees them, also of calls of plain services. Both limits refuse by one function, which counts. A request that is barred because it ends targets is logged past the sampler.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -91,8 +91,11 @@
 	return routerBusyRetry
 }
 
-// busyRefusal returns the refusal of a request for which this router has no capacity.
-func (s *Server) busyRefusal() *refusal {
+// refuseBusy returns the refusal of a request for which this router has no capacity, and counts the
+// request as requested by its customer.
+func (f *flight) refuseBusy() *refusal {
+	s := f.server
+	s.options.Placer.RecordRefusal(f.placement())
 	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: s.busyRetry()}
 }
 
@@ -153,8 +156,7 @@
 	f.setLimits(view.Table)
 	if f.engine && !s.throttle.allow(f.customer, f.received) {
 		s.options.Metrics.Inc(metric.RequestsShed)
-		s.options.Placer.RecordRefusal(f.placement())
-		return f, s.busyRefusal()
+		return f, f.refuseBusy()
 	}
 	f.dispatching = f.engine
 	return f, nil
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -125,9 +125,9 @@
 // refuseBody refuses a request whose body was not read. It has not run. The unread rest of the
 // body makes the connection unusable.
 func (f *flight) refuseBody(ctx *fasthttp.RequestCtx, err error) {
-	r := f.server.busyRefusal()
-	if eris.Is(err, errBodyTooLarge) {
-		r = &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: reasonBadRequest}
+	r := &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: reasonBadRequest}
+	if !eris.Is(err, errBodyTooLarge) {
+		r = f.refuseBusy()
 	}
 	f.lifecycle.GiveUp(false)
 	f.end(ctx, r)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -25,7 +25,7 @@
 	}
 	loss := quarantine.Loss{Target: quarantine.IncarnationHash(place.HashOf(f.run.Incarnation())), Partial: partial}
 	if f.server.options.Quarantine.RecordLoss(f.requestContent(), loss) {
-		f.server.requestEvent(f.server.options.RequestLog.Warn(), f).Stringer("fingerprint", f.requestContent().Fingerprint()).
+		f.server.requestEvent(f.server.options.Log.Warn(), f).Stringer("fingerprint", f.requestContent().Fingerprint()).
 			Str("target", f.run.Target.ID).Msg("request barred: targets ended while they ran it")
 	}
 }
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -25,3 +26,16 @@
 	assert.Equal(t, requested, streams*tokens)
 	assert.Equal(t, served, 0)
 }
+
+// TestBodiesRefusedForMemoryCountAsRequested guards against calls whose demand is lost with their bodies.
+func TestBodiesRefusedForMemoryCountAsRequested(t *testing.T) {
+	s := newTestServer(t)
+	assert.Assert(t, s.large.reserve(s.large.limit-1000))
+	res := s.do(t, "POST", "/once/", "large", strings.Repeat("b", 100_000))
+	assert.Equal(t, res.header.StatusCode(), 503)
+	requested := 0
+	for _, u := range s.options.Placer.Usage() {
+		requested += u.CallsRequested
+	}
+	assert.Equal(t, requested, 1)
+}
