A refused try counts half in what a customer lacks

Cause: callers try again after a refusal, and each try counts as requested, so that a customer that got all it wanted at the second try seemed to get half. Customers ahead were then held to the even level in busy seconds although nobody was starved.

--- a/place/shares.go
+++ b/place/shares.go
@@ -100,7 +100,7 @@
 	if stated > 0 {
 		s.owedLevel = tokens.level(min(tokens.served, stated))
 	}
-	s.aheadFactor = s.aheadFactorOf()
+	s.aheadFactor = s.computeAheadFactor()
 	s.calls = compareCalls(uses)
 	return s
 }
@@ -138,27 +138,30 @@
 	// served one gets if that is less: a customer that gets at most starvedShare is starved, one
 	// that gets contentShare lacks little. Callers count a customer as starved at a half.
 	starvedShare = 0.5
-	contentShare = 0.8
+	contentShare = 0.7
+	// triesPerRequest is the assumed number of tries of a refused request, each of which counts as
+	// requested.
+	triesPerRequest = 2
 	// minStarvedShare is the minimum amount that a customer lacks to be considered, as a share of
 	// the even level: customers that request little lack a quarter of their request after one
 	// refusal.
 	minStarvedShare = 0.125
 )
 
-// aheadFactorOf computes aheadFactor from the customer up to the even level that lacks the largest share.
+// computeAheadFactor returns aheadFactor from the customer up to the even level that lacks the largest share.
 //
 // The even level is no measure of the best served customer: one was served 30 million tokens at an
 // even level of 15 while another one, with 7 million, lacked a third of the even level. The factor
 // falls gradually because totals are old: when it was either 1 or 0, a customer over 295 routers got
 // between 14 and 34 million tokens in four seconds.
-func (s *shares) aheadFactorOf() float64 {
+func (s *shares) computeAheadFactor() float64 {
 	best := s.evenLevel
 	for _, u := range s.usage {
 		best = max(best, u.Served)
 	}
 	least := contentShare
 	for _, u := range s.usage {
-		want := float64(min(u.Requested, best))
+		want := float64(min(u.Served+(u.Requested-u.Served)/triesPerRequest, best))
 		lacks := want - float64(u.Served)
 		if u.Served <= s.evenLevel && lacks > minStarvedShare*float64(s.evenLevel) {
 			least = min(least, float64(u.Served)/want)
