Tests of floods share their set-up

One function drives the customers of both tests, one checks who got what; names say what the simulated router has (a capacity). Comments of new tests are one line.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -286,8 +286,7 @@
 // maxTotalsAge is a quarter of the window in which customers are compared.
 const maxTotalsAge = time.Second
 
-// TestRoutersCompareCustomersByOldTotals guards against floods that all routers of a fleet admit until
-// the totals show them.
+// TestRoutersCompareCustomersByOldTotals guards against floods that are admitted until totals show them.
 func TestRoutersCompareCustomersByOldTotals(t *testing.T) {
 	f := newRouterFleet(t, 1, largeFleet...)
 	f.run(settleLimit)
--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -16,10 +16,9 @@
 	// rate is in requests a second; router is where all of them arrive, all routers if negative.
 	rate   float64
 	router int
-	// door is the number of requests a second that the router admits to placement; 0 admits all.
-	door float64
-	// tokens are the requests that the door admits next.
-	tokens float64
+	// capacity is the number of requests a second that the router places, 0 for all; credit is what
+	// is left of it.
+	capacity, credit float64
 	// requested and served are in tokens, by which customers are compared.
 	requested, served int
 }
@@ -83,7 +82,7 @@
 	f := r.fleets[router]
 	q := promptRequest(call(fmt.Sprint(r.random.IntN(40)), 4000, 500+r.random.IntN(4000)), c.customer)
 	c.requested += costOf(q.Call)
-	if !c.enters() {
+	if !c.admitted() {
 		f.placer.RecordRefusal(q)
 		return
 	}
@@ -95,16 +94,16 @@
 	f.pending[d.Run] = f.engines[d.Run.Target.ID].firstEvent(r.clock.Now(), d.PrefillTokens)
 }
 
-// enters reports whether the router admits one more request to placement.
-func (c *traffic) enters() bool {
-	if c.door == 0 {
+// admitted reports whether the router has the capacity to place one more request.
+func (c *traffic) admitted() bool {
+	if c.capacity == 0 {
 		return true
 	}
-	c.tokens = min(c.tokens+c.door/c.rate, 4)
-	if c.tokens < 1 {
+	c.credit = min(c.credit+c.capacity/c.rate, 4)
+	if c.credit < 1 {
 		return false
 	}
-	c.tokens--
+	c.credit--
 	return true
 }
 
@@ -163,6 +162,34 @@
 	}
 }
 
+// runFloods has two customers send floods and eight others their usual load to nine routers, and
+// returns the others. The counts are of the last six seconds.
+func runFloods(t *testing.T, seed uint64, wide, narrow *traffic) (others []*traffic) {
+	t.Helper()
+	for i := range 8 {
+		others = append(others, &traffic{customer: fmt.Sprint("small", i), rate: 4, router: -1})
+	}
+	customers := append([]*traffic{wide, narrow}, others...)
+	r := newRouters(t, 9, seed)
+	r.run(5*time.Second, customers...)
+	for _, c := range customers {
+		c.requested, c.served = 0, 0
+	}
+	r.run(6*time.Second, customers...)
+	t.Logf("seed %d: wide requested %d, served %d; narrow requested %d, served %d", seed, wide.requested, wide.served, narrow.requested, narrow.served)
+	return others
+}
+
+// assertFair fails the test if a flood gets less than half of what it may get, or another customer
+// little of what it requests.
+func assertFair(t *testing.T, wide, narrow *traffic, others []*traffic) {
+	t.Helper()
+	assert.Assert(t, 2*narrow.served > min(narrow.requested, wide.served))
+	for _, c := range others {
+		assert.Assert(t, c.served > c.requested*8/10, "%s requested %d, was served %d", c.customer, c.requested, c.served)
+	}
+}
+
 // TestFloodsAreServedEquallyAtAnyNumberOfRouters has two customers send floods of requests. One
 // of them has connections to all routers and requests 3.6 times as often, the other has all of
 // its connections at one router. Both are far above what they are owed. When both had the same
@@ -172,44 +199,15 @@
 	for seed := range uint64(3) {
 		wide := &traffic{customer: "wide", rate: 260, router: -1}
 		narrow := &traffic{customer: "narrow", rate: 72, router: 3}
-		customers := []*traffic{wide, narrow}
-		for i := range 8 {
-			customers = append(customers, &traffic{customer: fmt.Sprint("small", i), rate: 4, router: -1})
-		}
-		r := newRouters(t, 9, seed)
-		r.run(5*time.Second, customers...)
-		for _, c := range customers {
-			c.requested, c.served = 0, 0
-		}
-		r.run(6*time.Second, customers...)
-		t.Logf("seed %d: wide requested %d, served %d; narrow requested %d, served %d", seed, wide.requested, wide.served, narrow.requested, narrow.served)
-		assert.Assert(t, 2*narrow.served > min(narrow.requested, wide.served))
-		for _, c := range customers[2:] {
-			assert.Assert(t, c.served > c.requested*8/10, "%s requested %d, was served %d", c.customer, c.requested, c.served)
-		}
+		assertFair(t, wide, narrow, runFloods(t, seed, wide, narrow))
 	}
 }
 
-// TestIdleEnginesServeCustomerFarAheadOfOneBehindFullRouter guards against a customer that is served
-// more than twice what another one gets whose router is full.
+// TestIdleEnginesServeCustomerFarAheadOfOneBehindFullRouter guards against unbounded use of idle engines.
 func TestIdleEnginesServeCustomerFarAheadOfOneBehindFullRouter(t *testing.T) {
 	for seed := range uint64(3) {
 		wide := &traffic{customer: "wide", rate: 260, router: -1}
-		narrow := &traffic{customer: "narrow", rate: 130, router: 3, door: 36}
-		customers := []*traffic{wide, narrow}
-		for i := range 8 {
-			customers = append(customers, &traffic{customer: fmt.Sprint("small", i), rate: 4, router: -1})
-		}
-		r := newRouters(t, 9, seed)
-		r.run(5*time.Second, customers...)
-		for _, c := range customers {
-			c.requested, c.served = 0, 0
-		}
-		r.run(6*time.Second, customers...)
-		t.Logf("seed %d: wide requested %d, served %d; narrow requested %d, served %d", seed, wide.requested, wide.served, narrow.requested, narrow.served)
-		assert.Check(t, 2*narrow.served > min(narrow.requested, wide.served))
-		for _, c := range customers[2:] {
-			assert.Check(t, c.served > c.requested*8/10, "%s requested %d, was served %d", c.customer, c.requested, c.served)
-		}
+		narrow := &traffic{customer: "narrow", rate: 130, router: 3, capacity: 36}
+		assertFair(t, wide, narrow, runFloods(t, seed, wide, narrow))
 	}
 }
--- a/place/usage_test.go
+++ b/place/usage_test.go
@@ -163,8 +163,7 @@
 	assert.Equal(t, len(p.othersUsage), 0)
 }
 
-// TestRefusalsWithoutTargetCountAsRequested guards against customers whose demand is lost while all
-// targets are in backoff.
+// TestRefusalsWithoutTargetCountAsRequested guards against demand that a backoff of all targets hides.
 func TestRefusalsWithoutTargetCountAsRequested(t *testing.T) {
 	want := map[string]Usage{"model": {Requested: costOf(call("a", 100, 10))}, "plain": {CallsRequested: 1}}
 	for service, size := range want {
--- a/relay/busy_test.go
+++ b/relay/busy_test.go
@@ -8,8 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestOverloadedRouterSendsCallersBackToItself guards against callers that return while the balancer
-// still routes them to the same full router.
+// TestOverloadedRouterSendsCallersBackToItself covers the time until the balancer has noticed.
 func TestOverloadedRouterSendsCallersBackToItself(t *testing.T) {
 	s := newTestServer(t)
 	s.options.Limits.StopDelay = 2 * time.Second
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -8,8 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestFloodStaysAtRouterThatServesSomeOfIt guards against a flood that stays at one router for
-// seconds because some intervals have few refusals.
+// TestFloodStaysAtRouterThatServesSomeOfIt has some intervals with few refusals.
 func TestFloodStaysAtRouterThatServesSomeOfIt(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := &overload{clock: clock}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,13 +67,13 @@
 	Clock   clockwork.Clock
 	// Log is for lines about the router, RequestLog for those about single requests, whose number
 	// may be limited.
-	Log, RequestLog zerolog.Logger
-
-	Metrics *metric.Metrics
-	Codec   message.Codec
-	View    func() View
-	Placer  *place.Placer
-	Links   *link.Pool
+	Log        zerolog.Logger
+	RequestLog zerolog.Logger
+	Metrics    *metric.Metrics
+	Codec      message.Codec
+	View       func() View
+	Placer     *place.Placer
+	Links      *link.Pool
 	// Query sends queries to the routers that own targets and waits for their replies for some
 	// milliseconds at most. If it is nil, no queries are sent.
 	Query   func([]place.Query) []place.Reply
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestStreamsRefusedByFullRouterCountAsRequested guards against a customer that seems to request
-// little because its router is full.
+// TestStreamsRefusedByFullRouterCountAsRequested guards against demand that a full router hides.
 func TestStreamsRefusedByFullRouterCountAsRequested(t *testing.T) {
 	f := newTarget(t, "t", respondOK)
 	s := newTestServer(t, f)
@@ -27,7 +26,7 @@
 	assert.Equal(t, served, 0)
 }
 
-// TestBodiesRefusedForMemoryCountAsRequested guards against calls whose demand is lost with their bodies.
+// TestBodiesRefusedForMemoryCountAsRequested guards against demand that the memory limit hides.
 func TestBodiesRefusedForMemoryCountAsRequested(t *testing.T) {
 	s := newTestServer(t)
 	assert.Assert(t, s.large.reserve(s.large.limit-1000))
