--- a/place/shares.go
+++ b/place/shares.go
@@ -150,10 +150,9 @@
 
 // computeAheadFactor returns aheadFactor from the customer up to the even level that lacks the largest share.
 //
-// The even level is no measure of the best served customer: one was served 30 million tokens at an
-// even level of 15 while another one, with 7 million, lacked a third of the even level. The factor
-// falls gradually because totals are old: when it was either 1 or 0, a customer over 295 routers got
-// between 14 and 34 million tokens in four seconds.
+// The even level is no measure of the best served customer, whom idle engines may serve twice as
+// much. The factor falls gradually because totals are up to a second old: with a factor of either 1
+// or 0, a customer over 295 routers swings between 14 and 34 million tokens in four seconds.
 func (s *shares) computeAheadFactor() float64 {
 	best := s.evenLevel
 	for _, u := range s.usage {
@@ -214,7 +213,7 @@
 //
 // Above the even level no minimum limit applies. With one, two customers that sent floods of
 // requests were served by how often they requested: one of them got 0.94 of 3.0 million tokens,
-// the other 3.8 million. Without it they get 1.8 and 2.4 million (nine routers, simulated for six
+// the other 3.8 million. Without it they get 1.8 and 2.7 million (nine routers, simulated for six
 // seconds). With a limit of zero above the even level they get 1.6 and 2.1 million, and engines
 // are idle. The limit is zero only while another customer is starved.
 func (s *shares) standing(customer string) standing {
