Retries in the next second are no second termination of a target

Callers of a declared target got 422 ends_targets for a request after the target had terminated under it once; two terminations are meant to be needed.

Cause: incarnations of declared targets were told apart by whole seconds of the clock. A retry of the same request that broke at the target while it restarted counted as a second incarnation if the second had changed in between.

Losses within a second of the first one now belong to one termination. Routers that first see a termination in different seconds still count two.

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -1,17 +1,14 @@
 package ingress
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/bootclock"
-	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/dispatch"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/quarantine"
@@ -193,7 +190,7 @@
 		return f.withOutcome(refuse(CodeCallerGone, "the caller went away"))
 	}
 	if fail.ConnectionLost() {
-		f.server.options.Quarantine.RecordLoss(&f.content, quarantine.Loss{Target: incarnationOf(f.slot.Target(), now), Partial: f.partial})
+		f.server.options.Quarantine.RecordLoss(&f.content, quarantine.Loss{Target: f.server.incarnations.of(f.slot.Target().Number, now), Partial: f.partial})
 	}
 	f.release(dispatchResults[fail.Kind])
 	if f.request.Fail(fail.Kind, now, f.server.retries.TryWithdraw) == request.Retry {
@@ -206,16 +203,6 @@
 	return f.withOutcome(failureRefusal(fail))
 }
 
-// incarnationOf identifies the incarnation of a target that terminated. Targets that operators
-// declare do not report when they started: terminations of a target in the same second are
-// treated as one incarnation.
-func incarnationOf(t config.Target, ended time.Time) quarantine.IncarnationHash {
-	var b [12]byte
-	binary.BigEndian.PutUint32(b[:4], t.Number)
-	binary.BigEndian.PutUint64(b[4:], uint64(ended.Unix()))
-	return quarantine.IncarnationHash(xxhash.Sum64(b[:]))
-}
-
 // recordResponse records that the complete response was received.
 func (f *flow) recordResponse() {
 	f.request.Answer()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -106,8 +106,10 @@
 	watcher  *hangup.Watcher
 	retries  *request.Budget
 	input    inputEstimate
-	group    errgroup.Group
-	stopping atomic.Bool
+	// incarnations identifies targets that terminated, for the quarantine.
+	incarnations incarnations
+	group        errgroup.Group
+	stopping     atomic.Bool
 	// accepted is the number of accepted requests that have not ended.
 	accepted atomic.Int64
 }
