Callers refused by an overloaded router return when the balancer has noticed

Callers whose requests a full host refused were told to return after the whole stop delay (2.6 s in the deployment) as long as the host reported itself as overloaded, which it does for 8 s at least. The balancer has noticed after the first 2 s of these, and a refusal closes its connection: a retry after 50 ms reaches another router. So most answers to these callers came late.

Cause: the delay was counted from each refusal, not from the moment at which the router became not ready.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -80,15 +80,12 @@
 // the rate limit admits some more streams.
 const routerBusyRetry = 50 * time.Millisecond
 
-// busyRetry returns the Retry-After of a request for which this router has no capacity. While the
-// router is overloaded, callers return after the time in which the balancer notices that it is not
-// ready: earlier retries arrive here again, and refusing them takes most of the processor of a
-// small host.
+// busyRetry returns the Retry-After of a request for which this router has no capacity. Callers of
+// an overloaded router return when the balancer has noticed that it is not ready: earlier retries
+// arrive here again, and refusing them takes most of the processor of a small host. Later ones
+// reach another router at once, because a refusal closes the connection.
 func (s *Server) busyRetry() time.Duration {
-	if s.Overloaded() {
-		return max(routerBusyRetry, s.options.Limits.StopDelay)
-	}
-	return routerBusyRetry
+	return max(routerBusyRetry, s.overload.unnoticed(s.options.Limits.StopDelay))
 }
 
 // refuseBusy returns the refusal of a request for which this router has no capacity, and counts the
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -16,7 +16,8 @@
 	refused float64
 	// since is when the overload began, calmSince when it last ended; zero if it has not.
 	since, calmSince time.Time
-	active           atomic.Bool
+	// activeSince is when it was first reported, nil while it is not.
+	activeSince atomic.Pointer[time.Time]
 }
 
 const (
@@ -44,14 +45,27 @@
 		if s.since.IsZero() {
 			s.since = now
 		}
-		return now.Sub(s.since) >= overloadDelay && s.active.CompareAndSwap(false, true)
+		return now.Sub(s.since) >= overloadDelay && s.activeSince.CompareAndSwap(nil, &now)
 	}
 	s.since = time.Time{}
 	if s.calmSince.IsZero() {
 		s.calmSince = now
 	}
-	return now.Sub(s.calmSince) >= recoveryDelay && s.active.CompareAndSwap(true, false)
+	return now.Sub(s.calmSince) >= recoveryDelay && s.activeSince.Swap(nil) != nil
+}
+
+// active reports whether this router reports that it is overloaded.
+func (s *overload) active() bool { return s.activeSince.Load() != nil }
+
+// unnoticed returns how much longer the balancer may send callers here, if it notices within a
+// delay that a router is not ready.
+func (s *overload) unnoticed(delay time.Duration) time.Duration {
+	since := s.activeSince.Load()
+	if since == nil {
+		return 0
+	}
+	return delay - s.clock.Since(*since)
 }
 
 // Overloaded reports whether new callers should go to other routers.
-func (s *Server) Overloaded() bool { return s.overload.active.Load() }
+func (s *Server) Overloaded() bool { return s.overload.active() }
