The test of stalled callers connects to its target however slowly

TestStalledCallersOccupyLittleMemory failed on busy machines: 'not in time: all have reached the target'.

Cause, from the server's log: with an objective of 1 s a connection to the target may take 62 ms, and 40 callers with the target and the router in one process under the race detector took longer. Such requests were refused as no_target, as they should be on a busy host, and never reached the target; the test waited for all 40. It says nothing of connecting, so it now connects without that limit. All its checks and bounds stay.

--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -77,13 +78,18 @@
 	assert.Equal(t, len(f.received()), 1, "a request whose response has begun is not sent again")
 }
 
+// dialPatiently connects however long a busy machine takes, so that no request is refused for that.
+func dialPatiently(addr netip.AddrPort, _ time.Duration) (net.Conn, error) {
+	return net.Dial("tcp", addr.String())
+}
+
 // TestStalledCallersOccupyLittleMemory has callers that request large responses and read
 // nothing: the memory for them is bounded, and after the stall time their connections are
 // closed.
 func TestStalledCallersOccupyLittleMemory(t *testing.T) {
 	var written atomic.Int64
 	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool { return writeLarge(a, c, largeBytes, &written, false) })
-	s := newTestServer(t, f)
+	s := newTestServerDialling(t, dialPatiently, f)
 	before := heapBytes()
 	callers := make([]*caller, stalled)
 	for i := range callers {
