Each router bounds by credit what it serves customers ahead of one that lacks

Cause: limits followed totals, which are 0.6 to 0.9 s old. In that time idle engines serve a flood over 295 routers 10 million tokens; when the burst is no longer in the window of four seconds, its customer seems to have little, and the next burst follows. Class: control by delayed totals without a bound at the place of decision.

Change: totals set an ahead level, the amount of which the customer that lacks the most has 0.7 (at least the even level), and a rate that brings the others there; each router serves its part of that rate by a credit. The customer that lacks the most is not bounded; one that was above the level within a window is, and does not count as lacking.

--- a/place/admit.go
+++ b/place/admit.go
@@ -28,15 +28,14 @@
 // prompts that are predicted to take longer: refusing them would leave the target idle, and a
 // router whose predictions are too high would get no samples to correct them. A target whose
 // slots are all taken does not count as idle, however few tokens are pending. An idle target
-// admits customers that are ahead of the others only if the prompt is small, and the smaller the
-// more the others lack. Prompts too long for any target are also admitted where few tokens are
-// pending.
+// admits customers that are ahead of the others only if the prompt is small. Prompts too long for
+// any target are also admitted where few tokens are pending.
 func (s *service) admits(d Decision, limit, objective time.Duration, st standing) bool {
 	switch {
 	case d.Predicted <= limit:
 		return true
 	case d.Backlog == 0 && d.HasFreeSlot:
-		return !st.ahead || d.small(objective, st.aheadFactor)
+		return !st.ahead || d.small(objective)
 	}
 	return s.latency.predict(0)+d.Wait <= time.Duration(float64(limit)*longPromptShare)
 }
@@ -68,8 +67,7 @@
 	return c.PromptTokens + route.OutputTokenCost*outputTokens
 }
 
-// small reports whether a prompt delays other requests little at its target; factor is the factor
-// on the time that it may take.
-func (d *Decision) small(objective time.Duration, factor float64) bool {
-	return d.SharedTokens <= 0 && d.CopiedTokens == 0 && d.Predicted <= time.Duration(float64(objective)*idleShare*factor)
+// small reports whether a prompt delays other requests little at its target.
+func (d *Decision) small(objective time.Duration) bool {
+	return d.SharedTokens <= 0 && d.CopiedTokens == 0 && d.Predicted <= time.Duration(float64(objective)*idleShare)
 }
--- a/place/home.go
+++ b/place/home.go
@@ -25,15 +25,20 @@
 	best := s.cheapest(s.cacheHolders(homes, formerHomes, &pr, replies, now), &pr, now)
 	d := Decision{
 		CopiedTokens: best.copiedTokens, CopyFrom: best.copyFrom,
-		Rank: best.rank, Share: st.limitFactor, AboveShare: st.above, Ahead: st.ahead, AheadFactor: st.aheadFactor, Comparison: shares.comparison(r.Customer, now),
+		Rank: best.rank, Share: st.limitFactor, AboveShare: st.above, Ahead: st.ahead, Comparison: shares.comparison(r.Customer, now),
 		Backlog: best.backlog, PrefillTokens: best.prefillTokens, SharedTokens: best.prefillTokens - pr.uniqueTokens, Outstanding: best.target.outstanding(),
 		Wait: best.wait, Predicted: best.predicted, Slowness: best.slowness, Replies: len(replies), ReportAge: p.oldestReportAge(now),
 		HasFreeSlot: best.target.outstanding() < best.target.Slots,
 	}
 	limit := time.Duration(float64(r.Objective) * admitShare * st.limitFactor)
-	if !s.admits(d, limit, r.Objective, st) {
+	bounded := p.bounded(r.Customer, shares)
+	d.Held = bounded && !p.hasCredit(r.Customer, shares, now)
+	if d.Held || !s.admits(d, limit, r.Objective, st) {
 		return p.refuse(r, d, s.sizeOf(r.Call), limit, minRetryAfter, now)
 	}
+	if bounded {
+		p.spendCredit(r.Customer, costOf(r.Call))
+	}
 	return p.accept(s, r, &pr, best.target, d, now)
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -119,12 +119,11 @@
 	Rank int
 	// Share is the share of the usual limit that the customer got. AboveShare is set if the
 	// customer has more than it is owed, Ahead if it also has more than an even part of what is
-	// served. AheadFactor is the factor on its limits if it is ahead; it is below 1 if others lack a
-	// lot.
-	Share       float64
-	AboveShare  bool
-	Ahead       bool
-	AheadFactor float64
+	// served, Held if it was refused because it has used up its credit.
+	Share      float64
+	AboveShare bool
+	Ahead      bool
+	Held       bool
 	// Comparison is what the customer's share was derived from.
 	Comparison Comparison
 	// Backlog is the number of tokens pending at the target, PrefillTokens the number of tokens
@@ -171,6 +170,10 @@
 	totals *Totals
 	oldest oldestReport
 	shares shares
+	// contestedAt is when a customer last got so much that another one lacked a lot next to it,
+	// heldAt when each customer was last above the ahead level.
+	contestedAt time.Time
+	heldAt      map[Hash]time.Time
 	// update holds the entries for the next update, changed the targets at which the requests of
 	// this router changed.
 	update  Update
@@ -210,7 +213,7 @@
 func New(o Options) *Placer {
 	return &Placer{
 		clock: o.Clock, regions: o.Regions, services: make(map[string]*service), targets: make(map[string]*target),
-		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums),
+		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums), heldAt: make(map[Hash]time.Time),
 		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1),
 	}
 }
--- a/place/shares.go
+++ b/place/shares.go
@@ -22,13 +22,12 @@
 	requested int
 	// oversubscribed reports whether more is requested than served.
 	oversubscribed bool
-	// aheadFactor is the factor on the limits of customers above the even level: 1 while no customer
-	// up to that level lacks much, 0 while one is starved. The even level follows from what is
-	// served: if customers above it were refused also while no other customer is starved, the level
-	// could never rise. In such cases 1,000 idle engines refused 46 of 100 requests, and 140 engines
-	// to which all routers returned after a power loss refused 1,000 of 1,700 requests a second for
-	// three seconds, as large customers had the most callers that returned at once.
-	aheadFactor float64
+	// aheadLevel is the amount to which customers are held while another one lacks a lot next to
+	// them, 0 if none does.
+	aheadLevel int
+	// leastServed is what the customer gets that lacks a lot and gets the least, bestServed what the
+	// best served customer gets.
+	leastServed, bestServed int
 	// calls compares the customers by their calls of plain services.
 	calls callShares
 }
@@ -43,6 +42,9 @@
 	OwedLevel, EvenLevel int
 	// Customers is the number of customers that were compared.
 	Customers int
+	// AheadLevel is the amount to which customers are held because another one lacks a lot, 0 if
+	// none does. Plain services have none.
+	AheadLevel int
 	// TotalsAge is the age of the totals that were used; 0 if the reports of individual routers
 	// were.
 	TotalsAge time.Duration
@@ -51,7 +53,7 @@
 // comparison returns the comparison of a customer by tokens.
 func (s *shares) comparison(customer string, now time.Time) Comparison {
 	u := s.usage[HashOf(customer)]
-	return Comparison{Requested: u.Requested, Served: u.Served, OwedLevel: s.owedLevel, EvenLevel: s.evenLevel, Customers: len(s.usage), TotalsAge: s.totalsAge(now)}
+	return Comparison{Requested: u.Requested, Served: u.Served, OwedLevel: s.owedLevel, EvenLevel: s.evenLevel, AheadLevel: s.aheadLevel, Customers: len(s.usage), TotalsAge: s.totalsAge(now)}
 }
 
 // callComparison returns the comparison of a customer by calls of plain services.
@@ -88,6 +90,7 @@
 	}
 	p.shares = computeShares(uses, p.statedCapacity)
 	p.shares.at, p.shares.totalsAsOf = now, totalsAsOf
+	p.updateHolds(&p.shares, now)
 	return &p.shares
 }
 
@@ -100,7 +103,7 @@
 	if stated > 0 {
 		s.owedLevel = tokens.level(min(tokens.served, stated))
 	}
-	s.aheadFactor = s.computeAheadFactor()
+	s.bestServed = bestServed(uses)
 	s.calls = compareCalls(uses)
 	return s
 }
@@ -133,42 +136,6 @@
 // level returns the max-min level at which the customers share an amount.
 func (d *demand) level(amount int) int { return levelOf(d.wants, amount) }
 
-const (
-	// starvedShare and contentShare are shares of what a customer requests, or of what the best
-	// served one gets if that is less: a customer that gets at most starvedShare is starved, one
-	// that gets contentShare lacks little. Callers count a customer as starved at a half.
-	starvedShare = 0.5
-	contentShare = 0.7
-	// triesPerRequest is the assumed number of tries of a refused request, each of which counts as
-	// requested.
-	triesPerRequest = 2
-	// minStarvedShare is the minimum amount that a customer lacks to be considered, as a share of
-	// the even level: customers that request little lack a quarter of their request after one
-	// refusal.
-	minStarvedShare = 0.125
-)
-
-// computeAheadFactor returns aheadFactor from the customer up to the even level that lacks the largest share.
-//
-// The even level is no measure of the best served customer, whom idle engines may serve twice as
-// much. The factor falls gradually because totals are up to a second old: with a factor of either 1
-// or 0, a customer over 295 routers swings between 14 and 34 million tokens in four seconds.
-func (s *shares) computeAheadFactor() float64 {
-	best := s.evenLevel
-	for _, u := range s.usage {
-		best = max(best, u.Served)
-	}
-	least := contentShare
-	for _, u := range s.usage {
-		want := float64(min(u.Served+(u.Requested-u.Served)/triesPerRequest, best))
-		lacks := want - float64(u.Served)
-		if u.Served <= s.evenLevel && lacks > minStarvedShare*float64(s.evenLevel) {
-			least = min(least, float64(u.Served)/want)
-		}
-	}
-	return max(least-starvedShare, 0) / (contentShare - starvedShare)
-}
-
 // levelOf returns the max-min level at which wants, in ascending order, share an amount.
 func levelOf(wants []int, amount int) int {
 	level := 0
@@ -201,8 +168,6 @@
 	// above reports whether the customer has more than it is owed, ahead whether it also has more
 	// than an even part of what is served.
 	above, ahead bool
-	// aheadFactor is that of the shares if the customer is ahead.
-	aheadFactor float64
 }
 
 // standing computes the standing of a customer. Up to the owed level it has the usual limit.
@@ -215,7 +180,7 @@
 // requests were served by how often they requested: one of them got 0.94 of 3.0 million tokens,
 // the other 3.8 million. Without it they get 1.8 and 2.7 million (nine routers, simulated for six
 // seconds). With a limit of zero above the even level they get 1.6 and 2.1 million, and engines
-// are idle. The limit is zero only while another customer is starved.
+// are idle. While another customer lacks a lot, credit bounds what the others get.
 func (s *shares) standing(customer string) standing {
 	u := s.usage[HashOf(customer)]
 	st := standing{limitFactor: s.sizeFactor(u)}
@@ -226,8 +191,7 @@
 	st.limitFactor = max(min(squaredRatio(s.owedLevel, u.Served), st.limitFactor), minFactor)
 	if u.Served > s.evenLevel {
 		st.ahead = true
-		st.aheadFactor = s.aheadFactor
-		st.limitFactor *= squaredRatio(s.evenLevel, u.Served) * s.aheadFactor
+		st.limitFactor *= squaredRatio(s.evenLevel, u.Served)
 	}
 	return st
 }
--- a/place/usage.go
+++ b/place/usage.go
@@ -71,8 +71,9 @@
 
 // usageRing holds one customer's usage of this router by time slot.
 type usageRing struct {
-	slots [usageSlots]Usage
-	at    int64
+	slots  [usageSlots]Usage
+	at     int64
+	credit credit
 }
 
 // advance clears the slots that are older than the window.
--- a/relay/log.go
+++ b/relay/log.go
@@ -29,9 +29,9 @@
 		e = e.Int("copied", d.CopiedTokens).Stringer("copied_from", d.CopyFrom)
 	}
 	c := &d.Comparison
-	e = e.Int("customer_requested", c.Requested).Int("customer_served", c.Served).Int("owed_level", c.OwedLevel).Int("even_level", c.EvenLevel).
+	e = e.Int("customer_requested", c.Requested).Int("customer_served", c.Served).Int("owed_level", c.OwedLevel).Int("even_level", c.EvenLevel).Int("ahead_level", c.AheadLevel).
 		Int("customers", c.Customers).Dur("totals_age_ms", c.TotalsAge)
-	return e.Int("rank", d.Rank).Float64("share", d.Share).Bool("above_share", d.AboveShare).Bool("ahead", d.Ahead).Float64("ahead_factor", d.AheadFactor).
+	return e.Int("rank", d.Rank).Float64("share", d.Share).Bool("above_share", d.AboveShare).Bool("ahead", d.Ahead).Bool("held", d.Held).
 		Int("backlog", d.Backlog).Int("unread", d.PrefillTokens).Int("shared_unread", d.SharedTokens).Int("outstanding", d.Outstanding).
 		Dur("wait_ms", d.Wait).Dur("predicted_ms", d.Predicted).Float64("slowness", d.Slowness).Int("told", d.Replies).Dur("asked_ms", f.queryTime).Dur("reports_age_ms", d.ReportAge)
 }
