Nobody is held below its level for the stated capacity

Cause: the ahead level followed what is served. After a start of all routers little is served and many customers lack, so that the level was low, customers were held to it, and it grew by less than half in each window.

The level is at least the max-min level for the stated capacity now.

TestStartedFleetIsHeldToWhatItServes fails before.

--- a/place/credit.go
+++ b/place/credit.go
@@ -35,7 +35,9 @@
 
 // computeAheadLevel sets the ahead level and leastServed. The level is the amount of which the
 // customer that gets the least of those that lack a lot has its content share, at least the even
-// level. Customers that were above the level lately lack because they are held.
+// level and the one for the stated capacity: after a start of all routers customers lack a lot, and
+// holding the others to what is served then would keep the engines idle. Customers that were above
+// the level lately lack because they are held.
 func (s *shares) computeAheadLevel(heldAt map[Hash]time.Time) {
 	s.aheadLevel, s.leastServed = 0, math.MaxInt
 	for h, u := range s.usage {
@@ -46,7 +48,7 @@
 		}
 	}
 	if s.leastServed < math.MaxInt {
-		s.aheadLevel = max(int(float64(s.leastServed)/contentShare), s.evenLevel)
+		s.aheadLevel = max(int(float64(s.leastServed)/contentShare), s.evenLevel, s.statedLevel)
 	}
 }
 
--- a/place/credit_test.go
+++ b/place/credit_test.go
@@ -40,3 +40,13 @@
 	p.updateHolds(&s, clock.Now())
 	assert.Assert(t, !p.bounded("far", &s) && !p.bounded("starved", &s))
 }
+
+// TestStartedFleetIsHeldToWhatItServes guards against a level that keeps engines idle after a start.
+func TestStartedFleetIsHeldToWhatItServes(t *testing.T) {
+	p, clock := newTestPlacer(t)
+	s := computeShares(map[Hash]Usage{
+		HashOf("first"): {Requested: 5000, Served: 300}, HashOf("second"): {Requested: 5000, Served: 100}, HashOf("third"): {Requested: 5000, Served: 10},
+	}, 9000)
+	p.updateHolds(&s, clock.Now())
+	assert.Assert(t, !p.bounded("first", &s) && !p.bounded("second", &s))
+}
--- a/place/shares.go
+++ b/place/shares.go
@@ -22,6 +22,9 @@
 	requested int
 	// oversubscribed reports whether more is requested than served.
 	oversubscribed bool
+	// statedLevel is the level for the stated capacity of the engines, 0 if none is stated. It is
+	// above the other levels while the engines serve less than that.
+	statedLevel int
 	// aheadLevel is the amount to which customers are held while another one lacks a lot next to
 	// them, 0 if none does.
 	aheadLevel int
@@ -102,6 +105,7 @@
 	s.owedLevel = s.evenLevel
 	if stated > 0 {
 		s.owedLevel = tokens.level(min(tokens.served, stated))
+		s.statedLevel = tokens.level(stated)
 	}
 	s.bestServed = bestServed(uses)
 	s.calls = compareCalls(uses)
