--- a/place/credit.go
+++ b/place/credit.go
@@ -12,8 +12,8 @@
 // serves such customers; the totals set the rate at which credit is added.
 
 const (
-	// contentShare is the share of what a customer requests, or of what the best served one gets if
-	// that is less, that a customer has to get. Callers count a customer as starved at a half; the
+	// contentShare is the share of what a customer requests, or of the ahead level if that is less,
+	// that it has to get. Callers count a customer as starved at a half; the
 	// remainder covers the age of the totals.
 	contentShare = 0.7
 	// triesPerRequest is the assumed number of tries of a refused request, each of which counts as
--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -243,14 +243,14 @@
 func testBurstsOfFlood(t *testing.T, router func(time.Duration) int) {
 	t.Helper()
 	const step, window = 500 * time.Millisecond, 6 * time.Second
-	for seed := range uint64(2) {
+	for seed := range uint64(3) {
 		wide := &traffic{customer: "wide", rate: 300, router: -1}
 		narrow := &traffic{customer: "narrow", rate: 130, capacity: 36}
 		r := newRouters(t, 9, seed)
 		r.usageInterval = time.Second
 		r.setCapacities(floodPerToken/12, 400_000)
 		var served [][2]int
-		for now := time.Duration(0); now < 3*window; now += step {
+		for now := time.Duration(0); now < 4*window; now += step {
 			narrow.router = router(now)
 			r.run(step, wide, narrow)
 			served = append(served, [2]int{wide.served, narrow.served})
