Streams log the software they run at and why they were not resumed

Hypotheses, before any change of logic: (A) a stream that breaks is placed again without a look at the version that began it; (B) the same when a caller takes a stream up, as the header Resumes is read nowhere; (C) the list of targets names a wrong version; (D) the draw of a roll-out changes after a failure. The logs that were collected show targets only by id: 3 streams were placed again after their first event, all 3 at another version by the operators' log (A, not C: their entries were right; no order was in force, so not D). They say nothing of what callers take up, so B can't be told, nor why 8 of the streams that broke did not go on.

Change: "request placed" names the version of the target's software, the last event and the attempt that is resumed; "stream cut" says which limit ended it.

--- a/message/message.go
+++ b/message/message.go
@@ -45,6 +45,9 @@
 	HintTokens int
 	// LastEventID is the ID of the last event that a resuming caller has received.
 	LastEventID string
+	// ResumedID is the ID of the attempt that brought a resuming caller its first event; empty if
+	// it sent none.
+	ResumedID string
 }
 
 // SharedPrefixTokens returns the size of the shared parts of the prompt.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,7 @@
 	f.startVersion()
 	f.lifecycle.Queue()
 	f.lifecycle.Dispatch()
-	s.logPlaced(f)
+	s.logPlaced(f, cmp.Or(lastEvent, f.call.LastEventID))
 	resp, fail := f.exchange(ctx, lastEvent)
 	if fail != nil {
 		d.Run.End(f.result(fail.Kind))
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -78,6 +78,8 @@
 	queryTime time.Duration
 	// connectSpent is how long connecting to targets has taken so far.
 	connectSpent time.Duration
+	// noRetry is why no further attempt was made after a failed one; empty while that is open.
+	noRetry string
 	// firstEvent is the time from receiving the request to the first event of its stream.
 	firstEvent time.Duration
 	// stall is the time since which the caller has not read the bytes that a stream passed on.
@@ -143,7 +145,9 @@
 	if fail.Kind == target.Mismatched {
 		f.server.options.Metrics.Inc(metric.AttemptsCrossed)
 	}
+	f.noRetry = noRetryLimit
 	if f.interrupted() != causeNone {
+		f.noRetry = noRetryCancelled
 		f.lifecycle.GiveUp(!fail.Kind.NotRun())
 		return false
 	}
@@ -151,7 +155,7 @@
 		f.lifecycle.GiveUp(false) // another router may be faster
 		return false
 	}
-	take := f.server.options.Retries.TryWithdraw
+	take := f.withdrawRetry
 	if fail.Kind == target.NotSent {
 		// The budget limits repeated arrivals at a service. Replaced attempts did arrive, at
 		// another incarnation of the target, so the retry after one is counted against the
@@ -161,6 +165,23 @@
 	return f.lifecycle.Fail(fail.Kind, f.server.options.Clock.Now(), take) == request.Retry
 }
 
+// withdrawRetry takes one retry from the budget.
+func (f *flight) withdrawRetry() bool {
+	ok := f.server.options.Retries.TryWithdraw()
+	if !ok {
+		f.noRetry = noRetryBudget
+	}
+	return ok
+}
+
+// Reasons in logs for making no further attempt. Further ones are the reasons of refusals.
+const (
+	// noRetryLimit: the request may not be repeated, has no attempts left or no time.
+	noRetryLimit     = "limit"
+	noRetryCancelled = "cancelled"
+	noRetryBudget    = "budget"
+)
+
 // failureOfTarget is the name in logs of a response with status 500 and above.
 const failureOfTarget = "target_error"
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -47,11 +47,18 @@
 	return e
 }
 
-// logPlaced logs which target was chosen and the inputs of that decision.
-func (s *Server) logPlaced(f *flight) {
+// logPlaced logs which target was chosen and the inputs of that decision. LastEvent is the last
+// event of a stream that is resumed.
+func (s *Server) logPlaced(f *flight, lastEvent string) {
 	e := s.requestEvent(s.options.RequestLog.Info(), f).
-		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Revision.Count).Int("attempt", len(f.tried)).
+		Str("target", f.run.Target.ID).Uint64("target_version", f.run.Target.Revision.Count).Str("software", f.run.Target.Version).Int("attempt", len(f.tried)).
 		Dur("targets_age_ms", s.options.View().TargetsAge)
+	if lastEvent != "" {
+		e = e.Str("last_event", lastEvent)
+	}
+	if f.call.ResumedID != "" {
+		e = e.Str("resumes", f.call.ResumedID)
+	}
 	f.withDecision(e).Msg("request placed")
 }
 
@@ -109,7 +116,7 @@
 		e.Msg("stream answered")
 		return
 	}
-	e.Err(err).Msg("stream cut")
+	e.Str("not_resumed", f.noRetry).Err(err).Msg("stream cut")
 }
 
 // limitSummaryInterval is the time between two lines about the limits of this router.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -191,6 +191,7 @@
 	for !s.large && f.retryAfterFailure(fail) {
 		resp, nextFail, r := f.attempt(s.caller, s.lastEvent)
 		if r != nil {
+			f.noRetry = r.reason
 			f.lifecycle.GiveUp(false)
 			break
 		}
