Tests: streams are resumed at another version than the one that began them

What callers saw: a stream whose first events one version of an engine's software wrote went on with events of another one.

--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -172,15 +172,10 @@
 	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
-	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	req, err := newRequest(a.ID, method, path, key, body)
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Request-Id", a.ID)
-	req.Header.Set("Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Token-Usage", "900,60")
-	req.Header.Set("Prompt-Prefix", "aa:800,"+a.ID+":100")
 	if err := req.Write(c); err != nil {
 		return err
 	}
@@ -194,6 +189,20 @@
 	return err
 }
 
+// newRequest returns a request as callers send it.
+func newRequest(id, method, path, key, body string) (*http.Request, error) {
+	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Token-Usage", "900,60")
+	req.Header.Set("Prompt-Prefix", "aa:800,"+id+":100")
+	return req, nil
+}
+
 // Complete reports whether the answer looks complete to its caller.
 func (a *Answer) Complete() bool { return a.Err == nil && a.Status == http.StatusOK }
 
@@ -205,9 +214,10 @@
 	if !strings.HasPrefix(path, "/draft/") && !strings.HasPrefix(path, "/gloss/") {
 		return strings.HasSuffix(a.Body, path+" "+a.ID)
 	}
+	_, version, _ := strings.Cut(strings.SplitN(a.Body, "\n", 3)[1], a.ID+" ")
 	var want strings.Builder
 	for n := range events {
-		want.WriteString(worker.Event(a.ID, n+1))
+		want.WriteString(worker.Event(a.ID, version, n+1))
 	}
 	return a.Body == want.String()
 }
--- /dev/null
+++ b/standin/routesite/stream.go
@@ -0,0 +1,151 @@
+package routesite
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Stream is a stream that its caller takes up again after a broken connection. One goroutine
+// uses it.
+type Stream struct {
+	// Versions are those that wrote the events received so far, in order.
+	Versions []string
+	// Tries are the caller's attempts.
+	Tries []Try
+	// Problem is an event that does not follow the one before it; empty if there is none.
+	Problem string
+
+	site *Site
+	key  string
+	path string
+	// name identifies the prompt.
+	name string
+	// began is the ID of the attempt that brought the first event.
+	began string
+}
+
+// Try is one attempt of a caller to receive a stream.
+type Try struct {
+	ID         string
+	Router     netip.AddrPort
+	Status     int
+	RetryAfter string
+	// Events is the number of events that it brought.
+	Events int
+	Took   time.Duration
+	Err    error
+}
+
+// errLeft means that the caller closed the connection.
+var errLeft = errors.New("caller closed the connection")
+
+// NewStream returns a stream that was not requested yet. The homes of its prompt are those of no
+// other stream.
+func (s *Site) NewStream(path, key string) *Stream {
+	return &Stream{site: s, key: key, path: path, name: s.nextID()}
+}
+
+// Try requests the stream, or the rest of it, from a router. It returns once the stream is
+// complete, the attempt failed or leave returns true, which is asked after each event with the
+// number of events received so far; nil never leaves.
+func (s *Stream) Try(router netip.AddrPort, leave func(events int) bool) {
+	t := Try{ID: s.site.nextID(), Router: router}
+	sent, before := time.Now(), len(s.Versions)
+	t.Err = s.try(&t, leave)
+	t.Took, t.Events = time.Since(sent), len(s.Versions)-before
+	s.Tries = append(s.Tries, t)
+}
+
+func (s *Stream) try(t *Try, leave func(int) bool) error {
+	c, err := net.DialTimeout("tcp", t.Router.String(), time.Second)
+	if err != nil {
+		return err
+	}
+	defer c.Close() //nolint:errcheck // the events are known
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		return err
+	}
+	req, err := newRequest(t.ID, "POST", s.path, s.key, "body of "+s.name)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:700,%s:100,%s.own:100", s.name, s.name))
+	if s.began != "" {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(len(s.Versions)))
+		req.Header.Set("Resumes", s.began)
+	}
+	if err := req.Write(c); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	if err != nil {
+		return err
+	}
+	// Closing the body would read the rest of the stream; closing the connection does not.
+	t.Status, t.RetryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
+	if t.Status != http.StatusOK {
+		return nil
+	}
+	return s.read(t.ID, bufio.NewReader(resp.Body), leave)
+}
+
+// read reads events until the end of the response.
+func (s *Stream) read(id string, r *bufio.Reader, leave func(int) bool) error {
+	for {
+		var lines [3]string
+		for i := range lines {
+			line, err := r.ReadString('\n')
+			if err == io.EOF && line == "" && i == 0 {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			lines[i] = strings.TrimSpace(line)
+		}
+		s.take(id, lines[0], lines[1])
+		if leave != nil && leave(len(s.Versions)) {
+			return errLeft
+		}
+	}
+}
+
+// take records an event.
+func (s *Stream) take(id, number, data string) {
+	want := fmt.Sprint("id: ", len(s.Versions)+1)
+	text, version, ok := strings.Cut(data, id+" ")
+	if number != want || text != "data: " || !ok {
+		s.Problem = fmt.Sprintf("%s: event %q %q, want %q of that request", id, number, data, want)
+	}
+	if s.began == "" {
+		s.began = id
+	}
+	s.Versions = append(s.Versions, version)
+}
+
+// Mixed reports whether more than one version wrote the events.
+func (s *Stream) Mixed() bool {
+	for _, v := range s.Versions {
+		if v != s.Versions[0] {
+			return true
+		}
+	}
+	return false
+}
+
+// Whole reports whether all events were received and the last attempt looked complete.
+func (s *Stream) Whole() bool {
+	last := s.Last()
+	return s.Problem == "" && last.Err == nil && last.Status == http.StatusOK && len(s.Versions) == events
+}
+
+// Last returns the last attempt.
+func (s *Stream) Last() Try { return s.Tries[len(s.Tries)-1] }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -210,8 +210,11 @@
 	return fmt.Sprintf("%s.%x", instance, xxhash.Sum64String(id+instance))
 }
 
-// Event is the text of the n-th event of a request's stream, from 1.
-func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// Event is the text of the n-th event of a request's stream, from 1, as a version of the
+// software writes it.
+func Event(id, version string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, version)
+}
 
 func (w *Worker) arrived(id string, refused bool) {
 	w.mu.Lock()
@@ -274,7 +277,7 @@
 			return 0, io.ErrUnexpectedEOF
 		}
 		time.Sleep(o.EventTime)
-		s.rest = []byte(Event(s.id, s.next))
+		s.rest = []byte(Event(s.id, o.Version, s.next))
 		s.next++
 	}
 	n := copy(p, s.rest)
