A broken stream is resumed at the version that began it, or not at all

What callers saw: one answer with events of two versions of an engine's software, under the signature of the first.

Cause: the placer restricts a request to versions only for roll-outs, and places what is left of a broken stream like a new request. The draw of a roll-out is made anew after a failure, and a restriction that no target meets is lifted.

Change: from the head of a response on, which carries the target's signature, the request is bound to the version of that target's software. The binding goes before a roll-out's draw and is never lifted; an unknown version is equal to none, itself included. Without a target of the version the stream is cut at once ("no_target_of_version"), so that its caller need not wait for a stall. A version that was rolled back takes nothing more, resumed streams neither.

Ruled out: binding from the first event only. Between head and first event the caller would get events of one version under the signature of another.

Conclusion: mended in one answer. Over a caller's tries it is not.

--- a/place/grade.go
+++ b/place/grade.go
@@ -46,7 +46,7 @@
 
 func (p *Placer) grade(s *service, t *target, r Request, now time.Time) grade {
 	switch {
-	case !r.allows(t.region) || !r.Versions.allow(t.Version) || p.closedToNew(t) || t.unavailable(now) || slices.Contains(r.Tried, t.incarnation):
+	case !r.allows(t.region) || !r.allowsVersion(t.Version) || p.closedToNew(t) || t.unavailable(now) || slices.Contains(r.Tried, t.incarnation):
 		return unusable
 	case !t.circuit.allows(now) || p.cutOff[t.DataCentre] || s.grayFailing(t, now) || s.warmingUp(t, now):
 		return degraded
--- a/place/home.go
+++ b/place/home.go
@@ -144,7 +144,7 @@
 		best = &first[degraded]
 	}
 	for i, t := range first[unusable].list() {
-		if best.qualifies(t, first[unusable].weights[i]) && r.allows(t.region) && r.Versions.allow(t.Version) && p.canCopyFrom(t, now) {
+		if best.qualifies(t, first[unusable].weights[i]) && r.allows(t.region) && r.allowsVersion(t.Version) && p.canCopyFrom(t, now) {
 			formerHomes = append(formerHomes, t)
 		}
 	}
--- a/place/notices.go
+++ b/place/notices.go
@@ -125,7 +125,7 @@
 func (p *Placer) backoff(s *service, r *Request, now time.Time) (remaining time.Duration, first *target) {
 	for _, t := range s.targets {
 		switch {
-		case p.closedToNew(t) || !r.allows(t.region):
+		case p.closedToNew(t) || !r.allows(t.region) || !r.allowsVersion(t.Version):
 		case !t.unavailable(now):
 			return 0, nil
 		case first == nil || t.announced.BackoffEnd().Before(first.announced.BackoffEnd()):
@@ -149,7 +149,11 @@
 	p.recordUsage(r.Customer, firstAttemptUsage(*r, s.sizeOf(r.Call)), now)
 	remaining, first := p.backoff(s, r, now)
 	if first == nil {
-		return Decision{Reason: NoTarget, RetryAfter: noTargetRetry}
+		reason := NoTarget
+		if r.Resumed {
+			reason = NoVersion
+		}
+		return Decision{Reason: reason, RetryAfter: noTargetRetry}
 	}
 	remaining = max(remaining, minRetryAfter)
 	spread := time.Duration(retrySpread * rand.Float64() * float64(remaining))
--- a/place/place.go
+++ b/place/place.go
@@ -71,6 +71,10 @@
 	Regions []string
 	// Versions restricts the versions of the targets at which the request may run.
 	Versions Versions
+	// Resumed is set if the request continues a stream that has begun, Version is the version of
+	// the software that began it. The request may run at no other version, and at none if it is "".
+	Resumed bool
+	Version string
 }
 
 // Versions restricts the versions of targets during the rollout of a service.
@@ -86,6 +90,14 @@
 	return (v.Only == "" || version == v.Only) && (v.Not == "" || version != v.Not)
 }
 
+// allowsVersion reports whether a request may run at a version.
+func (r *Request) allowsVersion(version string) bool {
+	if r.Resumed && (version == "" || version != r.Version) {
+		return false
+	}
+	return r.Versions.allow(version)
+}
+
 // allows reports whether a request may run in a region.
 func (r *Request) allows(region string) bool {
 	return r.Regions == nil || region != "" && slices.Contains(r.Regions, region)
@@ -102,6 +114,8 @@
 	BackingOff Reason = "targets_back_off"
 	// NotAllowed: no target of the service is in a region in which the request may run.
 	NotAllowed Reason = "no_target_in_allowed_regions"
+	// NoVersion: no target of the version that began a stream accepts requests.
+	NoVersion Reason = "no_target_of_version"
 	// Overloaded: no target is predicted to meet the objective.
 	Overloaded Reason = "overloaded"
 )
--- a/place/versions_test.go
+++ b/place/versions_test.go
@@ -69,3 +69,31 @@
 	d = s.Place(withVersions(s.request, Versions{Only: "v3"}))
 	assert.Assert(t, d.Run != nil)
 }
+
+// TestResumedStreamIsNotPlacedAtAnotherVersion places what is left of streams, whatever a rollout
+// selects for new requests.
+func TestResumedStreamIsNotPlacedAtAnotherVersion(t *testing.T) {
+	s := newVersionsFixture(t)
+	resume := func(i int, version string, v Versions) Decision {
+		r := withVersions(promptRequest(call(fmt.Sprint(i), 1000, 10), "c"), v)
+		r.Resumed, r.Version = true, version
+		for _, q := range s.Queries(r) {
+			assert.Equal(t, s.byHash[q.Target].Version, version, "only targets of the version are queried")
+		}
+		return s.Place(r)
+	}
+	for i := range 30 {
+		for _, v := range []Versions{{}, {Only: "v2"}, {Not: "v2"}, {Not: "v2", Strict: true}} {
+			d := resume(i, "v1", v)
+			assert.Assert(t, d.Run != nil && d.Run.Target.Version == "v1", "%v", v)
+			d.Run.End(Cancelled)
+		}
+	}
+	for _, c := range []struct {
+		version  string
+		versions Versions
+	}{{"v2", Versions{Not: "v2", Strict: true}}, {"v3", Versions{}}, {"", Versions{}}} {
+		d := resume(1, c.version, c.versions)
+		assert.Assert(t, d.Run == nil && d.Reason == NoVersion, "%+v: %s", c, d.Reason)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,7 @@
 func (f *flight) placement() place.Request {
 	return place.Request{
 		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
+		Resumed: f.resumed, Version: f.software,
 	}
 }
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -39,6 +39,7 @@
 // false to close the connection.
 type fakeTarget struct {
 	id       string
+	version  string
 	listener net.Listener
 	serve    func(a *arrival, c net.Conn) bool
 	group    errgroup.Group
@@ -54,7 +55,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	f := &fakeTarget{id: id, listener: l, serve: serve}
+	f := &fakeTarget{id: id, version: "v1", listener: l, serve: serve}
 	f.group.Go(func() error {
 		for {
 			c, err := l.Accept()
@@ -240,7 +241,7 @@
 	for _, f := range targets {
 		addr := f.listener.Addr().(*net.TCPAddr).AddrPort()
 		for _, service := range []string{"plain", "model"} {
-			s.targets = append(s.targets, &roster.Target{ID: f.id + "-" + service, Service: service, Address: addr, Slots: 8})
+			s.targets = append(s.targets, &roster.Target{ID: f.id + "-" + service, Service: service, Address: addr, Version: f.version, Slots: 8})
 		}
 	}
 	placer.SetTargets(s.targets, s.table)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -52,6 +52,10 @@
 	regions []string
 	// versions restricts the versions of targets at which the request may run.
 	versions place.Versions
+	// resumed is set once the request continues a stream that has begun, software is the version
+	// of the software that began it.
+	resumed  bool
+	software string
 	// hideKey makes the router remove the caller's API key from the request to the target.
 	hideKey   bool
 	deadline  time.Time
