Callers resume streams at the version that began them, at any router

What callers saw: a stream that they took up again, mostly at another router because the first had failed, went on with events of another version of an engine's software.

Cause: the header Resumes was read nowhere, and no router knew at which version another one had begun a stream. Class: what a stream is bound to was not part of its state (nothing beyond one attempt), so that each new attempt decided it anew.

Change: a router that passes on the head of a resumable stream records, before the first event, which service and version began it, and sends that to three other routers (package origin; owner.Replicas: by rendezvous hash of customer, route and Request-Id, one in its own data centre and in each of two others). The router at which a caller resumes looks in its own records, asks the routers that may have one, also those that seem to have failed, three times in 90 ms, and binds the request as a broken stream is bound. A router that has just started asks for 300 ms, as it learns of the others. Nothing known: the service's only version, if it had just one for the life of a stream by a list no older than 3 s; else 503 "stream_origin_unknown" at once. A false Resumes is an unknown one: customer and route are part of the key. Records are bounded (32,768), expire with the caller's deadline, and contradictory ones count as unknown.

Ruled out, see docs/design/0015: asking only on a resume (fails when the first router is dead), telling all, the version as a function of the Request-Id (views differ while versions change), rows in the store (44 writes a second).

--- a/gateway/control_bench_test.go
+++ b/gateway/control_bench_test.go
@@ -76,6 +76,7 @@
 	g.logs = g.newLogs()
 	g.leaders.Store(new([]leader))
 	g.querier = newQuerier(g)
+	g.origins = newOrigins(g)
 	return g
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	// owners maps targets to the routers that own them. querier sends them queries.
 	owners  atomic.Pointer[owner.Table]
 	querier *querier
+	origins *origins
 	loop    *loop
 
 	table atomic.Pointer[activeConfig]
@@ -195,6 +196,7 @@
 	g.started, g.routersKnown, g.reportingStarted, g.reannounce = o.Clock.Now(), make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	g.logs = g.newLogs()
 	g.querier = newQuerier(g)
+	g.origins = newOrigins(g)
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
 	g.serves.Store(true)
@@ -226,6 +228,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.log, RequestLog: g.logWriter.requestLogger(g.log), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
+		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find},
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), WriteTimeout: s.WriteTimeout,
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -81,6 +81,8 @@
 	role        feed.Role
 	// routers are the routers from which the owners of targets were last computed.
 	routers []owner.Router
+	// holders are all known routers, which may hold origins of streams.
+	holders []owner.Router
 	roster  *roster.Roster
 	// published are the entries that the placer has, by id.
 	published map[string]published
@@ -153,7 +155,8 @@
 	return l
 }
 
-// receive replies to a query, accepts a reply, or passes a heartbeat on to package contact.
+// receive replies to a query, accepts a reply or an origin, or passes a heartbeat on to package
+// contact.
 func (l *loop) receive(hb *zinccovev1.Heartbeat, from netip.AddrPort, size int) {
 	if !l.gateway.listening.Load() {
 		return // others may send queries before this router can reply
@@ -165,6 +168,15 @@
 	case hb.Answer != nil:
 		l.gateway.querier.handleReply(hb.Answer)
 		return
+	case hb.Origin != nil:
+		l.gateway.origins.receive(hb.Origin)
+		return
+	case hb.OriginQuery != nil:
+		l.contact.Send(l.gateway.origins.reply(hb.OriginQuery), from)
+		return
+	case hb.OriginReply != nil:
+		l.gateway.origins.handleReply(hb.OriginReply)
+		return
 	}
 	l.contact.Receive(hb, from, size)
 }
--- /dev/null
+++ b/gateway/origins_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/origin"
+	"zinccove.example/zinccove/place"
+)
+
+var testOrigin = origin.Origin{Service: "model", Version: "v1"}
+
+// recordOrigin has a router record an origin and waits until its replicas have it. It returns the
+// routers that have.
+func recordOrigin(t *testing.T, all []*Gateway, k origin.Key) (holders []*Gateway) {
+	t.Helper()
+	all[0].origins.record(k, testOrigin, time.Minute)
+	want := map[string]bool{all[0].settings.Host: true}
+	for _, r := range all[0].owners.Load().Replicas(place.Hash(k), all[0].settings.DataCentre) {
+		want[r.Name] = true
+	}
+	for deadline := time.Now().Add(replyTimeout); len(holders) < len(want); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%d of %d replicas", len(holders), len(want))
+		holders = nil
+		for _, g := range all {
+			if _, ok := g.origins.table.Get(k); ok {
+				holders = append(holders, g)
+			}
+		}
+	}
+	return holders
+}
+
+func TestOriginIsFoundAtEveryRouter(t *testing.T) {
+	all, _ := newQueriers(t, 9, new(sync.Map))
+	for i := range 20 {
+		k := origin.KeyOf("c", "route", fmt.Sprint(i))
+		recordOrigin(t, all, k)
+		for _, g := range all {
+			from, ok := g.origins.find(k)
+			assert.Assert(t, ok && from == testOrigin, "%s", g.settings.Host)
+		}
+	}
+	_, ok := all[0].origins.find(origin.KeyOf("c", "route", "none"))
+	assert.Assert(t, !ok, "all reply that they know none, so that nobody waits")
+}
+
+// TestOriginIsFoundWhenItsRouterAndReplicasFail silences the router that began a stream and all
+// routers with replicas but one.
+func TestOriginIsFoundWhenItsRouterAndReplicasFail(t *testing.T) {
+	silent := new(sync.Map)
+	all, clock := newQueriers(t, 9, silent)
+	k := origin.KeyOf("c", "route", "r")
+	holders := recordOrigin(t, all, k)
+	last := holders[len(holders)-1]
+	isHolder := make(map[*Gateway]bool)
+	for _, g := range holders {
+		isHolder[g] = true
+		silent.Store(g.settings.Host, g != last)
+	}
+	silent.Delete(last.settings.Host)
+	var asker *Gateway
+	for _, g := range all {
+		if !isHolder[g] {
+			asker = g
+		}
+	}
+	from, ok := asker.origins.find(k)
+	assert.Assert(t, ok && from == testOrigin)
+
+	silent.Store(last.settings.Host, true)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, ok = asker.origins.find(k)
+		return nil
+	})
+	for range originRounds {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(originRoundTime)
+	}
+	assert.NilError(t, group.Wait())
+	assert.Assert(t, !ok, "nobody replies")
+}
+
+// TestStartedRouterWaitsForRouters has a router that knows no others yet.
+func TestStartedRouterWaitsForRouters(t *testing.T) {
+	all, clock := newQueriers(t, 4, new(sync.Map))
+	k := origin.KeyOf("c", "route", "r")
+	recordOrigin(t, all, k)
+	g := all[3]
+	routers := g.owners.Load()
+	g.origins = newOrigins(g)
+	g.started = clock.Now()
+	g.owners.Store(g.origins.routers.Load())
+	var (
+		group errgroup.Group
+		from  origin.Origin
+		ok    bool
+	)
+	group.Go(func() error {
+		from, ok = g.origins.find(k)
+		return nil
+	})
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	g.owners.Store(routers)
+	clock.Advance(originRoundTime)
+	assert.NilError(t, group.Wait())
+	assert.Assert(t, ok && from == testOrigin)
+}
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -12,7 +12,8 @@
 // updateOwners recomputes the owners of targets if the set of routers changed.
 func (l *loop) updateOwners() {
 	g := l.gateway
-	routers := []owner.Router{{Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address()}}
+	l.updateHolders()
+	routers := []owner.Router{l.self()}
 	for _, h := range l.contact.Members.Hosts() {
 		if h.Reachable && !h.Leaving && h.Peer.IsValid() {
 			routers = append(routers, owner.Router{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
@@ -38,6 +39,26 @@
 	g.log.Info().Int("targets", len(owned)).Int("routers", len(routers)).Msg("targets owned by this router changed")
 }
 
+func (l *loop) self() owner.Router {
+	g := l.gateway
+	return owner.Router{Name: g.settings.Host, DataCentre: g.settings.DataCentre, Peer: g.transport.Address()}
+}
+
+// updateHolders recomputes the routers that may hold origins of streams if the set of known routers
+// changed.
+func (l *loop) updateHolders() {
+	known := []owner.Router{l.self()}
+	for _, h := range l.contact.Members.Hosts() {
+		if h.Peer.IsValid() {
+			known = append(known, owner.Router{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+		}
+	}
+	if !slices.Equal(known, l.holders) {
+		l.holders = known
+		l.gateway.origins.routers.Store(owner.New(known))
+	}
+}
+
 // owns reports whether this router owns a target.
 func (l *loop) owns(t owner.Target) bool {
 	table := l.gateway.owners.Load()
--- a/gateway/query_test.go
+++ b/gateway/query_test.go
@@ -43,13 +43,18 @@
 	for i := range n {
 		g := newTestGateway(t, fmt.Sprintf("r%d", i))
 		g.clock = clock
-		g.querier, g.loop = newQuerier(g), newLoop(g)
+		g.querier, g.origins, g.loop = newQuerier(g), newOrigins(g), newLoop(g)
 		g.transport = listenForPeers(t, func(hb *zinccovev1.Heartbeat, from netip.AddrPort, _ int) {
+			_, isSilent := silent.Load(g.settings.Host)
 			switch {
-			case hb.Question != nil:
-				if _, ok := silent.Load(g.settings.Host); !ok {
-					g.replyToQuery(hb.Question, from)
-				}
+			case hb.Origin != nil:
+				g.origins.receive(hb.Origin)
+			case hb.OriginReply != nil:
+				g.origins.handleReply(hb.OriginReply)
+			case hb.OriginQuery != nil && !isSilent:
+				g.loop.contact.Send(g.origins.reply(hb.OriginQuery), from)
+			case hb.Question != nil && !isSilent:
+				g.replyToQuery(hb.Question, from)
 			case hb.Answer != nil:
 				g.querier.handleReply(hb.Answer)
 			}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -103,6 +103,7 @@
 			l.contact.Members.Upsert(member.Address{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
 		}
 	}
+	l.updateHolders()
 }
 
 // learnHosts adds the routers of this data centre that the store lists. This router's entry is
--- a/metric/names.go
+++ b/metric/names.go
@@ -51,6 +51,8 @@
 	Suspensions
 	NoticesLeaving
 	NoticesBackoff
+	CallersResumed
+	OriginsUnknown
 	numCounters
 )
 
@@ -94,6 +96,8 @@
 	Suspensions:          {"suspensions", "*alarm* Times that this host was suspended; its steady clock stood still."},
 	NoticesLeaving:       {"notices_leaving", "Targets that said in an answer that they leave, before this router knew."},
 	NoticesBackoff:       {"notices_backoff", "Targets that asked this router in an answer for a while without requests."},
+	CallersResumed:       {"callers_resumed", "Streams that callers resumed here at the version that began them."},
+	OriginsUnknown:       {"origins_unknown", "Streams that callers could not resume here because the version that began them is not known."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -139,6 +143,7 @@
 	ProcessLag
 	PredictionError
 	AskTime
+	OriginTime
 	numHistograms
 )
 
@@ -148,5 +153,6 @@
 	RequestTime:     {"request_time", "Time from acceptance to the end of the request."},
 	ProcessLag:      {"process_lag", "How late the looks at running requests were, ten a second: the lag of this process."},
 	AskTime:         {"ask_time", "Time that a request waited for other routers' answers about targets."},
+	OriginTime:      {"origin_time", "Time that a resumed stream waited for other routers' replies on its origin."},
 	PredictionError: {"prediction_error", "Distance between the expected and the actual time from placement to the first event."},
 }
--- a/place/place.go
+++ b/place/place.go
@@ -201,6 +201,8 @@
 	// firstStart is set if the fleet started for the first time together with this router.
 	firstStart bool
 	started    time.Time
+	// targetsSince is when the first targets were known; zero before.
+	targetsSince time.Time
 	// updateReady is signalled when there are new entries for an update.
 	updateReady chan struct{}
 	// statedCapacity is the stated capacity of the engines in the window of usage, in tokens; 0
--- a/place/targets.go
+++ b/place/targets.go
@@ -18,6 +18,9 @@
 	// up; 0 if it can serve as many as others.
 	warmUpRate float64
 	slotTime   slotTime
+	// departedVersions holds when the last target of each version was removed or changed its
+	// version.
+	departedVersions map[string]time.Time
 }
 
 // target is the state of one target.
@@ -116,6 +119,9 @@
 	for _, entry := range entries {
 		p.put(entry, first, now)
 	}
+	if p.targetsSince.IsZero() && len(p.targets) > 0 {
+		p.targetsSince = now
+	}
 	p.expireAnnouncements(now)
 	p.assumeCached = p.assumeCached && len(p.targets) == 0
 	if table != nil {
@@ -138,6 +144,8 @@
 		t.announced = p.announcements[t.hash]
 	} else if t.Service != entry.Service {
 		p.unlist(t)
+	} else if t.Version != entry.Version {
+		p.service(t.Service).recordDeparture(t.Version, now)
 	}
 	if t.Target == nil || t.Revision != entry.Revision {
 		t.warmUpUntil = now.Add(entry.WarmUpRemaining)
@@ -169,6 +177,7 @@
 // unlist removes a target from the list of its service.
 func (p *Placer) unlist(t *target) {
 	s := p.service(t.Service)
+	s.recordDeparture(t.Version, p.clock.Now())
 	last := len(s.targets) - 1
 	s.targets[t.index] = s.targets[last]
 	s.targets[t.index].index = t.index
@@ -225,7 +234,7 @@
 func (p *Placer) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{latency: newLatencyEstimator(), slotTime: newSlotTime()}
+		s = &service{latency: newLatencyEstimator(), slotTime: newSlotTime(), departedVersions: make(map[string]time.Time)}
 		p.services[name] = s
 	}
 	return s
--- a/place/versions.go
+++ b/place/versions.go
@@ -1,6 +1,10 @@
 package place
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // liftVersions lifts a restriction on versions that no target that accepts requests meets.
 // Targets of one version may crash, or may not have started, during the rollout of a service from
@@ -18,3 +22,35 @@
 		r.Versions = Versions{}
 	}
 }
+
+// departureTTL is how long departed versions are remembered: longer than any stream lasts.
+const departureTTL = 10 * time.Minute
+
+// recordDeparture records that a target of a version was removed or changed its version.
+func (s *service) recordDeparture(version string, now time.Time) {
+	maps.DeleteFunc(s.departedVersions, func(_ string, at time.Time) bool { return now.Sub(at) >= departureTTL })
+	s.departedVersions[version] = now
+}
+
+// OnlyVersion returns the version of all targets that a service had within a time, however they
+// departed. It is not known if there were several, if no target is left, or if this router does not
+// know the targets for that long.
+func (p *Placer) OnlyVersion(service string, within time.Duration) (version string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	s := p.services[service]
+	if s == nil || len(s.targets) == 0 || p.targetsSince.IsZero() || now.Sub(p.targetsSince) < within {
+		return "", false
+	}
+	version = s.targets[0].Version
+	for v, at := range s.departedVersions {
+		if v != version && now.Sub(at) < within {
+			return "", false
+		}
+	}
+	if version == "" || slices.ContainsFunc(s.targets, func(t *target) bool { return t.Version != version }) {
+		return "", false
+	}
+	return version, true
+}
--- a/place/versions_test.go
+++ b/place/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -97,3 +98,40 @@
 		assert.Assert(t, d.Run == nil && d.Reason == NoVersion, "%+v: %s", c, d.Reason)
 	}
 }
+
+// TestOnlyVersionIsThatOfTheWholeTime covers a version that departed and one that came later.
+func TestOnlyVersionIsThatOfTheWholeTime(t *testing.T) {
+	const within = 8 * time.Second
+	s := newCopyFixture(t, testCopyRate)
+	only := func(want string) {
+		t.Helper()
+		got, ok := s.OnlyVersion("model", within)
+		assert.Equal(t, got, want)
+		assert.Equal(t, ok, want != "")
+	}
+	setVersions := func(version func(i int) string) {
+		for i, x := range s.list {
+			next := *x
+			next.Version = version(i)
+			next.Revision.Count++
+			s.list[i] = &next
+		}
+		s.update()
+	}
+	setVersions(func(int) string { return "v1" })
+	s.targetsSince = s.clock.Now()
+	only("")
+	s.clock.Advance(within)
+	only("v1")
+	setVersions(func(i int) string { return []string{"v1", "v2"}[i%2] })
+	only("")
+	setVersions(func(int) string { return "v2" })
+	only("")
+	s.clock.Advance(within - 1)
+	only("")
+	s.clock.Advance(1)
+	only("v2")
+	setVersions(func(int) string { return "" })
+	s.clock.Advance(within)
+	only("")
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -57,6 +57,8 @@
 	reasonWrongKey   = "wrong_key"
 	reasonStopping   = "stopping"
 	reasonRouterBusy = "router_busy"
+	// reasonUnknownOrigin: the version that began a stream which a caller resumes is not known.
+	reasonUnknownOrigin = "stream_origin_unknown"
 )
 
 // Reasons of refusals after an attempt. Further ones are failureNames and the placer's reasons.
@@ -185,6 +187,13 @@
 	return nil
 }
 
+// setService sets the service of the request.
+func (f *flight) setService(service string) {
+	f.service = service
+	f.engine = f.table.Service(service).Engine != nil
+	f.chooseVersions(rand.Float64())
+}
+
 // freeUnsent is the number of targets that a request may fail to reach in addition to the
 // attempts of its route: these targets were given no work.
 const freeUnsent = 2
@@ -192,9 +201,8 @@
 // setLimits chooses the service and sets the deadline and the attempts of the request.
 func (f *flight) setLimits(table *route.Table) {
 	f.deadline = f.received.Add(f.limit())
-	f.service = f.route.Pick(rand.IntN)
-	f.engine = table.Service(f.service).Engine != nil
-	f.chooseVersions(rand.Float64())
+	f.table = table
+	f.setService(f.route.Pick(rand.IntN))
 	f.lifecycle = request.New(request.Options{
 		ID: f.call.ID, Repeatable: f.route.Retryable(), Deadline: f.deadline, MaxAttempts: f.route.MaxAttempts,
 		FreeUnsent: freeUnsent,
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -19,6 +19,7 @@
 
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/origin"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/quarantine"
@@ -160,6 +161,7 @@
 // testServer is a server with fake targets.
 type testServer struct {
 	*Server
+	origins *origin.Table
 	// targets are the targets that the placer was given.
 	targets []*roster.Target
 	table   *route.Table
@@ -233,8 +235,8 @@
 // selects the default.
 func newTestServerDialling(t testing.TB, dial func(netip.AddrPort, time.Duration) (net.Conn, error), targets ...*fakeTarget) *testServer {
 	t.Helper()
-	s := &testServer{table: newTable(t, testSpec()), fresh: true}
 	clock := clockwork.NewRealClock()
+	s := &testServer{table: newTable(t, testSpec()), fresh: true, origins: origin.NewTable(clock)}
 	metrics, err := metric.New()
 	assert.NilError(t, err)
 	placer := place.New(place.Options{Clock: clock})
@@ -248,7 +250,7 @@
 	links := link.NewPool(link.Options{Clock: clock, Dial: dial})
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), RequestLog: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
-		View: s.view, Placer: placer, Links: links, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
+		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
 		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
 	})
 	assert.NilError(t, err)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -41,7 +41,8 @@
 	conn     net.Conn
 	received time.Time
 	call     message.RequestInfo
-	// version is the version of the table that the request was admitted with.
+	// table is the one that the request was admitted with, version its version.
+	table   *route.Table
 	version uint64
 	route   *route.Route
 	service string
@@ -56,6 +57,9 @@
 	// of the software that began it.
 	resumed  bool
 	software string
+	// originSource is how the origin of a stream that the caller resumes is known; empty if the
+	// caller resumes none.
+	originSource string
 	// hideKey makes the router remove the caller's API key from the request to the target.
 	hideKey   bool
 	deadline  time.Time
--- a/relay/log.go
+++ b/relay/log.go
@@ -56,8 +56,8 @@
 	if lastEvent != "" {
 		e = e.Str("last_event", lastEvent)
 	}
-	if f.call.ResumedID != "" {
-		e = e.Str("resumes", f.call.ResumedID)
+	if f.originSource != "" {
+		e = e.Str("resumes", f.call.ResumedID).Str("origin_from", f.originSource)
 	}
 	f.withDecision(e).Msg("request placed")
 }
@@ -87,6 +87,9 @@
 	s.options.Metrics.Inc(r.counter())
 	e := s.requestEvent(s.options.RequestLog.Info(), f).Int("status", r.status).Str("reason", r.reason).
 		Dur("retry_after_ms", r.retryAfter).Dur("took_ms", s.options.Clock.Since(f.received))
+	if f.call.LastEventID != "" || f.call.ResumedID != "" {
+		e = e.Str("last_event", f.call.LastEventID).Str("resumes", f.call.ResumedID).Str("software", f.software)
+	}
 	switch r.reason {
 	case string(place.Overloaded):
 		e = f.withDecision(e)
--- /dev/null
+++ b/relay/origin.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/origin"
+	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/route"
+)
+
+// Origins records where streams began, and finds it for those that callers resume, which may have
+// begun at any router.
+type Origins struct {
+	// Record must not block. TTL is the time for which the stream may be resumed.
+	Record func(k origin.Key, o origin.Origin, ttl time.Duration)
+	// Find may wait for other routers for some ten milliseconds.
+	Find func(k origin.Key) (o origin.Origin, ok bool)
+}
+
+// originMargin is added to the time for which a stream may be resumed, for clocks and queues.
+const originMargin = 2 * time.Second
+
+// streamLifetime returns the longest time from the start of a stream to its last attempt.
+func (f *flight) streamLifetime() time.Duration {
+	return max(f.call.Deadline, f.route.Timeout) + originMargin
+}
+
+func (f *flight) originKey(id string) origin.Key { return origin.KeyOf(f.customer, f.route.Name, id) }
+
+// beginStream binds the request to the version of the target whose response begins, and records
+// it for the case that the caller has to resume the stream at another router.
+func (f *flight) beginStream() {
+	f.resumed, f.software = true, f.run.Target.Version
+	if f.route.Kind != route.Stream || !f.route.Resumable || f.software == "" {
+		return
+	}
+	id := cmp.Or(f.call.ResumedID, f.call.ID)
+	f.server.options.Origins.Record(f.originKey(id), origin.Origin{Service: f.service, Version: f.software}, f.streamLifetime())
+}
+
+// resumeAtOrigin binds a request by which a caller resumes a stream to the service and the version
+// that began it. It returns a refusal if these are not known or the route no longer leads there.
+func (f *flight) resumeAtOrigin() *refusal {
+	if f.route.Kind != route.Stream || f.call.LastEventID == "" && f.call.ResumedID == "" {
+		return nil
+	}
+	o, source := f.findOrigin()
+	switch {
+	case source == "":
+		f.server.options.Metrics.Inc(metric.OriginsUnknown)
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonUnknownOrigin, retryAfter: unknownRetry}
+	case !f.route.LeadsTo(o.Service):
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: string(place.NoVersion)}
+	}
+	f.resumed, f.software, f.originSource = true, o.Version, source
+	if f.service != o.Service {
+		f.setService(o.Service)
+	}
+	f.server.options.Metrics.Inc(metric.CallersResumed)
+	return nil
+}
+
+// Sources of origins in logs.
+const (
+	sourceRecord      = "record"
+	sourceOnlyVersion = "only_version"
+)
+
+// maxListAge is the maximum age of the list of targets that shows which versions a service has.
+const maxListAge = 3 * time.Second
+
+// findOrigin returns where a stream that a caller resumes began, and how that is known; the source
+// is empty if it is not. If there is no record, the version is known as long as the service has had
+// only one for the lifetime of a stream.
+func (f *flight) findOrigin() (o origin.Origin, source string) {
+	s := f.server
+	if f.call.ResumedID != "" {
+		if o, ok := s.options.Origins.Find(f.originKey(f.call.ResumedID)); ok {
+			return o, sourceRecord
+		}
+	}
+	if s.options.View().TargetsAge > maxListAge {
+		return origin.Origin{}, ""
+	}
+	version, ok := s.options.Placer.OnlyVersion(f.service, f.streamLifetime())
+	if !ok {
+		return origin.Origin{}, ""
+	}
+	return origin.Origin{Service: f.service, Version: version}, sourceOnlyVersion
+}
--- /dev/null
+++ b/relay/origin_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/origin"
+	"zinccove.example/zinccove/place"
+)
+
+// serveVersion serves streams of one event that names a version.
+func serveVersion(version string) func(*arrival, net.Conn) bool {
+	return func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		text := "id: 1\ndata: " + version + "\n\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		return endStream(c)
+	}
+}
+
+func newServerOfVersions(t *testing.T, versions ...string) *testServer {
+	t.Helper()
+	var targets []*fakeTarget
+	for i, v := range versions {
+		f := newTarget(t, fmt.Sprint("t", i), serveVersion(v))
+		f.version = v
+		targets = append(targets, f)
+	}
+	return newTestServer(t, targets...)
+}
+
+// resume sends what a caller sends that resumes the stream which an attempt began.
+func (s *testServer) resume(t *testing.T, id, began string) *result {
+	t.Helper()
+	headers := []string{"Last-Event-Id: 0"}
+	if began != "" {
+		headers = append(headers, "Resumes: "+began)
+	}
+	return s.do(t, "POST", "/resume/", id, "b", headers...)
+}
+
+func TestCallerIsNotResumedAtAnotherVersion(t *testing.T) {
+	s := newServerOfVersions(t, "v1", "v2", "v2")
+	for _, version := range []string{"v1", "v2"} {
+		began := "began at " + version
+		s.origins.Put(origin.KeyOf(customerName, "/resume/", began), origin.Origin{Service: "model", Version: version}, time.Minute)
+		for i := range 8 {
+			res := s.resume(t, fmt.Sprint(version, i), began)
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.body, "id: 1\ndata: "+version+"\n\n")
+		}
+	}
+}
+
+// TestStreamOfUnknownOriginIsNotResumed covers what does not name a stream of the caller.
+func TestStreamOfUnknownOriginIsNotResumed(t *testing.T) {
+	s := newServerOfVersions(t, "v1", "v2")
+	model := origin.Origin{Service: "model", Version: "v1"}
+	s.origins.Put(origin.KeyOf("another customer", "/resume/", "r1"), model, time.Minute)
+	s.origins.Put(origin.KeyOf(customerName, "/model/", "r2"), model, time.Minute)
+	s.origins.Put(origin.KeyOf(customerName, "/resume/", "r3"), origin.Origin{Service: "plain", Version: "v1"}, time.Minute)
+	s.origins.Put(origin.KeyOf(customerName, "/resume/", "r4"), origin.Origin{Service: "model", Version: "v3"}, time.Minute)
+	for _, c := range []struct{ began, reason string }{
+		{"", reasonUnknownOrigin}, {"r0", reasonUnknownOrigin}, {"r1", reasonUnknownOrigin}, {"r2", reasonUnknownOrigin},
+		{"r3", string(place.NoVersion)}, {"r4", string(place.NoVersion)},
+	} {
+		res := s.resume(t, "resumes "+c.began, c.began)
+		assert.Equal(t, res.header.StatusCode(), 503)
+		assert.Equal(t, res.body, c.reason+"\n", "resumes %q", c.began)
+	}
+	assert.Equal(t, s.Running(), 0)
+}
+
+// TestOriginOfStreamIsRecordedBeforeItsFirstEvent has targets whose streams have not brought an
+// event yet.
+func TestOriginOfStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
+	proceed := make(chan struct{})
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		<-proceed
+		event(c, 0)
+		return endStream(c)
+	})
+	s := newTestServer(t, f)
+	recorded := func(route, id string) func() bool {
+		return func() bool {
+			o, ok := s.origins.Get(origin.KeyOf(customerName, route, id))
+			return ok && o == origin.Origin{Service: "model", Version: "v1"}
+		}
+	}
+	resumable, other := s.dial(t), s.dial(t)
+	resumable.send("POST", "/resume/", "r1", "b")
+	other.send("POST", "/model/", "r2", "b")
+	eventually(t, "origin recorded", recorded("/resume/", "r1"))
+	close(proceed)
+	assert.NilError(t, resumable.read().err)
+	assert.NilError(t, other.read().err)
+	assert.Assert(t, !recorded("/model/", "r2")(), "a stream that may not be resumed needs no record")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 //	fasthttp reads it             handle (relay.go)
 //	route, key, deadline          admit (admit.go)
 //	refusal of streams            throttle (throttle.go), by lag and slow connections
+//	origin of a resumed stream    resumeAtOrigin (origin.go)
 //	content that crashes targets  suspect (suspect.go), quarantine.List
 //	target, or refusal            place.Placer
 //	connection                    dial (connect.go), link.Pool
@@ -77,6 +78,7 @@
 	// Query sends queries to the routers that own targets and waits for their replies for some
 	// milliseconds at most. If it is nil, no queries are sent.
 	Query   func([]place.Query) []place.Reply
+	Origins Origins
 	Retries *request.Budget
 	// Quarantine holds the requests whose content ends the targets that run them.
 	Quarantine *quarantine.List
@@ -203,6 +205,10 @@
 		f.refuseBody(ctx, err)
 		return
 	}
+	if r := f.resumeAtOrigin(); r != nil {
+		f.refuse(ctx, r)
+		return
+	}
 	f.serve(ctx)
 }
 
--- a/relay/response.go
+++ b/relay/response.go
@@ -20,7 +20,7 @@
 // writeStream passes the events of a stream on as they arrive. Fasthttp reads the stream after
 // the handler returned, and closes it.
 func (f *flight) writeStream(ctx *fasthttp.RequestCtx, resp *response) {
-	f.resumed, f.software = true, f.run.Target.Version
+	f.beginStream()
 	f.copyHead(ctx, resp)
 	f.clearWriteDeadline()
 	resp.stream.caller = ctx
--- a/route/route.go
+++ b/route/route.go
@@ -76,6 +76,11 @@
 // Retryable reports whether a request that may have run may be sent again.
 func (r *Route) Retryable() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
+// LeadsTo reports whether requests of the route may reach a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Pick returns a service by the weights of the splits. Draw returns a random number below its
 // argument.
 func (r *Route) Pick(draw func(int) int) string {
