Caches of prompts are copied within a version of the software only

With an order in force the restriction of the request kept both to one version; beside a release without an order, or for a request whose restriction was lifted, a target reads what another version wrote.

Change: a source of another version is no source. Price: such a prompt is prefilled again while versions are mixed. Without the change TestCachesAreNotCopiedBetweenVersions fails (v1 copies from v2).

--- a/place/copy.go
+++ b/place/copy.go
@@ -58,14 +58,15 @@
 }
 
 // planCopy sets a candidate to copy its missing tokens from the holder that misses the fewest, if
-// that saves time.
+// that saves time. A cache is only copied within a version of the software, which determines its
+// layout.
 func (s *service) planCopy(holders []cacheHolder, c *candidate) {
 	if s.engine.CopyRate <= 0 {
 		return
 	}
 	source := cacheHolder{prefillTokens: c.prefillTokens}
 	for _, h := range holders {
-		if h.target != c.target && h.prefillTokens < source.prefillTokens {
+		if h.target != c.target && h.target.Version == c.target.Version && h.prefillTokens < source.prefillTokens {
 			source = h
 		}
 	}
--- a/place/versions_test.go
+++ b/place/versions_test.go
@@ -135,3 +135,32 @@
 	s.clock.Advance(within)
 	only("")
 }
+
+// TestCachesAreNotCopiedBetweenVersions has the first home of prompts drain and requests go to the
+// next one, without a rollout.
+func TestCachesAreNotCopiedBetweenVersions(t *testing.T) {
+	copied := 0
+	for i := range 40 {
+		s := newVersionsFixture(t)
+		r := promptRequest(call(fmt.Sprint("prompt", i), copiedTokens, ownTokens), "c")
+		first := s.Place(r)
+		assert.Assert(t, first.Run != nil)
+		first.Run.FirstEvent(true)
+		first.Run.End(Answered)
+		for j, x := range s.list {
+			if x.ID == first.Run.Target.ID {
+				next := *x
+				next.Draining, next.Revision.Count = true, 2
+				s.list[j] = &next
+			}
+		}
+		s.update()
+		d := s.Place(r)
+		assert.Assert(t, d.Run != nil)
+		if d.CopiedTokens > 0 {
+			copied++
+			assert.Equal(t, d.Run.Target.Version, first.Run.Target.Version)
+		}
+	}
+	assert.Assert(t, copied > 0, "nothing was copied within a version")
+}
