Soak: two versions of the targets' software, callers that resume streams

Half of the targets run another version of their software, events name it, and callers of resumable streams resume at other routers: after each broken answer, and after leaving every third one. Checked: one version wrote all events of a stream, none is missing and none comes twice.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -10,6 +10,8 @@
 // # What is checked
 //
 //   - an answer that looks complete is the whole one of its own request;
+//   - one version of the targets' software wrote all events of a stream, also if its
+//     caller resumed it at other routers;
 //   - a request that may not be repeated ran at most once;
 //   - a request answered 429 or 503 did not run;
 //   - a router that refused a revoked key never accepts it again in its life;
@@ -65,10 +67,14 @@
 
 // Report is what a run found.
 type Report struct {
-	Requests   int
-	Whole      int
-	Faults     []string
-	Violations []string
+	Requests int
+	Whole    int
+	// Resumed is the number of streams that callers resumed, ResumedWhole that of those which they
+	// then received to their end.
+	Resumed      int
+	ResumedWhole int
+	Faults       []string
+	Violations   []string
 }
 
 const (
@@ -185,7 +191,8 @@
 	}
 	r.lives++
 	id := fmt.Sprintf("%s-%d", service, r.lives)
-	w, err := r.site.AddWorker(id, service, r.dataCentre(dc), "--advertise", p.address().String(), "--drain-time", drain)
+	w, err := r.site.AddWorker(id, service, r.dataCentre(dc), "--advertise", p.address().String(), "--drain-time", drain,
+		"--version", versions[r.lives/2%len(versions)])
 	if err != nil {
 		return nil, err
 	}
@@ -205,7 +212,12 @@
 		if done {
 			return
 		}
-		a := r.site.Call(to.Caller, "POST", routesite.Paths[n%len(routesite.Paths)], key)
+		path := routesite.Paths[n%len(routesite.Paths)]
+		if path == streamPath {
+			r.stream(router, n/len(routesite.Paths))
+			continue
+		}
+		a := r.site.Call(to.Caller, "POST", path, key)
 		r.take(a)
 		if n%8 == 0 {
 			r.tryRevoked(to, process)
@@ -265,6 +277,7 @@
 	r.answers = append(r.answers, a)
 	r.report.Requests++
 	switch {
+	case a.Path == streamPath: // see takeStream
 	case a.Whole(a.Path):
 		r.report.Whole++
 	case a.Complete():
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -66,7 +66,8 @@
 			o.Bin, o.Duration = bin, 6*time.Second
 			report, err := Run(o)
 			assert.NilError(t, err)
-			t.Logf("%d requests, %d whole, faults %v", report.Requests, report.Whole, report.Faults)
+			t.Logf("%d requests, %d whole, %d of %d resumed streams whole, faults %v",
+				report.Requests, report.Whole, report.ResumedWhole, report.Resumed, report.Faults)
 			for _, v := range report.Violations {
 				t.Error(v)
 			}
