--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -40,6 +40,7 @@
 	{"request ends targets", (*run).endTargets},
 	{"target wants backoffs", (*run).wantBackoff},
 	{"target says that it leaves", (*run).sayLeaving},
+	{"targets break streams", (*run).breakStreams},
 }
 
 func nothing() error { return nil }
--- a/standin/soak/streams.go
+++ b/standin/soak/streams.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"time"
 
+	"zinccove.example/standin/fault"
+	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
 )
 
@@ -20,6 +23,35 @@
 // versions are those of the targets' software, which serve side by side.
 var versions = []string{"v1", "v2"}
 
+// breakStreams starts a target of each version and has both break off all streams after some events,
+// so that routers and callers resume them elsewhere.
+func (r *run) breakStreams() (func() error, error) {
+	var targets []*fleet.Target
+	for range versions {
+		// The plain target between them makes their versions differ.
+		for _, service := range []string{routesite.Model, routesite.Plain} {
+			w, err := r.startTarget(service, r.draw.IntN(r.options.Routers), shortDrain)
+			if err != nil {
+				return nil, err
+			}
+			if service == routesite.Model {
+				targets = append(targets, w)
+			}
+		}
+	}
+	after := 1 + r.draw.IntN(leaveAfter)
+	set := func(faults ...fault.Fault) error {
+		var err error
+		for _, w := range targets {
+			if !w.Ended() {
+				err = errors.Join(err, fleet.SetFaults(w.Address, faults...))
+			}
+		}
+		return err
+	}
+	return func() error { return set() }, set(fault.Fault{Step: "run", Mode: fault.Cut, After: after})
+}
+
 // stream reads a stream from one router after the other until it is whole.
 func (r *run) stream(router, n int) {
 	st := r.site.NewStream(streamPath, key)
