Soak: a connection that lost bytes delivers no later ones

Traced to the soak's own proxy: in the ways silent and deaf it drops what it reads, and passes on what comes once the fault is over, so that a whole number of chunks was missing in the middle of a connection. TCP never delivers bytes after a gap, so no router can be asked to notice it. Now the connection is reset then; the check stays as it is.

--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -108,10 +108,12 @@
 	}
 }
 
-// copy passes bytes on in the way that is set when they come.
+// copy passes bytes on in the way that is set when they come. A connection that lost bytes is reset
+// when more come that would be passed on: TCP never delivers bytes after a gap.
 func (p *proxy) copy(to, from net.Conn, answer bool) error {
 	defer to.Close()
 	b := make([]byte, 32<<10)
+	lost := false
 	for {
 		n, err := from.Read(b)
 		if n > 0 {
@@ -119,8 +121,9 @@
 			case w == slow:
 				time.Sleep(slowness)
 			case w == silent || w == deaf && answer:
+				lost = true
 				continue
-			case w == reset:
+			case w == reset || lost:
 				to.(*net.TCPConn).SetLinger(0)
 				return from.(*net.TCPConn).SetLinger(0)
 			}
