Origins of streams are also sent to routers that were not heard yet

Cause: found by reading. Replicas are sent to reachable routers; in the first half second after all routers started, a router reaches none and keeps what it began alone. Its streams can't go on once it fails.

Change: with fewer reachable routers than replicas, those that are known from the store are sent one too. TestOriginIsSentToRoutersThatWereNotHeardYet fails before (r1 has no replica).

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -55,9 +55,30 @@
 // record keeps the origin of a stream here and sends it to other routers. It does not wait for them.
 func (o *origins) record(k origin.Key, from origin.Origin, ttl time.Duration) {
 	o.table.Put(k, from, ttl)
-	g := o.gateway
 	enc := &zinccovev1.StreamOrigin{Key: uint64(k), Service: from.Service, Version: from.Version, TtlMs: uint32(min(ttl, origin.MaxTTL).Milliseconds())}
-	o.send(&zinccovev1.Heartbeat{Origin: enc}, g.owners.Load().Replicas(place.Hash(k), g.settings.DataCentre))
+	o.send(&zinccovev1.Heartbeat{Origin: enc}, o.replicas(k))
+}
+
+// replicas returns the routers that are to keep an origin. While too few are reachable, as after the
+// start of a fleet, they also include routers from which nothing was received.
+func (o *origins) replicas(k origin.Key) []*owner.Router {
+	g := o.gateway
+	key, dc := place.Hash(k), g.settings.DataCentre
+	list := g.owners.Load().Replicas(key, dc)
+	if len(list) >= owner.MinReplicas {
+		return list
+	}
+	return union(list, o.routers.Load().Replicas(key, dc))
+}
+
+// union returns the routers of both lists.
+func union(a, b []*owner.Router) []*owner.Router {
+	for _, r := range b {
+		if !slices.ContainsFunc(a, func(known *owner.Router) bool { return known.Name == r.Name }) {
+			a = append(a, r)
+		}
+	}
+	return a
 }
 
 // send sends a datagram to routers other than this one, and returns their number.
@@ -119,13 +140,7 @@
 func (o *origins) holders(k origin.Key) []*owner.Router {
 	g := o.gateway
 	key, dc := place.Hash(k), g.settings.DataCentre
-	list := g.owners.Load().ReplicaHolders(key, dc)
-	for _, r := range o.routers.Load().ReplicaHolders(key, dc) {
-		if !slices.ContainsFunc(list, func(l *owner.Router) bool { return l.Name == r.Name }) {
-			list = append(list, r)
-		}
-	}
-	return list
+	return union(g.owners.Load().ReplicaHolders(key, dc), o.routers.Load().ReplicaHolders(key, dc))
 }
 
 // query queries routers and awaits their replies until timeout. It reports done if one of them knows
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -92,6 +92,26 @@
 	assert.Assert(t, !ok, "nobody replies")
 }
 
+// TestOriginIsSentToRoutersThatWereNotHeardYet has a router begin a stream before any other is
+// reachable.
+func TestOriginIsSentToRoutersThatWereNotHeardYet(t *testing.T) {
+	all, _ := newQueriers(t, 6, new(sync.Map))
+	first := all[0]
+	routers := first.owners.Load()
+	first.origins.routers.Store(routers)
+	first.owners.Store(owner.New([]owner.Router{{Name: first.settings.Host, DataCentre: "dc", Peer: first.transport.Address()}}))
+	k := origin.KeyOf("c", "route", "r")
+	first.origins.record(k, testOrigin, time.Minute)
+	for _, r := range routers.Replicas(place.Hash(k), "dc") {
+		for deadline := time.Now().Add(replyTimeout); ; time.Sleep(time.Millisecond) {
+			if _, ok := gatewayOf(all, r).origins.table.Get(k); ok {
+				break
+			}
+			assert.Assert(t, time.Now().Before(deadline), "%s has no replica", r.Name)
+		}
+	}
+}
+
 // TestStartedRouterWaitsForRouters has a router that knows no others yet.
 func TestStartedRouterWaitsForRouters(t *testing.T) {
 	all, clock := newQueriers(t, 4, new(sync.Map))
--- a/owner/replicas.go
+++ b/owner/replicas.go
@@ -12,8 +12,8 @@
 const (
 	// maxReplicaDataCentres is the number of data centres over which replicas are spread.
 	maxReplicaDataCentres = 3
-	// minReplicas is the number of replicas if there are as many routers.
-	minReplicas = 3
+	// MinReplicas is the minimum number of replicas in a fleet of as many routers.
+	MinReplicas = 3
 )
 
 // Replicas returns the routers to which a router of a data centre sends the replicas of a value:
@@ -32,7 +32,7 @@
 
 func (t *Table) replicas(key place.Hash, dataCentre string, spare int) []*Router {
 	names := t.replicaDataCentres(key, dataCentre)
-	each := (minReplicas + len(names) - 1) / max(len(names), 1)
+	each := (MinReplicas + len(names) - 1) / max(len(names), 1)
 	var list []*Router
 	for _, name := range names {
 		list = append(list, highest(t.byDataCentre[name], key, each+spare)...)
