--- a/origin/origin.go
+++ b/origin/origin.go
@@ -51,7 +51,7 @@
 }
 
 const (
-	// maxRecords bounds a table. A record takes about 100 bytes.
+	// maxRecords bounds a table. A record takes about 120 bytes.
 	maxRecords = 1 << 15
 	// MaxTTL bounds the time for which an origin is kept.
 	MaxTTL = 10 * time.Minute
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -75,3 +76,20 @@
 		table.Get(k)
 	}
 }
+
+// BenchmarkMemoryOfRecords reports the bytes that a record of a full table takes.
+func BenchmarkMemoryOfRecords(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := NewTable(clockwork.NewRealClock())
+		for i := range maxRecords {
+			table.Put(KeyOf("customer", "route", fmt.Sprint(i)), began, time.Minute)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxRecords, "B/record")
+		runtime.KeepAlive(table)
+	}
+}
