--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"net/netip"
 	"sync"
 	"syscall"
 	"testing"
@@ -15,6 +14,7 @@
 	"zinccove.example/standin/fault"
 	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
+	"zinccove.example/zinccove/platform/wire"
 )
 
 const (
@@ -310,6 +310,42 @@
 	assert.Assert(t, kept > 0, "no stream of the version that was left")
 }
 
+// TestStreamIsResumedOnceItsVersionIsBack ends all engines of a version and starts them again, while
+// callers whose streams were refused wait.
+func TestStreamIsResumedOnceItsVersionIsBack(t *testing.T) {
+	s := newTwoVersions(t)
+	streams := s.begin(24, s.router, func() {
+		for _, w := range s.old {
+			w.Kill()
+		}
+	}, func(i int) *fleet.Router { return s.router(i + 1) })
+	for i, w := range s.old {
+		s.addEngine("back", i, "v1", "--listen", w.Address.String())
+	}
+	s.awaitVersions("v1", "v2")
+	for i, st := range streams {
+		if len(st.Versions) > 0 && !st.Whole() {
+			st.Try(s.router(i+2).Caller, nil)
+		}
+	}
+	whole, began := s.count(streams)
+	assert.Assert(t, whole*4 >= began*3, "%d of %d streams were resumed", whole, began)
+}
+
+// TestStreamsKeepTheirVersionDuringARollout has callers resume streams while operators move the
+// service to the new version, which draws versions for new requests.
+func TestStreamsKeepTheirVersionDuringARollout(t *testing.T) {
+	s := newTwoVersions(t)
+	order := fmt.Sprintf(`{"service":%q,"targetVersion":"v2","durationS":%v}`, routesite.Model, moveTime.Seconds())
+	assert.NilError(t, s.PutRow(wire.TableOperator, wire.RolloutPrefix+routesite.Model, []byte(order)))
+	var streams []*routesite.Stream
+	for ordered := time.Now(); time.Since(ordered) < moveTime; {
+		streams = append(streams, s.begin(12, s.router, func() {}, func(i int) *fleet.Router { return s.router(i + 1) })...)
+	}
+	whole, began := s.count(streams)
+	assert.Assert(t, whole*4 >= began*3, "%d of %d streams were resumed", whole, began)
+}
+
 // TestStreamIsNotResumedAtVersionThatCameLater has the engines of the second version start while
 // callers hold streams of the first.
 func TestStreamIsNotResumedAtVersionThatCameLater(t *testing.T) {
@@ -329,7 +365,7 @@
 	streams := s.begin(24, s.router, func() {
 		for i, w := range s.old[:2] {
 			w.Kill()
-			s.addEngine("again", i, "v2", "--listen", netip.AddrPort(w.Address).String())
+			s.addEngine("again", i, "v2", "--listen", w.Address.String())
 		}
 	}, func(i int) *fleet.Router { return s.router(i + 1) })
 	s.count(streams)
