Replies of slow routers on the origin of a stream count until the last round

Cause: found by reading. Each round of questions had a number of its own, so that a router which takes longer than a round, 30 ms, to reply was asked three times and never heard. Hosts of 0.2 cores that are slowed or flooded take longer.

Change: one number for all rounds; whoever replied that it knows none is not asked again. TestReplyOfSlowRouterCounts has the only reply arrive in the second round, for the number of the first.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -175,7 +175,7 @@
 		l.contact.Send(l.gateway.origins.reply(hb.OriginQuery), from)
 		return
 	case hb.OriginReply != nil:
-		l.gateway.origins.handleReply(hb.OriginReply)
+		l.gateway.origins.handleReply(hb.OriginReply, from)
 		return
 	}
 	l.contact.Receive(hb, from, size)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,12 +39,14 @@
 	pending map[uint64]*originQuery
 }
 
-// originQuery is a query that waits for replies.
+// originQuery is a query that waits for replies. The mutex of origins guards replied.
 type originQuery struct {
-	// open is the number of routers that have not replied.
-	open int
-	// found receives the origin, or is closed once all routers replied that they know none.
-	found chan origin.Origin
+	number uint64
+	// replied tells of each router that was queried whether it replied that it knows no origin.
+	replied map[netip.AddrPort]bool
+	// found receives the origin, exhausted a value once all routers replied that they know none.
+	found     chan origin.Origin
+	exhausted chan struct{}
 }
 
 func newOrigins(g *Gateway) *origins {
@@ -114,8 +117,10 @@
 	if starting {
 		rounds = startRounds
 	}
+	q := o.begin()
+	defer o.end(q)
 	for range rounds {
-		from, ok, done := o.round(k, starting)
+		from, ok, done := o.round(q, k, starting)
 		if ok || done {
 			return from, ok
 		}
@@ -123,17 +128,63 @@
 	return origin.Origin{}, false
 }
 
-// round queries the routers that may know an origin. It reports done if all of them replied; a
-// router that is starting awaits the end of the round then, by which it may know more routers.
-func (o *origins) round(k origin.Key, starting bool) (from origin.Origin, ok, done bool) {
+// begin registers a query, so that replies are accepted until its end.
+func (o *origins) begin() *originQuery {
+	q := &originQuery{number: o.number.Add(1), replied: make(map[netip.AddrPort]bool), found: make(chan origin.Origin, 1), exhausted: make(chan struct{}, 1)}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending[q.number] = q
+	return q
+}
+
+func (o *origins) end(q *originQuery) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.pending, q.number)
+}
+
+// round queries the routers that may know an origin and have not replied. It reports done if none is
+// left. A router that is starting awaits the end of the round then, by which it may know more routers.
+func (o *origins) round(q *originQuery, k origin.Key, starting bool) (from origin.Origin, ok, done bool) {
 	timer := o.gateway.clock.NewTimer(originRoundTime)
 	defer timer.Stop()
-	from, ok, done = o.query(k, o.holders(k), timer.Chan())
-	if !ok && done && starting {
+	if o.ask(q, k) == 0 {
+		q.exhaust()
+	}
+	select {
+	case from = <-q.found:
+		return from, true, true
+	case <-q.exhausted:
+	case <-timer.Chan():
+		return origin.Origin{}, false, false
+	}
+	if starting {
 		<-timer.Chan()
-		done = false
 	}
-	return from, ok, done
+	return origin.Origin{}, false, !starting
+}
+
+// ask sends a query to the routers that may know an origin and have not replied, and returns their
+// number.
+func (o *origins) ask(q *originQuery, k origin.Key) (asked int) {
+	holders := o.holders(k)
+	o.mu.Lock()
+	holders = slices.DeleteFunc(holders, func(r *owner.Router) bool { return q.replied[r.Peer] })
+	for _, r := range holders {
+		if r.Name != o.gateway.settings.Host {
+			q.replied[r.Peer] = false
+		}
+	}
+	o.mu.Unlock()
+	return o.send(&zinccovev1.Heartbeat{OriginQuery: &zinccovev1.OriginQuery{Number: q.number, Key: uint64(k)}}, holders)
+}
+
+// exhaust signals that no reply is awaited any more.
+func (q *originQuery) exhaust() {
+	select {
+	case q.exhausted <- struct{}{}:
+	default:
+	}
 }
 
 // holders returns the routers that may know the origin of a stream.
@@ -143,29 +194,6 @@
 	return union(g.owners.Load().ReplicaHolders(key, dc), o.routers.Load().ReplicaHolders(key, dc))
 }
 
-// query queries routers and awaits their replies until timeout. It reports done if one of them knows
-// the origin, or all replied that they do not.
-func (o *origins) query(k origin.Key, holders []*owner.Router, timeout <-chan time.Time) (from origin.Origin, ok, done bool) {
-	q := &originQuery{open: len(holders), found: make(chan origin.Origin, 1)}
-	number := o.number.Add(1)
-	o.mu.Lock()
-	o.pending[number] = q
-	o.mu.Unlock()
-	defer func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.pending, number)
-	}()
-	sent := o.send(&zinccovev1.Heartbeat{OriginQuery: &zinccovev1.OriginQuery{Number: number, Key: uint64(k)}}, holders)
-	o.miss(number, len(holders)-sent)
-	select {
-	case from, ok = <-q.found:
-		return from, ok, true
-	case <-timeout:
-		return origin.Origin{}, false, false
-	}
-}
-
 // reply replies to a query of another router.
 func (o *origins) reply(q *zinccovev1.OriginQuery) *zinccovev1.Heartbeat {
 	reply := &zinccovev1.OriginReply{Number: q.Number}
@@ -175,31 +203,26 @@
 	return &zinccovev1.Heartbeat{OriginReply: reply}
 }
 
-// handleReply accepts a reply. A late or unknown one is dropped.
-func (o *origins) handleReply(reply *zinccovev1.OriginReply) {
-	if reply.Origin == nil {
-		o.miss(reply.Number, 1)
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if q := o.pending[reply.Number]; q != nil {
-		delete(o.pending, reply.Number)
-		q.found <- decodeOrigin(reply.Origin)
-	}
-}
-
-// miss records that some routers do not know the origin.
-func (o *origins) miss(number uint64, routers int) {
+// handleReply accepts the reply of a router. A late or unknown one is dropped.
+func (o *origins) handleReply(reply *zinccovev1.OriginReply, sender netip.AddrPort) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	q := o.pending[number]
-	if q == nil {
+	q := o.pending[reply.Number]
+	switch {
+	case q == nil:
+		return
+	case reply.Origin != nil:
+		select {
+		case q.found <- decodeOrigin(reply.Origin):
+		default: // another router replied before
+		}
 		return
 	}
-	q.open -= routers
-	if q.open <= 0 {
-		delete(o.pending, number)
-		close(q.found)
+	q.replied[sender] = true
+	for _, replied := range q.replied {
+		if !replied {
+			return
+		}
 	}
+	q.exhaust()
 }
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -92,6 +92,33 @@
 	assert.Assert(t, !ok, "nobody replies")
 }
 
+// TestReplyOfSlowRouterCounts has the only router that knows an origin reply after a round is over.
+func TestReplyOfSlowRouterCounts(t *testing.T) {
+	silent := new(sync.Map)
+	all, clock := newQueriers(t, 4, silent)
+	for _, g := range all {
+		silent.Store(g.settings.Host, true)
+	}
+	g := all[0]
+	var (
+		group errgroup.Group
+		from  origin.Origin
+		ok    bool
+	)
+	group.Go(func() error {
+		from, ok = g.origins.find(origin.KeyOf("c", "route", "r"))
+		return nil
+	})
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	asked := g.origins.number.Load()
+	clock.Advance(originRoundTime)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	late := &zinccovev1.OriginReply{Number: asked, Origin: &zinccovev1.StreamOrigin{Service: testOrigin.Service, Version: testOrigin.Version}}
+	g.origins.handleReply(late, all[1].transport.Address())
+	assert.NilError(t, group.Wait())
+	assert.Assert(t, ok && from == testOrigin)
+}
+
 // TestOriginIsSentToRoutersThatWereNotHeardYet has a router begin a stream before any other is
 // reachable.
 func TestOriginIsSentToRoutersThatWereNotHeardYet(t *testing.T) {
--- a/gateway/query_test.go
+++ b/gateway/query_test.go
@@ -50,7 +50,7 @@
 			case hb.Origin != nil:
 				g.origins.receive(hb.Origin)
 			case hb.OriginReply != nil:
-				g.origins.handleReply(hb.OriginReply)
+				g.origins.handleReply(hb.OriginReply, from)
 			case hb.OriginQuery != nil && !isSilent:
 				g.loop.contact.Send(g.origins.reply(hb.OriginQuery), from)
 			case hb.Question != nil && !isSilent:
