--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -52,9 +53,8 @@
 	site.Settings["retry"] = "ratio = 1" // so that the budget of retries ends few streams
 	s := &twoVersions{Site: site, t: t}
 	t.Cleanup(func() {
-		for _, w := range s.Workers {
-			w.Kill()
-		}
+		s.t = t // not that of the last subtest
+		s.kill()
 	})
 	for i := range 3 {
 		s.old = append(s.old, s.addEngine("old", i, "v1"))
@@ -70,6 +70,18 @@
 	return s
 }
 
+// kill ends all processes at once; nothing here is about planned stops.
+func (s *twoVersions) kill() {
+	for _, w := range s.Workers {
+		w.Kill()
+	}
+	for _, r := range s.Routers {
+		r.Kill()
+		assert.Assert(s.t, !strings.Contains(r.Output(), "DATA RACE"), r.Output())
+		assert.Assert(s.t, !strings.Contains(r.Output(), "panic:"), r.Output())
+	}
+}
+
 func dataCentreOf(i int) string { return fmt.Sprint("dc", i%3) }
 
 func (s *twoVersions) addNew() {
