A stream without a record is not resumed on a route of several services

Where nothing is recorded of a stream, the only version of the service is taken; on a route that is split the service itself was drawn anew, so that a stream could go on at another service.

Change: without a record only routes that lead to one service are resumed. TestOnlyVersionIsUsedOnRoutesOfOneService fails before.

--- a/relay/origin.go
+++ b/relay/origin.go
@@ -74,8 +74,8 @@
 const maxListAge = 3 * time.Second
 
 // findOrigin returns where a stream that a caller resumes began, and how that is known; the source
-// is empty if it is not. If there is no record, the version is known as long as the service has had
-// only one for the lifetime of a stream.
+// is empty if it is not. If there is no record, it is known as long as the route leads to one service,
+// which has had only one version for the lifetime of a stream.
 func (f *flight) findOrigin() (o origin.Origin, source string) {
 	s := f.server
 	if f.call.ResumedID != "" {
@@ -83,7 +83,7 @@
 			return o, sourceRecord
 		}
 	}
-	if s.options.View().TargetsAge > maxListAge {
+	if len(f.route.Splits) > 1 || s.options.View().TargetsAge > maxListAge {
 		return origin.Origin{}, ""
 	}
 	version, ok := s.options.Placer.OnlyVersion(f.service, f.streamLifetime())
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"zinccove.example/zinccove/origin"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/roster"
+	"zinccove.example/zinccove/route"
 )
 
 // serveVersion serves streams of one event that names a version.
@@ -75,6 +78,29 @@
 	assert.Equal(t, s.Running(), 0)
 }
 
+// TestOnlyVersionIsUsedOnRoutesOfOneService has a stream of which nothing is recorded.
+func TestOnlyVersionIsUsedOnRoutesOfOneService(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	placer := place.New(place.Options{Clock: clock})
+	placer.SetTargets([]*roster.Target{{ID: "t", Service: "model", Version: "v1", Slots: 1}}, newTable(t, testSpec()))
+	clock.Advance(time.Minute)
+	age := time.Duration(0)
+	s := &Server{options: Options{Placer: placer, View: func() View { return View{TargetsAge: age} }}}
+	find := func(services ...string) string {
+		r := &route.Route{Timeout: routeTimeout}
+		for _, name := range services {
+			r.Splits = append(r.Splits, route.Split{Service: name, Weight: 1})
+		}
+		o, source := (&flight{server: s, route: r, service: "model"}).findOrigin()
+		assert.Equal(t, source == sourceOnlyVersion, o == origin.Origin{Service: "model", Version: "v1"})
+		return source
+	}
+	assert.Equal(t, find("model"), sourceOnlyVersion)
+	assert.Equal(t, find("model", "other"), "")
+	age = maxListAge + 1
+	assert.Equal(t, find("model"), "")
+}
+
 // TestOriginOfStreamIsRecordedBeforeItsFirstEvent has targets whose streams have not brought an
 // event yet.
 func TestOriginOfStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -114,9 +114,9 @@
 	}
 }
 
-// begin has callers read the first events of streams, each from the router that first returns,
+// beginAndResume has callers read the first events of streams, each from the router that first returns,
 // and then wait for between, before they go on at the routers that next returns.
-func (s *twoVersions) begin(n int, first func(i int) *fleet.Router, between func(), next func(i int) *fleet.Router) []*routesite.Stream {
+func (s *twoVersions) beginAndResume(n int, first func(i int) *fleet.Router, between func(), next func(i int) *fleet.Router) []*routesite.Stream {
 	s.t.Helper()
 	streams := make([]*routesite.Stream, n)
 	var reached, callers sync.WaitGroup
@@ -266,7 +266,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s.t = t
 			drained := s.replaceEngines()
-			streams := s.begin(callers, func(int) *fleet.Router { return s.router(c.first) }, func() {
+			streams := s.beginAndResume(callers, func(int) *fleet.Router { return s.router(c.first) }, func() {
 				for _, w := range drained {
 					assert.NilError(t, w.Signal(syscall.SIGTERM))
 				}
@@ -301,7 +301,7 @@
 // streams of both.
 func TestStreamWhoseVersionHasGoneIsRefusedQuickly(t *testing.T) {
 	s := newTwoVersions(t)
-	streams := s.begin(24, s.router, func() {
+	streams := s.beginAndResume(24, s.router, func() {
 		for _, w := range s.old {
 			w.Kill()
 		}
@@ -326,7 +326,7 @@
 // callers whose streams were refused wait.
 func TestStreamIsResumedOnceItsVersionIsBack(t *testing.T) {
 	s := newTwoVersions(t)
-	streams := s.begin(24, s.router, func() {
+	streams := s.beginAndResume(24, s.router, func() {
 		for _, w := range s.old {
 			w.Kill()
 		}
@@ -352,7 +352,7 @@
 	assert.NilError(t, s.PutRow(wire.TableOperator, wire.RolloutPrefix+routesite.Model, []byte(order)))
 	var streams []*routesite.Stream
 	for ordered := time.Now(); time.Since(ordered) < moveTime; {
-		streams = append(streams, s.begin(12, s.router, func() {}, func(i int) *fleet.Router { return s.router(i + 1) })...)
+		streams = append(streams, s.beginAndResume(12, s.router, func() {}, func(i int) *fleet.Router { return s.router(i + 1) })...)
 	}
 	whole, began := s.count(streams)
 	assert.Assert(t, whole*4 >= began*3, "%d of %d streams were resumed", whole, began)
@@ -362,7 +362,7 @@
 // callers hold streams of the first.
 func TestStreamIsNotResumedAtVersionThatCameLater(t *testing.T) {
 	s := newOneVersion(t)
-	streams := s.begin(24, s.router, func() {
+	streams := s.beginAndResume(24, s.router, func() {
 		s.addNew()
 		s.awaitVersions("v1", "v2")
 	}, func(i int) *fleet.Router { return s.router(i + 1) })
@@ -374,7 +374,7 @@
 // with another version.
 func TestStreamIsNotResumedAtItsAddressUnderAnotherVersion(t *testing.T) {
 	s := newOneVersion(t)
-	streams := s.begin(24, s.router, func() {
+	streams := s.beginAndResume(24, s.router, func() {
 		for i, w := range s.old[:2] {
 			w.Kill()
 			s.addEngine("again", i, "v2", "--listen", w.Address.String())
@@ -386,7 +386,7 @@
 // TestStreamsOfOneVersionAreResumedAnywhere guards what a single version allows.
 func TestStreamsOfOneVersionAreResumedAnywhere(t *testing.T) {
 	s := newOneVersion(t)
-	streams := s.begin(24, s.router, func() {}, func(i int) *fleet.Router { return s.router(i + 1) })
+	streams := s.beginAndResume(24, s.router, func() {}, func(i int) *fleet.Router { return s.router(i + 1) })
 	whole, began := s.count(streams)
 	assert.Equal(t, whole, began)
 }
