The test of a starting router does not replace what its transport reads

The router of the test is now one that has no record, so that nothing is replaced. What it checks is unchanged.

Tests of origins under the race detector, three times: passed.

--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -141,14 +142,13 @@
 
 // TestStartedRouterWaitsForRouters has a router that knows no others yet.
 func TestStartedRouterWaitsForRouters(t *testing.T) {
-	all, clock := newQueriers(t, 4, new(sync.Map))
+	all, clock := newQueriers(t, 9, new(sync.Map))
 	k := origin.KeyOf("c", "route", "r")
-	recordOrigin(t, all, k)
-	g := all[3]
+	holders := recordOrigin(t, all, k)
+	g := all[slices.IndexFunc(all, func(g *Gateway) bool { return !slices.Contains(holders, g) })]
 	routers := g.owners.Load()
-	g.origins = newOrigins(g)
 	g.started = clock.Now()
-	g.owners.Store(g.origins.routers.Load())
+	g.owners.Store(owner.New(nil))
 	var (
 		group errgroup.Group
 		from  origin.Origin
