--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -59,7 +59,7 @@
 			}
 			for i := range 40 {
 				res := s.do(t, "POST", tc.path, fmt.Sprint("r", i), "b", fmt.Sprintf("Prompt-Prefix: q%d:100,o:10", i))
-				assert.Equal(t, res.header.StatusCode(), 200)
+				assert.Equal(t, res.header.StatusCode(), 200, "%s", res.body)
 			}
 			assert.Equal(t, len(leaving.received()), 1)
 		})
