Soak and proofs check streams as strictly as before versions were named

When resumable streams got callers of their own, the soak lost its check that one which looks complete has all its events. The events of the stand-in named their version in place of their number, so that data under another event's id would have passed. And a body without a line made the check of a whole stream panic.

Change: an attempt that looks complete is a violation unless the stream is whole; data names number and version; the version is read without an index.

--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -214,7 +214,8 @@
 	if !strings.HasPrefix(path, "/draft/") && !strings.HasPrefix(path, "/gloss/") {
 		return strings.HasSuffix(a.Body, path+" "+a.ID)
 	}
-	_, version, _ := strings.Cut(strings.SplitN(a.Body, "\n", 3)[1], a.ID+" ")
+	first, _, _ := strings.Cut(a.Body, "\n\n")
+	_, version, _ := strings.Cut(first, a.ID+" 1 ")
 	var want strings.Builder
 	for n := range events {
 		want.WriteString(worker.Event(a.ID, version, n+1))
--- a/standin/routesite/stream.go
+++ b/standin/routesite/stream.go
@@ -120,8 +120,9 @@
 
 // take records an event.
 func (s *Stream) take(id, number, data string) {
-	want := fmt.Sprint("id: ", len(s.Versions)+1)
-	text, version, ok := strings.Cut(data, id+" ")
+	n := len(s.Versions) + 1
+	want := fmt.Sprint("id: ", n)
+	text, version, ok := strings.Cut(data, fmt.Sprintf("%s %d ", id, n))
 	if number != want || text != "data: " || !ok {
 		s.Problem = fmt.Sprintf("%s: event %q %q, want %q of that request", id, number, data, want)
 	}
@@ -143,9 +144,11 @@
 
 // Whole reports whether all events were received and the last attempt looked complete.
 func (s *Stream) Whole() bool {
-	last := s.Last()
-	return s.Problem == "" && last.Err == nil && last.Status == http.StatusOK && len(s.Versions) == events
+	return s.Problem == "" && s.Last().Complete() && len(s.Versions) == events
 }
 
+// Complete reports whether the attempt looked complete to its caller.
+func (t Try) Complete() bool { return t.Err == nil && t.Status == http.StatusOK }
+
 // Last returns the last attempt.
 func (s *Stream) Last() Try { return s.Tries[len(s.Tries)-1] }
--- a/standin/soak/streams.go
+++ b/standin/soak/streams.go
@@ -61,6 +61,9 @@
 		st.Try(r.site.Routers[(router+i)%len(r.site.Routers)].Caller, leave)
 		last := st.Last()
 		r.take(&routesite.Answer{ID: last.ID, Path: streamPath, Router: last.Router, Sent: sent, Status: last.Status, Err: last.Err})
+		if last.Complete() && !st.Whole() {
+			r.violate("%s %s: not the whole own stream looks complete: %d events", last.ID, streamPath, len(st.Versions))
+		}
 		if st.Whole() || len(st.Versions) == 0 {
 			break
 		}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -213,7 +213,7 @@
 // Event is the text of the n-th event of a request's stream, from 1, as a version of the
 // software writes it.
 func Event(id, version string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, version)
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, version)
 }
 
 func (w *Worker) arrived(id string, refused bool) {
