Logs of failed attempts tell the shared parts of the prompt and the stage of the response

Change: parts and responding_ms in 'attempt failed' where the request may have run; parts in refusals with ends_targets. The parts that others may share are RequestInfo.SharedParts, used by place too. Measurement: tests of relay, place, message pass; no decision uses the new fields.

--- a/message/message.go
+++ b/message/message.go
@@ -50,11 +50,16 @@
 	ResumedID string
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last.
+func (c *RequestInfo) SharedParts() []PrefixPart {
+	return c.PrefixParts[:max(len(c.PrefixParts)-1, 0)]
+}
+
 // SharedPrefixTokens returns the size of the shared parts of the prompt.
 func (c *RequestInfo) SharedPrefixTokens() int {
 	n := 0
-	for i := range len(c.PrefixParts) - 1 {
-		n += c.PrefixParts[i].Tokens
+	for _, p := range c.SharedParts() {
+		n += p.Tokens
 	}
 	return n
 }
--- a/place/prefix_cache.go
+++ b/place/prefix_cache.go
@@ -71,9 +71,9 @@
 
 func newPrompt(c *message.RequestInfo) prompt {
 	p := prompt{total: max(c.PromptTokens, 1)}
-	for i := range len(c.PrefixParts) - 1 {
-		p.prefixParts = append(p.prefixParts, HashOf(c.PrefixParts[i].ID))
-		p.partTokens = append(p.partTokens, c.PrefixParts[i].Tokens)
+	for _, part := range c.SharedParts() {
+		p.prefixParts = append(p.prefixParts, HashOf(part.ID))
+		p.partTokens = append(p.partTokens, part.Tokens)
 	}
 	p.uniqueTokens = max(p.total-c.SharedPrefixTokens(), 1)
 	return p
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,7 +47,7 @@
 	if len(f.tried) > 0 {
 		s.options.Metrics.Inc(metric.Retries)
 	}
-	f.run, f.notice = d.Run, notice.Notice{}
+	f.run, f.notice, f.responseBegan = d.Run, notice.Notice{}, time.Time{}
 	f.tried = append(f.tried, d.Run.Incarnation())
 	f.startVersion()
 	f.lifecycle.Queue()
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -88,6 +88,8 @@
 	connectSpent time.Duration
 	// noRetry is why no further attempt was made after a failed one; empty while that is open.
 	noRetry string
+	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
+	responseBegan time.Time
 	// firstEvent is the time from receiving the request to the first event of its stream.
 	firstEvent time.Duration
 	// stall is the time since which the caller has not read the bytes that a stream passed on.
@@ -173,6 +175,15 @@
 	return f.lifecycle.Fail(fail.Kind, f.server.options.Clock.Now(), take) == request.Retry
 }
 
+// responding returns how long the target of the current attempt has been sending the body of its
+// response; 0 if nothing of it arrived.
+func (f *flight) responding() time.Duration {
+	if f.responseBegan.IsZero() {
+		return 0
+	}
+	return f.server.options.Clock.Since(f.responseBegan)
+}
+
 // withdrawRetry takes one retry from the budget.
 func (f *flight) withdrawRetry() bool {
 	ok := f.server.options.Retries.TryWithdraw()
--- a/relay/log.go
+++ b/relay/log.go
@@ -67,7 +67,7 @@
 	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
 		Str("failure", kind).Int("status", status)
 	if fail != nil && !fail.Kind.NotRun() {
-		e = e.Stringer("fingerprint", f.requestContent().Fingerprint())
+		e = f.withContent(e).Dur("responding_ms", f.responding())
 	}
 	if fail != nil {
 		e = e.Err(fail)
@@ -75,6 +75,23 @@
 	f.withNotice(e).Msg("attempt failed")
 }
 
+// maxLoggedParts bounds the parts of a prompt in one line.
+const maxLoggedParts = 8
+
+// withContent adds what the request asks for: its fingerprint, and the parts of its prompt that
+// other requests may share.
+func (f *flight) withContent(e *zerolog.Event) *zerolog.Event {
+	e = e.Stringer("fingerprint", f.requestContent().Fingerprint())
+	if parts := f.call.SharedParts(); len(parts) > 0 {
+		ids := make([]string, 0, maxLoggedParts)
+		for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+			ids = append(ids, p.ID)
+		}
+		e = e.Strs("parts", ids)
+	}
+	return e
+}
+
 // logNotice begins a line about a notice of the target of the current attempt.
 func (s *Server) logNotice(f *flight, resp *response) *zerolog.Event {
 	t := f.run.Target
@@ -96,7 +113,7 @@
 	case string(place.BackingOff):
 		e = e.Str("first", f.decision.FirstAvailable)
 	case reasonEndsTargets:
-		e = e.Stringer("fingerprint", f.requestContent().Fingerprint())
+		e = f.withContent(e)
 	case reasonRouterBusy:
 		e = e.Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).Float64("rate", s.throttle.current()).Int("dispatching", s.throttle.waiting())
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -126,6 +126,7 @@
 	f.run.RecordReceived()
 	if !s.began {
 		s.began = true
+		f.responseBegan = f.server.options.Clock.Now()
 		if off, known := f.run.FirstEvent(!f.server.impaired()); known {
 			f.server.options.Metrics.Observe(metric.PredictionError, off)
 		}
