Fleets on loopback have a key, names and request IDs of their own

All fleets had the same key, router names, target IDs and request IDs, so a router of one accepted datagrams of another that reached a port it had before, and a target accepted requests that were meant for one of another run. Ruled out: nothing; that such crossing happened is not shown yet, the repeat with ten soaks follows. Change: a random fleet key per fleet, a random name per site in request IDs, and in the names of routers and targets of the soak.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,11 +33,10 @@
 	"zinccove.example/zinccove/platform"
 )
 
-// The operator and the secrets of every fleet; they guard nothing.
+// The operator of every fleet and its key, which guards nothing.
 const (
 	Operator    = "anna"
 	OperatorKey = "example"
-	fleetKey    = "secret-of-a-loopback-fleet"
 )
 
 // Fleet is a set of processes.
@@ -54,6 +54,9 @@
 	RouterProgram string
 	RouterArgs    []string
 
+	// key is the fleet key. It differs between fleets, as a router of one may listen at a port that
+	// one of another had before.
+	key     string
 	bin     string
 	dir     string
 	procs   []*Process
@@ -69,7 +72,7 @@
 // New returns a fleet that runs the programs in the directory bin.
 func New(bin string) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "zinccove-fleet-")
-	return &Fleet{bin: bin, dir: dir, RouterProgram: ShippedRouter}, err
+	return &Fleet{key: rand.Text(), bin: bin, dir: dir, RouterProgram: ShippedRouter}, err
 }
 
 // Close ends all processes, routers first.
@@ -283,7 +286,7 @@
 	sections := []struct{ name, keys string }{
 		{"host", "name = " + name + "\ndata-centre = " + r.DataCentre},
 		{"listen", fmt.Sprintf("caller = %s\ncontrol = %s\npeer = %s", r.Caller, r.Control, r.Peer)},
-		{"fleet", "key = " + fleetKey + "\nseeds = " + join(r.seeds)},
+		{"fleet", "key = " + r.fleet.key + "\nseeds = " + join(r.seeds)},
 		{"platform", "address = " + r.fleet.PlatformAddress.String()},
 		{"limits", "stop-delay = 200ms\nwrite-timeout = 2s"},
 		{"log", ""},
--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -14,6 +14,7 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -78,10 +79,16 @@
 type Site struct {
 	*fleet.Fleet
 	Workers []*fleet.Target
+	// Name differs between sites, as a target of one may listen at a port that one of another had
+	// before.
+	Name string
 
 	sent atomic.Int64
 }
 
+// nameLength makes equal names unlikely among the sites of one machine.
+const nameLength = 8
+
 // New starts the platform.
 func New(bin string) (*Site, error) {
 	f, err := fleet.New(bin)
@@ -91,7 +98,7 @@
 	f.Settings = map[string]string{
 		"routes": "source = store", "limits": "memory-mb = 200\nstop-timeout = 6s", "fleet": "heartbeat-interval = 100ms",
 	}
-	return &Site{Fleet: f}, f.StartPlatform()
+	return &Site{Fleet: f, Name: strings.ToLower(rand.Text()[:nameLength])}, f.StartPlatform()
 }
 
 // AddWorker starts a target of a service; more are further flags.
@@ -154,7 +161,7 @@
 	return s.send(to, s.nextID(), method, path, key, body)
 }
 
-func (s *Site) nextID() string { return fmt.Sprintf("q%d", s.sent.Add(1)) }
+func (s *Site) nextID() string { return fmt.Sprintf("q%s%d", s.Name, s.sent.Add(1)) }
 
 func (s *Site) send(to netip.AddrPort, id, method, path, key, body string) *Answer {
 	a := &Answer{ID: id, Path: path, Router: to, Sent: time.Now()}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -166,7 +166,7 @@
 		}
 	}
 	for i := range r.options.Routers {
-		if _, err := r.site.StartRouter(fmt.Sprintf("r%d", i), r.dataCentre(i)); err != nil {
+		if _, err := r.site.StartRouter(fmt.Sprintf("r%d-%s", i, r.site.Name), r.dataCentre(i)); err != nil {
 			return err
 		}
 	}
@@ -190,7 +190,7 @@
 		return nil, err
 	}
 	r.lives++
-	id := fmt.Sprintf("%s-%d", service, r.lives)
+	id := fmt.Sprintf("%s-%s-%d", service, r.site.Name, r.lives)
 	w, err := r.site.AddWorker(id, service, r.dataCentre(dc), "--advertise", p.address().String(), "--drain-time", drain,
 		"--version", versions[r.lives/2%len(versions)])
 	if err != nil {
