--- a/standin/proof/ending_test.go
+++ b/standin/proof/ending_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,34 +26,75 @@
 	targetDown = 200 * time.Millisecond
 )
 
-// revive starts targets again that ended, until the test ends, and counts the ends.
-func revive(t *testing.T, s *routesite.Site) *atomic.Int64 {
+// endings are the times at which targets were seen to have ended.
+type endings struct {
+	mu    sync.Mutex
+	times []time.Time
+	// starting are the targets that are being started again.
+	starting map[*fleet.Target]bool
+}
+
+// Load returns the number of targets that ended.
+func (e *endings) Load() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.times)
+}
+
+// since returns the ends after a time.
+func (e *endings) since(t time.Time) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(e.times), t.After)
+}
+
+// begin notes that a target has ended. It returns false if it is being started again.
+func (e *endings) begin(w *fleet.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.starting[w] || !w.Ended() {
+		return false
+	}
+	e.times = append(e.times, time.Now())
+	e.starting[w] = true
+	return true
+}
+
+// restart starts a target again that was away for a while.
+func (e *endings) restart(w *fleet.Target, down time.Duration) error {
+	time.Sleep(down)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starting[w] = false
+	return w.Restart()
+}
+
+// revive starts targets again some time after they ended, until the test ends, and counts the ends.
+func revive(t *testing.T, s *routesite.Site, down time.Duration) *endings {
 	t.Helper()
-	var ends atomic.Int64
-	var group sync.WaitGroup
+	ends := &endings{starting: make(map[*fleet.Target]bool)}
+	var group, restarts errgroup.Group
 	stop := make(chan struct{})
-	group.Go(func() {
+	group.Go(func() error {
 		for {
 			select {
 			case <-stop:
-				return
+				return nil
 			case <-time.After(10 * time.Millisecond):
 			}
 			for _, w := range s.Workers {
-				if !w.Ended() {
-					continue
-				}
-				ends.Add(1)
-				time.Sleep(targetDown)
-				if err := w.Restart(); err != nil {
-					t.Errorf("start %s again: %v", w.Name, err)
-					return
+				if ends.begin(w) {
+					restarts.Go(func() error { return ends.restart(w, down) })
 				}
 			}
 		}
 	})
-	t.Cleanup(func() { close(stop); group.Wait() })
-	return &ends
+	t.Cleanup(func() {
+		close(stop)
+		group.Wait() //nolint:errcheck // returns none
+		assert.NilError(t, restarts.Wait())
+	})
+	return ends
 }
 
 // TestRequestThatEndsItsTargetsIsBounded was a fault that took a fleet's engines down one
@@ -77,7 +118,7 @@
 			for _, r := range s.Routers {
 				awaitStatus(t, s, r, path, routeKey, 200)
 			}
-			ends := revive(t, s)
+			ends := revive(t, s, targetDown)
 			ask := func(n int) *routesite.Answer {
 				r := s.Routers[n%len(s.Routers)]
 				return s.Repeat(r.Caller, "POST", path, routeKey, worker.EndingBody+" "+path)
@@ -150,7 +191,7 @@
 	for _, r := range s.Routers {
 		awaitStatus(t, s, r, path, routeKey, 200)
 	}
-	ends := revive(t, s)
+	ends := revive(t, s, targetDown)
 	ask := func(r *fleet.Router) *routesite.Answer {
 		return s.Repeat(r.Caller, "POST", path, routeKey, worker.EndingBody)
 	}
--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -152,18 +152,23 @@
 
 // Call sends a request over a connection of its own. No two have the same body.
 func (s *Site) Call(to netip.AddrPort, method, path, key string) *Answer {
+	return s.CallWithParts(to, method, path, key, "aa")
+}
+
+// CallWithParts is Call with the given shared parts of the prompt.
+func (s *Site) CallWithParts(to netip.AddrPort, method, path, key string, parts ...string) *Answer {
 	id := s.nextID()
-	return s.send(to, id, method, path, key, "body of "+id)
+	return s.send(to, id, method, path, key, "body of "+id, parts...)
 }
 
 // Repeat sends a request with a given body, as a caller does that sends it again.
 func (s *Site) Repeat(to netip.AddrPort, method, path, key, body string) *Answer {
-	return s.send(to, s.nextID(), method, path, key, body)
+	return s.send(to, s.nextID(), method, path, key, body, "aa")
 }
 
 func (s *Site) nextID() string { return fmt.Sprintf("q%s%d", s.Name, s.sent.Add(1)) }
 
-func (s *Site) send(to netip.AddrPort, id, method, path, key, body string) *Answer {
+func (s *Site) send(to netip.AddrPort, id, method, path, key, body string, parts ...string) *Answer {
 	a := &Answer{ID: id, Path: path, Router: to, Sent: time.Now()}
 	c, err := net.DialTimeout("tcp", to.String(), time.Second)
 	if err != nil {
@@ -171,11 +176,11 @@
 		return a
 	}
 	defer c.Close() //nolint:errcheck // the answer is known
-	a.Err = a.exchange(c, method, path, key, body)
+	a.Err = a.exchange(c, method, path, key, body, parts)
 	return a
 }
 
-func (a *Answer) exchange(c net.Conn, method, path, key, body string) error {
+func (a *Answer) exchange(c net.Conn, method, path, key, body string, parts []string) error {
 	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
@@ -183,6 +188,7 @@
 	if err != nil {
 		return err
 	}
+	req.Header.Set("Prompt-Prefix", strings.Join(append(parts, a.ID), ":100,")+":100")
 	if err := req.Write(c); err != nil {
 		return err
 	}
@@ -206,7 +212,6 @@
 	req.Header.Set("Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Token-Usage", "900,60")
-	req.Header.Set("Prompt-Prefix", "aa:800,"+id+":100")
 	return req, nil
 }
 
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -77,6 +77,7 @@
 	CallTime   time.Duration `long:"call-time" default:"20ms" description:"time of a call, or until the first event"`
 	Version    string        `long:"version" default:"v1" description:"version of its software"`
 	FailEvery  int           `long:"fail-every" description:"every so many requests run and fail with status 500; 0 for none"`
+	Unframed   int           `long:"unframed-every" description:"every so many responses come with neither length nor chunks; 0 for none"`
 	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
 }
 
@@ -89,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, DataCentre: c.DataCentre, Slots: c.Slots,
+	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, DataCentre: c.DataCentre, Slots: c.Slots,
 		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func() { os.Exit(exitEnded) }})
 	entered := func(listening netip.AddrPort) (netip.AddrPort, error) {
 		if c.Advertise == "" {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -16,7 +16,8 @@
 // The step "run" can be switched; see package fault. Refuse answers that the
 // request was not run, and so does Backoff; the others break the answer after the run
 // began. With the step "say" and the mode Leaving answers say that the worker leaves. A
-// request with EndingBody ends the worker, as some do that engines cannot bear.
+// request with EndingBody ends the worker, and so does a prompt with an EndingPart, as some do that
+// engines cannot bear.
 //
 // GET /arrivals lists all requests, also those that were refused.
 package worker
@@ -67,6 +68,8 @@
 	EventTime time.Duration
 	// CallTime is the time of a plain call, or until the first event.
 	CallTime time.Duration
+	// UnframedEvery has every so many responses come with neither length nor chunks; 0 has none.
+	UnframedEvery int
 	// End ends the process of the worker; nil lets requests that do so end as others.
 	End func()
 }
@@ -171,27 +174,37 @@
 	if w.options.End != nil && bytes.HasPrefix(ctx.PostBody(), []byte(EndingBody)) {
 		w.options.End()
 	}
+	if s, ends := endingStage(ctx); ends && w.options.End != nil {
+		w.endAt(ctx, id, s)
+		return
+	}
 	if f.Mode == fault.DropAnswer {
 		w.end(id, true)
 		fault.Hangup(ctx)
 		return
 	}
 	ctx.Response.Header.Set(headerSeal, Seal(id, w.options.ID))
-	if w.fails() {
+	n := w.count()
+	if w.options.FailEvery > 0 && n%w.options.FailEvery == 0 {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		w.end(id, true)
 		return
 	}
+	unframed := w.options.UnframedEvery > 0 && n%w.options.UnframedEvery == 0 && f.Mode == ""
+	if w.options.Events == 0 && unframed {
+		w.respondUnframed(ctx, id, nil)
+		return
+	}
 	if w.options.Events == 0 {
 		fmt.Fprintf(ctx, "%s %s %s", ctx.Method(), ctx.RequestURI(), id)
 		w.end(id, true)
 		return
 	}
-	w.serveStream(ctx, id, f)
+	w.serveStream(ctx, id, f, unframed)
 }
 
 // serveStream answers with the events after the one that the caller has.
-func (w *Worker) serveStream(ctx *fasthttp.RequestCtx, id string, f fault.Fault) {
+func (w *Worker) serveStream(ctx *fasthttp.RequestCtx, id string, f fault.Fault, unframed bool) {
 	s := &stream{worker: w, id: id, next: 1}
 	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
 		if n, err := fasthttp.ParseUint(last); err == nil {
@@ -201,6 +214,10 @@
 	if f.Mode == fault.Cut {
 		s.cutAfter = max(f.After, 1)
 	}
+	if unframed {
+		w.respondUnframed(ctx, id, s)
+		return
+	}
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStream(s, -1)
 }
@@ -238,12 +255,12 @@
 	return true
 }
 
-// fails reports whether the run that begins fails.
-func (w *Worker) fails() bool {
+// count counts a run, and returns their number.
+func (w *Worker) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.begun++
-	return w.options.FailEvery > 0 && w.begun%w.options.FailEvery == 0
+	return w.begun
 }
 
 func (w *Worker) end(id string, whole bool) {
