Parts of prompts under which targets end are barred, not only whole contents

Cause: the quarantine knows requests by their whole content, so each of them was a first loss. Ruled out: repeats of one request (no fingerprint at two ends); chance (a chat of that customer with a head and no byte of its body at 12 of 13 ends). Change: a suspect is an attribute of requests, their content or a part of their prompts that others may share. A loss counts against a part while the response has not begun or began less than a second before. Losses within 100 ms are one moment; three moments bar it. A response that was written for a second, or completely, clears it and covers it for 5 to 10 s; a router that is told of a suspect and knows of such a response tells all. Barred for the customers with losses, for all once there are two. Barred and heavier suspects are announced first. A router with losses of an attribute also has it written when losses of others bar it (before: nobody did), and marks the row as cleared when it is cleared. Weighed: customers in the key (each ends three targets of its own); any loss counts (streams that were well under way blame their parts); four losses without moments (a reset of all connections of a router bars what they have in common).

--- a/contact/contact.go
+++ b/contact/contact.go
@@ -182,6 +182,9 @@
 // SendSuspects notifies other routers of requests under which targets ended, if there are any to
 // report, and returns the cost in bytes.
 func (c *Contact) SendSuspects(to ...netip.AddrPort) (cost int) {
+	if len(to) == 0 {
+		return 0
+	}
 	if hb := c.options.Quarantine.NextHeartbeat(); hb != nil {
 		_, cost = c.Send(hb, to...)
 	}
--- a/contact/contact_test.go
+++ b/contact/contact_test.go
@@ -124,10 +124,10 @@
 	assert.Equal(t, b.SendSuspects(addressOf(0)), 0, "no suspects to send")
 	content := &quarantine.Content{Customer: "c", Body: []byte("x")}
 	for i := range 2 {
-		b.options.Quarantine.RecordLoss(content, quarantine.Loss{Target: quarantine.IncarnationHash(i + 1)})
+		b.options.Quarantine.RecordLoss(content, quarantine.IncarnationHash(i+1), quarantine.NotBegun)
 	}
 	assert.Equal(t, b.SendSuspects(addressOf(0)), 100)
-	assert.Assert(t, a.options.Quarantine.Barred(content))
+	assert.Assert(t, a.options.Quarantine.Barred(content) != nil)
 	assert.Equal(t, len(a.Heartbeats()), 0)
 }
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -7,7 +7,7 @@
 // what they had lost or were cut off from, such as the store. Such lines that were
 // written while the request was handled are printed among its own. If lines of the
 // request contain a fingerprint of its content, the lines of other requests with the
-// same fingerprint are printed before it.
+// same fingerprint, or with the part of the prompt that it was refused for, are printed before it.
 //
 // # Usage
 //
@@ -59,7 +59,11 @@
 	subject string
 	// fingerprint identifies the content of a request; it is empty in lines without it.
 	fingerprint string
-	fields      []field
+	// part is the part of the prompt because of which a request was refused, parts are those that
+	// its prompt shares with others.
+	part   string
+	parts  []string
+	fields []field
 }
 
 // Timeline collects the lines of one request and their context.
@@ -158,9 +162,7 @@
 		x.request = value
 	case "level":
 	default:
-		if name == fieldFingerprint {
-			x.fingerprint = value
-		}
+		x.setContent(name, value, v)
 		if slices.Contains(subjects, name) {
 			x.subject = value
 		}
@@ -168,6 +170,20 @@
 	}
 }
 
+// setContent stores a field that tells what the request asks for.
+func (x *line) setContent(name, value string, v *fastjson.Value) {
+	switch name {
+	case fieldFingerprint:
+		x.fingerprint = value
+	case "part":
+		x.part = value
+	case "parts":
+		for _, id := range v.GetArray() {
+			x.parts = append(x.parts, string(id.GetStringBytes()))
+		}
+	}
+}
+
 // Write prints the timeline of the request.
 func (t *Timeline) Write(out io.Writer) error {
 	if len(t.own) == 0 {
@@ -216,11 +232,13 @@
 	return x.host + "/" + topic + "/" + x.subject
 }
 
-// sameContent returns the lines of other requests that have a fingerprint of this
-// request, in the order of time and with the id of their request.
+// sameContent returns the lines of other requests that have a fingerprint of this request, or the part
+// because of which it was refused, in the order of time and with the id of their request.
 func (t *Timeline) sameContent() []line {
 	own := t.fingerprints()
-	others := slices.DeleteFunc(slices.Clone(t.otherRequests), func(x line) bool { return !own[x.fingerprint] })
+	others := slices.DeleteFunc(slices.Clone(t.otherRequests), func(x line) bool {
+		return !own[x.fingerprint] && !slices.ContainsFunc(t.own, func(o line) bool { return o.part != "" && slices.Contains(x.parts, o.part) })
+	})
 	sortByTime(others)
 	for i := range others {
 		others[i].fields = append([]field{{"request", others[i].request}}, others[i].fields...)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -67,6 +67,28 @@
 `)
 }
 
+// TestTimelineIncludesAttemptsWithSamePart checks a request that is refused because of a part of its
+// prompt, under which targets terminated that ran others.
+func TestTimelineIncludesAttemptsWithSamePart(t *testing.T) {
+	const log = `
+{"level":"info","host":"r1","request":"a","target":"t1","fingerprint":"f1","parts":["p0","p1"],"time":"2026-01-01T10:00:01Z","message":"attempt failed"}
+{"level":"info","host":"r1","request":"x","target":"t1","fingerprint":"f3","parts":["p0"],"time":"2026-01-01T10:00:01Z","message":"attempt failed"}
+{"level":"warn","host":"r1","request":"a","fingerprint":"fp","part":"p1","target":"t1","time":"2026-01-01T10:00:02Z","message":"request barred: targets ended while they ran it"}
+{"level":"info","host":"r1","request":"q","status":503,"reason":"ends_targets","fingerprint":"fp","part":"p1","time":"2026-01-01T10:00:03Z","message":"request refused"}
+`
+	timeline := NewTimeline("q")
+	assert.NilError(t, timeline.Read(strings.NewReader(log)))
+	var out strings.Builder
+	assert.NilError(t, timeline.Write(&out))
+	assert.Equal(t, out.String(), `what the routers knew before:
+other tries of what it asks for:
+     -2.000s r1 attempt failed request=a target=t1 fingerprint=f1 parts=["p0","p1"]
+     -1.000s r1 request barred: targets ended while they ran it request=a fingerprint=fp part=p1 target=t1
+request q:
+     +0.000s r1 request refused status=503 reason=ends_targets fingerprint=fp part=p1
+`)
+}
+
 func TestUnknownRequestIsAnError(t *testing.T) {
 	timeline := NewTimeline("none")
 	assert.NilError(t, timeline.Read(strings.NewReader(log1)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,12 +42,15 @@
 	"zinccove.example/zinccove/settings"
 )
 
-// Options configure a gateway. All fields are required.
+// Options configure a gateway. All fields but Reachable are required.
 type Options struct {
 	Settings *settings.Settings
 	Clock    clockwork.Clock
 	// Out receives the log.
 	Out io.Writer
+	// Reachable reports whether datagrams reach another router. Tests use it to simulate a cut; nil
+	// means that all are sent.
+	Reachable func(netip.AddrPort) bool
 }
 
 // Gateway is a running router.
@@ -202,7 +205,7 @@
 	g.serves.Store(true)
 	g.logs.setKeeping(true)
 	g.loop = newLoop(g)
-	if err := g.start(); err != nil {
+	if err := g.start(o.Reachable); err != nil {
 		return nil, errors.Join(err, g.metrics.Close(), l.Close())
 	}
 	return g, nil
@@ -210,10 +213,10 @@
 
 // start opens the addresses in such an order that no part receives requests before the parts that
 // it depends on are ready.
-func (g *Gateway) start() error {
+func (g *Gateway) start(reachable func(netip.AddrPort) bool) error {
 	var err error
 	s := g.settings
-	g.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: g.clock, Key: []byte(s.FleetKey), Receive: g.loop.receive})
+	g.transport, err = peer.Listen(peer.Options{Address: s.ListenPeer, Clock: g.clock, Key: []byte(s.FleetKey), Receive: g.loop.receive, Reachable: reachable})
 	if err != nil {
 		return err
 	}
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -86,7 +86,7 @@
 
 // acquire waits in the queue for a slot.
 func (f *flow) acquire() *Refusal {
-	if f.server.options.Quarantine.Barred(&f.content) {
+	if f.server.options.Quarantine.Barred(&f.content) != nil {
 		f.server.options.Metrics.Inc(metric.RequestsBarred)
 		return f.giveUp(refuse(CodeEndsTargets, "targets ended while they ran this request, so it is not run again"))
 	}
@@ -190,7 +190,7 @@
 		return f.withOutcome(refuse(CodeCallerGone, "the caller went away"))
 	}
 	if fail.ConnectionLost() {
-		f.server.options.Quarantine.RecordLoss(&f.content, quarantine.Loss{Target: f.server.incarnations.of(f.slot.Target().Number, now), Partial: f.partial})
+		f.server.options.Quarantine.RecordLoss(&f.content, f.server.incarnations.of(f.slot.Target().Number, now), f.progress())
 	}
 	f.release(dispatchResults[fail.Kind])
 	if f.request.Fail(fail.Kind, now, f.server.retries.TryWithdraw) == request.Retry {
@@ -203,6 +203,14 @@
 	return f.withOutcome(failureRefusal(fail))
 }
 
+// progress returns how far the target of the current attempt was with its response.
+func (f *flow) progress() quarantine.Progress {
+	if f.partial {
+		return quarantine.Begun
+	}
+	return quarantine.NotBegun
+}
+
 // recordResponse records that the complete response was received.
 func (f *flow) recordResponse() {
 	f.request.Answer()
--- a/metric/names.go
+++ b/metric/names.go
@@ -47,6 +47,7 @@
 	QuestionsOpen
 	EntriesRejected
 	RequestsBarred
+	RequestsBarredByPart
 	StoreWentBack
 	Suspensions
 	NoticesLeaving
@@ -91,7 +92,8 @@
 	FollowersServed:      {"followers_served", "Calls of other routers that follow a table of the store through this one."},
 	QuestionsOpen:        {"questions_open", "Questions about targets that another router did not answer in time."},
 	EntriesRejected:      {"entries_rejected", "*alarm* Entries of targets that could not be read; such a target gets nothing new until a good entry follows."},
-	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them."},
+	RequestsBarred:       {"requests_barred", "*alarm* Requests refused because targets ended under earlier tries of them, or under others with the same part of their prompts."},
+	RequestsBarredByPart: {"requests_barred_by_part", "*alarm* Those of requests_barred that are refused because of a part of their prompts."},
 	StoreWentBack:        {"store_went_back", "*alarm* Times that the store came back from a copy that lacks its latest writes."},
 	Suspensions:          {"suspensions", "*alarm* Times that this host was suspended; its steady clock stood still."},
 	NoticesLeaving:       {"notices_leaving", "Targets that said in an answer that they leave, before this router knew."},
@@ -127,8 +129,8 @@
 	ControlCPUSeconds: {"control_cpu_seconds", "Time spent in the control loop and on heartbeats since the start; processor time is at most this."},
 	HeartbeatsForged:  {"heartbeats_forged", "*alarm* Datagrams without a valid fleet key since the start."},
 	RoutesAge:         {"routes_age_seconds", "Time since the store last answered about the configuration; a held feed makes some seconds."},
-	SuspectsKnown:     {"suspects_known", "Contents of requests under which targets ended lately."},
-	BarredKnown:       {"barred_known", "*alarm* Contents of requests that are barred from targets, as enough of them ended."},
+	SuspectsKnown:     {"suspects_known", "Contents of requests, and parts of prompts, under which targets ended lately."},
+	BarredKnown:       {"barred_known", "*alarm* Contents of requests, and parts of prompts, that are barred from targets, as enough of them ended."},
 	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
 }
 
--- a/quarantine/persister.go
+++ b/quarantine/persister.go
@@ -15,12 +15,12 @@
 	"zinccove.example/zinccove/platform"
 )
 
-// Persister stores barred requests in the platform's table, so that they stay barred when all
-// routers lose their lists at once. The router whose loss barred a request writes it; every
-// router reads the rows once, when it starts.
+// Persister stores barred attributes in the platform's table, so that they stay barred when all
+// routers lose their lists at once. The routers that recorded losses of one write it, and mark the
+// row as cleared if it got a response; every router reads the rows once, when it starts.
 //
 // A row is named by the first byte of a fingerprint: there are never more than 256 rows, and
-// none needs to be removed. A newer request replaces one with the same byte, which the running
+// none needs to be removed. A newer attribute replaces one with the same byte, which the running
 // routers still have in their lists.
 type Persister struct {
 	List    *List
@@ -33,7 +33,10 @@
 // record is the value of a row.
 type record struct {
 	Fingerprint string `json:"fingerprint"`
-	Losses      []Loss `json:"losses"`
+	// Part reports that the attribute is a part of prompts.
+	Part bool `json:"part,omitempty"`
+	// Losses are empty once the attribute was cleared.
+	Losses []Loss `json:"losses"`
 	// LostUnixMs is when the last of the targets ended.
 	LostUnixMs int64 `json:"lost_unix_ms"`
 }
@@ -104,20 +107,35 @@
 
 func (r *record) suspect(now time.Time) *zinccovev1.Suspect {
 	f, _ := hex.DecodeString(r.Fingerprint) //nolint:errcheck // Merge skips what is no fingerprint
-	m := &zinccovev1.Suspect{Fingerprint: f, AgeMs: uint64(max(now.UnixMilli()-r.LostUnixMs, 0))}
+	m := &zinccovev1.Suspect{Fingerprint: f, AgeMs: uint64(max(now.UnixMilli()-r.LostUnixMs, 0)), Part: r.Part}
 	for _, loss := range r.Losses {
 		m.Targets = append(m.Targets, uint32(loss.Target))
 		m.Partial = append(m.Partial, loss.Partial)
+		m.Customers = append(m.Customers, uint32(loss.Customer))
+		m.AgesMs = append(m.AgesMs, uint32(ageMs(loss.At, now)))
 	}
 	return m
 }
 
-// save writes the row of a request.
+// save writes the row of an attribute, or marks it as cleared if it still is the one that the row
+// holds.
 func (k *Persister) save(ctx context.Context, s suspect) error {
-	value, err := json.Marshal(record{Fingerprint: s.fingerprint.String(), Losses: s.losses, LostUnixMs: s.changed.UnixMilli()})
+	key := rowPrefix + hex.EncodeToString(s.fingerprint[:1])
+	r := record{Fingerprint: s.fingerprint.String(), Part: s.part, Losses: s.losses, LostUnixMs: s.changed.UnixMilli()}
+	if s.answered {
+		rows, err := k.Table.List(ctx, key, 1, false)
+		if err != nil {
+			return errs.Wrap(err, "read barred request", "")
+		}
+		var written record
+		if len(rows) == 0 || json.Unmarshal(rows[0].Value, &written) != nil || written.Fingerprint != r.Fingerprint {
+			return nil
+		}
+		r.Losses = nil
+	}
+	value, err := json.Marshal(r)
 	if err != nil {
 		return errs.Wrap(err, "encode barred request", "")
 	}
-	key := rowPrefix + hex.EncodeToString(s.fingerprint[:1])
 	return errs.Wrap(k.Table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}}), "write barred request", "")
 }
--- a/quarantine/persister_test.go
+++ b/quarantine/persister_test.go
@@ -63,14 +63,14 @@
 	before, c := New(clock), contentOf("ends")
 	stop := startPersister(t, before, m.Table(), clock)
 	for target := range IncarnationHash(2) {
-		before.RecordLoss(c, lossWithoutResponse(target))
+		loses(before, c, target)
 	}
 	eventually(t, "the request is written", func() bool { return m.Writes() == 1 })
 	stop()
 	after := New(clock)
 	startPersister(t, after, m.Table(), clock)
-	eventually(t, "the request is barred", func() bool { return after.Barred(c) })
-	assert.Assert(t, !after.Barred(contentOf("another")))
+	eventually(t, "the request is barred", func() bool { return bars(after, c) })
+	assert.Assert(t, !bars(after, contentOf("another")))
 }
 
 // TestInvalidAndExpiredRowsBarNothing also covers a row with a time in the future, which other
@@ -89,8 +89,8 @@
 	l := New(clock)
 	k := newPersister(t, l, m.Table(), clock)
 	assert.NilError(t, k.load(ctx))
-	assert.Assert(t, !l.Barred(c))
-	assert.Assert(t, l.Barred(contentOf("ahead")))
+	assert.Assert(t, !bars(l, c))
+	assert.Assert(t, bars(l, contentOf("ahead")))
 	_, barred := l.Counts()
 	assert.Equal(t, barred, 1)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -12,8 +12,16 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 )
 
-// lossWithoutResponse is the loss of a target that had not begun to respond.
-func lossWithoutResponse(t IncarnationHash) Loss { return Loss{Target: t} }
+// loses records that a target ended that had not begun to respond, and losesPartly one that had. They
+// report whether the request is barred by that.
+func loses(l *List, c *Content, t IncarnationHash) bool { return len(l.RecordLoss(c, t, NotBegun)) > 0 }
+
+func losesPartly(l *List, c *Content, t IncarnationHash) bool {
+	return len(l.RecordLoss(c, t, Begun)) > 0
+}
+
+// bars reports whether a list bars a request.
+func bars(l *List, c *Content) bool { return l.Barred(c) != nil }
 
 func contentOf(body string) *Content { return &Content{Customer: "c", Body: []byte(body)} }
 
@@ -42,18 +50,18 @@
 	lists, _ := newLists(3)
 	f := contentOf("ends")
 	assert.Assert(t, !lists[0].any())
-	assert.Assert(t, !lists[0].RecordLoss(f, lossWithoutResponse(1)))
+	assert.Assert(t, !loses(lists[0], f, 1))
 	exchangeHeartbeats(lists...)
 	for _, l := range lists {
-		assert.Assert(t, l.any() && !l.Barred(f))
+		assert.Assert(t, l.any() && !bars(l, f))
 	}
-	assert.Assert(t, !lists[1].RecordLoss(f, lossWithoutResponse(1)), "the same incarnation of a target counts once")
-	assert.Assert(t, lists[1].RecordLoss(f, lossWithoutResponse(2)))
+	assert.Assert(t, !loses(lists[1], f, 1), "the same incarnation of a target counts once")
+	assert.Assert(t, loses(lists[1], f, 2))
 	<-lists[1].Changed()
 	exchangeHeartbeats(lists...)
 	for _, l := range lists {
-		assert.Assert(t, l.Barred(f))
-		assert.Assert(t, !l.Barred(contentOf("another")))
+		assert.Assert(t, bars(l, f))
+		assert.Assert(t, !bars(l, contentOf("another")))
 	}
 }
 
@@ -63,7 +71,7 @@
 	lists, clock := newLists(3)
 	for n := range 2 * repeatCount {
 		for loss := range 2 {
-			lists[0].RecordLoss(contentOf(fmt.Sprint(n)), lossWithoutResponse(IncarnationHash(loss)))
+			loses(lists[0], contentOf(fmt.Sprint(n)), IncarnationHash(loss))
 		}
 	}
 	for range announceCount {
@@ -75,7 +83,7 @@
 		exchangeHeartbeats(lists[1], lists[2], starts)
 	}
 	for n := range 2 * repeatCount {
-		assert.Assert(t, starts.Barred(contentOf(fmt.Sprint(n))), "request %d", n)
+		assert.Assert(t, bars(starts, contentOf(fmt.Sprint(n))), "request %d", n)
 	}
 }
 
@@ -101,22 +109,22 @@
 		clock.Advance(3 * time.Second)
 		for target := range IncarnationHash(3) {
 			for _, l := range lists {
-				l.RecordLoss(f, lossWithoutResponse(target))
+				loses(l, f, target)
 			}
 		}
 		exchangeHeartbeats(lists...)
 		for i, l := range lists[:3] {
-			assert.Assert(t, !l.Barred(f), "router %d", i)
+			assert.Assert(t, !bars(l, f), "router %d", i)
 		}
 		exchangeHeartbeats(lists...)
-		assert.Assert(t, !lists[3].Barred(f))
+		assert.Assert(t, !bars(lists[3], f))
 	}
 }
 
 func TestResponseClearsSuspectEverywhere(t *testing.T) {
 	lists, clock := newLists(3)
 	f := contentOf("unlucky")
-	lists[0].RecordLoss(f, lossWithoutResponse(1))
+	loses(lists[0], f, 1)
 	exchangeHeartbeats(lists...)
 	lists[2].RecordResponse(f)
 	exchangeHeartbeats(lists...)
@@ -124,21 +132,21 @@
 		assert.Assert(t, !l.any())
 	}
 	clock.Advance(2 * clearedTTL)
-	assert.Assert(t, !lists[1].RecordLoss(f, lossWithoutResponse(2)), "losses before the response do not count")
+	assert.Assert(t, !loses(lists[1], f, 2), "losses before the response do not count")
 }
 
 func TestLateReportKeepsAge(t *testing.T) {
 	lists, clock := newLists(2)
 	f := contentOf("ends")
 	for target := range IncarnationHash(2) {
-		lists[0].RecordLoss(f, lossWithoutResponse(target))
+		loses(lists[0], f, target)
 	}
 	clock.Advance(suspectTTL - time.Second)
 	lists[1].Merge(lists[0].NextHeartbeat().GetSuspects())
-	assert.Assert(t, lists[1].Barred(f))
+	assert.Assert(t, bars(lists[1], f))
 	clock.Advance(time.Second)
 	for _, l := range lists {
-		assert.Assert(t, !l.Barred(f))
+		assert.Assert(t, !bars(l, f))
 		l.NextHeartbeat()
 		assert.Assert(t, !l.any())
 	}
@@ -149,19 +157,19 @@
 	lists, _ := newLists(1)
 	l, f := lists[0], contentOf("ends")
 	for target := range IncarnationHash(2) {
-		l.RecordLoss(f, lossWithoutResponse(target))
+		loses(l, f, target)
 	}
 	for n := range 2 * maxSuspects {
-		l.RecordLoss(contentOf(fmt.Sprint(n)), lossWithoutResponse(1))
+		loses(l, contentOf(fmt.Sprint(n)), 1)
 	}
-	assert.Assert(t, l.Barred(f))
+	assert.Assert(t, bars(l, f))
 	suspected, barred := l.Counts()
 	assert.Equal(t, suspected, maxSuspects)
 	assert.Equal(t, barred, 1)
 	for n := range maxAnswered * 2 {
 		l.RecordResponse(contentOf(fmt.Sprint("answer", n)))
 	}
-	assert.Assert(t, len(l.answers) <= maxAnswered)
+	assert.Assert(t, len(l.contents.current) <= maxAnswered)
 }
 
 func TestInvalidSuspectsAreHandled(t *testing.T) {
@@ -179,7 +187,7 @@
 	})
 	assert.Assert(t, !l.any())
 	l.Merge([]*zinccovev1.Suspect{{Fingerprint: f[:], Targets: many}})
-	assert.Assert(t, l.Barred(c))
+	assert.Assert(t, bars(l, c))
 	assert.Equal(t, len(l.suspects[f].losses), maxLosses)
 }
 
@@ -193,14 +201,14 @@
 	for beat := range 60 {
 		for range 10 {
 			l := lists[random.IntN(routers)]
-			if l.Barred(f) {
+			if bars(l, f) {
 				continue
 			}
 			all++
 			if third >= 0 && beat > third+2 {
 				late++
 			}
-			l.RecordLoss(f, lossWithoutResponse(IncarnationHash(all)))
+			loses(l, f, IncarnationHash(all))
 		}
 		if all >= 3 && third < 0 {
 			third = beat
@@ -234,11 +242,11 @@
 func BenchmarkBarred(b *testing.B) {
 	l := New(clockwork.NewRealClock())
 	for n := range 100 {
-		l.RecordLoss(contentOf(fmt.Sprint(n)), lossWithoutResponse(1))
+		loses(l, contentOf(fmt.Sprint(n)), 1)
 	}
 	f := contentOf("5")
 	for b.Loop() {
-		l.Barred(f)
+		bars(l, f)
 	}
 }
 
@@ -258,13 +266,13 @@
 	lists, _ := newLists(2)
 	stream := contentOf("stream")
 	for target := range IncarnationHash(3) {
-		assert.Assert(t, !lists[0].RecordLoss(stream, Loss{Target: target, Partial: true}))
+		assert.Assert(t, !losesPartly(lists[0], stream, target))
 	}
 	exchangeHeartbeats(lists...)
-	assert.Assert(t, !lists[1].Barred(stream))
-	assert.Assert(t, lists[1].RecordLoss(stream, Loss{Target: 3, Partial: true}), "the fourth one")
+	assert.Assert(t, !bars(lists[1], stream))
+	assert.Assert(t, losesPartly(lists[1], stream, 3), "the fourth one")
 	mixed := contentOf("mixed")
-	assert.Assert(t, !lists[0].RecordLoss(mixed, Loss{Target: 1, Partial: true}))
-	assert.Assert(t, !lists[0].RecordLoss(mixed, lossWithoutResponse(1)), "of two reports on one incarnation the one with the greater weight counts")
-	assert.Assert(t, lists[0].RecordLoss(mixed, lossWithoutResponse(2)))
+	assert.Assert(t, !losesPartly(lists[0], mixed, 1))
+	assert.Assert(t, !loses(lists[0], mixed, 1), "of two reports on one incarnation the one with the greater weight counts")
+	assert.Assert(t, loses(lists[0], mixed, 2))
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,9 +31,8 @@
 // resumed. The refusal is set if there is no target.
 func (f *flight) attempt(ctx *fasthttp.RequestCtx, lastEvent string) (*response, *target.Failure, *refusal) {
 	s := f.server
-	if s.options.Quarantine.Barred(f.requestContent()) {
-		s.options.Metrics.Inc(metric.RequestsBarred)
-		return nil, nil, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonEndsTargets}
+	if r := f.refuseBarred(); r != nil {
+		return nil, nil, r
 	}
 	d := f.place()
 	if d.Run == nil {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -76,6 +76,8 @@
 	// set on first use.
 	header  *fasthttp.RequestHeader
 	content *quarantine.Content
+	// barred is the attribute because of which the request was refused.
+	barred *quarantine.Attribute
 	// run is the current attempt.
 	run *place.Run
 	// notice is what the target of the current attempt reported about itself.
--- a/relay/log.go
+++ b/relay/log.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/target"
 )
 
@@ -92,6 +93,15 @@
 	return e
 }
 
+// withAttribute adds the attribute because of which requests are barred.
+func withAttribute(e *zerolog.Event, a *quarantine.Attribute) *zerolog.Event {
+	e = e.Stringer("fingerprint", a.Fingerprint)
+	if a.Part != "" {
+		e = e.Str("part", a.Part)
+	}
+	return e
+}
+
 // logNotice begins a line about a notice of the target of the current attempt.
 func (s *Server) logNotice(f *flight, resp *response) *zerolog.Event {
 	t := f.run.Target
@@ -113,7 +123,7 @@
 	case string(place.BackingOff):
 		e = e.Str("first", f.decision.FirstAvailable)
 	case reasonEndsTargets:
-		e = f.withContent(e)
+		e = withAttribute(e, f.barred)
 	case reasonRouterBusy:
 		e = e.Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).Float64("rate", s.throttle.current()).Int("dispatching", s.throttle.waiting())
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/target"
 )
@@ -34,6 +35,8 @@
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
 	began     bool
+	// advanced is set once the current target has sent events for a while.
+	advanced bool
 	// events is the number of events that the current target sent.
 	events int
 	// err is the end of the stream; io.EOF after a complete one.
@@ -140,6 +143,10 @@
 		s.ready = len(s.buffer)
 		return
 	}
+	if !s.advanced && f.responding() >= quarantine.BeginPeriod {
+		s.advanced = true
+		f.clearParts()
+	}
 	end := endOfEvents(s.buffer)
 	if end > s.ready {
 		s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
@@ -179,6 +186,9 @@
 	s.flight.run.End(place.Answered)
 	s.flight.recordOutcome(rollout.Outcome{Duration: s.flight.sinceSent(), Size: float64(s.events + firstEventSize)})
 	s.flight.clear(s.body)
+	if !s.large && s.body.framed() {
+		s.flight.clearParts()
+	}
 	s.flight.releaseConn(s.link, s.resp, s.body, s.sent)
 }
 
@@ -216,7 +226,7 @@
 	s.flight.server.options.Metrics.Inc(metric.StreamsResumed)
 	s.link, s.resp, s.body, s.sent = resp.stream.link, resp, resp.stream.body, resp.stream.sent
 	s.buffer = s.buffer[:s.ready]
-	s.began, s.events = false, 0
+	s.began, s.advanced, s.events = false, false, 0
 }
 
 // disconnect closes the connection to the target.
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"github.com/valyala/fasthttp"
+
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/target"
@@ -11,22 +14,49 @@
 func (f *flight) requestContent() *quarantine.Content {
 	if f.content == nil {
 		f.content = &quarantine.Content{
-			Customer: f.customer, Method: f.header.Method(), Host: f.header.Host(), URI: f.header.RequestURI(), Body: f.body,
+			Customer: f.customer, Method: f.header.Method(), Host: f.header.Host(), URI: f.header.RequestURI(), Body: f.body, Service: f.service,
+		}
+		for _, p := range f.call.SharedParts() {
+			f.content.Parts = append(f.content.Parts, p.ID)
 		}
 	}
 	return f.content
 }
 
+// refuseBarred refuses a request that must not reach any target; nil if it may.
+func (f *flight) refuseBarred() *refusal {
+	f.barred = f.server.options.Quarantine.Barred(f.requestContent())
+	if f.barred == nil {
+		return nil
+	}
+	f.server.options.Metrics.Inc(metric.RequestsBarred)
+	if f.barred.Part != "" {
+		f.server.options.Metrics.Inc(metric.RequestsBarredByPart)
+	}
+	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonEndsTargets}
+}
+
+// progress returns how far the target of the current attempt was with its response.
+func (f *flight) progress(partial bool) quarantine.Progress {
+	switch {
+	case f.responding() >= quarantine.BeginPeriod:
+		return quarantine.Advanced
+	case partial:
+		return quarantine.Begun
+	}
+	return quarantine.NotBegun
+}
+
 // recordLoss counts a target that ended while the request may have been running there; partial
 // reports that it had begun to respond.
 func (f *flight) recordLoss(fail *target.Failure, partial bool) {
 	if !fail.ConnectionLost() || f.interrupted() != causeNone {
 		return
 	}
-	loss := quarantine.Loss{Target: quarantine.IncarnationHash(place.HashOf(f.run.Incarnation())), Partial: partial}
-	if f.server.options.Quarantine.RecordLoss(f.requestContent(), loss) {
-		f.server.requestEvent(f.server.options.Log.Warn(), f).Stringer("fingerprint", f.requestContent().Fingerprint()).
-			Str("target", f.run.Target.ID).Msg("request barred: targets ended while they ran it")
+	lost := quarantine.IncarnationHash(place.HashOf(f.run.Incarnation()))
+	for _, a := range f.server.options.Quarantine.RecordLoss(f.requestContent(), lost, f.progress(partial)) {
+		withAttribute(f.server.requestEvent(f.server.options.Log.Warn(), f), &a).Str("target", f.run.Target.ID).
+			Msg("request barred: targets ended while they ran it")
 	}
 }
 
@@ -37,3 +67,9 @@
 		f.server.options.Quarantine.RecordResponse(f.requestContent())
 	}
 }
+
+// clearParts clears the parts of a prompt on which a target wrote a response for a while, or to its
+// end.
+func (f *flight) clearParts() {
+	f.server.options.Quarantine.RecordWritten(f.requestContent())
+}
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -59,6 +61,47 @@
 	}
 }
 
+// promptHeader returns the header with the parts of a prompt; the last one belongs to the request.
+func promptHeader(parts ...string) string {
+	return "Prompt-Prefix: " + strings.Join(parts, ":10,") + ":10"
+}
+
+// TestPartUnderWhichTargetsEndedIsRefused sends different requests that share a part of their prompts
+// which ends the targets, and sound ones that share the part before it.
+func TestPartUnderWhichTargetsEndedIsRefused(t *testing.T) {
+	var targets []*fakeTarget
+	for i := range 8 {
+		var f *fakeTarget
+		f = newTarget(t, fmt.Sprint("t", i), func(a *arrival, c net.Conn) bool {
+			if strings.Contains(string(a.header.Peek("Prompt-Prefix")), "bad") {
+				f.listener.Close()
+				return false
+			}
+			beginStream(a, c)
+			event(c, 1)
+			return endStream(c)
+		})
+		targets = append(targets, f)
+	}
+	s := newTestServer(t, targets...)
+	var last *result
+	for i := range 10 {
+		assert.Equal(t, s.do(t, "POST", "/model/", fmt.Sprint("sound", i), "x", promptHeader("first", fmt.Sprint("sound", i))).header.StatusCode(), 200)
+		last = s.do(t, "POST", "/model/", fmt.Sprint("r", i), fmt.Sprint("body", i), promptHeader("first", "bad", fmt.Sprint("r", i)))
+		time.Sleep(110 * time.Millisecond) // so that ends count one by one
+	}
+	ended := 0
+	for _, f := range targets {
+		if _, err := net.Dial("tcp", f.listener.Addr().String()); err != nil {
+			ended++
+		}
+	}
+	assert.Equal(t, ended, 3)
+	assert.Equal(t, last.header.StatusCode(), 503)
+	assert.Equal(t, last.body, reasonEndsTargets+"\n")
+	assert.Equal(t, len(last.header.Peek("Retry-After")), 0)
+}
+
 // TestInvalidResponsesDoNotBarRequests has targets send responses that cannot be parsed, or
 // that belong to another request: that is no evidence about the request.
 func TestInvalidResponsesDoNotBarRequests(t *testing.T) {
--- a/standin/proof/parts_test.go
+++ b/standin/proof/parts_test.go
@@ -31,6 +31,8 @@
 	// calmTime is how long only sound callers come; then the others come for badTime.
 	calmTime = 4 * time.Second
 	badTime  = 14 * time.Second
+	// disturbAfter is when routers fail: some engines have ended under the part then.
+	disturbAfter = 200 * time.Millisecond
 	// minBegun is the share of sound streams that begin at their first attempt, relative to the time
 	// before the part came.
 	minBegun = 0.95
@@ -54,6 +56,7 @@
 	t.Helper()
 	site, err := routesite.New(bin)
 	assert.NilError(t, err)
+	site.RouterProgram = fleet.TestRouter
 	t.Cleanup(func() {
 		site.Close()
 		for _, r := range site.Routers {
@@ -141,7 +144,7 @@
 	return float64(begun) / float64(max(all, 1))
 }
 
-// play has the callers come, and disturb happen a second after the first end, and returns the
+// play has the callers come, and disturb happen once others have come for disturbAfter, and returns the
 // number of engines that ended later than contactTime after the fifth, and the shares of sound streams
 // that began before and after.
 func (f *partFleet) play(t *testing.T, disturb func()) (late int, before, after float64) {
@@ -156,7 +159,7 @@
 	})
 	if disturb != nil {
 		g.Go(func() error {
-			time.Sleep(time.Until(bad.Add(time.Second)))
+			time.Sleep(time.Until(bad.Add(disturbAfter)))
 			disturb()
 			return nil
 		})
@@ -175,18 +178,31 @@
 	return late, before, after
 }
 
-// TestPartThatEndsEnginesIsBounded ends engines in each way in which a response can break off.
+// check plays and checks the bounds.
+func (f *partFleet) check(t *testing.T, disturb func()) {
+	t.Helper()
+	late, before, after := f.play(t, disturb)
+	assert.Assert(t, late <= endsAllowed, "%d engines ended later", late)
+	assert.Assert(t, after >= minBegun*before, "%.3f of the sound streams began, %.3f before", after, before)
+}
+
+// TestPartThatEndsEnginesIsBounded ends engines in each way in which a framed response can break off.
 func TestPartThatEndsEnginesIsBounded(t *testing.T) {
-	for _, stage := range worker.Stages {
+	for _, stage := range []worker.Stage{worker.BeforeHead, worker.AfterHead, worker.AfterEvent, worker.WithLength} {
+		t.Run(string(stage), func(t *testing.T) {
+			t.Parallel()
+			newPartFleet(t, stage).check(t, nil)
+		})
+	}
+}
+
+// TestPartThatEndsEnginesWithoutFramingIsBounded ends engines whose responses have neither length nor
+// chunks, as have half of the others.
+func TestPartThatEndsEnginesWithoutFramingIsBounded(t *testing.T) {
+	for _, stage := range []worker.Stage{worker.UnframedHead, worker.InsideEvent, worker.AtBorder} {
 		t.Run(string(stage), func(t *testing.T) {
 			t.Parallel()
-			var flags []string
-			if slices.Contains([]worker.Stage{worker.UnframedHead, worker.InsideEvent, worker.AtBorder}, stage) {
-				flags = []string{"--unframed-every", "2"}
-			}
-			late, before, after := newPartFleet(t, stage, flags...).play(t, nil)
-			assert.Assert(t, late <= endsAllowed, "%d engines ended later", late)
-			assert.Assert(t, after >= minBegun*before, "%.3f of the sound streams began, %.3f before", after, before)
+			newPartFleet(t, stage, "--unframed-every", "2").check(t, nil)
 		})
 	}
 }
@@ -198,13 +214,12 @@
 		"all":     func(t *testing.T, f *partFleet) { f.restart(t, 6) },
 		"paused":  func(t *testing.T, f *partFleet) { f.pause(t, 2, 3*time.Second) },
 		"started": func(t *testing.T, f *partFleet) { f.add(t) },
+		"cut off": func(t *testing.T, f *partFleet) { f.cut(t, 2, 4*time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newPartFleet(t, worker.AfterHead)
-			late, before, after := f.play(t, func() { disturb(t, f) })
-			assert.Assert(t, late <= endsAllowed, "%d engines ended later", late)
-			assert.Assert(t, after >= minBegun*before, "%.3f of the sound streams began, %.3f before", after, before)
+			f.check(t, func() { disturb(t, f) })
 		})
 	}
 }
@@ -236,6 +251,26 @@
 	}
 }
 
+// cut cuts the first routers off from the others, not from the platform.
+func (f *partFleet) cut(t *testing.T, n int, d time.Duration) {
+	t.Helper()
+	peers := func(routers []*fleet.Router) (list []netip.AddrPort) {
+		for _, r := range routers {
+			list = append(list, r.Peer)
+		}
+		return list
+	}
+	for i, r := range f.Routers {
+		away := f.Routers[:n]
+		if i < n {
+			away = f.Routers[n:]
+		}
+		assert.Check(t, r.CutFrom(peers(away)...))
+	}
+	time.Sleep(d)
+	assert.Check(t, f.Heal())
+}
+
 // add adds a router that callers use at once.
 func (f *partFleet) add(t *testing.T) {
 	t.Helper()
--- a/standin/testrouter/testrouter.go
+++ b/standin/testrouter/testrouter.go
@@ -1,6 +1,6 @@
 // Package testrouter runs the router daemon with seams for proofs and
 // experiments: a network that can be cut, a host that can be suspended and a choice of
-// policies. Routers of a store's routes have only the second one.
+// policies. Routers of a store's routes have no policies, and a cut concerns only their datagrams.
 //
 // # Usage
 //
@@ -110,7 +110,7 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	var router io.Closer
 	if s.RouteSource == settings.SourceStore {
-		router, err = gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: errOut})
+		router, err = gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: errOut, Reachable: n.reachable})
 	} else {
 		router, err = daemon.Start(daemon.Options{
 			Settings: s, Clock: clock, Log: log, Dial: n.dial, Reachable: n.reachable,
--- a/standin/worker/raw.go
+++ b/standin/worker/raw.go
@@ -33,9 +33,6 @@
 	AtBorder     Stage = "6"
 )
 
-// Stages are all stages.
-var Stages = []Stage{BeforeHead, AfterHead, AfterEvent, WithLength, UnframedHead, InsideEvent, AtBorder}
-
 // PartOf returns the ID of a part that ends workers at a stage.
 func PartOf(s Stage, name string) string { return EndingPart + string(s) + name }
 
