Routers of large fleets exchange suspects with their reports

What callers would see: with 128 routers or more, a request or a part that ends targets is barred only by routers that saw enough losses themselves. Cause: suspects were sent beside heartbeats to all routers; routers that exchange reports send none of these. Change: suspects go to the receivers of the reports, and routers announce what is new to them as well. Measurement: 295 simulated routers, a tenth of the datagrams lost, targets end at three routers under one part: no other router barred it before, all do within 2 s now; a part that another router has a response to is barred nowhere (TestSuspectsReachAllRoutersOfALargeFleet).

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -19,6 +19,7 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/platform"
 	"zinccove.example/zinccove/presence"
+	"zinccove.example/zinccove/quarantine"
 )
 
 const (
@@ -142,7 +143,11 @@
 		queue := f.transit
 		f.transit = nil
 		for _, x := range queue {
-			if !now.Before(x.to.started) {
+			switch {
+			case now.Before(x.to.started):
+			case len(x.heartbeat.Suspects) > 0:
+				x.to.loop.contact.Receive(x.heartbeat, netip.AddrPort{}, x.size)
+			default:
 				x.to.loop.handleHeartbeat(contact.Received{Heartbeat: x.heartbeat, Size: x.size})
 			}
 		}
@@ -157,6 +162,11 @@
 // tick does what the goroutines of a router do on a tick.
 func (f *routerFleet) tick(r *fleetRouter, now time.Time) {
 	f.readEntries(r, now)
+	select {
+	case <-r.loop.gateway.quarantine.Changed():
+		r.loop.contact.SendSuspects(r.loop.destinations()...)
+	default:
+	}
 	r.loop.tick(context.Background())
 	r.loop.updateExchange()
 	r.nextTick = now.Add(r.loop.tickInterval())
@@ -306,3 +316,25 @@
 	t.Logf("totals are %v old in the median, %v at most", ages[len(ages)/2], ages[len(ages)-1])
 	assert.Assert(t, ages[len(ages)-1] <= maxTotalsAge)
 }
+
+// TestSuspectsReachAllRoutersOfALargeFleet has targets end under one part of prompts, each at another
+// router, and under one that a router without losses has a response to.
+func TestSuspectsReachAllRoutersOfALargeFleet(t *testing.T) {
+	f := newRouterFleet(t, 1, largeFleet...)
+	f.run(settleLimit)
+	f.lossRate = 0.1
+	content := func(n int, parts ...string) *quarantine.Content {
+		return &quarantine.Content{Customer: "c", Service: "s", Body: fmt.Append(nil, n), Parts: parts}
+	}
+	list := func(i int) *quarantine.List { return f.routers[i].loop.gateway.quarantine }
+	list(1).RecordWritten(content(0, "sound"))
+	for i := range 3 {
+		list(10+len(f.routers)/4*i).RecordLoss(content(i+1, "sound", "bad"), quarantine.IncarnationHash(i), quarantine.NotBegun)
+		f.run(300 * time.Millisecond)
+	}
+	f.run(2 * time.Second)
+	for i := range f.routers {
+		assert.Assert(t, list(i).Barred(content(9, "bad")) != nil, "router %d", i)
+		assert.Assert(t, list(i).Barred(content(9, "sound")) == nil, "router %d", i)
+	}
+}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -48,12 +49,23 @@
 	for _, m := range messages {
 		l.sendMessage(m, withTotals)
 	}
+	l.contact.SendSuspects(recipients(messages)...)
 	if withTotals && len(messages) > 0 {
 		l.lastTotals = now
 		l.totals.drop(now.Add(-presence.ReportTTL))
 	}
 }
 
+// recipients returns the addresses to which messages are sent, each once.
+func recipients(messages []presence.Message) []netip.AddrPort {
+	var to []netip.AddrPort
+	for _, m := range messages {
+		to = append(to, m.To...)
+	}
+	slices.SortFunc(to, netip.AddrPort.Compare)
+	return slices.Compact(to)
+}
+
 // startReporting has this router exchange reports, and follow the entries of routers, from now on. It is
 // called once this router knows many others, and once it receives a report, whose sender knows them.
 // All routers have to exchange the same: one that only sends heartbeats reports on nobody, and to it
@@ -61,6 +73,7 @@
 // heartbeats when fewer routers are left.
 func (l *loop) startReporting() {
 	l.gateway.reporting.Store(true)
+	l.gateway.quarantine.SetForwarding(true)
 	select {
 	case <-l.gateway.reportingStarted:
 	default:
