Calls of plain services bar no parts of prompts

Cause: the losses of plain services counted against the parts that a call names, and nothing there ever cleared one, as only streams of engines do. Ruled out: losses of the calls' own contents (no two were alike). Change: only requests to engines have parts. Measurement: TestPlainTargetsThatEndDoNotBarParts, 503 before, 200 now.

--- a/relay/log.go
+++ b/relay/log.go
@@ -84,11 +84,7 @@
 func (f *flight) withContent(e *zerolog.Event) *zerolog.Event {
 	e = e.Stringer("fingerprint", f.requestContent().Fingerprint())
 	if parts := f.call.SharedParts(); len(parts) > 0 {
-		ids := make([]string, 0, maxLoggedParts)
-		for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-			ids = append(ids, p.ID)
-		}
-		e = e.Strs("parts", ids)
+		e = e.Strs("parts", partIDs(parts[:min(len(parts), maxLoggedParts)]))
 	}
 	return e
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
@@ -16,13 +17,21 @@
 		f.content = &quarantine.Content{
 			Customer: f.customer, Method: f.header.Method(), Host: f.header.Host(), URI: f.header.RequestURI(), Body: f.body, Service: f.service,
 		}
-		for _, p := range f.call.SharedParts() {
-			f.content.Parts = append(f.content.Parts, p.ID)
+		if f.engine {
+			f.content.Parts = partIDs(f.call.SharedParts())
 		}
 	}
 	return f.content
 }
 
+func partIDs(parts []message.PrefixPart) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // refuseBarred refuses a request that must not reach any target; nil if it may.
 func (f *flight) refuseBarred() *refusal {
 	f.barred = f.server.options.Quarantine.Barred(f.requestContent())
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -102,6 +102,23 @@
 	assert.Equal(t, len(last.header.Peek("Retry-After")), 0)
 }
 
+// TestPlainTargetsThatEndDoNotBarParts has plain services end under calls that name the parts of a prompt:
+// nothing would clear them there.
+func TestPlainTargetsThatEndDoNotBarParts(t *testing.T) {
+	var targets []*fakeTarget
+	for i := range 4 {
+		targets = append(targets, newTarget(t, fmt.Sprint("t", i), func(a *arrival, c net.Conn) bool {
+			return string(a.body) == "sound" && respondOK(a, c)
+		}))
+	}
+	s := newTestServer(t, targets...)
+	for i := range 4 {
+		s.do(t, "POST", "/once/", fmt.Sprint("r", i), fmt.Sprint("body", i), promptHeader("shared", "own"))
+		time.Sleep(110 * time.Millisecond)
+	}
+	assert.Equal(t, s.do(t, "POST", "/once/", "r", "sound", promptHeader("shared", "own")).header.StatusCode(), 200)
+}
+
 // TestInvalidResponsesDoNotBarRequests has targets send responses that cannot be parsed, or
 // that belong to another request: that is no evidence about the request.
 func TestInvalidResponsesDoNotBarRequests(t *testing.T) {
