Responses without framing are complete only if their target still runs

What callers saw: a stream with neither length nor chunks whose engine ended between two events, or before the first, looked whole and lacked events. Losses of such responses did not count against what ran there, and complete ones did not clear it, so a part that ends engines stayed unknown. Cause: the end of the connection was taken for the end of the body wherever it came between two events; inside an event it was a failure, but none of a lost connection. Ruled out: a reset tells (a process that is killed closes its connections like one that has finished). Change: at the end of a body without framing the router probes the target by a new connection, after 25 ms for a stream, whose events have been passed on by then, and 5 ms for a call; the connection is kept for the next request. Refused: the target has ended, the response is broken, and the loss counts. Accepted: complete, and clears content and parts. Anything else, or a target that is leaving: complete as before, clears nothing, and is logged. A stream without framing and without any event is broken, and one that ends inside an event is a lost connection.

--- a/link/link.go
+++ b/link/link.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
 	"zinccove.example/zinccove/errs"
@@ -143,6 +144,37 @@
 	return newConn(nc, target), nil
 }
 
+// ErrEnded means that nothing listens at the address of a target.
+var ErrEnded = eris.New("target accepts no connections")
+
+const (
+	// maxProbes bounds the connections by which a target is probed: while it ends, some are lost or
+	// reset. maxProbeTimeout bounds each of them.
+	maxProbes       = 3
+	maxProbeTimeout = 50 * time.Millisecond
+)
+
+// Probe checks after a delay whether a target runs, by a new connection, which becomes an idle one. The
+// delay lets the system close all sockets of a process that is ending, which still accepts connections
+// until then. The error is ErrEnded if nothing listens at the address; others, as of a target that is
+// full, show nothing.
+func (p *Pool) Probe(target string, addr netip.AddrPort, timeout, delay time.Duration) error {
+	var err error
+	for range maxProbes {
+		p.options.Clock.Sleep(delay)
+		var nc net.Conn
+		nc, err = p.options.Dial(addr, min(timeout, maxProbeTimeout))
+		if err == nil {
+			p.Put(newConn(nc, target), 0)
+			return nil
+		}
+		if errs.Is(err, syscall.ECONNREFUSED) {
+			return errs.Wrap(ErrEnded, "probe target", addr.String())
+		}
+	}
+	return errs.Wrap(err, "probe target", addr.String())
+}
+
 func newConn(nc net.Conn, target string) *Conn {
 	c := &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, readBufferSize), target: target}
 	if sc, ok := nc.(syscall.Conn); ok {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -97,3 +97,18 @@
 	_, err := p.Get("a", addr, LongIdle, MaxDialTimeout)
 	assert.ErrorContains(t, err, "connect to target (127.0.0.1:1)")
 }
+
+func TestProbeTellsTargetsThatEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	to := netip.MustParseAddrPort(l.Addr().String())
+	p := NewPool(Options{Clock: clockwork.NewRealClock()})
+	defer p.Close()
+	assert.NilError(t, p.Probe("t", to, MaxDialTimeout, time.Millisecond))
+	c, err := p.Get("t", to, ShortIdle, MaxDialTimeout)
+	assert.NilError(t, err)
+	assert.Assert(t, c.Reused, "the connection of the probe is kept")
+	assert.NilError(t, c.Close())
+	assert.NilError(t, l.Close())
+	assert.ErrorIs(t, p.Probe("t", to, MaxDialTimeout, time.Millisecond), ErrEnded)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -111,7 +111,7 @@
 
 var (
 	errInterrupted    = eris.New("request was cancelled before it was sent")
-	errDeclined       = eris.New("target stopped accepting requests before the request was sent")
+	errDeclined       = eris.New("target stopped accepting requests")
 	errCallerClosed   = eris.New("caller closed the connection before the request was sent")
 	errUnsigned       = eris.New("response has no signature")
 	errMismatchedID   = eris.New("response has the ID of another request")
@@ -221,12 +221,18 @@
 		resp.stream = newLarge(f, c, resp, body, sent, resp.body)
 		return resp, nil
 	}
+	confirmed, err := f.confirmEnd(body, callProbe)
+	if err != nil {
+		return nil, f.fail(target.Broken, status, err, "read response")
+	}
 	if status >= fasthttp.StatusInternalServerError {
 		f.run.End(place.ErrorResponse) // a later End has no effect
 	}
 	f.run.End(place.Answered)
 	f.recordOutcome(rollout.Outcome{Failed: status >= fasthttp.StatusInternalServerError, Duration: f.sinceSent(), Size: 1})
-	f.clear(body)
+	if confirmed {
+		f.clearContent()
+	}
 	f.releaseConn(c, resp, body, sent)
 	return resp, nil
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -105,6 +105,11 @@
 		Int("status", resp.header.StatusCode()).Dur("targets_age_ms", s.options.View().TargetsAge)
 }
 
+// logUnconfirmed logs why it is not known that a response without framing is complete.
+func (s *Server) logUnconfirmed(f *flight, err error) {
+	s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Err(err).Msg("end of response not confirmed")
+}
+
 // logRefused logs how a request ended that got no response of a target.
 func (s *Server) logRefused(f *flight, r *refusal) {
 	s.options.Metrics.Inc(r.counter())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -54,8 +54,11 @@
 var (
 	errLargeEvent   = eris.New("event exceeds the limit")
 	errPartialEvent = eris.New("stream ended inside an event")
-	errClosed       = eris.New("caller closed the connection")
-	errStalled      = eris.New("caller read no bytes of its response")
+	// errBrokenEvent and errNoEvent are those of connections that ended instead of a framed body.
+	errBrokenEvent = eris.Wrap(io.ErrUnexpectedEOF, "connection ended inside an event")
+	errNoEvent     = eris.Wrap(io.ErrUnexpectedEOF, "connection ended before the first event")
+	errClosed      = eris.New("caller closed the connection")
+	errStalled     = eris.New("caller read no bytes of its response")
 )
 
 func newStream(f *flight, c *link.Conn, resp *response, b *body, sent *sendState) *stream {
@@ -73,7 +76,7 @@
 		s.size = n
 	}
 	if b.ended() {
-		s.complete()
+		s.complete(true)
 	}
 	return s
 }
@@ -112,17 +115,43 @@
 	}
 	switch {
 	case err == nil && s.large && s.body.ended():
-		s.complete() // fasthttp does not read beyond the length
+		s.complete(true) // fasthttp does not read beyond the length
 	case err == nil:
-	case err == io.EOF && len(s.buffer) == s.ready:
-		s.complete()
 	case err == io.EOF:
-		s.recoverOrFail(errPartialEvent)
+		s.end()
 	default:
 		s.recoverOrFail(err)
 	}
 }
 
+// end ends a stream whose body has ended.
+func (s *stream) end() {
+	err := s.missing()
+	confirmed := false
+	if err == nil {
+		confirmed, err = s.flight.confirmEnd(s.body, streamProbe)
+	}
+	if err != nil {
+		s.recoverOrFail(err)
+		return
+	}
+	s.complete(confirmed)
+}
+
+// missing returns an error if the events show that some are missing at the end of the body.
+func (s *stream) missing() error {
+	framed, resumes := s.body.framed(), s.lastEvent != "" || s.flight.call.LastEventID != ""
+	switch {
+	case len(s.buffer) > s.ready && framed:
+		return errPartialEvent
+	case len(s.buffer) > s.ready:
+		return errBrokenEvent
+	case !s.began && !s.large && !framed && !resumes:
+		return errNoEvent
+	}
+	return nil
+}
+
 // received handles new bytes: it records the first event and marks complete events as ready.
 func (s *stream) received() {
 	f := s.flight
@@ -180,13 +209,16 @@
 	return id
 }
 
-// complete ends a stream that the target ended without an error.
-func (s *stream) complete() {
+// complete ends a stream that the target ended without an error. Confirmed reports that it is known to
+// be complete.
+func (s *stream) complete(confirmed bool) {
 	s.err = io.EOF
 	s.flight.run.End(place.Answered)
 	s.flight.recordOutcome(rollout.Outcome{Duration: s.flight.sinceSent(), Size: float64(s.events + firstEventSize)})
-	s.flight.clear(s.body)
-	if !s.large && s.body.framed() {
+	if confirmed {
+		s.flight.clearContent()
+	}
+	if confirmed && !s.large {
 		s.flight.clearParts()
 	}
 	s.flight.releaseConn(s.link, s.resp, s.body, s.sent)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -69,12 +69,9 @@
 	}
 }
 
-// clear clears the content of a request that a target ran to its end. A body that ends with its
-// connection does not prove that it was: the target may have ended.
-func (f *flight) clear(b *body) {
-	if b.framed() {
-		f.server.options.Quarantine.RecordResponse(f.requestContent())
-	}
+// clearContent clears the content of a request that a target ran to its end.
+func (f *flight) clearContent() {
+	f.server.options.Quarantine.RecordResponse(f.requestContent())
 }
 
 // clearParts clears the parts of a prompt on which a target wrote a response for a while, or to its
