Error responses do not clear requests that end their targets

Cause: any complete response cleared the content of a request, also that of a target which fails without running it. Change: responses with status 500 and above clear nothing.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -230,7 +230,7 @@
 	}
 	f.run.End(place.Answered)
 	f.recordOutcome(rollout.Outcome{Failed: status >= fasthttp.StatusInternalServerError, Duration: f.sinceSent(), Size: 1})
-	if confirmed {
+	if confirmed && status < fasthttp.StatusInternalServerError {
 		f.clearContent()
 	}
 	f.releaseConn(c, resp, body, sent)
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -102,6 +102,22 @@
 	assert.Equal(t, len(last.header.Peek("Retry-After")), 0)
 }
 
+// TestErrorResponseDoesNotClearRequest has one of the targets fail without running what it gets.
+func TestErrorResponseDoesNotClearRequest(t *testing.T) {
+	targets := []*fakeTarget{newTarget(t, "failing", func(a *arrival, c net.Conn) bool { return respond(c, 500, a.id(), "bad", seal) })}
+	for i := range 6 {
+		targets = append(targets, newCrashingTarget(t, fmt.Sprint("t", i), "ends"))
+	}
+	s := newTestServer(t, targets...)
+	ended := 0
+	for i := range 40 {
+		if res := s.do(t, "POST", "/once/", fmt.Sprint("r", i), "ends"); res.header.StatusCode() == 502 {
+			ended++
+		}
+	}
+	assert.Equal(t, ended, 2)
+}
+
 // TestPlainTargetsThatEndDoNotBarParts has plain services end under calls that name the parts of a prompt:
 // nothing would clear them there.
 func TestPlainTargetsThatEndDoNotBarParts(t *testing.T) {
