--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -81,8 +81,12 @@
 	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
 }
 
-// exitEnded is the exit code of a worker that a request ended.
-const exitEnded = 7
+// exitEnded is the exit code of a worker that a request ended, EndedBy begins the line that tells by
+// what.
+const (
+	exitEnded = 7
+	EndedBy   = "ended by "
+)
 
 // Execute runs the worker until a signal; it announces its end.
 func (c *workerCommand) Execute([]string) error {
@@ -91,7 +95,10 @@
 		return err
 	}
 	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, DataCentre: c.DataCentre, Slots: c.Slots,
-		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func() { os.Exit(exitEnded) }})
+		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func(cause string) {
+			fmt.Println(EndedBy + cause)
+			os.Exit(exitEnded)
+		}})
 	entered := func(listening netip.AddrPort) (netip.AddrPort, error) {
 		if c.Advertise == "" {
 			return listening, nil
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,11 +1,9 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,7 +12,6 @@
 	"zinccove.example/standin/fault"
 	"zinccove.example/standin/fleet"
 	"zinccove.example/standin/routesite"
-	"zinccove.example/standin/worker"
 )
 
 // kind is a fault: it begins, lasts and is mended.
@@ -41,6 +38,7 @@
 	{"target wants backoffs", (*run).wantBackoff},
 	{"target says that it leaves", (*run).sayLeaving},
 	{"targets break streams", (*run).breakStreams},
+	{"part of prompts ends targets", (*run).endTargetsByPart},
 }
 
 func nothing() error { return nil }
@@ -241,62 +239,6 @@
 	return nothing, r.site.GoBack(age, again)
 }
 
-// mostEnds is the number of targets that may end under one request: three, and three more
-// once the routers had the time to tell each other.
-const mostEnds = 6
-
-// endTargets has callers send a request that ends its targets to all routers, again and
-// again until the fault is mended. Targets that end start again.
-func (r *run) endTargets() (func() error, error) {
-	path := routesite.Paths[r.draw.IntN(len(routesite.Paths))]
-	body := fmt.Sprintf("%s %d", worker.EndingBody, r.draw.Uint64())
-	var stopped atomic.Bool
-	var g errgroup.Group
-	for _, router := range r.site.Routers {
-		g.Go(func() error {
-			for !stopped.Load() {
-				r.site.Repeat(router.Caller, "POST", path, key, body)
-				time.Sleep(20 * time.Millisecond)
-			}
-			return nil
-		})
-	}
-	ends := 0
-	g.Go(func() error {
-		for !stopped.Load() {
-			n, err := r.reviveTargets()
-			if err != nil {
-				return err
-			}
-			ends += n
-			time.Sleep(20 * time.Millisecond)
-		}
-		return nil
-	})
-	return func() error {
-		stopped.Store(true)
-		err := g.Wait()
-		n, rerr := r.reviveTargets()
-		if ends += n; ends > mostEnds {
-			r.violate("%d targets ended under one request of %s", ends, path)
-		}
-		return errors.Join(err, rerr)
-	}, nil
-}
-
-// reviveTargets starts targets again that ended, and returns how many.
-func (r *run) reviveTargets() (ended int, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, w := range r.site.Workers {
-		if w.Ended() {
-			ended++
-			err = errors.Join(err, w.Restart())
-		}
-	}
-	return ended, err
-}
-
 // revokedFrom is the first version of the configuration without the revoked key.
 const revokedFrom = 4
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -5,7 +5,7 @@
 // silent, lose answers or are reset; routers and targets that are frozen,
 // killed, stopped and started again; a store that is slow, silent, refuses, loses
 // answers, forgets its history or comes back from a copy; configurations that change;
-// requests that end their targets.
+// requests, and parts of prompts, that end their targets.
 //
 // # What is checked
 //
@@ -16,7 +16,8 @@
 //   - a request answered 429 or 503 did not run;
 //   - a router that refused a revoked key never accepts it again in its life;
 //   - repeats stay inside the budget;
-//   - few targets end under one request, over all routers;
+//   - few targets end under one request, or under one part of prompts, over all routers;
+//   - no other request is refused as one that ends targets;
 //   - routers end by themselves only when stopped, with code 0;
 //   - after the last fault all routers serve within the recovery time;
 //   - then a target that leaves gets nothing new after its drain.
@@ -38,6 +39,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,6 +117,8 @@
 	quiet []*proxy
 	// lives counts the targets that were started.
 	lives int
+	// ends are the times at which targets ended, by what ended them.
+	ends map[string][]time.Time
 }
 
 // Run runs a soak.
@@ -123,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), speakers: make(map[*fleet.Target]bool), version: 1}
+	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), speakers: make(map[*fleet.Target]bool), ends: make(map[string][]time.Time), version: 1}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -280,6 +284,8 @@
 	case a.Path == streamPath: // see takeStream
 	case a.Whole(a.Path):
 		r.report.Whole++
+	case a.Status == 503 && strings.HasPrefix(a.Body, "ends_targets"):
+		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%s %s: refused as one that ends targets", a.ID, a.Path))
 	case a.Complete():
 		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%s %s: not the whole own answer looks complete: %.80q", a.ID, a.Path, a.Body))
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -25,10 +25,12 @@
 const short = 1
 
 // seedsVariable names the environment variable with a number of fresh seeds to
-// run besides, and firstVariable the one with the first of them.
+// run besides, firstVariable the one with the first of them, and kindsVariable the one with the
+// number of kinds of faults that they draw from, all if it is not set.
 const (
 	seedsVariable = "ZINCCOVE_SOAK_SEEDS"
 	firstVariable = "ZINCCOVE_SOAK_FIRST"
+	kindsVariable = "ZINCCOVE_SOAK_KINDS"
 )
 
 // apart has a router in each of three data centres.
@@ -53,12 +55,16 @@
 	}
 	more, _ := strconv.Atoi(os.Getenv(seedsVariable)) // not set: none
 	first, _ := strconv.ParseUint(os.Getenv(firstVariable), 10, 64)
+	kinds, err := strconv.Atoi(os.Getenv(kindsVariable))
+	if err != nil {
+		kinds = AllKinds
+	}
 	for i := range more {
 		seed := first + uint64(i) + 100
 		if seed%2 == 0 {
-			runs = append(runs, apart(seed, AllKinds))
+			runs = append(runs, apart(seed, kinds))
 		} else {
-			runs = append(runs, together(seed, AllKinds))
+			runs = append(runs, together(seed, kinds))
 		}
 	}
 	for _, o := range runs {
--- a/standin/worker/raw.go
+++ b/standin/worker/raw.go
@@ -36,20 +36,24 @@
 // PartOf returns the ID of a part that ends workers at a stage.
 func PartOf(s Stage, name string) string { return EndingPart + string(s) + name }
 
-// endingStage returns the stage at which a request ends the worker, by the parts of its prompt but
-// the last.
-func endingStage(ctx *fasthttp.RequestCtx) (s Stage, ends bool) {
+// endingPart returns the part of the prompt, not the last one, by which a request ends the worker.
+func endingPart(ctx *fasthttp.RequestCtx) (id string, ends bool) {
 	parts := strings.Split(string(ctx.Request.Header.Peek("Prompt-Prefix")), ",")
 	for _, part := range parts[:len(parts)-1] {
-		if rest, ok := strings.CutPrefix(part, EndingPart); ok {
-			return Stage(rest[:1]), true
+		if strings.HasPrefix(part, EndingPart) {
+			id, _, _ = strings.Cut(part, ":")
+			return id, true
 		}
 	}
 	return "", false
 }
 
-// endAt ends the worker at a stage of its response.
-func (w *Worker) endAt(ctx *fasthttp.RequestCtx, id string, s Stage) {
+// stageOf returns the stage of a part that PartOf returned.
+func stageOf(part string) Stage { return Stage(part[len(EndingPart) : len(EndingPart)+1]) }
+
+// endAt ends the worker at the stage of a part.
+func (w *Worker) endAt(ctx *fasthttp.RequestCtx, id, part string) {
+	s := stageOf(part)
 	first := Event(id, w.options.Version, 1)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(first), first)
 	texts := map[Stage]string{
@@ -61,11 +65,11 @@
 		AtBorder:     w.head(id, "") + first,
 	}
 	if s == BeforeHead {
-		w.options.End()
+		w.options.End(part)
 	}
 	respondRaw(ctx, func(c net.Conn) {
 		c.Write([]byte(texts[s])) //nolint:errcheck // the worker ends
-		w.options.End()
+		w.options.End(part)
 	})
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -70,8 +70,9 @@
 	CallTime time.Duration
 	// UnframedEvery has every so many responses come with neither length nor chunks; 0 has none.
 	UnframedEvery int
-	// End ends the process of the worker; nil lets requests that do so end as others.
-	End func()
+	// End ends the process of the worker, which cause did: the body or the part of the prompt of a
+	// request. Nil lets requests that do so end as others.
+	End func(cause string)
 }
 
 // EndingBody is the start of the bodies of requests that end the worker which runs them.
@@ -172,10 +173,10 @@
 	}
 	time.Sleep(w.options.CallTime + f.Delay)
 	if w.options.End != nil && bytes.HasPrefix(ctx.PostBody(), []byte(EndingBody)) {
-		w.options.End()
+		w.options.End(string(ctx.PostBody()))
 	}
-	if s, ends := endingStage(ctx); ends && w.options.End != nil {
-		w.endAt(ctx, id, s)
+	if part, ends := endingPart(ctx); ends && w.options.End != nil {
+		w.endAt(ctx, id, part)
 		return
 	}
 	if f.Mode == fault.DropAnswer {
