Targets that end together do not hide those that end later under a part

What callers would see: a part that ends more than eight targets within 100 ms, as a burst in a large fleet can, is never barred. Cause: a suspect keeps eight losses; these were all of one moment, and later ones were dropped. Change: a loss that adds a moment replaces one that adds none. Measurement: TestManyTargetsThatEndTogetherDoNotHideLaterOnes, 16 ends at once and two later: not barred before, barred now.

--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -93,8 +93,8 @@
 	return slices.Concat(list[from:], list[:from])
 }
 
-// pending returns the suspects that are to be announced, the most urgent ones first: those that are
-// barred, those with many losses, and those that were announced less often.
+// pending returns the suspects that are to be announced, those with the most losses first, and of these
+// the ones that were announced less often.
 func (l *List) pending() []*suspect {
 	var list []*suspect
 	for _, s := range l.order {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -80,6 +80,19 @@
 	assert.Assert(t, !bars(lists[0], prompt(7, "shared")))
 }
 
+func TestManyTargetsThatEndTogetherDoNotHideLaterOnes(t *testing.T) {
+	lists, clock := newLists(1)
+	for target := range 2 * maxLosses {
+		lists[0].RecordLoss(prompt(target, "bad"), IncarnationHash(target), NotBegun)
+	}
+	for moment := range barMoments - 1 {
+		assert.Assert(t, !bars(lists[0], prompt(7, "bad")))
+		clock.Advance(time.Second)
+		lists[0].RecordLoss(prompt(100+moment, "bad"), IncarnationHash(100+moment), NotBegun)
+	}
+	assert.Assert(t, bars(lists[0], prompt(7, "bad")))
+}
+
 func TestTargetsThatEndWhileTheyWriteDoNotBarAPart(t *testing.T) {
 	lists, clock := newLists(1)
 	for target := range IncarnationHash(2 * barMoments) {
@@ -254,3 +267,40 @@
 		}
 	}
 }
+
+// newBusyList returns a list with suspects of which one is barred.
+func newBusyList(b *testing.B, suspects int) *List {
+	b.Helper()
+	clock := clockwork.NewFakeClock()
+	l := New(clock)
+	for n := range suspects / 2 {
+		l.RecordLoss(prompt(n, fmt.Sprint("part", n)), 1, NotBegun)
+	}
+	losesAtMoments(l, clock, barMoments, "bad")
+	return l
+}
+
+func BenchmarkPartsOfRequest(b *testing.B) {
+	for _, suspects := range []int{0, 100, 1000, 4000} {
+		b.Run(fmt.Sprint(suspects), func(b *testing.B) {
+			l := newBusyList(b, suspects)
+			for n := 0; b.Loop(); n++ {
+				c := prompt(n, "first", "second", "third", "fourth")
+				l.Barred(c)
+				l.RecordWritten(c)
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeat includes the merge of a heartbeat of another router.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, suspects := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprint(suspects), func(b *testing.B) {
+			l, other := newBusyList(b, suspects), newBusyList(b, suspects)
+			for b.Loop() {
+				l.Merge(other.NextHeartbeat().GetSuspects())
+			}
+		})
+	}
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -91,17 +91,14 @@
 }
 
 // moments returns the number of moments at which targets ended.
-func (s *suspect) moments() int {
-	times := make([]time.Time, 0, maxLosses)
-	for i := range s.losses {
-		times = append(times, s.losses[i].At)
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	n := 0
+func (s *suspect) moments() int { return countMoments(s.losses) }
+
+func countMoments(losses []Loss) (n int) {
+	sorted := slices.SortedFunc(slices.Values(losses), func(a, b Loss) int { return a.At.Compare(b.At) })
 	var last time.Time
-	for _, t := range times {
-		if n == 0 || t.Sub(last) >= momentSpan {
-			n, last = n+1, t
+	for i := range sorted {
+		if n == 0 || sorted[i].At.Sub(last) >= momentSpan {
+			n, last = n+1, sorted[i].At
 		}
 	}
 	return n
@@ -139,8 +136,22 @@
 		}
 		return changed
 	case len(s.losses) >= maxLosses:
-		return false
+		return s.part && s.replaceRedundant(loss)
 	}
 	s.losses = append(s.losses, loss)
 	return true
 }
+
+// replaceRedundant has a loss replace one of several of the same moment, if that adds a moment: many
+// targets that end together must not hide those that end later.
+func (s *suspect) replaceRedundant(loss Loss) (replaced bool) {
+	before := s.moments()
+	for i, old := range s.losses {
+		s.losses[i] = loss
+		if s.moments() > before {
+			return true
+		}
+		s.losses[i] = old
+	}
+	return false
+}
