Targets that break connections and still run bar no parts of prompts

Three engines had closed the connection without a response within 1.3 s. A broken connection was taken for the end of its target, and the part, asked for once a second or less, had no response in the seconds before. Ruled out: the engines had ended (they completed other streams just before and after); routers that had started (the last start was 30 s earlier); three moments in one (0.2 and 1.1 s apart). Change: where a loss would count against a part, the router probes the target after 25 ms. If it accepts a connection that lasts, the loss counts against the content only, as before. No probe where all parts have responses lately. Streams without framing are confirmed by the same probe, which now also tells a proxy that closes the connection. Attempts that failed tell target_runs. Weighed: more moments (a burst of such losses reaches them too); a longer memory of responses (empty after a start); bytes of other streams of that target since (a quarter of the pairs of router and engine have none within 0.3 s, by arithmetic). Measurement: TestTargetsThatLoseResponsesDoNotBarParts, 503 before, 200 now.

--- a/link/link.go
+++ b/link/link.go
@@ -147,11 +147,16 @@
 // ErrEnded means that nothing listens at the address of a target.
 var ErrEnded = eris.New("target accepts no connections")
 
+var errClosedAtOnce = eris.New("target closed a new connection")
+
 const (
 	// maxProbes bounds the connections by which a target is probed: while it ends, some are lost or
 	// reset. maxProbeTimeout bounds each of them.
 	maxProbes       = 3
 	maxProbeTimeout = 50 * time.Millisecond
+	// probeLasts is how long a connection must last to show that a target runs: a proxy before one
+	// that has ended accepts it and closes it then.
+	probeLasts = 5 * time.Millisecond
 )
 
 // Probe checks after a delay whether a target runs, by a new connection, which becomes an idle one. The
@@ -162,19 +167,32 @@
 	var err error
 	for range maxProbes {
 		p.options.Clock.Sleep(delay)
-		var nc net.Conn
-		nc, err = p.options.Dial(addr, min(timeout, maxProbeTimeout))
-		if err == nil {
-			p.Put(newConn(nc, target), 0)
-			return nil
-		}
-		if errs.Is(err, syscall.ECONNREFUSED) {
-			return errs.Wrap(ErrEnded, "probe target", addr.String())
+		err = p.probe(target, addr, min(timeout, maxProbeTimeout))
+		if err == nil || errs.Is(err, ErrEnded) || errs.Is(err, errClosedAtOnce) {
+			break
 		}
 	}
 	return errs.Wrap(err, "probe target", addr.String())
 }
 
+func (p *Pool) probe(target string, addr netip.AddrPort, timeout time.Duration) error {
+	nc, err := p.options.Dial(addr, timeout)
+	if errs.Is(err, syscall.ECONNREFUSED) {
+		return ErrEnded
+	}
+	if err != nil {
+		return err
+	}
+	c := newConn(nc, target)
+	p.options.Clock.Sleep(probeLasts)
+	if !c.isIdle() {
+		c.Close() //nolint:errcheck // the connection is of no use
+		return errClosedAtOnce
+	}
+	p.Put(c, 0)
+	return nil
+}
+
 func newConn(nc net.Conn, target string) *Conn {
 	c := &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, readBufferSize), target: target}
 	if sc, ok := nc.(syscall.Conn); ok {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,8 +16,8 @@
 // them apart are responses: an attribute under which a response was written is no suspect, and losses
 // do not count against it for some seconds. A router that is told of a suspect and knows of such a
 // response tells the others. Contents hardly ever arrive again, so those of other requests never have
-// enough losses; for a part, losses only count while the response was about to begin, and those that
-// come together count once.
+// enough losses; for a part, losses only count of targets that do not run any more, while the response was
+// about to begin, and those that come together count once.
 //
 // A List does no input or output; a Persister stores the barred attributes in the platform's
 // table.
@@ -26,7 +26,7 @@
 //
 //	l := quarantine.New(clock)
 //	if a := l.Barred(content); a != nil { ... }               // before each attempt
-//	barred := l.RecordLoss(content, target, quarantine.Begun) // the connection broke
+//	barred := l.RecordLoss(content, target, quarantine.Begun) // the target ended; see also RecordBreak
 //	l.RecordWritten(content)                                  // a response was written for a while
 //	l.RecordResponse(content)                                 // the complete response was received
 //	heartbeat := l.NextHeartbeat()                            // for other routers, with each heartbeat
@@ -123,9 +123,28 @@
 	return nil
 }
 
-// RecordLoss records that the connection to a target broke while the request may have run there. It
-// returns the attributes that are barred by this loss.
+// RecordLoss records that the connection to a target broke while the request may have run there, and that
+// the target does not seem to run any more. It returns the attributes that are barred by this loss.
 func (l *List) RecordLoss(c *Content, target IncarnationHash, p Progress) (barred []Attribute) {
+	return l.record(c, target, p, p != Advanced)
+}
+
+// RecordBreak is RecordLoss for a target that still runs: it counts against the content only, as targets
+// also break connections to many different requests that share parts.
+func (l *List) RecordBreak(c *Content, target IncarnationHash, p Progress) (barred []Attribute) {
+	return l.record(c, target, p, false)
+}
+
+// ConsidersParts reports whether a loss would count against a part of the request.
+func (l *List) ConsidersParts(c *Content) bool {
+	parts := c.parts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	return slices.ContainsFunc(parts, func(a Attribute) bool { return !l.parts.contains(a.Fingerprint, now) })
+}
+
+func (l *List) record(c *Content, target IncarnationHash, p Progress, withParts bool) (barred []Attribute) {
 	f, local, parts := c.Fingerprint(), c.localHash(l.seed), c.parts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,7 +153,7 @@
 	if !l.contents.contains(local, now) && l.recordLoss(f, false, loss) {
 		barred = append(barred, Attribute{Fingerprint: f})
 	}
-	if p == Advanced {
+	if !withParts {
 		return barred
 	}
 	for _, a := range parts {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,6 +47,7 @@
 		s.options.Metrics.Inc(metric.Retries)
 	}
 	f.run, f.notice, f.responseBegan = d.Run, notice.Notice{}, time.Time{}
+	f.targetRuns = false
 	f.tried = append(f.tried, d.Run.Incarnation())
 	f.startVersion()
 	f.lifecycle.Queue()
--- a/relay/body.go
+++ b/relay/body.go
@@ -64,7 +64,7 @@
 // confirmEnd reports whether a body was read to its end. One that ends with its connection looks
 // complete as well if its target has ended, which then accepts no connections: that is an error. A
 // target that is about to end, or to which connecting fails otherwise, confirms nothing.
-func (f *flight) confirmEnd(b *body, probe time.Duration) (confirmed bool, err error) {
+func (f *flight) confirmEnd(b *body, delay time.Duration) (confirmed bool, err error) {
 	if !b.untilClose {
 		return true, nil
 	}
@@ -72,7 +72,7 @@
 		f.server.logUnconfirmed(f, errDeclined)
 		return false, nil
 	}
-	err = f.server.options.Links.Probe(f.run.Incarnation(), f.run.Target.Address, min(f.left(), link.MaxDialTimeout), probe)
+	err = f.probe(delay)
 	switch {
 	case errs.Is(err, link.ErrEnded):
 		return false, errTargetEnded
@@ -82,6 +82,11 @@
 	return err == nil, nil
 }
 
+// probe checks whether the target of the current attempt runs; see link.Pool.Probe.
+func (f *flight) probe(delay time.Duration) error {
+	return f.server.options.Links.Probe(f.run.Incarnation(), f.run.Target.Address, min(f.left(), link.MaxDialTimeout), delay)
+}
+
 // ended reports whether the body has a length and all of it was read.
 func (b *body) ended() bool { return b.left != nil && b.left.N == 0 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -92,6 +92,8 @@
 	noRetry string
 	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
 	responseBegan time.Time
+	// targetRuns is set if the target of the current attempt broke the connection and still runs.
+	targetRuns bool
 	// firstEvent is the time from receiving the request to the first event of its stream.
 	firstEvent time.Duration
 	// stall is the time since which the caller has not read the bytes that a stream passed on.
--- a/relay/log.go
+++ b/relay/log.go
@@ -68,7 +68,7 @@
 	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
 		Str("failure", kind).Int("status", status)
 	if fail != nil && !fail.Kind.NotRun() {
-		e = f.withContent(e).Dur("responding_ms", f.responding())
+		e = f.withContent(e).Dur("responding_ms", f.responding()).Bool("target_runs", f.targetRuns)
 	}
 	if fail != nil {
 		e = e.Err(fail)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"zinccove.example/zinccove/message"
@@ -56,14 +58,23 @@
 	return quarantine.NotBegun
 }
 
-// recordLoss counts a target that ended while the request may have been running there; partial
-// reports that it had begun to respond.
+// lossProbe is the delay after which a target is probed that broke a connection.
+const lossProbe = 25 * time.Millisecond
+
+// recordLoss counts a target that broke the connection while the request may have been running there;
+// partial reports that it had begun to respond.
 func (f *flight) recordLoss(fail *target.Failure, partial bool) {
 	if !fail.ConnectionLost() || f.interrupted() != causeNone {
 		return
 	}
-	lost := quarantine.IncarnationHash(place.HashOf(f.run.Incarnation()))
-	for _, a := range f.server.options.Quarantine.RecordLoss(f.requestContent(), lost, f.progress(partial)) {
+	list, content, progress := f.server.options.Quarantine, f.requestContent(), f.progress(partial)
+	record := list.RecordLoss
+	if progress != quarantine.Advanced && list.ConsidersParts(content) {
+		if f.targetRuns = f.probe(lossProbe) == nil; f.targetRuns {
+			record = list.RecordBreak
+		}
+	}
+	for _, a := range record(content, quarantine.IncarnationHash(place.HashOf(f.run.Incarnation())), progress) {
 		withAttribute(f.server.requestEvent(f.server.options.Log.Warn(), f), &a).Str("target", f.run.Target.ID).
 			Msg("request barred: targets ended while they ran it")
 	}
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -118,6 +118,28 @@
 	assert.Equal(t, ended, 2)
 }
 
+// TestTargetsThatLoseResponsesDoNotBarParts has engines break connections to different requests that share
+// a part, and go on running.
+func TestTargetsThatLoseResponsesDoNotBarParts(t *testing.T) {
+	var targets []*fakeTarget
+	for i := range 4 {
+		targets = append(targets, newTarget(t, fmt.Sprint("t", i), func(a *arrival, c net.Conn) bool {
+			if string(a.body) != "sound" {
+				return false
+			}
+			beginStream(a, c)
+			event(c, 1)
+			return endStream(c)
+		}))
+	}
+	s := newTestServer(t, targets...)
+	for i := range 8 {
+		s.do(t, "POST", "/model/", fmt.Sprint("r", i), fmt.Sprint("body", i), promptHeader("shared", "own"))
+		time.Sleep(110 * time.Millisecond)
+	}
+	assert.Equal(t, s.do(t, "POST", "/model/", "r", "sound", promptHeader("shared", "own")).header.StatusCode(), 200)
+}
+
 // TestPlainTargetsThatEndDoNotBarParts has plain services end under calls that name the parts of a prompt:
 // nothing would clear them there.
 func TestPlainTargetsThatEndDoNotBarParts(t *testing.T) {
--- a/standin/soak/endings.go
+++ b/standin/soak/endings.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strings"
@@ -37,7 +38,7 @@
 	g.Go(func() error { return r.reviveUntil(&stopped) })
 	return func() error {
 		stopped.Store(true)
-		err := errors.Join(g.Wait(), r.reviveTargets())
+		err := errors.Join(g.Wait(), r.reviveAll())
 		if ends := len(r.endsBy(body)); ends > mostEnds {
 			r.violate("%d targets ended under one request of %s", ends, path)
 		}
@@ -83,7 +84,7 @@
 	return func() error {
 		time.Sleep(partTime)
 		stopped.Store(true)
-		err := errors.Join(g.Wait(), r.reviveTargets())
+		err := errors.Join(g.Wait(), r.reviveAll())
 		r.checkPart(part)
 		return err
 	}, nil
@@ -116,6 +117,16 @@
 	return nil
 }
 
+// reviveAll starts all targets again that have ended.
+func (r *run) reviveAll() error {
+	err := r.reviveTargets()
+	time.Sleep(targetDown)
+	return errors.Join(err, r.reviveTargets())
+}
+
+// targetDown is how long a target that ended is away.
+const targetDown = 200 * time.Millisecond
+
 // reviveTargets starts targets again that ended, and notes what ended them.
 func (r *run) reviveTargets() error {
 	r.mu.Lock()
@@ -125,9 +136,13 @@
 		if !w.Ended() {
 			continue
 		}
+		if first, seen := r.endedAt[w.Process]; !seen || time.Since(first) < targetDown {
+			r.endedAt[w.Process] = cmp.Or(first, time.Now())
+			continue
+		}
 		for line := range strings.Lines(w.Output()) {
 			if cause, ok := strings.CutPrefix(strings.TrimSpace(line), standin.EndedBy); ok {
-				r.ends[cause] = append(r.ends[cause], time.Now())
+				r.ends[cause] = append(r.ends[cause], r.endedAt[w.Process])
 			}
 		}
 		err = errors.Join(err, w.Restart())
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -119,6 +119,8 @@
 	lives int
 	// ends are the times at which targets ended, by what ended them.
 	ends map[string][]time.Time
+	// endedAt is when targets that ended were seen to have.
+	endedAt map[*fleet.Process]time.Time
 }
 
 // Run runs a soak.
@@ -127,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), speakers: make(map[*fleet.Target]bool), ends: make(map[string][]time.Time), version: 1}
+	r := &run{options: o, draw: rand.New(rand.NewPCG(o.Seed, o.Seed)), site: s, refusedKey: make(map[*fleet.Process]time.Time), killed: make(map[*fleet.Process]bool), ended: make(map[*fleet.Process]bool), speakers: make(map[*fleet.Target]bool), ends: make(map[string][]time.Time), endedAt: make(map[*fleet.Process]time.Time), version: 1}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
