--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -52,7 +52,7 @@
 
 // routerFleet drives the control loops of a fleet, which exchange datagrams, by one clock.
 type routerFleet struct {
-	t       *testing.T
+	t       testing.TB
 	clock   *clockwork.FakeClock
 	random  *rand.Rand
 	parts   controlParts
@@ -67,6 +67,8 @@
 	// lossRate is the fraction of datagrams that are lost.
 	lossRate float64
 	transit  []transit
+	// suspectBytes are the bytes of suspects that each router sent; nil counts none.
+	suspectBytes map[string]int
 }
 
 type transit struct {
@@ -77,7 +79,7 @@
 
 // newRouterFleet returns a fleet with data centres of the given sizes. The first routers of the
 // first three are the contacts of all.
-func newRouterFleet(t *testing.T, seed uint64, sizes ...int) *routerFleet {
+func newRouterFleet(t testing.TB, seed uint64, sizes ...int) *routerFleet {
 	f := &routerFleet{
 		t: t, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*fleetRouter),
 		parts: newControlParts(t), regions: make(map[string]string),
@@ -112,7 +114,12 @@
 	l.random = rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	l.contact = contact.New(contact.Options{
 		Host: host.Name, DataCentre: host.DataCentre, Clock: f.clock, Log: g.log, Metrics: g.metrics, Quarantine: g.quarantine, FailureTimeout: minFailureTimeout,
-		Send:    func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (int, int, error) { return f.send(hb, to) },
+		Send: func(hb *zinccovev1.Heartbeat, to ...netip.AddrPort) (int, int, error) {
+			if len(hb.Suspects) > 0 && f.suspectBytes != nil {
+				f.suspectBytes[host.Name] += proto.Size(hb) * len(to)
+			}
+			return f.send(hb, to)
+		},
 		Control: func() netip.AddrPort { return host.Peer }, Peer: func() netip.AddrPort { return host.Peer },
 	})
 	l.presence = presence.New(presence.Options{Host: host.Name, DataCentre: host.DataCentre, Clock: f.clock, Members: l.contact.Members, Random: l.random})
