Free ports for datagrams are not shared between routers

Cause: gnet sets SO_REUSEPORT on each UDP socket, and with port 0 the system then may select a port at which another such socket listens. Each gets some of the datagrams. So soaks side by side reached each other as long as they had the same key, and lost heartbeats since. Ruled out: load (the address stands twice in the logs of one second). Change: for port 0 a free port is found by a socket without that option. Fixed ports are as before.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -85,9 +85,13 @@
 // Listen opens the datagram socket. Port 0 selects a free port.
 func Listen(o Options) (*Transport, error) {
 	t := &Transport{options: o, booted: make(chan struct{})}
+	address, err := withPort(o.Address)
+	if err != nil {
+		return nil, errs.Wrap(err, "select a port for peers", o.Address.String())
+	}
 	failed := make(chan error, 1)
 	t.group.Go(func() error {
-		err := gnet.Run(t, "udp://"+o.Address.String(), gnet.WithNumEventLoop(1), gnet.WithLogger(discardLogger{}))
+		err := gnet.Run(t, "udp://"+address.String(), gnet.WithNumEventLoop(1), gnet.WithLogger(discardLogger{}))
 		failed <- err
 		return err
 	})
@@ -102,6 +106,21 @@
 	return t, nil
 }
 
+// withPort returns an address with a free port in place of port 0. The system would select one that
+// another process listens at: gnet lets sockets share a port, and each then receives only some of the
+// datagrams.
+func withPort(address netip.AddrPort) (netip.AddrPort, error) {
+	if address.Port() != 0 {
+		return address, nil
+	}
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	free := c.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(address.Addr(), free.Port()), c.Close()
+}
+
 // OnBoot is called by gnet when the socket is open.
 func (t *Transport) OnBoot(e gnet.Engine) gnet.Action {
 	t.engine = e
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -83,3 +83,13 @@
 		}
 	})
 }
+
+// TestPortOfAnotherTransportIsNotFree covers free ports, which the system would let two of them share.
+func TestPortOfAnotherTransportIsNotFree(t *testing.T) {
+	a, _ := listen(t, testKey)
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.Address()))
+	assert.Assert(t, err != nil, "%v", c)
+	free, err := withPort(loopback)
+	assert.NilError(t, err)
+	assert.Assert(t, free.Port() != 0 && free.Port() != a.Address().Port())
+}
