--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,9 +2,9 @@
 //
 // Some requests end each target that begins to run them: an engine that crashes on one prompt
 // crashes on it again. Their callers send them again, with other IDs and to other routers, so
-// neither the limit on retries of one request nor the memory of one router bounds them: one
-// such request ended 16 targets of a fleet within a minute, and cut the other requests that ran
-// there. Or requests of which no two are alike share the part of the prompt that does it.
+// neither the limit on retries of one request nor the memory of one router bounds them. Each end
+// cuts the other requests that run there. Or requests of which no two are alike share the part of
+// the prompt that does it.
 //
 // A List identifies requests by their attributes: the fingerprint of their content, and each part of
 // their prompts that others may share. If the connection to a target breaks while a request may run
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -8,9 +8,9 @@
 const (
 	// barWeight is the weight of losses from which on a content is barred. noResponseWeight is
 	// the weight of a target that ended before it responded, partialWeight that of one that had
-	// begun to respond: of 30 streams that were cut by targets that ended, the 6 attempts of
-	// the request that ended them all had no event, the 24 others had some. So two targets may
-	// end under a request without a response, and four in any case.
+	// begun to respond: a request that ends its target mostly does so before the first event, while
+	// most others that run there have some. So two targets may end under a request without a
+	// response, and four in any case.
 	barWeight        = 4
 	noResponseWeight = 2
 	partialWeight    = 1
