--- a/settings/keys.go
+++ b/settings/keys.go
@@ -76,6 +76,17 @@
 
 	decimal("rollout", "expose-share", 0.1, 0.001, 1, "Most of a service's requests that a new version may get which turns out to be bad.", func(s *Settings) *float64 { return &s.ExposeShare }),
 
+	decimal("limits", "processor", 0, 0, 1024, "Share of a core that this router may use, from which it tells others what it has left; 0 leaves it unknown, and others do not hand requests over to it.", func(s *Settings) *float64 { return &s.Processor }),
+
+	flag("offload", "enabled", "Whether a router at its limits hands streams over to routers of its data centre that have processor time left, and takes over theirs.", func(s *Settings) *bool { return &s.Offload }),
+
+	number("waiting", "requests", 0, 0, 1<<16, "Most requests of this router that wait at once for a place at a target instead of being refused; 0 refuses them at once.", func(s *Settings) *int { return &s.WaitingRequests }),
+
+	flag("placement", "near-homes", "Whether prompts have their homes in the data centre of their caller first, in data centres with enough targets.", func(s *Settings) *bool { return &s.NearHomes }),
+	flag("placement", "cache-events", "Whether owners follow what their targets cache and evict.", func(s *Settings) *bool { return &s.CacheEvents }),
+
+	flag("streams", "backups", "Whether targets copy the state of streams to another target while many streams are lost, so that these continue there.", func(s *Settings) *bool { return &s.Backups }),
+
 	number("fair", "debt-requests", 4, 2, 1000, "Most that a waiting customer can be ahead of the least served one, in requests of the largest recent cost. What it got beyond that, as in a partition, is forgiven.", func(s *Settings) *int { return &s.DebtRequests }),
 
 	level("log", "level", "Least level of log lines.", func(s *Settings) *zerolog.Level { return &s.LogLevel }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,6 +90,19 @@
 
 	DebtRequests int
 
+	// Processor is the share of a core that the router may use; 0 if it is not known.
+	Processor float64
+	// Offload lets routers at their limits hand streams over to others.
+	Offload bool
+	// WaitingRequests is the maximum number of requests that wait for a place at a target.
+	WaitingRequests int
+	// NearHomes selects the homes of prompts in the data centre of the caller first.
+	NearHomes bool
+	// CacheEvents lets owners follow what their targets cache and evict.
+	CacheEvents bool
+	// Backups lets targets copy the state of streams while many streams are lost.
+	Backups bool
+
 	LogLevel zerolog.Level
 
 	Operators []Operator
--- /dev/null
+++ b/waitlist/waitlist.go
@@ -0,0 +1,4 @@
+// Package waitlist orders the requests that wait for a place at one target.
+//
+// The package has no I/O.
+package waitlist
