A busy router passes the events of a stream on together

Cause: profile of a router with 200 streams a second of 20 events each (perf, strace): 88 system calls a stream, of which 62 pass events on one by one (an empty read, a read and a write each); 36 of 100 samples are there, 15 in placing and sending. Change: package processor measures the processor time in use (getrusage) as a part of limits.processor; from a half on, a stream reads again at common ticks of 0.4 of limits.pass-within (80 of 200 ms), so that several events share a wake-up, a read and a write. The first event and what has arrived are passed on at once. Off without limits.pass-within or limits.processor.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/processor"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
@@ -66,6 +67,7 @@
 	// quarantine lists the requests that crash their targets.
 	quarantine *quarantine.List
 	relay      *relay.Server
+	processor  *processor.Meter
 	collector  *collector.Tuner
 	retries    *request.Budget
 	// rollouts holds the rollouts of services to new versions.
@@ -185,6 +187,7 @@
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
 		placer: place.New(place.Options{Clock: o.Clock, AssumeCached: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
+		processor: processor.New(processor.Options{Clock: o.Clock, Share: s.Processor}),
 		collector: collector.New(s.Memory()), rollouts: rollout.New(rollout.Options{Clock: o.Clock, ExposeShare: s.ExposeShare}),
 		peerClient: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streamClient: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
@@ -233,8 +236,9 @@
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
 		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find},
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
+		Processor: g.processor,
 		Limits: relay.Limits{
-			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), WriteTimeout: s.WriteTimeout,
+			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), WriteTimeout: s.WriteTimeout, PassWithin: s.PassWithin,
 			StopDelay: s.StopDelay, QuietPeriod: stopQuiet, StopTimeout: s.StopTimeout - stopMargin,
 		},
 	})
--- a/metric/names.go
+++ b/metric/names.go
@@ -118,6 +118,7 @@
 	TargetsAge
 	SuspectsKnown
 	BarredKnown
+	ProcessorLoad
 	numGauges
 )
 
@@ -131,6 +132,7 @@
 	RoutesAge:         {"routes_age_seconds", "Time since the store last answered about the configuration; a held feed makes some seconds."},
 	SuspectsKnown:     {"suspects_known", "Contents of requests, and parts of prompts, under which targets ended lately."},
 	BarredKnown:       {"barred_known", "*alarm* Contents of requests, and parts of prompts, that are barred from targets, as enough of them ended."},
+	ProcessorLoad:     {"processor_load", "Part of this router's share of a core that is in use; 0 if limits.processor is not set."},
 	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
 }
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +24,7 @@
 	"zinccove.example/zinccove/origin"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/platform"
+	"zinccove.example/zinccove/processor"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/roster"
@@ -167,6 +170,22 @@
 	table   *route.Table
 	fresh   bool
 	mu      sync.Mutex
+	// load is the processor time in use in thousandths, used the processor time used.
+	load atomic.Int64
+	used time.Duration
+}
+
+// processorTime returns the processor time used, which grows with each call as the load says.
+func (s *testServer) processorTime() (time.Duration, error) {
+	s.used += checkInterval * time.Duration(s.load.Load()) / 1000
+	return s.used, nil
+}
+
+// use sets the part of the processor time that is in use, and waits until the server knows it.
+func (s *testServer) use(t *testing.T, load float64) {
+	t.Helper()
+	s.load.Store(int64(1000 * load))
+	eventually(t, "load is known", func() bool { return math.Abs(s.options.Processor.Load()-load) < 0.1 })
 }
 
 func (s *testServer) view() View {
@@ -251,7 +270,8 @@
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), RequestLog: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
 		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
-		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
+		Processor: processor.New(processor.Options{Clock: clock, Share: 1, Used: s.processorTime}),
+		Limits:    Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, PassWithin: 200 * time.Millisecond, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() {
--- a/relay/monitor.go
+++ b/relay/monitor.go
@@ -26,6 +26,7 @@
 		case <-clock.After(checkInterval):
 		}
 		s.options.Metrics.Observe(metric.ProcessLag, s.lag.recordTick())
+		s.sampleProcessor()
 		now := clock.Now()
 		admitted, refused := s.throttle.adjust(s.excess(), now)
 		s.logLimits(admitted, refused, now)
@@ -37,6 +38,19 @@
 	}
 }
 
+// sampleProcessor measures the processor time in use.
+func (s *Server) sampleProcessor() {
+	m := s.options.Processor
+	if m == nil {
+		return
+	}
+	if err := m.Sample(); err != nil {
+		s.options.Log.Error().Err(err).Msg("processor time not known")
+		return
+	}
+	s.options.Metrics.Set(metric.ProcessorLoad, m.Load())
+}
+
 // shareOf returns the share of part in all, 0 if all is 0.
 func shareOf(part, all int) float64 { return float64(part) / float64(max(all, 1)) }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,7 @@
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
+	"zinccove.example/zinccove/processor"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
 	"zinccove.example/zinccove/rollout"
@@ -62,7 +63,7 @@
 	TargetsAge time.Duration
 }
 
-// Options configure a server. All but Query and Rollouts are required.
+// Options configure a server. All but Query, Rollouts and Processor are required.
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
@@ -86,7 +87,9 @@
 	// OnVersionFailure is called when a response or a failure counts against a new version.
 	Rollouts         *rollout.Set
 	OnVersionFailure func()
-	Limits           Limits
+	// Processor measures the processor time of this process; nil means that it is not known.
+	Processor *processor.Meter
+	Limits    Limits
 }
 
 // Limits bound the resources that callers can occupy.
@@ -98,6 +101,9 @@
 	Memory int64
 	// WriteTimeout is how long a caller may read no bytes of its response; 0 means no limit.
 	WriteTimeout time.Duration
+	// PassWithin is the time within which an event has to be passed on after its target made it;
+	// 0 means that there is no such time.
+	PassWithin time.Duration
 	// StopDelay is how long a graceful shutdown continues to accept all requests, until the
 	// balancer has noticed it. Later requests are refused if they may not end in time.
 	StopDelay time.Duration
@@ -117,6 +123,8 @@
 	// stopped is when the graceful shutdown began, nil before.
 	stopped atomic.Pointer[time.Time]
 	stop    chan struct{}
+	// started is when the server began to listen.
+	started time.Time
 	pace    pace
 	lag     lag
 	// connectHistory holds the latest new connections to targets.
@@ -150,7 +158,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: newConnectHistory(o.Clock), overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
+	s := &Server{options: o, listener: l, started: o.Clock.Now(), stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: newConnectHistory(o.Clock), overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		Concurrency:                  maxConnections(o.Limits.Connections, o.Limits.Memory),
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,6 +35,8 @@
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
 	began     bool
+	// passed is set once events were passed on.
+	passed bool
 	// advanced is set once the current target has sent events for a while.
 	advanced bool
 	// events is the number of events that the current target sent.
@@ -89,8 +91,10 @@
 		if s.err != nil {
 			return 0, s.err
 		}
+		s.collect()
 		s.fill()
 	}
+	s.passed = true
 	n := copy(p, s.buffer[:s.ready])
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[n:])]
 	s.ready -= n
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -76,6 +76,7 @@
 
 	decimal("rollout", "expose-share", 0.1, 0.001, 1, "Most of a service's requests that a new version may get which turns out to be bad.", func(s *Settings) *float64 { return &s.ExposeShare }),
 
+	duration("limits", "pass-within", 0, 0, time.Minute, "Time within which an event of a stream has to reach its caller after its target made it. A busy router collects events for a part of it; 0 passes each on at once.", func(s *Settings) *time.Duration { return &s.PassWithin }),
 	decimal("limits", "processor", 0, 0, 1024, "Share of a core that this router may use, from which it tells others what it has left; 0 leaves it unknown, and others do not hand requests over to it.", func(s *Settings) *float64 { return &s.Processor }),
 
 	flag("offload", "enabled", "Whether a router at its limits hands streams over to routers of its data centre that have processor time left, and takes over theirs.", func(s *Settings) *bool { return &s.Offload }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,6 +90,8 @@
 
 	DebtRequests int
 
+	// PassWithin is the time within which an event has to be passed on; 0 means that none is set.
+	PassWithin time.Duration
 	// Processor is the share of a core that the router may use; 0 if it is not known.
 	Processor float64
 	// Offload lets routers at their limits hand streams over to others.
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -13,6 +13,9 @@
 // gap matches a placeholder in a template that a platform replaces by a value.
 var gap = regexp.MustCompile(`\{\{[^}]*\}\}`)
 
+// given matches a text that stands only if a platform provides a value.
+var given = regexp.MustCompile(`\{\{#([^}]*)\}\}(.*?)\{\{/([^}]*)\}\}`)
+
 // fill replaces the placeholders of the deployment template by values, as a
 // platform does. The lists of seeds and of zones are each replaced by one value.
 func fill(t *testing.T, values map[string]string) string {
@@ -21,6 +24,13 @@
 	assert.NilError(t, err)
 	text := strings.Replace(string(body), "{{#seeds}}{{.}}{{,}}{{/seeds}}", values["seeds"], 1)
 	text = strings.Replace(text, "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", values["zones"], 1)
+	text = given.ReplaceAllStringFunc(text, func(g string) string {
+		m := given.FindStringSubmatch(g)
+		if m[1] != m[3] || values[m[1]] == "" {
+			return ""
+		}
+		return m[2]
+	})
 	return gap.ReplaceAllStringFunc(text, func(g string) string { return values[strings.Trim(g, "{}")] })
 }
 
@@ -33,6 +43,7 @@
 		"seeds": "10.1.0.33:8785,10.2.0.18:8785", "bootstrap": "true", "platform.address": "10.200.1.7:8781",
 		"limits.memoryMb": "184.5", "heartbeatMs": "1200.25", "bounds.graceS": "8.5", "bounds.drainMs": "4000.75",
 		"bounds.retryRatio": "0.2", "bounds.retrySlack": "33.1578947368421", "bounds.retryWindowS": "9.5",
+		"limits.cpuShare": "0.192", "bounds.pass_ms": "200.5",
 	}
 }
 
@@ -45,6 +56,8 @@
 	assert.Equal(t, s.TargetDrain, 4000750*time.Microsecond)
 	assert.Equal(t, s.TargetHeartbeat, 1200250*time.Microsecond)
 	assert.Equal(t, s.RetryWindow, 9500*time.Millisecond)
+	assert.Equal(t, s.PassWithin, 200500*time.Microsecond)
+	assert.Equal(t, s.Processor, 0.192)
 	assert.DeepEqual(t, s.Regions, map[string]string{"hall-a": "innsbruck", "hall-b": "innsbruck"})
 }
 
@@ -52,7 +65,7 @@
 // provides no value for a key that has a default.
 func TestTemplateTakesMissingValues(t *testing.T) {
 	values := stated()
-	for _, name := range []string{"limits.memoryMb", "bounds.retryRatio", "bounds.retrySlack"} {
+	for _, name := range []string{"limits.memoryMb", "bounds.retryRatio", "bounds.retrySlack", "limits.cpuShare", "bounds.pass_ms"} {
 		values[name] = ""
 	}
 	s, err := Parse("filled", []byte(fill(t, values)))
@@ -60,4 +73,6 @@
 	assert.Equal(t, s.RetrySlack, 50.0)
 	assert.Equal(t, s.RetryRatio, 0.2)
 	assert.Equal(t, s.MemoryMB, 0.0)
+	assert.Equal(t, s.PassWithin, time.Duration(0))
+	assert.Equal(t, s.Processor, 0.0)
 }
