Full routers hand streams over to others of their data centre

Cause: all callers of a large customer reach one host of 0.192 cores at a time, which refuses 600 to 1,560 streams a second while those beside it are idle. By strace and perf a refusal costs about 90 us there and a served stream 300 to 500. Change: package offload (connections between two routers that carry many streams, by yamux; what is written within 2 ms is sent together), relay/offload.go (from 0.4 of the processor time on streams are handed over to the better of two random routers by what they report as left).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/offload"
 	"zinccove.example/zinccove/owner"
 	"zinccove.example/zinccove/peer"
 	"zinccove.example/zinccove/place"
@@ -67,9 +68,15 @@
 	// quarantine lists the requests that crash their targets.
 	quarantine *quarantine.List
 	relay      *relay.Server
-	processor  *processor.Meter
-	collector  *collector.Tuner
-	retries    *request.Budget
+	// processor measures the processor time of this process, spares holds what other routers have
+	// left of theirs. offloadClient hands requests over to them, offloadServer takes theirs over.
+	processor     *processor.Meter
+	spares        *offload.Spares
+	offloadPeers  atomic.Pointer[[]offload.Router]
+	offloadClient *offload.Client
+	offloadServer *offload.Server
+	collector     *collector.Tuner
+	retries       *request.Budget
 	// rollouts holds the rollouts of services to new versions.
 	rollouts  *rollout.Set
 	control   *control.Server
@@ -187,7 +194,7 @@
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
 		placer: place.New(place.Options{Clock: o.Clock, AssumeCached: !s.FirstStart, Regions: s.Regions}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
-		processor: processor.New(processor.Options{Clock: o.Clock, Share: s.Processor}),
+		processor: processor.New(processor.Options{Clock: o.Clock, Share: s.Processor}), spares: offload.NewSpares(),
 		collector: collector.New(s.Memory()), rollouts: rollout.New(rollout.Options{Clock: o.Clock, ExposeShare: s.ExposeShare}),
 		peerClient: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
 		streamClient: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
@@ -203,6 +210,7 @@
 	g.logs = g.newLogs()
 	g.querier = newQuerier(g)
 	g.origins = newOrigins(g)
+	g.offloadPeers.Store(new([]offload.Router))
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
 	g.serves.Store(true)
@@ -232,11 +240,11 @@
 		return err
 	}
 	g.relay, err = relay.Listen(relay.Options{
-		Address: s.ListenCaller, Clock: g.clock, Log: g.log, RequestLog: g.logWriter.requestLogger(g.log), Metrics: g.metrics, Codec: platform.Codec,
+		Address: s.ListenCaller, Clock: g.clock, Log: g.log, RequestLog: g.logWriter.requestLogger(g.log, requestLines(s.Processor)), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
 		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find},
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
-		Processor: g.processor,
+		Processor: g.processor, Offload: g.offload(),
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), WriteTimeout: s.WriteTimeout, PassWithin: s.PassWithin,
 			StopDelay: s.StopDelay, QuietPeriod: stopQuiet, StopTimeout: s.StopTimeout - stopMargin,
@@ -245,6 +253,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.listenOffload(); err != nil {
+		return err
+	}
 	if s.ListenReady.IsValid() {
 		if g.readiness, err = listenReady(s.ListenReady, g.ready); err != nil {
 			return err
@@ -269,7 +280,7 @@
 func (g *Gateway) Close() error {
 	g.stopping.Store(true)
 	g.log.Info().Int("running", g.relay.Running()).Msg("stopping")
-	err := g.relay.Close()
+	err := errors.Join(g.relay.Close(), g.closeOffload())
 	g.stop()
 	g.logs.close()
 	g.store.Close()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -301,8 +301,8 @@
 	for range 3 * logRingSize {
 		log.Info().Msg("state")
 	}
-	requests := l.requestLogger(log)
-	for range 2 * requestLinesPerSecond {
+	requests := l.requestLogger(log, maxRequestLines)
+	for range 2 * maxRequestLines {
 		requests.Info().Msg("request")
 	}
 	close(out.release)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -166,7 +166,7 @@
 		l.gateway.replyToQuery(hb.Question, from)
 		return
 	case hb.Answer != nil:
-		l.gateway.querier.handleReply(hb.Answer)
+		l.gateway.querier.handleReply(hb)
 		return
 	case hb.Origin != nil:
 		l.gateway.origins.receive(hb.Origin)
@@ -311,4 +311,7 @@
 
 func (l *loop) sweep() {
 	l.gateway.links.Sweep(l.gateway.placer.Listed)
+	if c := l.gateway.offloadClient; c != nil {
+		c.Sweep()
+	}
 }
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -24,6 +24,7 @@
 	}
 	before := g.owners.Load()
 	l.routers = routers
+	l.updateOffloadPeers()
 	table := owner.New(routers)
 	g.owners.Store(table)
 	if table.SameOwners(before, g.settings.DataCentre) {
@@ -146,5 +147,7 @@
 			reply.Targets = append(reply.Targets, encodeAnswer(a))
 		}
 	}
-	g.loop.contact.Send(&zinccovev1.Heartbeat{Answer: reply}, from)
+	hb := &zinccovev1.Heartbeat{Answer: reply}
+	g.reportSpare(hb)
+	g.loop.contact.Send(hb, from)
 }
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -131,7 +131,8 @@
 }
 
 // handleReply accepts a reply. A late or unknown reply is dropped.
-func (a *querier) handleReply(reply *zinccovev1.Answer) {
+func (a *querier) handleReply(hb *zinccovev1.Heartbeat) {
+	reply := hb.Answer
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	q := a.pending[reply.Number]
@@ -141,6 +142,7 @@
 	delete(a.pending, reply.Number)
 	router := q.awaited[reply.Number]
 	delete(a.misses, router.Name)
+	a.gateway.recordSpare(router.Name, hb)
 	delete(q.awaited, reply.Number)
 	a.gateway.placer.RecordContact(router.DataCentre)
 	for _, t := range reply.Targets {
--- a/gateway/query_test.go
+++ b/gateway/query_test.go
@@ -56,7 +56,7 @@
 			case hb.Question != nil && !isSilent:
 				g.replyToQuery(hb.Question, from)
 			case hb.Answer != nil:
-				g.querier.handleReply(hb.Answer)
+				g.querier.handleReply(hb)
 			}
 		})
 		all = append(all, g)
@@ -155,6 +155,6 @@
 func TestLateRepliesAreDropped(t *testing.T) {
 	all, _ := newQueriers(t, 1, new(sync.Map))
 	g := all[0]
-	g.querier.handleReply(&zinccovev1.Answer{Number: 77})
+	g.querier.handleReply(&zinccovev1.Heartbeat{Answer: &zinccovev1.Answer{Number: 77}})
 	assert.Equal(t, len(g.querier.pending), 0)
 }
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -65,6 +65,7 @@
 		l.learnIntroduced(h)
 	}
 	l.receivedHeartbeat = true
+	l.gateway.recordSpare(host.Name, r.Heartbeat)
 	l.gateway.placer.ApplyReport(host.Name, decodeReport(r.Heartbeat))
 	l.handleReport(host, r.Heartbeat.Report)
 	l.handleRollouts(host.Name, host.DataCentre, r.Heartbeat)
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -19,5 +19,7 @@
 
 // header returns the common fields of a heartbeat.
 func (l *loop) header() *zinccovev1.Heartbeat {
-	return l.contact.NewHeartbeat(l.version(), l.gateway.stopping.Load())
+	hb := l.contact.NewHeartbeat(l.version(), l.gateway.stopping.Load())
+	l.gateway.reportSpare(hb)
+	return hb
 }
--- a/metric/names.go
+++ b/metric/names.go
@@ -54,6 +54,9 @@
 	NoticesBackoff
 	CallersResumed
 	OriginsUnknown
+	RequestsOffloaded
+	RequestsTakenOver
+	OffloadsFailed
 	numCounters
 )
 
@@ -100,6 +103,9 @@
 	NoticesBackoff:       {"notices_backoff", "Targets that asked this router in an answer for a while without requests."},
 	CallersResumed:       {"callers_resumed", "Streams that callers resumed here at the version that began them."},
 	OriginsUnknown:       {"origins_unknown", "Streams that callers could not resume here because the version that began them is not known."},
+	RequestsOffloaded:    {"requests_offloaded", "Streams handed over to another router, because this one had little processor time left."},
+	RequestsTakenOver:    {"requests_taken_over", "Streams that other routers handed over to this one."},
+	OffloadsFailed:       {"offloads_failed", "Routers that could not be reached to hand a stream over."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -108,17 +108,38 @@
 
 // withPort returns an address with a free port in place of port 0. The system would select one that
 // another process listens at: gnet lets sockets share a port, and each then receives only some of the
+// datagrams. The port is free for connections too, which routers accept at the port of their
 // datagrams.
 func withPort(address netip.AddrPort) (netip.AddrPort, error) {
 	if address.Port() != 0 {
 		return address, nil
 	}
+	var err error
+	for range maxPortTries {
+		var free netip.AddrPort
+		if free, err = freePort(address); err == nil {
+			return free, nil
+		}
+	}
+	return netip.AddrPort{}, err
+}
+
+// maxPortTries bounds the ports that are tried: most are free for connections.
+const maxPortTries = 20
+
+// freePort returns an address with a port that is free for datagrams and connections.
+func freePort(address netip.AddrPort) (netip.AddrPort, error) {
 	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
+	defer c.Close() //nolint:errcheck // nothing was sent
 	free := c.LocalAddr().(*net.UDPAddr).AddrPort()
-	return netip.AddrPortFrom(address.Addr(), free.Port()), c.Close()
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(free))
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	return free, l.Close()
 }
 
 // OnBoot is called by gnet when the socket is open.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -32,16 +32,18 @@
 }
 
 // write writes the refusal as the response.
-func (r *refusal) write(ctx *fasthttp.RequestCtx) {
-	ctx.Response.ResetBody()
-	ctx.SetStatusCode(r.status)
-	ctx.SetContentType("text/plain")
-	ctx.SetBodyString(r.reason + "\n")
+func (r *refusal) write(ctx *fasthttp.RequestCtx) { r.writeTo(&ctx.Response) }
+
+func (r *refusal) writeTo(resp *fasthttp.Response) {
+	resp.ResetBody()
+	resp.SetStatusCode(r.status)
+	resp.Header.SetContentType("text/plain")
+	resp.SetBodyString(r.reason + "\n")
 	if r.retryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(roundUp(r.retryAfter), 'f', -1, 64))
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(roundUp(r.retryAfter), 'f', -1, 64))
 		// Callers retry on a new connection. Callers that are refused at once and often would
 		// otherwise leave thousands of idle connections open.
-		ctx.SetConnectionClose()
+		resp.SetConnectionClose()
 	}
 }
 
@@ -57,6 +59,8 @@
 	reasonWrongKey   = "wrong_key"
 	reasonStopping   = "stopping"
 	reasonRouterBusy = "router_busy"
+	// reasonServingRouterLost: the router that served the request was lost before it responded.
+	reasonServingRouterLost = "serving_router_lost"
 	// reasonUnknownOrigin: the version that began a stream which a caller resumes is not known.
 	reasonUnknownOrigin = "stream_origin_unknown"
 )
@@ -94,6 +98,7 @@
 // request as requested by its customer.
 func (f *flight) refuseBusy() *refusal {
 	s := f.server
+	f.deposit()
 	s.options.Placer.RecordRefusal(f.placement())
 	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonRouterBusy, retryAfter: s.busyRetry()}
 }
@@ -128,6 +133,7 @@
 // admit decodes a request and decides whether it may be served. The refusal is nil if it may.
 func (s *Server) admit(ctx *fasthttp.RequestCtx) (*flight, *refusal) {
 	f := &flight{server: s, received: s.options.Clock.Now(), conn: ctx.Conn(), header: &ctx.Request.Header}
+	f.takeOver(ctx)
 	call, err := s.options.Codec.DecodeRequest(&ctx.Request.Header)
 	f.call = call
 	if err != nil {
@@ -153,14 +159,37 @@
 		}
 	}
 	f.setLimits(view.Table)
-	if f.engine && !s.throttle.allow(f.customer, f.received) {
+	if !f.engine {
+		return f, nil
+	}
+	f.offloadTo = s.offloadTargets(f)
+	f.dispatching = len(f.offloadTo) == 0
+	if s.saturated() || !s.throttle.allow(f.customer, f.received, f.dispatching) {
+		f.dispatching = false
 		s.options.Metrics.Inc(metric.RequestsShed)
 		return f, f.refuseBusy()
 	}
-	f.dispatching = f.engine
 	return f, nil
 }
 
+// keep decides whether this router serves a stream that it could not hand over.
+func (f *flight) keep() *refusal {
+	if !f.server.throttle.dispatch() {
+		f.server.options.Metrics.Inc(metric.RequestsShed)
+		return f.refuseBusy()
+	}
+	f.dispatching = true
+	return nil
+}
+
+// deposit adds the request to the budget of retries, once.
+func (f *flight) deposit() {
+	if !f.deposited {
+		f.deposited = true
+		f.server.options.Retries.Deposit()
+	}
+}
+
 // unknown returns the refusal of a request whose route or key the table lacks. An old table
 // does not prove that a route or key does not exist.
 func unknown(view View, status int, reason string) *refusal {
@@ -207,5 +236,4 @@
 		ID: f.call.ID, Repeatable: f.route.Retryable(), Deadline: f.deadline, MaxAttempts: f.route.MaxAttempts,
 		FreeUnsent: freeUnsent,
 	})
-	f.server.options.Retries.Deposit()
 }
--- a/relay/coalesce.go
+++ b/relay/coalesce.go
@@ -15,8 +15,11 @@
 )
 
 // coalesceInterval returns for how long events are collected; 0 passes them on at once.
-func (s *Server) coalesceInterval() time.Duration {
-	if s.options.Processor == nil || s.options.Processor.Load() < coalesceLoad {
+// Those of requests that another router handed over always are, because that one has little
+// processor time left.
+func (f *flight) coalesceInterval() time.Duration {
+	s := f.server
+	if !f.takenOver && s.load() < coalesceLoad {
 		return 0
 	}
 	return time.Duration(coalesceShare * float64(s.options.Limits.PassWithin))
@@ -33,7 +36,7 @@
 	if s.large || !s.passed || s.link.Reader.Buffered() > 0 {
 		return
 	}
-	interval := f.server.coalesceInterval()
+	interval := f.coalesceInterval()
 	if interval <= 0 {
 		return
 	}
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -11,6 +12,7 @@
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/notice"
+	"zinccove.example/zinccove/offload"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/request"
@@ -82,6 +84,14 @@
 	run *place.Run
 	// notice is what the target of the current attempt reported about itself.
 	notice notice.Notice
+	// takenOver is set if another router handed the request over, offloadTo holds the routers to
+	// which this one hands it over. grace is how much longer than its time limit the request may
+	// take here.
+	takenOver bool
+	offloadTo []offload.Router
+	grace     time.Duration
+	// deposited is set once the request has added to the budget of retries.
+	deposited bool
 	// dispatching is set from the admission of a stream until it is sent for the first time.
 	dispatching bool
 	// queryTime is how long the last placement waited for replies of other routers.
@@ -96,6 +106,8 @@
 	targetRuns bool
 	// firstEvent is the time from receiving the request to the first event of its stream.
 	firstEvent time.Duration
+	// passedAt is when bytes were last passed on to the caller, in nanoseconds since the Unix epoch.
+	passedAt atomic.Int64
 	// stall is the time since which the caller has not read the bytes that a stream passed on.
 	stall stallTimer
 
@@ -109,6 +121,8 @@
 	sent     time.Time
 	attempts int
 	cause    cause
+	// remote is the stream to the router that serves the request, nil if this one does.
+	remote net.Conn
 }
 
 // serve makes attempts until the request is complete. Streams end later, in their Close.
@@ -277,6 +291,7 @@
 	if f.link != nil {
 		f.link.Close() //nolint:errcheck // the attempt ends with it
 	}
+	f.closeRemote()
 	if c == causeCallerClosed {
 		f.server.options.Metrics.Inc(metric.CallersGone)
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -20,9 +20,22 @@
 	if f.customer != "" {
 		e = e.Str("customer", f.customer)
 	}
+	if f.takenOver {
+		e = e.Bool("taken_over", true)
+	}
 	return e
 }
 
+// logHandover logs a step of a request that is handed over to another router.
+func (s *Server) logHandover(h *handover, err error, step string) {
+	e := s.requestEvent(s.options.RequestLog.Info(), h.flight).Str("peer", h.to.Name).Float64("load", s.load()).
+		Int("passed_bytes", h.passed).Dur("took_ms", s.options.Clock.Since(h.flight.received))
+	if err != nil && err != io.EOF {
+		e = e.Err(err)
+	}
+	e.Msg(step)
+}
+
 // withDecision adds the inputs of the last decision of the placer.
 func (f *flight) withDecision(e *zerolog.Event) *zerolog.Event {
 	d := &f.decision
@@ -171,7 +184,7 @@
 	}
 	if sum.refused > 0 {
 		s.options.Log.Info().Int("admitted", sum.admitted).Int("refused", sum.refused).Float64("rate", s.throttle.current()).
-			Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).Bool("overloaded", s.Overloaded()).
+			Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).Dur("replies_ms", s.offloadDelay()).Float64("load", s.load()).Bool("overloaded", s.Overloaded()).
 			Msg("streams refused by the limits of this router")
 	}
 	*sum = limitSummary{since: now}
--- a/relay/monitor.go
+++ b/relay/monitor.go
@@ -6,6 +6,7 @@
 
 	"zinccove.example/zinccove/hangup"
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/offload"
 )
 
 const (
@@ -28,7 +29,8 @@
 		s.options.Metrics.Observe(metric.ProcessLag, s.lag.recordTick())
 		s.sampleProcessor()
 		now := clock.Now()
-		admitted, refused := s.throttle.adjust(s.excess(), now)
+		s.probeOffload(now)
+		admitted, refused := s.throttle.adjust(s.excess(), s.handsOver(now), now)
 		s.logLimits(admitted, refused, now)
 		if s.overload.update(shareOf(refused, admitted+refused)) {
 			s.options.Log.Warn().Bool("strained", s.Overloaded()).Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).
@@ -68,9 +70,9 @@
 		switch {
 		case f.stall.exceeds(s.options.Limits.WriteTimeout, now):
 			f.closeStalled() // also after its time was up, which ends only the exchange with the target
-		case !now.Before(limit):
+		case !now.Before(limit.Add(f.grace)):
 			f.interrupt(causeTimeUp)
-		case callerClosed(f):
+		case !f.wrote(now) && callerClosed(f):
 			f.interrupt(causeCallerClosed)
 		case f.route.Retryable():
 			f.abandonLostTarget(now)
@@ -95,8 +97,19 @@
 	return list
 }
 
+// writeTTL is the time for which a write to a caller shows that it is there: the first write after it
+// has closed its connection makes the next one fail, and work for it has to end within half a second.
+const writeTTL = 200 * time.Millisecond
+
+// wrote reports whether bytes were passed on to the caller lately. The look at its connection, a
+// system call for each request ten times a second, is not needed then.
+func (f *flight) wrote(now time.Time) bool { return now.UnixNano()-f.passedAt.Load() < int64(writeTTL) }
+
 // callerClosed reports whether the caller closed its connection.
 func callerClosed(f *flight) bool {
+	if c, ok := f.conn.(*offload.Conn); ok {
+		return c.Gone()
+	}
 	sc, ok := f.conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,7 @@
 	TargetsAge time.Duration
 }
 
-// Options configure a server. All but Query, Rollouts and Processor are required.
+// Options configure a server. All but Query, Rollouts, Offload and Processor are required.
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
@@ -87,6 +87,8 @@
 	// OnVersionFailure is called when a response or a failure counts against a new version.
 	Rollouts         *rollout.Set
 	OnVersionFailure func()
+	// Offload hands streams over to other routers while this one is at its limits.
+	Offload Offload
 	// Processor measures the processor time of this process; nil means that it is not known.
 	Processor *processor.Meter
 	Limits    Limits
@@ -133,6 +135,8 @@
 	overload       overload
 	throttle       throttle
 	limitSummary   limitSummary
+	// handedOverAt is when a request was last handed over, in nanoseconds since the Unix epoch.
+	handedOverAt atomic.Int64
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
@@ -213,6 +217,16 @@
 		f.refuseBody(ctx, err)
 		return
 	}
+	if len(f.offloadTo) > 0 {
+		if f.handOver(ctx) {
+			return
+		}
+		if r := f.keep(); r != nil {
+			f.refuse(ctx, r)
+			return
+		}
+	}
+	f.deposit()
 	if r := f.resumeAtOrigin(); r != nil {
 		f.refuse(ctx, r)
 		return
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -87,6 +87,9 @@
 // connection, so that the response does not look complete.
 func (s *stream) Read(p []byte) (int, error) {
 	s.flight.stall.clear()
+	if s.passed {
+		s.flight.passedAt.Store(s.flight.server.options.Clock.Now().UnixNano())
+	}
 	for s.ready == 0 {
 		if s.err != nil {
 			return 0, s.err
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -61,6 +61,10 @@
 	// an overload, the latter if no stream could be served in time.
 	slightDecrease = 0.75
 	severeDecrease = 0.4
+	// handoverDecrease is the factor while streams are handed over, and handoverPause the time
+	// between two decreases then: within it the next probe of another router shows the effect.
+	handoverDecrease = 0.9
+	handoverPause    = 200 * time.Millisecond
 	// initialPause is the time between the first two decreases: as long as samples are kept, so
 	// that they show the effect of a decrease. It doubles while the overload lasts, because the
 	// excess streams admitted before have to be completed first.
@@ -91,13 +95,13 @@
 	return float64(own) <= smallCustomerShare*float64(t.currentArrivals.total+t.previousArrivals.total)
 }
 
-// allow reports whether a stream of a customer may be admitted now. If so, the caller has to
-// call dispatched.
-func (t *throttle) allow(customer string, now time.Time) bool {
+// allow reports whether a stream of a customer may be admitted now. Dispatches tells that this
+// router sends it to a target; if it is admitted, the caller then has to call dispatched.
+func (t *throttle) allow(customer string, now time.Time, dispatches bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	small := t.count(customer, now)
-	if t.dispatching >= maxDispatching {
+	if dispatches && t.dispatching >= maxDispatching {
 		t.refused++
 		t.refusedAt = now
 		return false
@@ -114,10 +118,32 @@
 		t.tokens--
 	}
 	t.admitted++
+	if dispatches {
+		t.dispatching++
+	}
+	return true
+}
+
+// dispatch reports whether a stream that was admitted to be handed over may be sent to a target
+// instead. If so, the caller has to call dispatched.
+func (t *throttle) dispatch() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dispatching >= maxDispatching {
+		t.refused++
+		return false
+	}
 	t.dispatching++
 	return true
 }
 
+// strained reports whether streams are limited, or many are on their way to a target.
+func (t *throttle) strained() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rate > 0 || t.dispatching >= offloadDispatching
+}
+
 // dispatched records that an admitted stream was sent to a target, or ended before that.
 func (t *throttle) dispatched() {
 	t.mu.Lock()
@@ -126,8 +152,9 @@
 }
 
 // adjust adapts the rate to the share of streams that this router cannot serve in time, and
-// returns how many were admitted and refused since the last adjustment.
-func (t *throttle) adjust(excess float64, now time.Time) (admitted, refused int) {
+// returns how many were admitted and refused since the last adjustment. HandsOver tells that streams
+// are handed over: refusing one then saves little, and its caller comes back.
+func (t *throttle) adjust(excess float64, handsOver bool, now time.Time) (admitted, refused int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	period := now.Sub(t.lastAdjusted).Seconds()
@@ -139,11 +166,11 @@
 	t.excess = excess
 	switch {
 	case excess > 0 && !easing && now.Sub(t.lowered) >= t.pause:
-		t.decrease(excess, taken, now)
+		t.decrease(excess, taken, handsOver, now)
 	case excess > 0:
 	case t.rate == 0:
 	case limited:
-		t.increase()
+		t.increase(handsOver)
 	case now.Sub(t.refusedAt) >= unlimitAfter:
 		t.rate = 0
 	}
@@ -151,9 +178,9 @@
 }
 
 // increase raises the rate after an interval without overload.
-func (t *throttle) increase() {
+func (t *throttle) increase(handsOver bool) {
 	t.pause = 0
-	if t.rate < fastIncreaseShare*t.troubleRate {
+	if handsOver || t.rate < fastIncreaseShare*t.troubleRate {
 		t.rate *= 1 + fastIncrease
 	} else {
 		t.rate *= 1 + slowIncrease
@@ -161,10 +188,13 @@
 }
 
 // decrease lowers the rate, starting from the rate of admitted streams if there was no limit.
-func (t *throttle) decrease(excess, taken float64, now time.Time) {
+func (t *throttle) decrease(excess, taken float64, handsOver bool, now time.Time) {
 	part := slightDecrease
-	if excess >= 1 {
+	switch {
+	case excess >= 1:
 		part = severeDecrease
+	case handsOver:
+		part = handoverDecrease
 	}
 	if t.rate == 0 {
 		// The interval is too short to measure the rate of few streams, so all streams that
@@ -176,6 +206,9 @@
 		t.troubleRate = max(t.rate, t.troubleRate/2)
 	}
 	t.pause = max(2*t.pause, initialPause)
+	if handsOver {
+		t.pause = handoverPause
+	}
 	t.rate = max(part*t.rate, minRate)
 	t.tokens = min(t.tokens, minBurst)
 	t.lowered = now
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -291,6 +291,10 @@
 		{"limits", "stop-delay = 200ms\nwrite-timeout = 2s"},
 		{"log", ""},
 		{"routes", ""},
+		{"offload", ""},
+		{"waiting", ""},
+		{"placement", ""},
+		{"streams", ""},
 		{"operator." + Operator, "key-sha256 = " + config.Digest([]byte(OperatorKey)) + "\nroles = read, plan, confirm"},
 	}
 	var b strings.Builder
