Batches between routers do not share a buffer

Cause: a batch that found nothing to send kept the spare buffer that new bytes were collected in, so that the next batch was overwritten while it was sent.

--- a/offload/batch.go
+++ b/offload/batch.go
@@ -68,10 +68,7 @@
 		case <-b.wake:
 		}
 		b.clock.Sleep(batchDelay)
-		b.mu.Lock()
-		batch := b.pending
-		b.pending = spare[:0]
-		b.mu.Unlock()
+		batch := b.take(spare)
 		if len(batch) == 0 {
 			continue // sent with the batch before
 		}
@@ -88,6 +85,18 @@
 	}
 }
 
+// take returns the collected bytes. Later ones are collected in the spare buffer, unless there were
+// none.
+func (b *batchConn) take(spare []byte) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := b.pending
+	if len(batch) > 0 {
+		b.pending = spare[:0]
+	}
+	return batch
+}
+
 // Close closes the connection and waits until nothing is sent any more. Collected bytes are lost.
 func (b *batchConn) Close() error {
 	err := b.Conn.Close()
--- a/offload/client.go
+++ b/offload/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"zinccove.example/zinccove/errs"
@@ -29,9 +30,9 @@
 // Client hands requests over. It is safe for concurrent use.
 type Client struct {
 	options Options
-	// probed is when the probe that Delay waits for was sent, in nanoseconds since the Unix epoch;
+	// probedAt is when the probe that Delay waits for was sent, in nanoseconds since the Unix epoch;
 	// 0 if none is open. delay is what the last one took.
-	probed, delay atomic.Int64
+	probedAt, delay atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[netip.AddrPort]*session
@@ -180,46 +181,67 @@
 	return idle
 }
 
-// Probe measures how long another router takes to reply to a message. Most of that is the delay of
+// probed is the number of routers that are probed at once. The fastest of them counts, as the
+// others may be late themselves.
+const probed = 3
+
+// Probe measures how long other routers take to reply to a message. Most of that is the delay of
 // this process if it has no processor time left. It does nothing while an earlier probe is open or
 // there is no connection.
 func (c *Client) Probe() {
-	mux := c.anySession()
+	sessions := c.someSessions(probed)
 	now := c.options.Clock.Now()
-	if mux == nil || !c.probed.CompareAndSwap(0, now.UnixNano()) {
+	if len(sessions) == 0 || !c.probedAt.CompareAndSwap(0, now.UnixNano()) {
 		return
 	}
-	took, err := mux.Ping()
-	c.probed.Store(0)
-	if err == nil {
-		c.delay.Store(int64(took))
+	var first sync.Once
+	var group errgroup.Group
+	for _, mux := range sessions {
+		group.Go(func() error {
+			took, err := mux.Ping()
+			if err == nil {
+				first.Do(func() { c.recordReply(took) })
+			}
+			return err
+		})
 	}
+	group.Wait()        //nolint:errcheck // a router that does not reply says nothing of this one
+	c.probedAt.Store(0) // nobody replied, or recordReply did so before
+}
+
+// recordReply records the first reply to a probe.
+func (c *Client) recordReply(took time.Duration) {
+	c.delay.Store(int64(took))
+	c.probedAt.Store(0)
 }
 
 // Delay returns what the last probe took, or the open one if that is longer.
 func (c *Client) Delay() time.Duration {
 	var open time.Duration
-	if at := c.probed.Load(); at != 0 {
+	if at := c.probedAt.Load(); at != 0 {
 		open = time.Duration(c.options.Clock.Now().UnixNano() - at)
 	}
 	return max(open, time.Duration(c.delay.Load()))
 }
 
-// anySession returns one of the open connections, nil if there is none.
-func (c *Client) anySession() *yamux.Session {
+// someSessions returns up to n open connections, any of them.
+func (c *Client) someSessions(n int) []*yamux.Session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var list []*yamux.Session
 	for _, s := range c.sessions {
+		if len(list) == n {
+			break
+		}
 		if !s.mu.TryLock() {
-			continue
+			continue // it is being opened
 		}
-		mux := s.mux
-		s.mu.Unlock()
-		if mux != nil && !mux.IsClosed() {
-			return mux
+		if s.mux != nil && !s.mux.IsClosed() {
+			list = append(list, s.mux)
 		}
+		s.mu.Unlock()
 	}
-	return nil
+	return list
 }
 
 // Close closes all connections and the streams that use them.
