Routers out of file descriptors accept callers again; streams handed over are bounded

Connections of streams that are handed over did not count among the bounded ones. Change: persistentListener; maxHandedOver by memory.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -89,11 +89,17 @@
 // busyRetry returns the Retry-After of a request for which this router has no capacity. Callers of
 // an overloaded router return when the balancer has noticed that it is not ready: earlier retries
 // arrive here again, and refusing them takes most of the processor of a small host. Later ones
-// reach another router at once, because a refusal closes the connection.
+// reach another router at once, because a refusal closes the connection. Callers are spread over the
+// time that this router needs for those that it refuses, as they would otherwise come back together.
 func (s *Server) busyRetry() time.Duration {
-	return max(routerBusyRetry, s.overload.unnoticed(s.options.Limits.StopDelay))
+	spread := time.Duration(rand.Float64() * float64(min(s.throttle.backlog(), maxRetrySpread)))
+	return max(routerBusyRetry, s.overload.unnoticed(s.options.Limits.StopDelay)) + spread
 }
 
+// maxRetrySpread bounds the time over which refused callers are spread: they can still be served
+// within their objective after it.
+const maxRetrySpread = 300 * time.Millisecond
+
 // refuseBusy returns the refusal of a request for which this router has no capacity, and counts the
 // request as requested by its customer.
 func (f *flight) refuseBusy() *refusal {
@@ -164,7 +170,7 @@
 	}
 	f.offloadTo = s.offloadTargets(f)
 	f.dispatching = len(f.offloadTo) == 0
-	if s.saturated() || !s.throttle.allow(f.customer, f.received, f.dispatching) {
+	if !s.throttle.allow(f.customer, f.received, f.dispatching) {
 		f.dispatching = false
 		s.options.Metrics.Inc(metric.RequestsShed)
 		return f, f.refuseBusy()
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -31,6 +31,24 @@
 	largeBodyShare = 0.125
 )
 
+const (
+	// handedOverBytes is the memory of a request that another router serves: its connection with the
+	// buffers of the request, until the response begins, and the buffer of its copy.
+	handedOverBytes = 40 << 10
+	// handedOverShare is the share of the memory for such requests. Their connections do not count
+	// among the others.
+	handedOverShare = 0.25
+)
+
+// maxHandedOver returns how many requests may be handed over at once with a memory in bytes, at most
+// the configured number of connections.
+func maxHandedOver(configured int, memory int64) int {
+	if memory <= 0 {
+		return configured
+	}
+	return min(configured, max(int(handedOverShare*float64(memory)/handedOverBytes), minConnections))
+}
+
 // maxConnections returns the number of connections of callers that fit into a memory in bytes,
 // at most the configured number.
 func maxConnections(configured int, memory int64) int {
--- a/relay/offload.go
+++ b/relay/offload.go
@@ -29,7 +29,7 @@
 	// offloadLoad is the share of the processor time in use from which on streams are handed over: a
 	// flood fills the rest within a sample, and a router that waits until it refuses some has no
 	// time left to hand them over.
-	offloadLoad = 0.4
+	offloadLoad = 0.5
 	// offloadDispatching is the number of streams on their way to a target from which on further
 	// ones are handed over, whatever the load was at the last sample.
 	offloadDispatching = maxDispatching / 3
@@ -56,6 +56,9 @@
 	if s.load() < offloadLoad && !s.throttle.strained() {
 		return nil
 	}
+	if s.handedOver.Load() >= int64(maxHandedOver(s.options.Limits.Connections, s.options.Limits.Memory)) {
+		return nil
+	}
 	return s.options.Offload.Choose()
 }
 
@@ -76,11 +79,6 @@
 	return s.options.Offload.Delay()
 }
 
-// saturated reports whether replies of other routers are so late that this router has no processor
-// time left at all. It admits nothing until they are not: what it admits in the time until the rate
-// follows would only wait.
-func (s *Server) saturated() bool { return s.offloadDelay() >= saturatedReply }
-
 // handsOver reports whether requests were handed over lately.
 func (s *Server) handsOver(now time.Time) bool {
 	at := s.handedOverAt.Load()
@@ -120,6 +118,7 @@
 	f.grace = handedOverGrace
 	// The rest of the exchange needs neither the parsed request nor its buffers.
 	f.body, f.header = nil, nil
+	f.server.handedOver.Add(1)
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(net.Conn) { h.run() })
 	return true
@@ -129,6 +128,10 @@
 func (h *handover) open() bool {
 	f := h.flight
 	s := f.server
+	if s.offloadDelay() > normalReply && callerClosed(f) {
+		f.interrupt(causeCallerClosed) // requests lie unread on a busy host, and this one did for too long
+		return true
+	}
 	for len(h.others) > 0 {
 		h.to, h.others = h.others[0], h.others[1:]
 		stream, err := s.options.Offload.Open(h.to, s.options.Clock.Since(f.received), h.request)
@@ -182,6 +185,7 @@
 // run passes the response on. The caller's connection is closed after it.
 func (h *handover) run() {
 	f := h.flight
+	defer f.server.handedOver.Add(-1)
 	defer f.server.unregister(f)
 	for h.stream != nil {
 		err := h.copy()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -135,6 +135,8 @@
 	overload       overload
 	throttle       throttle
 	limitSummary   limitSummary
+	// handedOver is the number of requests that other routers serve now.
+	handedOver atomic.Int64
 	// handedOverAt is when a request was last handed over, in nanoseconds since the Unix epoch.
 	handedOverAt atomic.Int64
 
@@ -191,7 +193,7 @@
 
 // serve accepts callers until the listener is closed.
 func (s *Server) serve() error {
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(&persistentListener{s.listener, s.options.Clock, s.options.Log})
 	if errs.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -26,6 +26,8 @@
 	// admitted and refused count streams since the last adjustment, which was at lastAdjusted.
 	admitted, refused int
 	lastAdjusted      time.Time
+	// refusedPerSecond is the weighted mean rate of refused streams.
+	refusedPerSecond float64
 	// excess is the excess as of the last adjustment.
 	excess float64
 	// lowered is when the rate was last decreased, pause the time until it may be decreased
@@ -65,6 +67,8 @@
 	// between two decreases then: within it the next probe of another router shows the effect.
 	handoverDecrease = 0.9
 	handoverPause    = 200 * time.Millisecond
+	// refusedMeanWeight is the weight of one interval in the mean rate of refused streams.
+	refusedMeanWeight = 0.3
 	// initialPause is the time between the first two decreases: as long as samples are kept, so
 	// that they show the effect of a decrease. It doubles while the overload lasts, because the
 	// excess streams admitted before have to be completed first.
@@ -159,6 +163,7 @@
 	defer t.mu.Unlock()
 	period := now.Sub(t.lastAdjusted).Seconds()
 	taken := float64(t.admitted) / max(period, checkInterval.Seconds())
+	t.refusedPerSecond += refusedMeanWeight * (float64(t.refused)/max(period, checkInterval.Seconds()) - t.refusedPerSecond)
 	limited := t.refused > 0
 	admitted, refused = t.admitted, t.refused
 	t.admitted, t.refused, t.lastAdjusted = 0, 0, now
@@ -191,10 +196,10 @@
 func (t *throttle) decrease(excess, taken float64, handsOver bool, now time.Time) {
 	part := slightDecrease
 	switch {
-	case excess >= 1:
-		part = severeDecrease
 	case handsOver:
 		part = handoverDecrease
+	case excess >= 1:
+		part = severeDecrease
 	}
 	if t.rate == 0 {
 		// The interval is too short to measure the rate of few streams, so all streams that
@@ -214,6 +219,17 @@
 	t.lowered = now
 }
 
+// backlog returns how long it takes at the current rate to admit as many streams as were refused
+// within the last second; 0 if the rate is not limited.
+func (t *throttle) backlog() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rate <= 0 {
+		return 0
+	}
+	return time.Duration(t.refusedPerSecond / t.rate * float64(time.Second))
+}
+
 // current returns the rate, 0 for no limit.
 func (t *throttle) current() float64 {
 	t.mu.Lock()
