Prompts are placed near their callers, and directories tell who holds their shared parts

Cause: homes are hashed over all data centres, so two or three in four prompts cross, and a home that is none of the first two of a prompt cannot be copied from, whatever it keeps. Change: the two first homes of the router's own data centre come first (16 good targets there at least), then those over all data centres, which are asked about only if a shared part is missing, a prompt would wait, or be refused. The owner of the first home over all data centres is told which other targets get the shared parts and names one in its replies.

--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -69,12 +69,24 @@
 		hb.FirstEvents = append(hb.FirstEvents, event)
 		n.FirstEvents = n.FirstEvents[1:]
 	}
+	for len(n.Holdings) > 0 {
+		holding := encodeHolding(n.Holdings[0])
+		if !room.reserve(holding) {
+			return
+		}
+		hb.Holdings = append(hb.Holdings, holding)
+		n.Holdings = n.Holdings[1:]
+	}
 }
 
 func encodeReading(r place.Prefill) *zinccovev1.Reading {
 	return &zinccovev1.Reading{Target: uint64(r.Target), Number: r.Number, Unread: uint32(r.Tokens), Copied: uint32(r.CopiedTokens), Parts: numbers(r.PrefixParts)}
 }
 
+func encodeHolding(h place.Holding) *zinccovev1.Holding {
+	return &zinccovev1.Holding{Key: uint64(h.Key), Target: uint64(h.Target), Tokens: uint32(h.Tokens), Evicted: h.Evicted}
+}
+
 func numbers(hashes []place.Hash) []uint64 {
 	list := make([]uint64, len(hashes))
 	for i, h := range hashes {
@@ -126,6 +138,9 @@
 			Target: place.Hash(e.Target), Number: e.Number, Latency: time.Duration(e.TookUs) * time.Microsecond, PrefillTokens: int(e.ToRead),
 		})
 	}
+	for _, h := range hb.Holdings {
+		r.Update.Holdings = append(r.Update.Holdings, place.Holding{Key: place.Hash(h.Key), Target: place.Hash(h.Target), Tokens: int(h.Tokens), Evicted: h.Evicted})
+	}
 	if len(hb.Uses) > 0 {
 		r.Usage = decodeUses(hb.Uses)
 	}
@@ -154,6 +169,7 @@
 	return &zinccovev1.TargetAnswer{
 		Target: uint64(a.Target), Waiting: uint32(a.PendingTokens), Requests: uint32(a.Requests), Unread: uint32(a.PrefillTokens), Slowness: float32(a.Slowness),
 		BaseMs: float32(a.LatencyModel.Base), PerTokenMs: float32(a.LatencyModel.PerToken), Learned: uint32(a.LatencyModel.Samples),
+		Holder: uint64(a.Holder), HolderTokens: uint32(a.HolderTokens),
 	}
 }
 
@@ -161,5 +177,6 @@
 	return place.Reply{
 		Target: place.Hash(t.Target), PendingTokens: int(t.Waiting), Requests: int(t.Requests), PrefillTokens: int(t.Unread), Slowness: float64(t.Slowness),
 		LatencyModel: place.LatencyModel{Base: float64(t.BaseMs), PerToken: float64(t.PerTokenMs), Samples: int(t.Learned)},
+		Holder:       place.Hash(t.Holder), HolderTokens: int(t.HolderTokens),
 	}
 }
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -131,6 +131,10 @@
 		part := of(e.Target)
 		part.FirstEvents = append(part.FirstEvents, e)
 	}
+	for _, h := range n.Holdings {
+		part := of(h.Directory)
+		part.Holdings = append(part.Holdings, h)
+	}
 	for h, load := range n.Loads {
 		if part := of(h); part.Loads != nil {
 			part.Loads[h] = load
--- a/metric/names.go
+++ b/metric/names.go
@@ -57,6 +57,9 @@
 	RequestsOffloaded
 	RequestsTakenOver
 	OffloadsFailed
+	PlacedNear
+	PlacedSpilled
+	CopiedByHolding
 	numCounters
 )
 
@@ -106,6 +109,9 @@
 	RequestsOffloaded:    {"requests_offloaded", "Streams handed over to another router, because this one had little processor time left."},
 	RequestsTakenOver:    {"requests_taken_over", "Streams that other routers handed over to this one."},
 	OffloadsFailed:       {"offloads_failed", "Routers that could not be reached to hand a stream over."},
+	PlacedNear:           {"placed_near", "Prompts placed at a home in the data centre of this router."},
+	PlacedSpilled:        {"placed_spilled", "Prompts placed at a home over all data centres, because their near homes were expected to be later."},
+	CopiedByHolding:      {"copied_by_holding", "Prompts whose shared parts were copied from a target that is no home of theirs."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/place/copy.go
+++ b/place/copy.go
@@ -9,6 +9,10 @@
 	prefillTokens int
 	// sourceOnly marks a target that accepts no new requests and can only be copied from.
 	sourceOnly bool
+	// holding marks a target that is known from a holding.
+	holding bool
+	// margin is the advantage in cost that the target needs over the first home.
+	margin time.Duration
 }
 
 const (
@@ -20,20 +24,24 @@
 	copySetup = 10 * time.Millisecond
 )
 
-// cacheHolders returns the homes and former homes of a prompt with what they have cached of it.
+// cacheHolders returns the homes and former homes of a prompt, and other targets that hold its shared
+// parts, with what they have cached of it.
 //
 // Homes drain, are full for a while or have just started, so prompts move to other targets.
 // Without copies their shared prefixes, three quarters of all tokens, are then prefilled again
 // while another engine still has them cached. Copying a token takes an eighth of the time of
 // prefilling it.
-func (s *service) cacheHolders(homes, formerHomes []*target, pr *prompt, replies repliesByTarget, now time.Time) []cacheHolder {
-	list := make([]cacheHolder, 0, len(homes)+len(formerHomes))
-	for rank, t := range homes {
-		list = append(list, cacheHolder{target: t, prefillTokens: s.prefillTokens(t, pr, replies, rank == 0, now)})
+func (p *Placer) cacheHolders(s *service, h *homeSet, pr *prompt, replies repliesByTarget, now time.Time) []cacheHolder {
+	list := make([]cacheHolder, 0, len(h.homes)+len(h.former))
+	for rank, t := range h.homes {
+		list = append(list, cacheHolder{target: t, prefillTokens: s.prefillTokens(t, pr, replies, rank == 0 || t == h.first, now), margin: h.margin(rank)})
 	}
-	for _, t := range formerHomes {
+	for _, t := range h.former {
 		list = append(list, cacheHolder{target: t, prefillTokens: s.prefillTokens(t, pr, replies, true, now), sourceOnly: true})
 	}
+	if s.engine.CopyRate > 0 && list[0].prefillTokens-pr.uniqueTokens >= minCopiedTokens {
+		list = append(list, p.heldBy(h, pr, replies, now)...)
+	}
 	return list
 }
 
@@ -51,10 +59,7 @@
 // because it is draining or its data centre is being evacuated: the target must still run and be
 // reachable.
 func (p *Placer) canCopyFrom(t *target, now time.Time) bool {
-	if t.Unreadable || t.replaced || p.cutOff[t.DataCentre] {
-		return false
-	}
-	return (t.draining() || p.evacuated[t.DataCentre]) && t.circuit.allows(now)
+	return (t.draining() || p.evacuated[t.DataCentre]) && p.isSource(t, now)
 }
 
 // planCopy sets a candidate to copy its missing tokens from the holder that misses the fewest, if
@@ -72,7 +77,7 @@
 	}
 	saved := c.prefillTokens - source.prefillTokens
 	if saved >= minCopiedTokens && s.copyTime(saved) < s.latency.prefillTime(saved) {
-		c.prefillTokens, c.copiedTokens, c.copyFrom = source.prefillTokens, saved, source.target.Address
+		c.prefillTokens, c.copiedTokens, c.copyFrom, c.holding = source.prefillTokens, saved, source.target.Address, source.holding
 	}
 }
 
--- a/place/copy_test.go
+++ b/place/copy_test.go
@@ -43,7 +43,7 @@
 	clock.Advance(2 * time.Second)
 	run.FirstEvent(false)
 	run.End(Answered)
-	homes, _ := p.homes(p.service("model"), s.request, clock.Now())
+	homes := p.homes(p.service("model"), s.request, clock.Now()).homes
 	s.first, s.second = homes[0], homes[1]
 	assert.Equal(t, s.first.ID, run.Target.ID)
 	return s
--- a/place/home.go
+++ b/place/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,36 +13,49 @@
 // placeEngine chooses the home with the lowest cost among the first homes of a prompt and decides
 // whether the request is admitted there.
 func (p *Placer) placeEngine(s *service, r Request, replies repliesByTarget, now time.Time) Decision {
-	homes, formerHomes := p.homes(s, r, now)
-	if len(homes) == 0 {
+	h := p.homes(s, r, now)
+	if len(h.homes) == 0 {
 		return p.refuseNoTarget(s, &r, now)
 	}
-	for _, t := range homes {
+	for _, t := range h.homes {
 		p.expireReply(t, now)
 	}
 	pr := newPrompt(r.Call)
 	shares := p.currentShares(now)
 	st := shares.standing(r.Customer)
-	best := s.cheapest(s.cacheHolders(homes, formerHomes, &pr, replies, now), &pr, now)
-	d := Decision{
-		CopiedTokens: best.copiedTokens, CopyFrom: best.copyFrom,
-		Rank: best.rank, Share: st.limitFactor, AboveShare: st.above, Ahead: st.ahead, Comparison: shares.comparison(r.Customer, now),
-		Backlog: best.backlog, PrefillTokens: best.prefillTokens, SharedTokens: best.prefillTokens - pr.uniqueTokens, Outstanding: best.target.outstanding(),
-		Wait: best.wait, Predicted: best.predicted, Slowness: best.slowness, Replies: len(replies), ReportAge: p.oldestReportAge(now),
-		HasFreeSlot: best.target.outstanding() < best.target.Slots,
+	candidates := s.byCost(p.cacheHolders(s, &h, &pr, replies, now), &pr, now)
+	if h.near == 0 {
+		candidates = candidates[:1]
+	}
+	base := Decision{
+		Share: st.limitFactor, AboveShare: st.above, Ahead: st.ahead, Comparison: shares.comparison(r.Customer, now),
+		Replies: len(replies), ReportAge: p.oldestReportAge(now),
 	}
 	limit := time.Duration(float64(r.Objective) * admitShare * st.limitFactor)
+	best, d, admitted := s.firstAdmitted(candidates, base, &pr, limit, r.Objective, st)
 	bounded := p.bounded(r.Customer, shares)
 	d.Held = bounded && !p.hasCredit(r.Customer, shares, now)
-	if d.Held || !s.admits(d, limit, r.Objective, st) {
+	d.Home = h.kind(best.rank)
+	if d.Held || !admitted {
 		return p.refuse(r, d, s.sizeOf(r.Call), limit, minRetryAfter, now)
 	}
 	if bounded {
 		p.spendCredit(r.Customer, costOf(r.Call))
 	}
+	p.addHolding(s, h.first, best.target, &pr, &d)
 	return p.accept(s, r, &pr, best.target, d, now)
 }
 
+// firstAdmitted returns the first candidate that admits a request, or the first one if none does.
+func (s *service) firstAdmitted(candidates []candidate, base Decision, pr *prompt, limit, objective time.Duration, st standing) (c candidate, d Decision, ok bool) {
+	for i := range candidates {
+		if d := candidates[i].decision(base, pr); s.admits(d, limit, objective, st) {
+			return candidates[i], d, true
+		}
+	}
+	return candidates[0], candidates[0].decision(base, pr), false
+}
+
 // accept counts a request at a target.
 func (p *Placer) accept(s *service, r Request, pr *prompt, t *target, d Decision, now time.Time) Decision {
 	cost := costOf(r.Call)
@@ -62,17 +76,28 @@
 	prefillTokens int
 	copiedTokens  int
 	copyFrom      netip.AddrPort
-	slowness      float64
-	wait          time.Duration
-	predicted     time.Duration
-	cost          time.Duration
+	// holding reports whether copyFrom is known from a holding.
+	holding   bool
+	slowness  float64
+	wait      time.Duration
+	predicted time.Duration
+	cost      time.Duration
 }
 
-// cheapest returns the home with the lowest cost. The cost is the predicted time to the first
-// event, plus the prefill time that recomputing the shared prefix takes from other requests, plus
-// a margin for homes after the first, so that prompts do not move for small differences.
-func (s *service) cheapest(holders []cacheHolder, pr *prompt, now time.Time) candidate {
-	var best candidate
+// decision adds the predictions for a candidate to a decision.
+func (c *candidate) decision(d Decision, pr *prompt) Decision {
+	d.CopiedTokens, d.CopyFrom, d.Holding = c.copiedTokens, c.copyFrom, c.holding
+	d.Rank, d.Backlog, d.PrefillTokens, d.SharedTokens = c.rank, c.backlog, c.prefillTokens, c.prefillTokens-pr.uniqueTokens
+	d.Outstanding, d.HasFreeSlot = c.target.outstanding(), c.target.outstanding() < c.target.Slots
+	d.Wait, d.Predicted, d.Slowness = c.wait, c.predicted, c.slowness
+	return d
+}
+
+// byCost returns the homes by their cost, the lowest first. The cost is the predicted time to the
+// first event, plus the prefill time that recomputing the shared prefix takes from other requests,
+// plus a margin for homes after the first, so that prompts do not move for small differences.
+func (s *service) byCost(holders []cacheHolder, pr *prompt, now time.Time) []candidate {
+	list := make([]candidate, 0, min(len(holders), maxCandidates))
 	for rank, h := range holders {
 		if h.sourceOnly {
 			continue
@@ -86,12 +111,14 @@
 		c.wait = max(stretch(s.latency.prefillTime(c.backlog), c.slowness), slot)
 		c.predicted = max(stretch(s.latency.predict(c.backlog+c.prefillTokens), c.slowness), slot+stretch(s.latency.predict(c.prefillTokens), c.slowness)) + s.copyTime(c.copiedTokens)
 		recompute := s.latency.prefillTime(c.prefillTokens - pr.uniqueTokens)
-		c.cost = c.predicted + time.Duration(recomputeWeight*float64(recompute)) + time.Duration(rank)*moveMargin
-		if best.target == nil || c.cost < best.cost {
-			best = c
+		c.cost = c.predicted + time.Duration(recomputeWeight*float64(recompute)) + h.margin
+		at := len(list)
+		for at > 0 && c.cost < list[at-1].cost {
+			at--
 		}
+		list = slices.Insert(list, at, c)
 	}
-	return best
+	return list
 }
 
 // stretch multiplies a time by the slowness of a target.
@@ -126,29 +153,37 @@
 
 // homes returns the first homes of a prompt by rendezvous hashing among the good targets, or
 // among the degraded ones if no target is good. Targets are hashed by address, because the
-// address does not change at a restart. formerHomes are targets that accept no new requests and
-// would be first homes otherwise.
-func (p *Placer) homes(s *service, r Request, now time.Time) (homes, formerHomes []*target) {
+// address does not change at a restart.
+func (p *Placer) homes(s *service, r Request, now time.Time) homeSet {
 	key := xxhash.Sum64String(homeKey(r.Call))
-	var first [good + 1]ranking
+	var (
+		first [good + 1]ranking
+		near  ranking
+	)
+	useNear := p.usesNearHomes(s, &r, now)
 	for _, t := range s.targets {
 		weight := Mix(key ^ t.seed)
-		if !first[good].qualifies(t, weight) {
+		forNear := useNear && t.near && near.qualifies(t, weight)
+		if !forNear && !first[good].qualifies(t, weight) {
 			continue
 		}
 		g := p.grade(s, t, r, now)
 		first[g].add(t, weight)
+		if forNear && g == good {
+			near.add(t, weight)
+		}
 	}
 	best := &first[good]
 	if best.n == 0 {
 		best = &first[degraded]
 	}
+	h := newHomeSet(best, &near)
 	for i, t := range first[unusable].list() {
 		if best.qualifies(t, first[unusable].weights[i]) && r.allows(t.region) && r.allowsVersion(t.Version) && p.canCopyFrom(t, now) {
-			formerHomes = append(formerHomes, t)
+			h.former = append(h.former, t)
 		}
 	}
-	return best.list(), formerHomes
+	return h
 }
 
 // ranking holds the targets with the highest weights.
--- a/place/place.go
+++ b/place/place.go
@@ -56,6 +56,9 @@
 	AssumeCached bool
 	// Regions maps data centres to their regions; data centres that are missing have no region.
 	Regions map[string]string
+	// DataCentre is that of this router. NearHomes selects homes there first.
+	DataCentre string
+	NearHomes  bool
 }
 
 // Request holds the inputs of a placement.
@@ -150,6 +153,10 @@
 	// instead of prefilling them.
 	CopiedTokens int
 	CopyFrom     netip.AddrPort
+	// Home is the kind of home that was chosen. Holding reports whether CopyFrom is known from a
+	// holding and is no home.
+	Home    HomeKind
+	Holding bool
 	// Outstanding is the number of requests at the target, HasFreeSlot reports whether it has a
 	// free slot.
 	Outstanding int
@@ -170,6 +177,9 @@
 type Placer struct {
 	clock   clockwork.Clock
 	regions map[string]string
+	// dataCentre is that of this router, nearHomes whether homes there come first.
+	dataCentre string
+	nearHomes  bool
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -217,6 +227,7 @@
 	evacuated map[string]bool
 	// announcements holds what incarnations of targets announced about themselves.
 	announcements map[Hash]*announcement
+	holdings      holdings
 	// assumeCached is set until the first targets are known, if the fleet ran before.
 	assumeCached bool
 }
@@ -228,7 +239,7 @@
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
-		clock: o.Clock, regions: o.Regions, services: make(map[string]*service), targets: make(map[string]*target),
+		clock: o.Clock, regions: o.Regions, dataCentre: o.DataCentre, nearHomes: o.NearHomes, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums), heldAt: make(map[Hash]time.Time),
 		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1),
 	}
--- a/place/query.go
+++ b/place/query.go
@@ -35,6 +35,10 @@
 	// LatencyModel is what the owner has learned about first events at the targets of the
 	// service; zero for plain services.
 	LatencyModel LatencyModel
+	// Holder is another target that has more of the prompt's shared parts cached, HolderTokens
+	// the size of the parts; 0 if none is known.
+	Holder       Hash
+	HolderTokens int
 }
 
 // plainChoices is the number of random targets of a plain service among which a request is
@@ -59,18 +63,51 @@
 	addQuery := func(t *target, first bool) {
 		list = append(list, Query{Target: t.hash, PrefixParts: pr.prefixParts, PartTokens: pr.partTokens, PromptTokens: pr.total, FirstHome: first})
 	}
-	homes, formerHomes := p.homes(s, r, now)
-	for rank, t := range homes {
-		addQuery(t, rank == 0)
+	h := p.homes(s, r, now)
+	for rank, t := range h.firstRound() {
+		addQuery(t, rank == 0 || t == h.first)
 	}
 	if s.engine.CopyRate > 0 && len(pr.prefixParts) > 0 {
-		for _, t := range formerHomes {
+		for _, t := range h.former {
 			addQuery(t, true)
 		}
 	}
 	return list
 }
 
+// FurtherQueries returns the queries about the homes of a prompt over all data centres, whose
+// owners are further away. There are none unless the replies about its near homes show that a
+// shared part has to be prefilled there, that the prompt would have to wait, or that it would be
+// refused.
+func (p *Placer) FurtherQueries(r Request, replies []Reply) []Query {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[r.Service]
+	if s == nil || s.engine == nil || !p.nearHomes {
+		return nil
+	}
+	p.liftVersions(s, &r)
+	now := p.clock.Now()
+	h := p.homes(s, r, now)
+	further := h.furtherRound()
+	if len(further) == 0 {
+		return nil
+	}
+	pr := newPrompt(r.Call)
+	near := homeSet{homes: h.firstRound(), near: h.near, first: h.first}
+	best := s.byCost(p.cacheHolders(s, &near, &pr, p.applyReplies(replies, now), now), &pr, now)[0]
+	missing := best.prefillTokens - pr.uniqueTokens
+	limit := time.Duration(float64(r.Objective) * admitShare * p.currentShares(now).standing(r.Customer).limitFactor)
+	if missing < minCopiedTokens && best.wait < moveMargin && best.predicted <= limit {
+		return nil
+	}
+	list := make([]Query, 0, len(further))
+	for _, t := range further {
+		list = append(list, Query{Target: t.hash, PrefixParts: pr.prefixParts, PartTokens: pr.partTokens, PromptTokens: pr.total, FirstHome: t == h.first})
+	}
+	return list
+}
+
 // plainQueries returns queries for random targets of the best grade.
 func (p *Placer) plainQueries(s *service, r Request, now time.Time) []Query {
 	var best []*target
@@ -108,6 +145,7 @@
 		a.LatencyModel = s.latency.LatencyModel
 		pr := prompt{prefixParts: q.PrefixParts, partTokens: q.PartTokens, total: max(q.PromptTokens, 1)}
 		a.PrefillTokens = pr.prefillTokens(&t.cache, s.engine.CacheTokens, q.FirstHome && t.assumesCached(now))
+		a.Holder, a.HolderTokens = p.holderFor(t, &pr, a.PrefillTokens, now)
 	}
 	return a, true
 }
--- a/place/targets.go
+++ b/place/targets.go
@@ -21,6 +21,7 @@
 	// departedVersions holds when the last target of each version was removed or changed its
 	// version.
 	departedVersions map[string]time.Time
+	spread           spread
 }
 
 // target is the state of one target.
@@ -33,7 +34,9 @@
 	seed uint64
 	// region is that of the data centre, "" if it is not known.
 	region string
-	own    Load
+	// near reports whether the target is in the data centre of this router.
+	near bool
+	own  Load
 	// others is the sum of the loads that other routers reported.
 	others  Load
 	circuit circuit
@@ -153,6 +156,7 @@
 	listed := t.Target != nil && t.Service == entry.Service
 	t.Target = entry
 	t.seed = xxhash.Sum64String(entry.Address.String())
+	t.near = entry.DataCentre == p.dataCentre
 	t.region = p.regions[entry.DataCentre]
 	if !listed {
 		s := p.service(entry.Service)
--- a/place/update.go
+++ b/place/update.go
@@ -32,11 +32,13 @@
 	// Loads are the router's requests at targets where they changed or were not reported for
 	// loadRepeatInterval.
 	Loads map[Hash]Load
+	// Holdings are for the owners of their directories.
+	Holdings []Holding
 }
 
 // Empty reports whether the update has no entries.
 func (n *Update) Empty() bool {
-	return len(n.Prefills) == 0 && len(n.FirstEvents) == 0 && len(n.Loads) == 0
+	return len(n.Prefills) == 0 && len(n.FirstEvents) == 0 && len(n.Loads) == 0 && len(n.Holdings) == 0
 }
 
 const (
@@ -129,6 +131,9 @@
 			r.loads[h] = timedLoad{load, now}
 		}
 	}
+	for _, h := range n.Holdings {
+		p.holdings.record(h)
+	}
 	for _, reading := range n.Prefills {
 		if t := p.byHash[reading.Target]; t != nil {
 			t.cache.touch(reading.PrefixParts, reading.Tokens+reading.CopiedTokens)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -79,12 +79,33 @@
 	if s.options.Query != nil && !s.impaired() {
 		began := s.options.Clock.Now()
 		replies = s.options.Query(s.options.Placer.Queries(r))
+		if further := s.options.Placer.FurtherQueries(r, replies); len(further) > 0 {
+			replies = append(replies, s.options.Query(further)...)
+		}
 		f.queryTime = s.options.Clock.Since(began)
 	}
 	f.decision = s.options.Placer.Place(r, replies...)
+	f.countPlacement()
 	return f.decision
 }
 
+// countPlacement counts at which home the request was placed and where it copies from.
+func (f *flight) countPlacement() {
+	m, d := f.server.options.Metrics, &f.decision
+	if d.Run == nil {
+		return
+	}
+	switch d.Home {
+	case place.NearHome:
+		m.Inc(metric.PlacedNear)
+	case place.SpilledHome:
+		m.Inc(metric.PlacedSpilled)
+	}
+	if d.Holding {
+		m.Inc(metric.CopiedByHolding)
+	}
+}
+
 // result returns what a failed attempt shows about the target: Cancelled, which counts neither
 // for nor against the target, if the attempt was ended by this router or the caller.
 func (f *flight) result(kind target.Kind) place.Result {
--- a/relay/log.go
+++ b/relay/log.go
@@ -40,7 +40,10 @@
 func (f *flight) withDecision(e *zerolog.Event) *zerolog.Event {
 	d := &f.decision
 	if d.CopiedTokens > 0 {
-		e = e.Int("copied", d.CopiedTokens).Stringer("copied_from", d.CopyFrom)
+		e = e.Int("copied", d.CopiedTokens).Stringer("copied_from", d.CopyFrom).Bool("by_holding", d.Holding)
+	}
+	if d.Home != "" {
+		e = e.Str("home", string(d.Home))
 	}
 	c := &d.Comparison
 	e = e.Int("customer_requested", c.Requested).Int("customer_served", c.Served).Int("owed_level", c.OwedLevel).Int("even_level", c.EvenLevel).Int("ahead_level", c.AheadLevel).
