--- a/place/near_test.go
+++ b/place/near_test.go
@@ -53,6 +53,9 @@
 	engines map[string]*skewEngine
 	byAddr  map[netip.AddrPort]string
 	due     []skewEvent
+	// forget is the time after which directories are lost; 0 if they are kept.
+	forget   time.Duration
+	forgotAt time.Time
 
 	placed, crossed, refused, late, readAgain int
 }
@@ -155,6 +158,9 @@
 		}
 		return true
 	})
+	if f.forget > 0 && now.Sub(f.forgotAt) >= f.forget {
+		f.owner.holdings, f.forgotAt = holdings{}, now
+	}
 	for i, p := range f.routers {
 		f.owner.ApplyReport(centre(i), Report{Update: p.TakeUpdate()})
 	}
@@ -196,6 +202,18 @@
 	}
 }
 
+// TestLostDirectoryCostsAccuracyOnly has the owner of all directories forget them every second.
+func TestLostDirectoryCostsAccuracyOnly(t *testing.T) {
+	kept, lost := newSkewFleet(t, true), newSkewFleet(t, true)
+	lost.forget = time.Second
+	kept.play(4)
+	lost.play(4)
+	t.Logf("kept: read again %d, lost: read again %d", kept.readAgain, lost.readAgain)
+	assert.Equal(t, lost.refused, 0)
+	assert.Equal(t, lost.late, 0)
+	assert.Assert(t, lost.readAgain <= kept.readAgain*5/4)
+}
+
 func newNearPlacer(t testing.TB, list []*roster.Target) (*Placer, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
