Near homes take a prompt only if it comes back before they evict its parts

An owner remembers which prompts it was asked about, and by what the target has prefilled since it tells whether a part is used again in half of the time for which it is kept; near homes that miss shared parts and are not wanted so leave the prompt to the homes over all data centres.

--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -169,7 +169,7 @@
 	return &zinccovev1.TargetAnswer{
 		Target: uint64(a.Target), Waiting: uint32(a.PendingTokens), Requests: uint32(a.Requests), Unread: uint32(a.PrefillTokens), Slowness: float32(a.Slowness),
 		BaseMs: float32(a.LatencyModel.Base), PerTokenMs: float32(a.LatencyModel.PerToken), Learned: uint32(a.LatencyModel.Samples),
-		Holder: uint64(a.Holder), HolderTokens: uint32(a.HolderTokens),
+		Holder: uint64(a.Holder), HolderTokens: uint32(a.HolderTokens), Wanted: a.Wanted,
 	}
 }
 
@@ -177,6 +177,6 @@
 	return place.Reply{
 		Target: place.Hash(t.Target), PendingTokens: int(t.Waiting), Requests: int(t.Requests), PrefillTokens: int(t.Unread), Slowness: float64(t.Slowness),
 		LatencyModel: place.LatencyModel{Base: float64(t.BaseMs), PerToken: float64(t.PerTokenMs), Samples: int(t.Learned)},
-		Holder:       place.Hash(t.Holder), HolderTokens: int(t.HolderTokens),
+		Holder:       place.Hash(t.Holder), HolderTokens: int(t.HolderTokens), Wanted: t.Wanted,
 	}
 }
--- a/gateway/holdings_test.go
+++ b/gateway/holdings_test.go
@@ -18,7 +18,7 @@
 	encodeUpdate(hb, &update)
 	assert.Assert(t, update.Empty())
 	assert.DeepEqual(t, decodeReport(roundTrip(t, hb)).Update.Holdings, want)
-	reply := place.Reply{Target: 1, PrefillTokens: 6300, Slowness: 1, Holder: 2, HolderTokens: 5400}
+	reply := place.Reply{Target: 1, PrefillTokens: 6300, Slowness: 1, Holder: 2, HolderTokens: 5400, Wanted: true}
 	assert.DeepEqual(t, decodeAnswer(encodeAnswer(reply)), reply)
 }
 
--- a/place/home.go
+++ b/place/home.go
@@ -23,8 +23,10 @@
 	pr := newPrompt(r.Call)
 	shares := p.currentShares(now)
 	st := shares.standing(r.Customer)
-	candidates := s.byCost(p.cacheHolders(s, &h, &pr, replies, now), &pr, now)
-	if h.near == 0 {
+	holders := p.cacheHolders(s, &h, &pr, replies, now)
+	h.leaveCold(s, holders, &pr, replies)
+	candidates := s.byCost(holders, &pr, now)
+	if h.near == 0 || h.cold {
 		candidates = candidates[:1]
 	}
 	base := Decision{
--- a/place/near.go
+++ b/place/near.go
@@ -10,7 +10,8 @@
 
 // The kinds of homes.
 const (
-	// FirstHome is a home over all data centres, where near homes are not in use.
+	// FirstHome is a home over all data centres, where near homes are not in use or too seldom for
+	// the prompt.
 	FirstHome HomeKind = "first"
 	// NearHome is a home in the data centre of this router.
 	NearHome HomeKind = "near"
@@ -37,10 +38,14 @@
 	homes []*target
 	// near is the number of near homes; 0 if they are not in use.
 	near int
+	// all are the homes over all data centres.
+	all []*target
 	// first is the first home over all data centres, whose owner is the prompt's directory.
 	first *target
 	// former are targets that accept no new requests and would be first homes otherwise.
 	former []*target
+	// cold is set if the near homes neither have the shared parts of the prompt nor get it often.
+	cold bool
 }
 
 // newHomeSet puts the homes over all data centres behind the near ones.
@@ -48,7 +53,7 @@
 	if all.n == 0 {
 		return homeSet{}
 	}
-	h := homeSet{homes: all.list(), near: near.n, first: all.targets[0]}
+	h := homeSet{homes: all.list(), all: all.list(), near: near.n, first: all.targets[0]}
 	if near.n == 0 {
 		return h
 	}
@@ -90,9 +95,39 @@
 	return time.Duration(rank) * moveMargin
 }
 
+// leaveCold leaves only the homes over all data centres to choose from if the near homes are cold;
+// these are still copied from.
+func (h *homeSet) leaveCold(s *service, holders []cacheHolder, pr *prompt, replies repliesByTarget) {
+	if h.near == 0 || !s.nearHomesCold(holders[:h.near], pr, replies) {
+		return
+	}
+	h.cold = true
+	for i := range h.homes {
+		rank := slices.Index(h.all, h.homes[i])
+		holders[i].sourceOnly = rank < 0
+		holders[i].margin = time.Duration(rank) * moveMargin
+	}
+}
+
+// nearHomesCold reports whether none of the near homes has all shared parts of a prompt or is
+// wanted for it. They would evict the parts before their next use, and prefill or copy them each
+// time, while the homes over all data centres get the prompt more often and keep them.
+func (s *service) nearHomesCold(near []cacheHolder, pr *prompt, replies repliesByTarget) bool {
+	for _, c := range near {
+		a, replied := replies[c.target.hash]
+		if !replied {
+			a.Wanted = c.target.cache.want(pr, s.engine.CacheTokens)
+		}
+		if c.prefillTokens <= pr.uniqueTokens || a.Wanted {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *homeSet) kind(rank int) HomeKind {
 	switch {
-	case h.near == 0:
+	case h.near == 0, h.cold:
 		return FirstHome
 	case rank < h.near:
 		return NearHome
--- a/place/near_test.go
+++ b/place/near_test.go
@@ -256,6 +256,7 @@
 			p, _ := newNearPlacer(t, c.list)
 			assert.Equal(t, len(p.Queries(c.r)), maxHomes)
 			assert.Equal(t, len(p.FurtherQueries(c.r, nil)) > 0, c.want == NearHome, "only near homes need further replies")
+			assert.Equal(t, p.Place(c.r).Home, FirstHome, "the first use of a prompt")
 			assert.Equal(t, p.Place(c.r).Home, c.want)
 		})
 	}
@@ -317,3 +318,46 @@
 		}
 	}
 }
+
+// TestColdNearHomesAreLeft has a prompt come to a data centre more and less often than its targets
+// keep shared parts. The homes over all data centres have them.
+func TestColdNearHomesAreLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		between int // tokens that the near homes prefill between two uses
+		want    HomeKind
+	}{
+		"often":  {10_000, NearHome},
+		"seldom": {skewMemory / 2, FirstHome},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newSkewFleet(t, true)
+			r := promptRequest(call("part-1", 5400, 900), "c")
+			p := f.routers[0]
+			for f.home(p, r).first.near {
+				r = promptRequest(call(r.Call.PrefixParts[0].ID+"x", 5400, 900), "c")
+			}
+			var d Decision
+			for range 4 {
+				replies := f.replies(p.Queries(r))
+				replies = append(replies, f.replies(p.FurtherQueries(r, replies))...)
+				d = p.Place(r, replies...)
+				f.owner.ApplyReport("a", Report{Update: p.TakeUpdate()})
+				d.Run.End(Answered)
+				for _, x := range f.home(f.owner, r).homes {
+					x.queue, x.queue.at = prefillQueue{}, f.clock.Now()
+				}
+				for _, x := range f.home(p, r).homes[:maxHomes] {
+					f.owner.byHash[x.hash].cache.touch(nil, c.between)
+				}
+				f.clock.Advance(10 * time.Second)
+			}
+			assert.Equal(t, d.Home, c.want)
+			assert.Equal(t, d.SharedTokens, 0)
+		})
+	}
+}
+
+// home returns the homes of a request as a placer sees them.
+func (f *skewFleet) home(p *Placer, r Request) homeSet {
+	return p.homes(p.service("model"), r, f.clock.Now())
+}
--- a/place/prefix_cache.go
+++ b/place/prefix_cache.go
@@ -10,6 +10,8 @@
 	// of each part.
 	prefilled uint64
 	lastUse   map[Hash]uint64
+	// wantedAt holds its value at the last query about a prompt, by the last shared part.
+	wantedAt map[Hash]uint64
 }
 
 const (
@@ -44,6 +46,22 @@
 	return ok
 }
 
+// want records a query about a prompt, and reports whether there was another one so lately that a
+// part is used again before it is evicted, with some certainty: in half of the time for which the
+// target keeps parts.
+func (k *prefixCache) want(pr *prompt, memory int) bool {
+	key, ok := pr.key()
+	if !ok {
+		return true
+	}
+	at, known := k.wantedAt[key]
+	if k.wantedAt == nil || len(k.wantedAt) >= maxCachedParts {
+		k.wantedAt = make(map[Hash]uint64)
+	}
+	k.wantedAt[key] = k.prefilled
+	return known && k.prefilled-at < uint64(float64(memory)*cacheShare/2)
+}
+
 // trim removes parts that are no longer cached. If too many are left, it removes all.
 func (k *prefixCache) trim(memory int) {
 	if len(k.lastUse) < maxCachedParts {
--- a/place/query.go
+++ b/place/query.go
@@ -39,6 +39,9 @@
 	// the size of the parts; 0 if none is known.
 	Holder       Hash
 	HolderTokens int
+	// Wanted reports whether the owner was queried lately about the target and a prompt with the
+	// same shared parts.
+	Wanted bool
 }
 
 // plainChoices is the number of random targets of a plain service among which a request is
@@ -77,7 +80,7 @@
 
 // FurtherQueries returns the queries about the homes of a prompt over all data centres, whose
 // owners are further away. There are none unless the replies about its near homes show that a
-// shared part has to be prefilled there, that the prompt would have to wait, or that it would be
+// shared part would have to be prefilled there, that the prompt would have to wait, or that it would be
 // refused.
 func (p *Placer) FurtherQueries(r Request, replies []Reply) []Query {
 	p.mu.Lock()
@@ -98,7 +101,7 @@
 	best := s.byCost(p.cacheHolders(s, &near, &pr, p.applyReplies(replies, now), now), &pr, now)[0]
 	missing := best.prefillTokens - pr.uniqueTokens
 	limit := time.Duration(float64(r.Objective) * admitShare * p.currentShares(now).standing(r.Customer).limitFactor)
-	if missing < minCopiedTokens && best.wait < moveMargin && best.predicted <= limit {
+	if missing <= 0 && best.wait < moveMargin && best.predicted <= limit {
 		return nil
 	}
 	list := make([]Query, 0, len(further))
@@ -145,6 +148,7 @@
 		a.LatencyModel = s.latency.LatencyModel
 		pr := prompt{prefixParts: q.PrefixParts, partTokens: q.PartTokens, total: max(q.PromptTokens, 1)}
 		a.PrefillTokens = pr.prefillTokens(&t.cache, s.engine.CacheTokens, q.FirstHome && t.assumesCached(now))
+		a.Wanted = t.cache.want(&pr, s.engine.CacheTokens)
 		a.Holder, a.HolderTokens = p.holderFor(t, &pr, a.PrefillTokens, now)
 	}
 	return a, true
