--- a/relay/admit.go
+++ b/relay/admit.go
@@ -98,7 +98,7 @@
 
 // maxRetrySpread bounds the time over which refused callers are spread: they can still be served
 // within their objective after it.
-const maxRetrySpread = 300 * time.Millisecond
+const maxRetrySpread = 150 * time.Millisecond
 
 // refuseBusy returns the refusal of a request for which this router has no capacity, and counts the
 // request as requested by its customer.
--- a/relay/lag_test.go
+++ b/relay/lag_test.go
@@ -60,7 +60,7 @@
 	f := newTarget(t, "t", respondOK)
 	s := newTestServer(t, f)
 	s.lag.measured.Store(int64(time.Minute))
-	s.throttle.adjust(s.excess(), false, s.options.Clock.Now())
+	s.throttle.adjust(s.excess(), s.options.Clock.Now())
 	s.throttle.tokens = 0
 	res := s.do(t, "POST", "/model/", "r", "b")
 	assert.Equal(t, res.header.StatusCode(), 503)
--- a/relay/monitor.go
+++ b/relay/monitor.go
@@ -30,7 +30,7 @@
 		s.sampleProcessor()
 		now := clock.Now()
 		s.probeOffload(now)
-		admitted, refused := s.throttle.adjust(s.excess(), s.handsOver(now), now)
+		admitted, refused := s.throttle.adjust(s.excess(), now)
 		s.logLimits(admitted, refused, now)
 		if s.overload.update(shareOf(refused, admitted+refused)) {
 			s.options.Log.Warn().Bool("strained", s.Overloaded()).Dur("lag_ms", s.lag.current()).Dur("connects_ms", s.connectHistory.median()).
--- a/relay/offload.go
+++ b/relay/offload.go
@@ -37,11 +37,12 @@
 	// that the caller gets the answer of the router that knows how the request ended.
 	handedOverGrace = 150 * time.Millisecond
 	// normalReply is the longest reply of another router at which this one is not overloaded: events
-	// are collected for most of the time within which they have to be passed on, and this is left.
-	normalReply = 50 * time.Millisecond
-	// saturatedReply is the time from which on hardly any stream is admitted: it takes a fifth of
-	// the shortest objective of streams on the way to the other router and back.
-	saturatedReply = 150 * time.Millisecond
+	// are collected for a large part of the time within which they have to be passed on, and have to
+	// reach the caller in the rest.
+	normalReply = 40 * time.Millisecond
+	// saturatedReply is the time from which on hardly any stream is admitted, because events would
+	// be passed on too late.
+	saturatedReply = 90 * time.Millisecond
 	// probesAfter is the time since the last request that was handed over for which other routers
 	// are probed.
 	probesAfter = time.Second
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -63,10 +63,6 @@
 	// an overload, the latter if no stream could be served in time.
 	slightDecrease = 0.75
 	severeDecrease = 0.4
-	// handoverDecrease is the factor while streams are handed over, and handoverPause the time
-	// between two decreases then: within it the next probe of another router shows the effect.
-	handoverDecrease = 0.9
-	handoverPause    = 200 * time.Millisecond
 	// refusedMeanWeight is the weight of one interval in the mean rate of refused streams.
 	refusedMeanWeight = 0.3
 	// initialPause is the time between the first two decreases: as long as samples are kept, so
@@ -156,9 +152,8 @@
 }
 
 // adjust adapts the rate to the share of streams that this router cannot serve in time, and
-// returns how many were admitted and refused since the last adjustment. HandsOver tells that streams
-// are handed over: refusing one then saves little, and its caller comes back.
-func (t *throttle) adjust(excess float64, handsOver bool, now time.Time) (admitted, refused int) {
+// returns how many were admitted and refused since the last adjustment.
+func (t *throttle) adjust(excess float64, now time.Time) (admitted, refused int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	period := now.Sub(t.lastAdjusted).Seconds()
@@ -171,11 +166,11 @@
 	t.excess = excess
 	switch {
 	case excess > 0 && !easing && now.Sub(t.lowered) >= t.pause:
-		t.decrease(excess, taken, handsOver, now)
+		t.decrease(excess, taken, now)
 	case excess > 0:
 	case t.rate == 0:
 	case limited:
-		t.increase(handsOver)
+		t.increase()
 	case now.Sub(t.refusedAt) >= unlimitAfter:
 		t.rate = 0
 	}
@@ -183,9 +178,9 @@
 }
 
 // increase raises the rate after an interval without overload.
-func (t *throttle) increase(handsOver bool) {
+func (t *throttle) increase() {
 	t.pause = 0
-	if handsOver || t.rate < fastIncreaseShare*t.troubleRate {
+	if t.rate < fastIncreaseShare*t.troubleRate {
 		t.rate *= 1 + fastIncrease
 	} else {
 		t.rate *= 1 + slowIncrease
@@ -193,12 +188,9 @@
 }
 
 // decrease lowers the rate, starting from the rate of admitted streams if there was no limit.
-func (t *throttle) decrease(excess, taken float64, handsOver bool, now time.Time) {
+func (t *throttle) decrease(excess, taken float64, now time.Time) {
 	part := slightDecrease
-	switch {
-	case handsOver:
-		part = handoverDecrease
-	case excess >= 1:
+	if excess >= 1 {
 		part = severeDecrease
 	}
 	if t.rate == 0 {
@@ -211,9 +203,6 @@
 		t.troubleRate = max(t.rate, t.troubleRate/2)
 	}
 	t.pause = max(2*t.pause, initialPause)
-	if handsOver {
-		t.pause = handoverPause
-	}
 	t.rate = max(part*t.rate, minRate)
 	t.tokens = min(t.tokens, minBurst)
 	t.lowered = now
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -42,7 +42,7 @@
 			h.throttle.dispatched()
 		}
 		if time.Duration(ms)*time.Millisecond%checkInterval == 0 {
-			h.throttle.adjust(h.connectHistory.excess(), false, h.clock.Now())
+			h.throttle.adjust(h.connectHistory.excess(), h.clock.Now())
 		}
 		h.clock.Advance(time.Millisecond)
 	}
@@ -133,6 +133,6 @@
 	for range 10 {
 		h.flood(10, 2*time.Second)
 		assert.Equal(t, h.refused, 0)
-		h.throttle.adjust(0.5, false, h.clock.Now())
+		h.throttle.adjust(0.5, h.clock.Now())
 	}
 }
