Streams go on at a backup while many runs break

What: a run that breaks off is read and made anew, or is lost where it may not be repeated. Cause: nothing is kept of it but at its target. Ruled out: backups always, as a copy of a long prompt costs more than a run that fails rarely; going on after a time-out or a cut of this side, as the first run may go on. Change: place decides by expected loss whether the target copies the state of the run to another target (Kv-Backup); relay sends a run whose target closed the connection there (Kv-From), on any route, as it is the same run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,7 @@
 	g := &Gateway{
 		settings: s, clock: o.Clock, logWriter: l, metrics: metrics,
 		log:    zerolog.New(l).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Logger(),
-		placer: place.New(place.Options{Clock: o.Clock, AssumeCached: !s.FirstStart, Regions: s.Regions}),
+		placer: place.New(place.Options{Clock: o.Clock, AssumeCached: !s.FirstStart, Regions: s.Regions, Backups: s.Backups}),
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
 		processor: processor.New(processor.Options{Clock: o.Clock, Share: s.Processor}), spares: offload.NewSpares(),
 		collector: collector.New(s.Memory()), rollouts: rollout.New(rollout.Options{Clock: o.Clock, ExposeShare: s.ExposeShare}),
--- a/message/message.go
+++ b/message/message.go
@@ -78,6 +78,12 @@
 	// CopyFrom is the target from which this one copies the part of the prompt's cache that it
 	// lacks; not valid if there is none.
 	CopyFrom netip.AddrPort
+	// BackupTo is the target that receives the state of the run while it grows, ContinueAt the
+	// address at which that state was received if this target goes on with the run; not valid if
+	// there is none. RunID is the ID of the request that began the run.
+	BackupTo   netip.AddrPort
+	ContinueAt netip.AddrPort
+	RunID      string
 	// HideKey removes the caller's API key.
 	HideKey bool
 }
--- a/metric/names.go
+++ b/metric/names.go
@@ -57,6 +57,9 @@
 	RequestsOffloaded
 	RequestsTakenOver
 	OffloadsFailed
+	BackupsAsked
+	StreamsContinued
+	BackupsMissing
 	numCounters
 )
 
@@ -106,6 +109,9 @@
 	RequestsOffloaded:    {"requests_offloaded", "Streams handed over to another router, because this one had little processor time left."},
 	RequestsTakenOver:    {"requests_taken_over", "Streams that other routers handed over to this one."},
 	OffloadsFailed:       {"offloads_failed", "Routers that could not be reached to hand a stream over."},
+	BackupsAsked:         {"backups_asked", "Attempts whose target was asked to copy the state of its run to another one."},
+	StreamsContinued:     {"streams_continued", "Streams that went on at the target with the copy of their state."},
+	BackupsMissing:       {"backups_missing", "Streams that could not go on from their backup, as the target had no copy or no room."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/place/home.go
+++ b/place/home.go
@@ -39,6 +39,7 @@
 	if bounded {
 		p.spendCredit(r.Customer, costOf(r.Call))
 	}
+	d.Backup = p.backup(s, r, best.target, homes, now)
 	return p.accept(s, r, &pr, best.target, d, now)
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -56,6 +56,8 @@
 	AssumeCached bool
 	// Regions maps data centres to their regions; data centres that are missing have no region.
 	Regions map[string]string
+	// Backups lets runs have backups while many runs break.
+	Backups bool
 }
 
 // Request holds the inputs of a placement.
@@ -75,6 +77,8 @@
 	// the software that began it. The request may run at no other version, and at none if it is "".
 	Resumed bool
 	Version string
+	// Repeatable reports that the request may run again after a run that broke.
+	Repeatable bool
 }
 
 // Versions restricts the versions of targets during the rollout of a service.
@@ -150,6 +154,8 @@
 	// instead of prefilling them.
 	CopiedTokens int
 	CopyFrom     netip.AddrPort
+	// Backup is whether the target copies the state of the run to another one.
+	Backup BackupDecision
 	// Outstanding is the number of requests at the target, HasFreeSlot reports whether it has a
 	// free slot.
 	Outstanding int
@@ -170,6 +176,7 @@
 type Placer struct {
 	clock   clockwork.Clock
 	regions map[string]string
+	backups bool
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -228,7 +235,7 @@
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
-		clock: o.Clock, regions: o.Regions, services: make(map[string]*service), targets: make(map[string]*target),
+		clock: o.Clock, regions: o.Regions, backups: o.Backups, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums), heldAt: make(map[Hash]time.Time),
 		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1),
 	}
--- a/place/targets.go
+++ b/place/targets.go
@@ -18,6 +18,7 @@
 	// up; 0 if it can serve as many as others.
 	warmUpRate float64
 	slotTime   slotTime
+	losses     runLosses
 	// departedVersions holds when the last target of each version was removed or changed its
 	// version.
 	departedVersions map[string]time.Time
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -32,9 +32,10 @@
 func (f *flight) attempt(ctx *fasthttp.RequestCtx, lastEvent string) (*response, *target.Failure, *refusal) {
 	s := f.server
 	if r := f.refuseBarred(); r != nil {
+		f.dropContinuation()
 		return nil, nil, r
 	}
-	d := f.place()
+	d := f.nextDecision()
 	if d.Run == nil {
 		status := fasthttp.StatusTooManyRequests
 		if d.Reason != place.Overloaded {
@@ -53,7 +54,9 @@
 	f.lifecycle.Queue()
 	f.lifecycle.Dispatch()
 	s.logPlaced(f, cmp.Or(lastEvent, f.call.LastEventID))
+	f.countBackup()
 	resp, fail := f.exchange(ctx, lastEvent)
+	f.recordContinued(fail)
 	if fail != nil {
 		d.Run.End(f.result(fail.Kind))
 		f.recordLoss(fail, fail.Status != 0)
@@ -66,10 +69,21 @@
 func (f *flight) placement() place.Request {
 	return place.Request{
 		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
-		Resumed: f.resumed, Version: f.software,
+		Resumed: f.resumed, Version: f.software, Repeatable: f.route.Retryable(),
 	}
 }
 
+// nextDecision returns the target of the next attempt: the backup of a run that goes on there, or one that
+// is chosen.
+func (f *flight) nextDecision() place.Decision {
+	if f.next != nil {
+		f.decision = f.takeContinuation()
+		return f.decision
+	}
+	f.continues = nil
+	return f.place()
+}
+
 // place chooses a target, after querying the owners of candidates unless this router is
 // impaired.
 func (f *flight) place() place.Decision {
@@ -175,10 +189,14 @@
 	b = append(b, ' ')
 	b = append(b, h.RequestURI()...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	b = f.server.options.Codec.AppendRequest(b, h, message.Forward{
+	forward := message.Forward{
 		Target: f.run.Target.ID, Customer: f.customer, Remaining: f.left(), LastEventID: lastEvent, HideKey: f.hideKey,
-		CopyFrom: f.decision.CopyFrom,
-	})
+		CopyFrom: f.decision.CopyFrom, BackupTo: f.decision.Backup.Backup.Address,
+	}
+	if f.continues != nil {
+		forward.ContinueAt, forward.RunID = f.continues.backup.Address, f.call.ID
+	}
+	b = f.server.options.Codec.AppendRequest(b, h, forward)
 	if len(body) > 0 || h.ContentLength() >= 0 && !h.IsGet() && !h.IsHead() {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -258,7 +258,7 @@
 	s := &testServer{table: newTable(t, testSpec()), fresh: true, origins: origin.NewTable(clock)}
 	metrics, err := metric.New()
 	assert.NilError(t, err)
-	placer := place.New(place.Options{Clock: clock})
+	placer := place.New(place.Options{Clock: clock, Backups: true})
 	for _, f := range targets {
 		addr := f.listener.Addr().(*net.TCPAddr).AddrPort()
 		for _, service := range []string{"plain", "model"} {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -98,6 +98,10 @@
 	queryTime time.Duration
 	// connectSpent is how long connecting to targets has taken so far.
 	connectSpent time.Duration
+	// next is the continuation that the next attempt sends, continues the one that the current
+	// attempt is; nil if it is none.
+	next      *continuation
+	continues *continuation
 	// noRetry is why no further attempt was made after a failed one; empty while that is open.
 	noRetry string
 	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
@@ -183,6 +187,9 @@
 		f.lifecycle.GiveUp(false) // another router may be faster
 		return false
 	}
+	if f.continueAtBackup(fail) {
+		return true
+	}
 	take := f.withdrawRetry
 	if fail.Kind == target.NotSent {
 		// The budget limits repeated arrivals at a service. Replaced attempts did arrive, at
--- a/relay/log.go
+++ b/relay/log.go
@@ -73,7 +73,7 @@
 	if f.originSource != "" {
 		e = e.Str("resumes", f.call.ResumedID).Str("origin_from", f.originSource)
 	}
-	f.withDecision(e).Msg("request placed")
+	f.withBackup(f.withDecision(e)).Msg("request placed")
 }
 
 // logAttempt logs why an attempt failed.
@@ -89,6 +89,32 @@
 	f.withNotice(e).Msg("attempt failed")
 }
 
+// logContinued logs what came of a run that goes on at its backup; fail is nil if it goes on.
+func (s *Server) logContinued(f *flight, fail *target.Failure) {
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).Bool("repeatable", f.route.Retryable())
+	if fail != nil {
+		e.Str("failure", failureNames[fail.Kind]).Err(fail).Msg("stream not continued from its backup")
+		return
+	}
+	e.Msg("stream continued from its backup")
+}
+
+// logNotContinued logs why a run that broke is not sent to its backup.
+func (s *Server) logNotContinued(f *flight, b place.Backup, reason string) {
+	s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Str("backup", b.ID).Str("not_continued", reason).
+		Msg("stream not sent to its backup")
+}
+
+// withBackup adds why the run has a backup or none, unless no backups are made.
+func (f *flight) withBackup(e *zerolog.Event) *zerolog.Event {
+	b := &f.decision.Backup
+	if b.Reason == place.BackupsOff || b.Reason == place.RunsEndWell {
+		return e
+	}
+	return e.Str("backup", b.Backup.ID).Str("backup_reason", string(b.Reason)).Float64("broken_share", b.Share).
+		Float64("expected_loss", b.Loss).Float64("copy_cost", b.Cost)
+}
+
 // maxLoggedParts bounds the parts of a prompt in one line.
 const maxLoggedParts = 8
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -235,6 +235,7 @@
 func (s *stream) recoverOrFail(err error) {
 	f := s.flight
 	s.disconnect(place.Failed)
+	s.keepBackup()
 	fail := f.fail(target.Broken, 0, err, "read stream")
 	f.recordLoss(fail, s.began)
 	f.recordFailure(fail)
@@ -259,6 +260,14 @@
 	s.err = fail
 }
 
+// keepBackup gives up the backup if events without an ID were received: nothing names the place from which
+// the run has to go on.
+func (s *stream) keepBackup() {
+	if (s.passed || s.ready > 0) && s.lastEvent == "" {
+		s.flight.decision.Backup = place.BackupDecision{}
+	}
+}
+
 // resume continues with the response of another target. The bytes of an incomplete event are
 // dropped; the other target sends that event again.
 func (s *stream) resume(resp *response) {
--- a/request/request.go
+++ b/request/request.go
@@ -195,17 +195,29 @@
 	return End
 }
 
+// MayContinue reports whether a run that failed may go on at another target now. It is the same run, so
+// it does not matter whether the request may be repeated.
+func (r *Request) MayContinue(now time.Time) bool {
+	return r.attemptsLeft() && now.Before(r.options.Deadline)
+}
+
+// Continue records that a run that failed goes on at another target.
+func (r *Request) Continue() { r.mayHaveRun = true }
+
+// attemptsLeft reports whether the request may be sent once more.
+func (r *Request) attemptsLeft() bool {
+	return r.attempts-min(r.unsent, r.options.FreeUnsent) < r.options.MaxAttempts
+}
+
 // MayRetry reports whether the request may be sent again now after an attempt that
 // failed with the given kind. It does not consider the budget.
 func (r *Request) MayRetry(kind target.Kind, now time.Time) bool {
 	switch {
 	case kind == target.Rejected:
 		return false
-	case r.attempts-min(r.unsent, r.options.FreeUnsent) >= r.options.MaxAttempts:
-		return false
-	case !now.Before(r.options.Deadline):
+	case !r.MayContinue(now):
 		return false
 	default:
-		return kind.NotRun() || r.options.Repeatable
+		return kind.NotRun() && !r.mayHaveRun || r.options.Repeatable
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -106,6 +106,9 @@
 	// CopyRate is the number of tokens per second whose memory one engine copies from another; 0
 	// if engines do not copy.
 	CopyRate float64
+	// BackupRate is the number of tokens per second whose state one engine copies to another while
+	// it runs a request; 0 if engines make no backups.
+	BackupRate float64
 }
 
 // Service is a group of equivalent targets.
