--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -78,6 +78,7 @@
 	Version    string        `long:"version" default:"v1" description:"version of its software"`
 	FailEvery  int           `long:"fail-every" description:"every so many requests run and fail with status 500; 0 for none"`
 	Unframed   int           `long:"unframed-every" description:"every so many responses come with neither length nor chunks; 0 for none"`
+	CutEvery   int           `long:"cut-every" description:"every so many streams end inside an event; 0 for none"`
 	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
 }
 
@@ -94,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, DataCentre: c.DataCentre, Slots: c.Slots,
+	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, CutEvery: c.CutEvery, DataCentre: c.DataCentre, Slots: c.Slots,
 		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func(cause string) {
 			fmt.Println(EndedBy + cause)
 			os.Exit(exitEnded)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -30,6 +30,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,6 +71,9 @@
 	CallTime time.Duration
 	// UnframedEvery has every so many responses come with neither length nor chunks; 0 has none.
 	UnframedEvery int
+	// CutEvery has every so many streams end inside an event, but none that goes on from a copy; 0 has
+	// none.
+	CutEvery int
 	// End ends the process of the worker, which cause did: the body or the part of the prompt of a
 	// request. Nil lets requests that do so end as others.
 	End func(cause string)
@@ -82,9 +86,11 @@
 type Run struct {
 	Began    int
 	Finished int
-	Customer string
-	Path     string
-	Body     string
+	// Continued counts the times that the run went on here from a copy of its state.
+	Continued int
+	Customer  string
+	Path      string
+	Body      string
 }
 
 // Arrival is a request that reached a worker.
@@ -109,6 +115,8 @@
 	// written counts the writes of the entry.
 	written uint64
 	runs    map[string]*Run
+	// copies are the runs of other workers whose state this one holds.
+	copies map[string]bool
 	// arrivals are the requests in the order in which they came.
 	arrivals []Arrival
 }
@@ -117,7 +125,7 @@
 func New(o Options) *Worker {
 	o.Slots = cmp.Or(o.Slots, 8)
 	o.Version = cmp.Or(o.Version, "v1")
-	return &Worker{options: o, started: time.Now(), runs: make(map[string]*Run)}
+	return &Worker{options: o, started: time.Now(), runs: make(map[string]*Run), copies: make(map[string]bool)}
 }
 
 // Handle serves one request.
@@ -130,6 +138,8 @@
 		w.write(ctx, func() any { return w.arrivals })
 	case string(ctx.Path()) == "/health":
 		ctx.Response.Header.Set(headerInstance, w.options.ID)
+	case strings.HasPrefix(string(ctx.Path()), copiesPath):
+		w.serveCopies(ctx)
 	default:
 		w.serve(ctx)
 	}
@@ -158,6 +168,11 @@
 	if f, ok := w.Faults.Take("say"); ok && f.Mode == fault.Leaving {
 		ctx.Response.Header.Set(headerLeaving, "1")
 	}
+	if len(ctx.Request.Header.Peek(headerFrom)) > 0 {
+		w.arrived(id, false)
+		w.goOn(ctx, id)
+		return
+	}
 	f, _ := w.Faults.Take("run")
 	w.arrived(id, f.Mode == fault.Backoff)
 	if f.Mode == fault.Backoff {
@@ -171,6 +186,10 @@
 	if f.Mode == fault.Cross {
 		ctx.Response.Header.Set(headerID, "another")
 	}
+	backup := string(ctx.Request.Header.Peek(headerBackup))
+	if backup != "" {
+		sendCopy(http.MethodPut, backup, id)
+	}
 	time.Sleep(w.options.CallTime + f.Delay)
 	if w.options.End != nil && bytes.HasPrefix(ctx.PostBody(), []byte(EndingBody)) {
 		w.options.End(string(ctx.PostBody()))
@@ -201,17 +220,15 @@
 		w.end(id, true)
 		return
 	}
+	if w.options.CutEvery > 0 && n%w.options.CutEvery == 0 {
+		f = fault.Fault{Mode: fault.Cut, After: w.options.Events / 2}
+	}
 	w.serveStream(ctx, id, f, unframed)
 }
 
 // serveStream answers with the events after the one that the caller has.
 func (w *Worker) serveStream(ctx *fasthttp.RequestCtx, id string, f fault.Fault, unframed bool) {
-	s := &stream{worker: w, id: id, next: 1}
-	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
-		if n, err := fasthttp.ParseUint(last); err == nil {
-			s.next = n + 1
-		}
-	}
+	s := w.streamFrom(ctx, id)
 	if f.Mode == fault.Cut {
 		s.cutAfter = max(f.After, 1)
 	}
@@ -223,6 +240,17 @@
 	ctx.SetBodyStream(s, -1)
 }
 
+// streamFrom returns the stream of a run after the last event that the request names.
+func (w *Worker) streamFrom(ctx *fasthttp.RequestCtx, id string) *stream {
+	s := &stream{worker: w, id: id, next: 1, backup: string(ctx.Request.Header.Peek(headerBackup))}
+	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
+		if n, err := fasthttp.ParseUint(last); err == nil {
+			s.next = n + 1
+		}
+	}
+	return s
+}
+
 // Seal is the signature of an instance for a request.
 func Seal(id, instance string) string {
 	return fmt.Sprintf("%s.%x", instance, xxhash.Sum64String(id+instance))
@@ -281,6 +309,8 @@
 	cutAfter int
 	rest     []byte
 	done     bool
+	// backup is the address of the worker that holds the state of the run; empty if none does.
+	backup string
 }
 
 // Read returns the next event.
@@ -306,6 +336,9 @@
 // Close ends the run.
 func (s *stream) Close() error {
 	s.worker.end(s.id, s.done)
+	if s.done && s.backup != "" {
+		sendCopy(http.MethodDelete, s.backup, s.id)
+	}
 	return nil
 }
 
