Requests that may be repeated go on at a backup only after their first event

Change: such a request is repeated; and only breaks after the first event count for its expected loss.

--- a/place/backup.go
+++ b/place/backup.go
@@ -65,14 +65,15 @@
 	lostRunWeight = 2
 )
 
-// runLosses counts the runs of a service at this router that ended lately.
+// runLosses counts the runs of a service at this router that ended lately. Begun is the part of the broken
+// ones that broke after their first event.
 type runLosses struct {
-	ended, broken float64
-	at            time.Time
+	ended, broken, begun float64
+	at                   time.Time
 }
 
-// record counts a run.
-func (l *runLosses) record(r Result, now time.Time) {
+// record counts a run; begun reports that its first event was received.
+func (l *runLosses) record(r Result, begun bool, now time.Time) {
 	if r != Answered && r != Failed {
 		return
 	}
@@ -80,6 +81,9 @@
 	l.ended++
 	if r == Failed {
 		l.broken++
+		if begun {
+			l.begun++
+		}
 	}
 }
 
@@ -87,15 +91,20 @@
 func (l *runLosses) decay(now time.Time) {
 	if !l.at.IsZero() {
 		factor := math.Exp2(-now.Sub(l.at).Seconds() / lossHalfLife.Seconds())
-		l.ended, l.broken = l.ended*factor, l.broken*factor
+		l.ended, l.broken, l.begun = l.ended*factor, l.broken*factor, l.begun*factor
 	}
 	l.at = now
 }
 
-// share returns the expected share of runs that break.
-func (l *runLosses) share(now time.Time) float64 {
+// share returns the expected share of runs that break and whose backup would be used: a request that may be
+// repeated is, as long as no event of it has been received.
+func (l *runLosses) share(repeatable bool, now time.Time) float64 {
 	l.decay(now)
-	return max(l.broken-lossAccidents, 0) / (l.ended + lossPriorRuns)
+	used := l.broken
+	if repeatable {
+		used = l.begun
+	}
+	return max(used-lossAccidents, 0) / (l.ended + lossPriorRuns)
 }
 
 // copyCost returns what copying tokens costs, in tokens that an engine prefills in the time for which
@@ -139,7 +148,7 @@
 	if !p.backups || s.engine.BackupRate <= 0 || len(s.targets) < 2 {
 		return BackupDecision{}
 	}
-	d := decideBackup(s.losses.share(now), s.latency.rate(), s.engine.BackupRate, r.Call, r.Repeatable)
+	d := decideBackup(s.losses.share(r.Repeatable, now), s.latency.rate(), s.engine.BackupRate, r.Call, r.Repeatable)
 	if d.Reason != RunsBreak {
 		return d
 	}
--- a/place/run.go
+++ b/place/run.go
@@ -172,5 +172,5 @@
 	r.state.replaced = r.state.replaced || result == Replaced
 	r.state.circuit.record(result, now)
 	r.state.health.record(result, now)
-	p.service(r.Target.Service).losses.record(result, now)
+	p.service(r.Target.Service).losses.record(result, !r.first.IsZero(), now)
 }
--- a/relay/backup.go
+++ b/relay/backup.go
@@ -34,6 +34,9 @@
 	if !b.Valid() || fail.Kind.NotRun() {
 		return false
 	}
+	if f.route.Retryable() && f.responseBegan.IsZero() {
+		return false // a repeated run costs no more, and needs no copy
+	}
 	run, reason := f.prepareContinuation(b, fail)
 	if run == nil {
 		f.server.logNotContinued(f, b, reason)
