--- a/place/backup.go
+++ b/place/backup.go
@@ -27,7 +27,8 @@
 
 // The reasons.
 const (
-	// BackupsOff: this router or the engines of the service make none. It is not logged.
+	// BackupsOff: this router or the engines of the service make none, or the request has no attempt
+	// left to go on. It is not logged.
 	BackupsOff BackupReason = ""
 	// RunsEndWell: hardly any runs of the service broke lately.
 	RunsEndWell BackupReason = "runs_end_well"
@@ -145,7 +146,7 @@
 
 // backup decides whether a run at a target gets a backup, and at which target.
 func (p *Placer) backup(s *service, r Request, at *target, homes []*target, now time.Time) BackupDecision {
-	if !p.backups || s.engine.BackupRate <= 0 || len(s.targets) < 2 {
+	if !p.backups || s.engine.BackupRate <= 0 || len(s.targets) < 2 || r.LastAttempt {
 		return BackupDecision{}
 	}
 	d := decideBackup(s.losses.share(r.Repeatable, now), s.latency.rate(), s.engine.BackupRate, r.Call, r.Repeatable)
--- a/place/backup_test.go
+++ b/place/backup_test.go
@@ -199,6 +199,9 @@
 	none := newBackupFixture(t, true)
 	none.table.Services[0].Engine.BackupRate = 0
 	assert.Equal(t, none.place(t, unchanged).Backup, BackupDecision{}, "engines make none")
+	last := newBackupFixture(t, true)
+	d := last.place(t, func(r *Request) { r.LastAttempt = true })
+	assert.Equal(t, d.Backup, BackupDecision{}, "no attempt left to go on")
 	one := newBackupFixture(t, true)
 	one.SetTargets(one.list[:1], one.table)
 	assert.Equal(t, one.place(t, unchanged).Backup, BackupDecision{}, "one target only")
--- a/place/place.go
+++ b/place/place.go
@@ -79,6 +79,8 @@
 	Version string
 	// Repeatable reports that the request may run again after a run that broke.
 	Repeatable bool
+	// LastAttempt reports that no attempt is left after this one, so that a run cannot go on elsewhere.
+	LastAttempt bool
 }
 
 // Versions restricts the versions of targets during the rollout of a service.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -88,6 +88,7 @@
 // impaired.
 func (f *flight) place() place.Decision {
 	r := f.placement()
+	r.LastAttempt = f.lifecycle.LastAttempt()
 	s := f.server
 	var replies []place.Reply
 	if s.options.Query != nil && !s.impaired() {
--- a/request/request.go
+++ b/request/request.go
@@ -201,6 +201,11 @@
 	return r.attemptsLeft() && now.Before(r.options.Deadline)
 }
 
+// LastAttempt reports whether the next attempt is the last one, however it fails.
+func (r *Request) LastAttempt() bool {
+	return r.attempts+1-min(r.unsent, r.options.FreeUnsent) >= r.options.MaxAttempts
+}
+
 // Continue records that a run that failed goes on at another target.
 func (r *Request) Continue() { r.mayHaveRun = true }
 
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -59,6 +59,27 @@
 	assert.Equal(t, r.Fail(target.Broken, start, always), End)
 }
 
+// TestContinuedRunIsNotFollowedByAnother has a request that may not be repeated go on at another target,
+// which says that it did not run it.
+func TestContinuedRunIsNotFollowedByAnother(t *testing.T) {
+	r := New(Options{ID: "r", Deadline: deadline, MaxAttempts: 3})
+	assert.Assert(t, !r.LastAttempt())
+	r.Queue()
+	r.Dispatch()
+	r.Stream()
+	assert.Assert(t, r.MayContinue(start) && !r.MayContinue(deadline))
+	r.Continue()
+	r.Queue()
+	r.Dispatch()
+	assert.Assert(t, r.LastAttempt())
+	assert.Equal(t, r.Fail(target.Refused, start, always), End)
+	assert.Equal(t, r.Outcome(), Unknown)
+	last := New(Options{ID: "r", Deadline: deadline, MaxAttempts: 1})
+	last.Queue()
+	last.Dispatch()
+	assert.Assert(t, !last.MayContinue(start), "the attempts of the route bound continuations too")
+}
+
 // TestOutcomeNotRunOnlyIfNoAttemptMayHaveRun runs random sequences of attempts. It
 // checks that the outcome is not NotRun if an attempt may have run, and that at most
 // one attempt of a request that is not repeatable may have run.
