Handing over never blocks; what may have been sent counts as sent

Found in a review of the hand-over, each with a test: - A session whose accept loop ended (a confirmation was not sent within 2 s) stayed open and replied to probes: the other router opened streams that nobody accepted, and after 1,024 of them each request waited for ever.

--- a/offload/batch.go
+++ b/offload/batch.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 )
@@ -15,6 +17,11 @@
 	batchDelay = 2 * time.Millisecond
 	// maxBatch is the number of collected bytes from which on writers wait for the network.
 	maxBatch = 256 << 10
+	// maxSpare is the size of the largest buffer that is kept for the next batch.
+	maxSpare = 64 << 10
+	// stuckAfter is the time without any reply to an opened stream after which a connection is stuck:
+	// a router of the same data centre that is that late misses the objectives of streams.
+	stuckAfter = 250 * time.Millisecond
 )
 
 // batchConn collects what is written within a moment and sends it with one system call. The
@@ -30,7 +37,12 @@
 	mu      sync.Mutex
 	drained sync.Cond
 	pending []byte
-	err     error
+	// broken is set once the network has failed, closed once the session has closed the connection.
+	broken, closed bool
+
+	// asked is when a stream was opened since which nothing has arrived, in nanoseconds since the Unix
+	// epoch; 0 if there is none.
+	asked atomic.Int64
 }
 
 func newBatchConn(c net.Conn, clock clockwork.Clock) *batchConn {
@@ -40,15 +52,39 @@
 	return b
 }
 
-// Write collects bytes. It returns the error of an earlier write to the network.
+// Read implements net.Conn.
+func (b *batchConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	b.asked.Store(0)
+	return n, err
+}
+
+// ask notes that a stream is opened, which the other router confirms at once.
+func (b *batchConn) ask(now time.Time) { b.asked.CompareAndSwap(0, now.UnixNano()) }
+
+// stuck reports whether the other router confirms no streams, reads nothing or is gone.
+func (b *batchConn) stuck(now time.Time) bool {
+	if at := b.asked.Load(); at != 0 && now.UnixNano()-at >= int64(stuckAfter) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.broken || len(b.pending) >= maxBatch/2
+}
+
+// Write collects bytes. After a failure of the network it drops them: the session ends by the read that
+// fails as well, see abort.
 func (b *batchConn) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.pending) >= maxBatch && b.err == nil {
+	for len(b.pending) >= maxBatch && !b.broken && !b.closed {
 		b.drained.Wait()
 	}
-	if b.err != nil {
-		return 0, b.err
+	switch {
+	case b.closed:
+		return 0, net.ErrClosed
+	case b.broken:
+		return len(p), nil
 	}
 	b.pending = append(b.pending, p...)
 	select {
@@ -72,16 +108,14 @@
 		if len(batch) == 0 {
 			continue // sent with the batch before
 		}
-		_, err := b.Conn.Write(batch)
-		b.mu.Lock()
-		b.err = err
-		b.drained.Broadcast()
-		b.mu.Unlock()
-		if err != nil {
-			b.Conn.Close() //nolint:errcheck // the session reads the end
+		if _, err := b.Conn.Write(batch); err != nil {
+			b.abort()
 			return nil
 		}
-		spare = batch
+		spare = nil
+		if cap(batch) <= maxSpare {
+			spare = batch
+		}
 	}
 }
 
@@ -93,20 +127,46 @@
 	batch := b.pending
 	if len(batch) > 0 {
 		b.pending = spare[:0]
+		b.drained.Broadcast()
 	}
 	return batch
 }
 
-// Close closes the connection and waits until nothing is sent any more. Collected bytes are lost.
+// abort ends the session: its reader fails, and closes it. A session that anything else closes waits
+// for its reader, and until then each stream that is read or written uses up a processor, as the loops
+// of yamux do not wait any more.
+func (b *batchConn) abort() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broken = true
+	b.drained.Broadcast()
+	b.Conn.Close() //nolint:errcheck // it is broken, or nobody uses it any more
+}
+
+// Close is called by the session when it ends. Collected bytes are lost. It does not wait for run, for
+// the reason that abort tells.
 func (b *batchConn) Close() error {
-	err := b.Conn.Close()
+	b.abort()
 	b.once.Do(func() { close(b.done) })
-	b.group.Wait() //nolint:errcheck // run returns none
 	b.mu.Lock()
-	if b.err == nil {
-		b.err = net.ErrClosed
-	}
+	defer b.mu.Unlock()
+	b.closed = true
 	b.drained.Broadcast()
-	b.mu.Unlock()
-	return err
+	return nil
+}
+
+// keepAlive probes a connection until its session has ended, and ends it if the other router does not
+// reply.
+func keepAlive(b *batchConn, mux *yamux.Session) error {
+	defer b.group.Wait() //nolint:errcheck // run returns none
+	for {
+		select {
+		case <-mux.CloseChan():
+			return mux.Close() // waits until all streams have ended
+		case <-b.clock.After(probeInterval):
+		}
+		if _, err := mux.Ping(); err != nil {
+			b.abort()
+		}
+	}
 }
--- a/offload/batch_test.go
+++ b/offload/batch_test.go
@@ -38,3 +38,25 @@
 	_, err := b.Write([]byte("x"))
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Writers wait while the other end reads nothing, and Close ends their wait.
+func TestBatchesAreBounded(t *testing.T) {
+	here, _ := net.Pipe()
+	b := newBatchConn(here, testClock)
+	ended := make(chan int)
+	go func() {
+		written := 0
+		for {
+			n, err := b.Write(make([]byte, 1<<10))
+			written += n
+			if err != nil {
+				ended <- written
+				return
+			}
+		}
+	}()
+	eventually(t, func() bool { return b.stuck(time.Now()) })
+	time.Sleep(5 * batchDelay)
+	assert.NilError(t, b.Close())
+	assert.Assert(t, <-ended <= 3*maxBatch)
+}
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -48,11 +48,20 @@
 	maxOpening = 1024
 )
 
-// sessionConfig returns the configuration of both ends of a connection.
+// servingConfig returns the configuration of the end that requests are handed over to. It waits for
+// the other router to close a stream whose response was written: that one does so when its caller has
+// read the response, or reads nothing for too long. To reset the stream earlier would cut the response.
+func servingConfig() *yamux.Config {
+	c := sessionConfig()
+	c.StreamCloseTimeout = 0
+	return c
+}
+
+// sessionConfig returns the configuration of the end that hands requests over.
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = maxOpening
-	c.KeepAliveInterval = probeInterval
+	c.EnableKeepAlive = false // see keepAlive
 	c.ConnectionWriteTimeout = sessionTimeout
 	// Probes find routers that do not reply; a timer for each stream would only repeat that.
 	c.StreamOpenTimeout = 0
--- a/offload/server.go
+++ b/offload/server.go
@@ -40,7 +40,7 @@
 	group    errgroup.Group
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*batchConn]bool
 	closed   bool
 }
 
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for routers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, sessions: make(map[*yamux.Session]bool)}
+	s := &Server{options: o, listener: l, sessions: make(map[*batchConn]bool)}
 	s.group.Go(s.accept)
 	return s, nil
 }
@@ -66,7 +66,10 @@
 			return nil
 		}
 		if err != nil {
-			return errs.Wrap(err, "accept routers", s.options.Address.String())
+			// The process has no free descriptor, or the connection has ended already.
+			s.options.Log.Error().Err(err).Msg("connection of another router not accepted")
+			s.options.Clock.Sleep(acceptDelay)
+			continue
 		}
 		s.group.Go(func() error {
 			if err := s.serveConn(c); err != nil {
@@ -77,24 +80,33 @@
 	}
 }
 
+// acceptDelay is the time until the next connection is accepted after an error.
+const acceptDelay = 100 * time.Millisecond
+
 // serveConn serves the streams of one connection.
 func (s *Server) serveConn(c net.Conn) error {
 	if err := verify(c, s.options.Key, time.Now().Add(handshakeTimeout)); err != nil {
 		c.Close() //nolint:errcheck // the connection is of no use
 		return err
 	}
-	mux, err := yamux.Server(newBatchConn(c, s.options.Clock), sessionConfig())
+	conn := newBatchConn(c, s.options.Clock)
+	mux, err := yamux.Server(conn, servingConfig())
 	if err != nil {
+		conn.Close() //nolint:errcheck // the connection is of no use
 		return errs.Wrap(err, "open session", c.RemoteAddr().String())
 	}
-	if !s.add(mux) {
-		return errs.Wrap(mux.Close(), "close session", c.RemoteAddr().String())
+	s.group.Go(func() error { return keepAlive(conn, mux) })
+	// A session that accepts no more streams would still reply to probes, and the other router would
+	// wait for it for ever.
+	defer conn.abort()
+	if !s.add(conn) {
+		return nil
 	}
-	defer s.remove(mux)
+	defer s.remove(conn)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
-			return nil // the connection has ended
+			return nil // the connection has ended, or it is stuck
 		}
 		s.group.Go(func() error {
 			s.serveStream(stream)
@@ -103,19 +115,19 @@
 	}
 }
 
-func (s *Server) add(mux *yamux.Session) bool {
+func (s *Server) add(conn *batchConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closed {
-		s.sessions[mux] = true
+		s.sessions[conn] = true
 	}
 	return !s.closed
 }
 
-func (s *Server) remove(mux *yamux.Session) {
+func (s *Server) remove(conn *batchConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, mux)
+	delete(s.sessions, conn)
 }
 
 // serveStream reads a request and serves it. Meanwhile a second goroutine reads the stream's end,
@@ -171,8 +183,8 @@
 	sessions := s.sessions
 	s.sessions = nil
 	s.mu.Unlock()
-	for mux := range sessions {
-		mux.Close() //nolint:errcheck // nothing is served any more
+	for conn := range sessions {
+		conn.abort() // nothing is served any more
 	}
 	if gerr := s.group.Wait(); err == nil {
 		err = gerr
