Requests that are handed over: monitor never waits, callers that leave are seen at once, stop ends all

Found in the review of the hand-over: - The monitor closed streams while it held the lock of the request; on a stuck connection each close waits up to 2 s, one after the other. It only ends the read now; the goroutine of the request closes the stream. - The extra time of a handed-over request was written while the monitor read it (race). - The serving router noticed a caller that left 200 ms later than it knew. - Requests that another router handed over after the requests were cut at the stop had no monitor and held up Close. - Callers with HTTP 1.0 took the end of a connection for the end of a response; bodies above 32 KB were held by the serving router without a limit of memory. Neither is handed over. - Close did not wait for handed-over requests.

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -85,11 +85,9 @@
 	// notice is what the target of the current attempt reported about itself.
 	notice notice.Notice
 	// takenOver is set if another router handed the request over, offloadTo holds the routers to
-	// which this one hands it over. grace is how much longer than its time limit the request may
-	// take here.
+	// which this one hands it over.
 	takenOver bool
 	offloadTo []offload.Router
-	grace     time.Duration
 	// deposited is set once the request has added to the budget of retries.
 	deposited bool
 	// dispatching is set from the admission of a stream until it is sent for the first time.
@@ -127,6 +125,8 @@
 	cause    cause
 	// remote is the stream to the router that serves the request, nil if this one does.
 	remote net.Conn
+	// grace is how much longer than its time limit the request may take here.
+	grace time.Duration
 }
 
 // serve makes attempts until the request is complete. Streams end later, in their Close.
--- a/relay/monitor.go
+++ b/relay/monitor.go
@@ -70,9 +70,9 @@
 		switch {
 		case f.stall.exceeds(s.options.Limits.WriteTimeout, now):
 			f.closeStalled() // also after its time was up, which ends only the exchange with the target
-		case !now.Before(limit.Add(f.grace)):
+		case f.timeUp(limit, now):
 			f.interrupt(causeTimeUp)
-		case !f.wrote(now) && callerClosed(f):
+		case f.callerLeft(now):
 			f.interrupt(causeCallerClosed)
 		case f.route.Retryable():
 			f.abandonLostTarget(now)
@@ -105,6 +105,12 @@
 // system call for each request ten times a second, is not needed then.
 func (f *flight) wrote(now time.Time) bool { return now.UnixNano()-f.passedAt.Load() < int64(writeTTL) }
 
+// callerLeft reports whether the caller has left. Of a request that another router handed over that
+// is known at once.
+func (f *flight) callerLeft(now time.Time) bool {
+	return (f.takenOver || !f.wrote(now)) && callerClosed(f)
+}
+
 // callerClosed reports whether the caller closed its connection.
 func callerClosed(f *flight) bool {
 	if c, ok := f.conn.(*offload.Conn); ok {
--- a/relay/offload.go
+++ b/relay/offload.go
@@ -116,7 +116,6 @@
 	if !h.open() {
 		return false
 	}
-	f.grace = handedOverGrace
 	// The rest of the exchange needs neither the parsed request nor its buffers.
 	f.body, f.header = nil, nil
 	f.server.handedOver.Add(1)
@@ -125,6 +124,13 @@
 	return true
 }
 
+// mayBeHandedOver reports whether the request can be passed on in one piece, and its response as it
+// is: a caller with HTTP 1.0 takes the end of a connection for the end of a response, and only the
+// router that reads a large body accounts for its memory.
+func (f *flight) mayBeHandedOver() bool {
+	return f.header.IsHTTP11() && len(f.body) <= maxBufferedBody
+}
+
 // open sends the request to the next router that can be reached.
 func (h *handover) open() bool {
 	f := h.flight
@@ -207,6 +213,9 @@
 	defer copyBuffers.Put(buffer)
 	for {
 		n, err := h.stream.Read(buffer[:])
+		if f.interrupted() != causeNone {
+			return errClosed
+		}
 		if n > 0 {
 			h.request = nil
 			h.passed += n
@@ -275,7 +284,7 @@
 	if f.cause != causeNone {
 		return false
 	}
-	f.remote = stream
+	f.remote, f.grace = stream, handedOverGrace
 	return true
 }
 
@@ -285,13 +294,20 @@
 	f.remote = nil
 }
 
-// closeRemote ends the exchange with the serving router. The caller holds f.mu.
+// closeRemote ends the exchange with the serving router. It ends the read that waits, and the
+// goroutine of the request closes the stream: that may block while the connection is stuck, and many
+// requests are ended by one goroutine. The caller holds f.mu.
 func (f *flight) closeRemote() {
-	if f.remote == nil {
-		return
+	if f.remote != nil {
+		f.remote.SetReadDeadline(time.Unix(0, 1).UTC()) //nolint:errcheck // a stream accepts each
 	}
-	f.remote.Close()                                //nolint:errcheck // nothing more is read
-	f.remote.SetReadDeadline(time.Unix(0, 1).UTC()) //nolint:errcheck // it ends the read that waits
+}
+
+// timeUp reports whether the time limit of the request and what it may take longer have passed.
+func (f *flight) timeUp(limit, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !now.Before(limit.Add(f.grace))
 }
 
 // ServeOffloaded serves a request that another router handed over, and returns when its response
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,6 +142,8 @@
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
+	// ended is set once the requests that still run were cut.
+	ended bool
 	// lastArrival is when the last admitted request arrived.
 	lastArrival time.Time
 }
@@ -220,7 +222,7 @@
 		return
 	}
 	if len(f.offloadTo) > 0 {
-		if f.handOver(ctx) {
+		if f.mayBeHandedOver() && f.handOver(ctx) {
 			return
 		}
 		if r := f.keep(); r != nil {
@@ -239,10 +241,28 @@
 // register counts a request as running until unregister.
 func (s *Server) register(f *flight) {
 	s.options.Metrics.Inc(metric.RequestsReceived)
+	if !s.add(f) {
+		f.interrupt(causeStopped)
+	}
+}
+
+// add reports whether the server still serves requests.
+func (s *Server) add(f *flight) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.flights[f] = struct{}{}
 	s.lastArrival = f.received
+	return !s.ended
+}
+
+// cut ends the requests that run, and those that still arrive.
+func (s *Server) cut() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	for _, f := range s.inFlight() {
+		f.interrupt(causeStopped)
+	}
 }
 
 func (s *Server) unregister(f *flight) {
@@ -271,19 +291,25 @@
 	}
 	s.drain(now)
 	close(s.stop)
-	for _, f := range s.inFlight() {
-		f.interrupt(causeStopped)
-	}
+	s.cut()
 	err := s.listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeIdleTimeout)
 	defer cancel()
 	_ = s.http.ShutdownWithContext(ctx) // idle connections may outlast the timeout
+	s.awaitRequests(ctx)
 	if gerr := s.group.Wait(); err == nil {
 		err = gerr
 	}
 	return errs.Wrap(err, "stop serving callers", "")
 }
 
+// awaitRequests waits until no request runs. Fasthttp does not wait for those that were handed over.
+func (s *Server) awaitRequests(ctx context.Context) {
+	for s.Running() > 0 && ctx.Err() == nil {
+		s.options.Clock.Sleep(drainCheckInterval)
+	}
+}
+
 const (
 	// closeIdleTimeout bounds closing the callers' idle connections.
 	closeIdleTimeout = 100 * time.Millisecond
