--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -253,6 +253,12 @@
 // newTestServerDialling returns a server that connects to targets by a given function; nil
 // selects the default.
 func newTestServerDialling(t testing.TB, dial func(netip.AddrPort, time.Duration) (net.Conn, error), targets ...*fakeTarget) *testServer {
+	t.Helper()
+	return newTestServerOffloading(t, Offload{}, dial, targets...)
+}
+
+// newTestServerOffloading returns a server that may hand requests over.
+func newTestServerOffloading(t testing.TB, o Offload, dial func(netip.AddrPort, time.Duration) (net.Conn, error), targets ...*fakeTarget) *testServer {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	s := &testServer{table: newTable(t, testSpec()), fresh: true, origins: origin.NewTable(clock)}
@@ -269,7 +275,7 @@
 	links := link.NewPool(link.Options{Clock: clock, Dial: dial})
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), RequestLog: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
-		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock),
+		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock), Offload: o,
 		Processor: processor.New(processor.Options{Clock: clock, Share: 1, Used: s.processorTime}),
 		Limits:    Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, PassWithin: 200 * time.Millisecond, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
 	})
