--- a/offload/batch.go
+++ b/offload/batch.go
@@ -39,6 +39,7 @@
 	pending []byte
 	// broken is set once the network has failed, closed once the session has closed the connection.
 	broken, closed bool
+	streams        map[*yamux.Stream]bool
 
 	// asked is when a stream was opened since which nothing has arrived, in nanoseconds since the Unix
 	// epoch; 0 if there is none.
@@ -56,9 +57,42 @@
 func (b *batchConn) Read(p []byte) (int, error) {
 	n, err := b.Conn.Read(p)
 	b.asked.Store(0)
+	if err != nil {
+		b.endStreams()
+	}
 	return n, err
 }
 
+// add registers a stream until remove.
+func (b *batchConn) add(s *yamux.Stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.streams == nil {
+		b.streams = make(map[*yamux.Stream]bool)
+	}
+	b.streams[s] = true
+}
+
+func (b *batchConn) remove(s *yamux.Stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.streams, s)
+}
+
+// endStreams ends what waits for a stream before the session knows of its end. Once it does, each of
+// them would use up a processor until the session has closed its stream.
+func (b *batchConn) endStreams() {
+	b.mu.Lock()
+	for s := range b.streams {
+		s.SetDeadline(time.Unix(0, 1).UTC()) //nolint:errcheck // a stream accepts each
+	}
+	b.mu.Unlock()
+	b.clock.Sleep(endDelay)
+}
+
+// endDelay is the time in which all streams of a connection notice its end.
+const endDelay = 20 * time.Millisecond
+
 // ask notes that a stream is opened, which the other router confirms at once.
 func (b *batchConn) ask(now time.Time) { b.asked.CompareAndSwap(0, now.UnixNano()) }
 
--- a/offload/client.go
+++ b/offload/client.go
@@ -89,7 +89,7 @@
 // becomes of a request whose stream breaks later is not known. Open waits for some milliseconds at
 // most: it fails if there is no connection yet, or if it is stuck.
 func (c *Client) Open(to netip.AddrPort, age time.Duration, request []byte) (net.Conn, error) {
-	s, mux, err := c.connect(to)
+	s, conn, mux, err := c.connect(to)
 	if err != nil {
 		return nil, err
 	}
@@ -102,7 +102,8 @@
 		return nil, errs.Wrap(err, "open stream", to.String())
 	}
 	s.waiting.Add(1)
-	opened := &Stream{Stream: stream, session: s}
+	opened := &Stream{Stream: stream, session: s, conn: conn}
+	opened.conn.add(stream)
 	if err := stream.SetWriteDeadline(time.Now().Add(openWait)); err != nil {
 		opened.Close() //nolint:errcheck // the stream is of no use
 		return nil, errs.Wrap(err, "send request", to.String())
@@ -124,6 +125,7 @@
 type Stream struct {
 	*yamux.Stream
 	session  *session
+	conn     *batchConn
 	answered atomic.Bool
 }
 
@@ -137,6 +139,7 @@
 // Close ends the request at the other router.
 func (s *Stream) Close() error {
 	s.answer()
+	s.conn.remove(s.Stream)
 	return s.Stream.Close()
 }
 
@@ -161,10 +164,10 @@
 
 // connect returns the open connection to a router. It opens one, but does not wait for long until it
 // is open.
-func (c *Client) connect(to netip.AddrPort) (*session, *yamux.Session, error) {
+func (c *Client) connect(to netip.AddrPort) (*session, *batchConn, *yamux.Session, error) {
 	s, opening := c.session(to)
 	if s == nil {
-		return nil, nil, errs.Wrap(net.ErrClosed, "connect to router", to.String())
+		return nil, nil, nil, errs.Wrap(net.ErrClosed, "connect to router", to.String())
 	}
 	if opening != nil {
 		select {
@@ -176,13 +179,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.open() {
-		return nil, nil, errs.New("router could not be reached just now", "connect to router", to.String())
+		return nil, nil, nil, errs.New("router could not be reached just now", "connect to router", to.String())
 	}
 	if s.waiting.Load() >= maxWaiting || s.conn.stuck(now) {
-		return nil, nil, errs.Wrap(errStuck, "connect to router", to.String())
+		return nil, nil, nil, errs.Wrap(errStuck, "connect to router", to.String())
 	}
 	s.conn.ask(now)
-	return s, s.mux, nil
+	return s, s.conn, s.mux, nil
 }
 
 // open reports whether there is a connection. The caller holds s.mu.
--- a/offload/server.go
+++ b/offload/server.go
@@ -109,6 +109,8 @@
 			return nil // the connection has ended, or it is stuck
 		}
 		s.group.Go(func() error {
+			conn.add(stream)
+			defer conn.remove(stream)
 			s.serveStream(stream)
 			return nil
 		})
