--- a/metric/names.go
+++ b/metric/names.go
@@ -60,6 +60,9 @@
 	PlacedNear
 	PlacedSpilled
 	CopiedByHolding
+	BackupsAsked
+	StreamsContinued
+	BackupsMissing
 	numCounters
 )
 
@@ -112,6 +115,9 @@
 	PlacedNear:           {"placed_near", "Prompts placed at a home in the data centre of this router."},
 	PlacedSpilled:        {"placed_spilled", "Prompts placed at a home over all data centres, because their near homes were expected to be later."},
 	CopiedByHolding:      {"copied_by_holding", "Prompts whose shared parts were copied from a target that is no home of theirs."},
+	BackupsAsked:         {"backups_asked", "Attempts whose target was asked to copy the state of its run to another one."},
+	StreamsContinued:     {"streams_continued", "Streams that went on at the target with the copy of their state."},
+	BackupsMissing:       {"backups_missing", "Streams that could not go on from their backup, as the target had no copy or no room."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
--- a/place/home.go
+++ b/place/home.go
@@ -45,6 +45,7 @@
 		p.spendCredit(r.Customer, costOf(r.Call))
 	}
 	p.addHolding(s, h.first, best.target, &pr, &d)
+	d.Backup = p.backup(s, r, best.target, h.homes, now)
 	return p.accept(s, r, &pr, best.target, d, now)
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -59,6 +59,8 @@
 	// DataCentre is that of this router. NearHomes selects homes there first.
 	DataCentre string
 	NearHomes  bool
+	// Backups lets runs have backups while many runs break.
+	Backups bool
 }
 
 // Request holds the inputs of a placement.
@@ -78,6 +80,10 @@
 	// the software that began it. The request may run at no other version, and at none if it is "".
 	Resumed bool
 	Version string
+	// Repeatable reports that the request may run again after a run that broke.
+	Repeatable bool
+	// LastAttempt reports that no attempt is left after this one, so that a run cannot go on elsewhere.
+	LastAttempt bool
 }
 
 // Versions restricts the versions of targets during the rollout of a service.
@@ -157,6 +163,8 @@
 	// holding and is no home.
 	Home    HomeKind
 	Holding bool
+	// Backup is whether the target copies the state of the run to another one.
+	Backup BackupDecision
 	// Outstanding is the number of requests at the target, HasFreeSlot reports whether it has a
 	// free slot.
 	Outstanding int
@@ -180,6 +188,7 @@
 	// dataCentre is that of this router, nearHomes whether homes there come first.
 	dataCentre string
 	nearHomes  bool
+	backups    bool
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -239,7 +248,7 @@
 // New returns a placer without targets.
 func New(o Options) *Placer {
 	return &Placer{
-		clock: o.Clock, regions: o.Regions, dataCentre: o.DataCentre, nearHomes: o.NearHomes, services: make(map[string]*service), targets: make(map[string]*target),
+		clock: o.Clock, regions: o.Regions, dataCentre: o.DataCentre, nearHomes: o.NearHomes, backups: o.Backups, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums), heldAt: make(map[Hash]time.Time),
 		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1),
 	}
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -85,11 +85,9 @@
 	// notice is what the target of the current attempt reported about itself.
 	notice notice.Notice
 	// takenOver is set if another router handed the request over, offloadTo holds the routers to
-	// which this one hands it over. grace is how much longer than its time limit the request may
-	// take here.
+	// which this one hands it over.
 	takenOver bool
 	offloadTo []offload.Router
-	grace     time.Duration
 	// deposited is set once the request has added to the budget of retries.
 	deposited bool
 	// dispatching is set from the admission of a stream until it is sent for the first time.
@@ -98,6 +96,10 @@
 	queryTime time.Duration
 	// connectSpent is how long connecting to targets has taken so far.
 	connectSpent time.Duration
+	// next is the continuation that the next attempt sends, continues the one that the current
+	// attempt is; nil if it is none.
+	next      *continuation
+	continues *continuation
 	// noRetry is why no further attempt was made after a failed one; empty while that is open.
 	noRetry string
 	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
@@ -123,6 +125,8 @@
 	cause    cause
 	// remote is the stream to the router that serves the request, nil if this one does.
 	remote net.Conn
+	// grace is how much longer than its time limit the request may take here.
+	grace time.Duration
 }
 
 // serve makes attempts until the request is complete. Streams end later, in their Close.
@@ -183,6 +187,9 @@
 		f.lifecycle.GiveUp(false) // another router may be faster
 		return false
 	}
+	if f.continueAtBackup(fail) {
+		return true
+	}
 	take := f.withdrawRetry
 	if fail.Kind == target.NotSent {
 		// The budget limits repeated arrivals at a service. Replaced attempts did arrive, at
