--- a/route/route.go
+++ b/route/route.go
@@ -109,6 +109,8 @@
 	// BackupRate is the number of tokens per second whose state one engine copies to another while
 	// it runs a request; 0 if engines make no backups.
 	BackupRate float64
+	// EventCalls is the number of calls for cache events that one engine holds; 0 if it has none.
+	EventCalls int
 }
 
 // Service is a group of equivalent targets.
