Owners apply what their targets report of their caches

What: with [placement] cache-events the owner follows its engines and corrects its estimate: reported parts count as cached, evicted ones are gone unless a prompt with them was placed in the last 2 s; an unknown state leaves the estimate. Off by default and in the deployment until its gain is measured.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/cachefeed"
 	"zinccove.example/zinccove/collector"
 	"zinccove.example/zinccove/control"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
@@ -75,8 +76,10 @@
 	offloadPeers  atomic.Pointer[[]offload.Router]
 	offloadClient *offload.Client
 	offloadServer *offload.Server
-	collector     *collector.Tuner
-	retries       *request.Budget
+	// caches follows what the targets of this router cache; nil if that is turned off.
+	caches    *cachefeed.Set
+	collector *collector.Tuner
+	retries   *request.Budget
 	// rollouts holds the rollouts of services to new versions.
 	rollouts  *rollout.Set
 	control   *control.Server
@@ -209,6 +212,7 @@
 	g.started, g.routersKnown, g.reportingStarted, g.reannounce = o.Clock.Now(), make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	g.logs = g.newLogs()
 	g.querier = newQuerier(g)
+	g.caches = g.newCaches()
 	g.origins = newOrigins(g)
 	g.offloadPeers.Store(new([]offload.Router))
 	g.leaders.Store(new([]leader))
@@ -284,7 +288,7 @@
 	g.stop()
 	g.logs.close()
 	g.store.Close()
-	err = errors.Join(err, g.group.Wait(), g.control.Close(), g.transport.Close())
+	err = errors.Join(err, g.group.Wait(), g.closeCaches(), g.control.Close(), g.transport.Close())
 	if g.readiness != nil {
 		err = errors.Join(err, g.readiness.Close())
 	}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -277,6 +277,7 @@
 	if l.ticks%roleTicks == 0 {
 		l.updateRole(now)
 		l.updateOwners()
+		l.followCaches()
 	}
 	l.sendUpdates()
 	if l.ticks%sweepTicks == 0 {
--- a/metric/names.go
+++ b/metric/names.go
@@ -63,6 +63,10 @@
 	BackupsAsked
 	StreamsContinued
 	BackupsMissing
+	CacheEvents
+	CacheGaps
+	CacheLists
+	CacheCallsFailed
 	numCounters
 )
 
@@ -118,6 +122,10 @@
 	BackupsAsked:         {"backups_asked", "Attempts whose target was asked to copy the state of its run to another one."},
 	StreamsContinued:     {"streams_continued", "Streams that went on at the target with the copy of their state."},
 	BackupsMissing:       {"backups_missing", "Streams that could not go on from their backup, as the target had no copy or no room."},
+	CacheEvents:          {"cache_events", "Parts of prompts that targets reported as cached or evicted."},
+	CacheGaps:            {"cache_gaps", "Times that a target no longer had all its reports, so that its list was needed."},
+	CacheLists:           {"cache_lists", "Lists read of all that a target caches."},
+	CacheCallsFailed:     {"cache_calls_failed", "Calls for what a target caches that failed."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -137,6 +145,7 @@
 	SuspectsKnown
 	BarredKnown
 	ProcessorLoad
+	CachesFollowed
 	numGauges
 )
 
@@ -151,6 +160,7 @@
 	SuspectsKnown:     {"suspects_known", "Contents of requests, and parts of prompts, under which targets ended lately."},
 	BarredKnown:       {"barred_known", "*alarm* Contents of requests, and parts of prompts, that are barred from targets, as enough of them ended."},
 	ProcessorLoad:     {"processor_load", "Part of this router's share of a core that is in use; 0 if limits.processor is not set."},
+	CachesFollowed:    {"caches_followed", "Targets whose reports on what they cache this router follows."},
 	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
 }
 
--- a/place/prefix_cache.go
+++ b/place/prefix_cache.go
@@ -1,10 +1,15 @@
 package place
 
-import "zinccove.example/zinccove/message"
+import (
+	"time"
+
+	"zinccove.example/zinccove/message"
+)
 
 // prefixCache estimates which prefix parts a target has cached. Engines evict the least recently
 // used parts, so a part counts as cached until the target has prefilled other tokens that fill a
-// large part of its memory.
+// large part of its memory. If the target reports what it caches, parts that it reports count as
+// cached and parts that it evicted do not.
 type prefixCache struct {
 	// prefilled is the number of tokens prefilled so far; lastUse holds its value at the last use
 	// of each part.
@@ -12,6 +17,12 @@
 	lastUse   map[Hash]uint64
 	// wantedAt holds its value at the last query about a prompt, by the last shared part.
 	wantedAt map[Hash]uint64
+	// kept holds the parts that the target reported as cached; nil unless it reports all changes.
+	kept map[Hash]struct{}
+	// placed holds when prompts were last placed that reports may not cover yet; now is the clock
+	// for it. Both are nil without reports.
+	placed map[Hash]time.Time
+	now    func() time.Time
 }
 
 const (
@@ -27,6 +38,7 @@
 	if k.lastUse == nil {
 		k.lastUse = make(map[Hash]uint64)
 	}
+	k.notePlaced(parts)
 	k.prefilled += uint64(unread)
 	for _, part := range parts {
 		k.lastUse[part] = k.prefilled
@@ -35,15 +47,18 @@
 
 // contains reports whether a part counts as cached by a target with the given memory in tokens.
 func (k *prefixCache) contains(part Hash, memory int) bool {
+	if _, ok := k.kept[part]; ok {
+		return true
+	}
 	at, ok := k.lastUse[part]
 	return ok && k.prefilled-at < uint64(float64(memory)*cacheShare)
 }
 
-// knows reports whether this router tracks a use of a part, whether the part is still cached or
-// not.
+// knows reports whether it is known if a part is cached: this router tracks a use of it, or the
+// target reports all changes.
 func (k *prefixCache) knows(part Hash) bool {
 	_, ok := k.lastUse[part]
-	return ok
+	return ok || k.kept != nil
 }
 
 // want records a query about a prompt, and reports whether there was another one so lately that a
