--- a/place/copy.go
+++ b/place/copy.go
@@ -39,7 +39,7 @@
 	for _, t := range h.former {
 		list = append(list, cacheHolder{target: t, prefillTokens: s.prefillTokens(t, pr, replies, true, now), sourceOnly: true})
 	}
-	if s.engine.CopyRate > 0 && list[0].prefillTokens-pr.uniqueTokens >= minCopiedTokens {
+	if p.nearHomes && s.engine.CopyRate > 0 && list[0].prefillTokens-pr.uniqueTokens >= minCopiedTokens {
 		list = append(list, p.heldBy(h, pr, replies, now)...)
 	}
 	return list
--- a/place/holdings.go
+++ b/place/holdings.go
@@ -103,7 +103,7 @@
 func (p *Placer) addHolding(s *service, first, t *target, pr *prompt, d *Decision) {
 	key, ok := pr.key()
 	tokens := pr.sharedTokens()
-	if !ok || s.engine.CopyRate <= 0 || t == first || d.SharedTokens+d.CopiedTokens <= 0 || tokens < minCopiedTokens {
+	if !p.nearHomes || !ok || s.engine.CopyRate <= 0 || t == first || d.SharedTokens+d.CopiedTokens <= 0 || tokens < minCopiedTokens {
 		return
 	}
 	h := Holding{Key: key, Target: t.hash, Tokens: tokens, Directory: first.hash}
--- a/place/holdings_test.go
+++ b/place/holdings_test.go
@@ -19,6 +19,7 @@
 func newHoldingFixture(t *testing.T) *holdingFixture {
 	t.Helper()
 	f := &holdingFixture{copyFixture: newCopyFixture(t, testCopyRate)}
+	f.nearHomes = true
 	for _, x := range f.targets {
 		x.cache = prefixCache{}
 		if x.Service == "model" && x != f.first && x != f.second {
@@ -53,6 +54,7 @@
 func TestDirectoryNamesHolder(t *testing.T) {
 	f := newHoldingFixture(t)
 	router, _ := newTestPlacer(t)
+	router.nearHomes = true
 	router.SetTargets(f.list, f.table)
 	q := router.Queries(f.request)[0]
 	a, ok := f.Reply(q)
@@ -63,6 +65,7 @@
 	assert.Equal(t, d.CopyFrom, f.holder.Address)
 	a.Holder = 0 // the directory changed, and its new owner knows nothing yet
 	fresh, _ := newTestPlacer(t)
+	fresh.nearHomes = true
 	fresh.SetTargets(f.list, f.table)
 	d = fresh.Place(f.request, a)
 	assert.Assert(t, d.Run != nil)
@@ -108,6 +111,7 @@
 // TestHoldingsAreTold has the first home full, so that another one gets the shared parts.
 func TestHoldingsAreTold(t *testing.T) {
 	f := newCopyFixture(t, testCopyRate)
+	f.nearHomes = true
 	assert.Equal(t, len(f.TakeUpdate().Holdings), 0, "the owner of the first home knows what that prefills")
 	f.overloadFirst()
 	run := f.Place(f.request).Run
@@ -117,6 +121,7 @@
 	f.Place(f.request)
 	assert.Equal(t, len(f.TakeUpdate().Holdings), 0, "it has them already")
 	f = newCopyFixture(t, 0)
+	f.nearHomes = true
 	f.overloadFirst()
 	f.Place(f.request)
 	assert.Equal(t, len(f.TakeUpdate().Holdings), 0, "engines that do not copy")
