Requests that full targets would refuse wait for a place, in order

What: waves ask more of engines than they read for some seconds, and each request was placed or refused in the instant in which it arrived, though callers would wait 2.5 to 12 s and return once. Cause: nothing kept a request beyond that instant; priorities of customers and routes were read nowhere. Change: waitlist orders the waits of a target at its owner, place decides who waits and grants, gateway carries Wait, Grant and WaitEnd, relay keeps the request; setting waiting.requests, 0 is off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	owners  atomic.Pointer[owner.Table]
 	querier *querier
 	origins *origins
+	waits   *waits
 	loop    *loop
 
 	table atomic.Pointer[activeConfig]
@@ -214,6 +215,7 @@
 	g.querier = newQuerier(g)
 	g.caches = g.newCaches()
 	g.origins = newOrigins(g)
+	g.waits = newWaits(g)
 	g.offloadPeers.Store(new([]offload.Router))
 	g.leaders.Store(new([]leader))
 	g.leads.Store(true)
@@ -248,7 +250,7 @@
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
 		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find},
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
-		Processor: g.processor, Offload: g.offload(),
+		Processor: g.processor, Offload: g.offload(), Waits: g.relayWaits(),
 		Limits: relay.Limits{
 			BodyBytes: s.MaxBodyBytes, HeaderBytes: s.MaxHeaderBytes, Connections: s.MaxConnections, Memory: s.Memory(), WriteTimeout: s.WriteTimeout, PassWithin: s.PassWithin,
 			StopDelay: s.StopDelay, QuietPeriod: stopQuiet, StopTimeout: s.StopTimeout - stopMargin,
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -93,7 +93,9 @@
 	// updateDue fires when an update on placed prompts is due for the owners of targets; it is nil
 	// while nothing was placed.
 	updateDue <-chan time.Time
-	ticks     int
+	// waitsDue fires when a place for a waiting request is expected; it is nil while none waits.
+	waitsDue <-chan time.Time
+	ticks    int
 	// slowTicks is set while ticks come at the longer interval of large fleets.
 	slowTicks     bool
 	nextHeartbeat time.Time
@@ -168,6 +170,15 @@
 	case hb.Answer != nil:
 		l.gateway.querier.handleReply(hb)
 		return
+	case hb.Wait != nil:
+		l.gateway.receiveWait(hb.Wait, from)
+		return
+	case hb.WaitEnd != nil:
+		l.gateway.receiveWaitEnd(hb.WaitEnd, from)
+		return
+	case hb.Grant != nil:
+		l.gateway.receiveGrant(hb.Grant, from)
+		return
 	case hb.Origin != nil:
 		l.gateway.origins.receive(hb.Origin)
 		return
@@ -204,6 +215,10 @@
 			l.scheduleUpdate()
 		case <-l.updateDue:
 			l.sendUpdates()
+		case <-l.gateway.placer.WaitsChanged():
+			l.checkWaits()
+		case <-l.waitsDue:
+			l.checkWaits()
 		case <-l.rollouts.due:
 			l.sendDueRollouts()
 		case <-l.gateway.quarantine.Changed():
--- a/gateway/query_test.go
+++ b/gateway/query_test.go
@@ -43,10 +43,16 @@
 	for i := range n {
 		g := newTestGateway(t, fmt.Sprintf("r%d", i))
 		g.clock = clock
-		g.querier, g.origins, g.loop = newQuerier(g), newOrigins(g), newLoop(g)
+		g.querier, g.origins, g.waits, g.loop = newQuerier(g), newOrigins(g), newWaits(g), newLoop(g)
 		g.transport = listenForPeers(t, func(hb *zinccovev1.Heartbeat, from netip.AddrPort, _ int) {
 			_, isSilent := silent.Load(g.settings.Host)
 			switch {
+			case hb.Wait != nil && !isSilent:
+				g.receiveWait(hb.Wait, from)
+			case hb.WaitEnd != nil:
+				g.receiveWaitEnd(hb.WaitEnd, from)
+			case hb.Grant != nil:
+				g.receiveGrant(hb.Grant, from)
 			case hb.Origin != nil:
 				g.origins.receive(hb.Origin)
 			case hb.OriginReply != nil:
--- a/metric/names.go
+++ b/metric/names.go
@@ -67,6 +67,8 @@
 	CacheGaps
 	CacheLists
 	CacheCallsFailed
+	WaitsGranted
+	WaitsNotGranted
 	numCounters
 )
 
@@ -126,6 +128,8 @@
 	CacheGaps:            {"cache_gaps", "Times that a target no longer had all its reports, so that its list was needed."},
 	CacheLists:           {"cache_lists", "Lists read of all that a target caches."},
 	CacheCallsFailed:     {"cache_calls_failed", "Calls for what a target caches that failed."},
+	WaitsGranted:         {"waits_granted", "Requests that waited for a place at a target and got one."},
+	WaitsNotGranted:      {"waits_not_granted", "Requests that waited for a place at a target and got none."},
 	HostsLost:            {"hosts_lost", "*alarm* Other routers that became unreachable."},
 }
 
@@ -146,6 +150,7 @@
 	BarredKnown
 	ProcessorLoad
 	CachesFollowed
+	RequestsWaiting
 	numGauges
 )
 
@@ -159,6 +164,7 @@
 	RoutesAge:         {"routes_age_seconds", "Time since the store last answered about the configuration; a held feed makes some seconds."},
 	SuspectsKnown:     {"suspects_known", "Contents of requests, and parts of prompts, under which targets ended lately."},
 	BarredKnown:       {"barred_known", "*alarm* Contents of requests, and parts of prompts, that are barred from targets, as enough of them ended."},
+	RequestsWaiting:   {"requests_waiting", "Requests of this router that wait for a place at a target."},
 	ProcessorLoad:     {"processor_load", "Part of this router's share of a core that is in use; 0 if limits.processor is not set."},
 	CachesFollowed:    {"caches_followed", "Targets whose reports on what they cache this router follows."},
 	TargetsAge:        {"targets_age_seconds", "Time since the store last answered about the targets; a held feed makes some seconds."},
@@ -176,6 +182,7 @@
 	PredictionError
 	AskTime
 	OriginTime
+	PlaceWait
 	numHistograms
 )
 
@@ -186,5 +193,6 @@
 	ProcessLag:      {"process_lag", "How late the looks at running requests were, ten a second: the lag of this process."},
 	AskTime:         {"ask_time", "Time that a request waited for other routers' answers about targets."},
 	OriginTime:      {"origin_time", "Time that a resumed stream waited for other routers' replies on its origin."},
+	PlaceWait:       {"place_wait", "Time that a request waited for a place at a target."},
 	PredictionError: {"prediction_error", "Distance between the expected and the actual time from placement to the first event."},
 }
--- a/place/admit.go
+++ b/place/admit.go
@@ -50,9 +50,9 @@
 }
 
 // firstAttemptUsage returns what a request adds to the requested usage of its customer: nothing
-// if an earlier attempt already counted it.
+// if an earlier attempt, or the refusal before its wait, already counted it.
 func firstAttemptUsage(r Request, requested Usage) Usage {
-	if len(r.Tried) > 0 {
+	if len(r.Tried) > 0 || r.Grant != nil {
 		return Usage{}
 	}
 	return requested
--- a/place/home.go
+++ b/place/home.go
@@ -14,6 +14,9 @@
 // whether the request is admitted there.
 func (p *Placer) placeEngine(s *service, r Request, replies repliesByTarget, now time.Time) Decision {
 	h := p.homes(s, r, now)
+	if r.Grant != nil {
+		h.homes, h.near = p.grantedHome(s, r, now), 0
+	}
 	if len(h.homes) == 0 {
 		return p.refuseNoTarget(s, &r, now)
 	}
@@ -39,6 +42,7 @@
 	d.Held = bounded && !p.hasCredit(r.Customer, shares, now)
 	d.Home = h.kind(best.rank)
 	if d.Held || !admitted {
+		d.Waiting = p.wait(s, &r, &pr, &d, h.homes, limit, shares)
 		return p.refuse(r, d, s.sizeOf(r.Call), limit, minRetryAfter, now)
 	}
 	if bounded {
--- a/place/place.go
+++ b/place/place.go
@@ -84,6 +84,15 @@
 	Repeatable bool
 	// LastAttempt reports that no attempt is left after this one, so that a run cannot go on elsewhere.
 	LastAttempt bool
+	// Elapsed is the time since the request arrived, Left the time until it has to be complete. MayWait
+	// reports whether it may wait for a place; CustomerPriority and RoutePriority then order it, 0
+	// is the highest. AnswerTime is the time that its response takes after the first event; 0 if it
+	// is not known.
+	Elapsed, Left, AnswerTime       time.Duration
+	MayWait                         bool
+	CustomerPriority, RoutePriority int
+	// Grant is the place for which the request waited, nil if it did not wait.
+	Grant *Grant
 }
 
 // Versions restricts the versions of targets during the rollout of a service.
@@ -177,6 +186,8 @@
 	Slowness  float64
 	// Replies is the number of targets whose owners replied to queries for the request.
 	Replies int
+	// Waiting is the wait for a place that a refused request may begin; nil if it must not.
+	Waiting *Wait
 	// ReportAge is the age of the oldest report of another router that was used.
 	ReportAge time.Duration
 }
@@ -237,6 +248,12 @@
 	// announcements holds what incarnations of targets announced about themselves.
 	announcements map[Hash]*announcement
 	holdings      holdings
+	// waitsChanged is signalled when targets with waiting requests changed. endedWaits are the waits that
+	// ended here.
+	waitsChanged chan struct{}
+	endedWaits   []EndedWait
+	// waiting holds the targets with waiting requests or granted places.
+	waiting map[Hash]*target
 	// assumeCached is set until the first targets are known, if the fleet ran before.
 	assumeCached bool
 }
@@ -250,7 +267,7 @@
 	return &Placer{
 		clock: o.Clock, regions: o.Regions, dataCentre: o.DataCentre, nearHomes: o.NearHomes, backups: o.Backups, services: make(map[string]*service), targets: make(map[string]*target),
 		byHash: make(map[Hash]*target), peers: make(map[string]*peerReport), usage: make(map[Hash]*usageRing), othersUsage: make(usageSums), heldAt: make(map[Hash]time.Time),
-		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1),
+		announcements: make(map[Hash]*announcement), lastReceived: make(map[string]time.Time), cutOff: make(map[string]bool), assumeCached: o.AssumeCached, firstStart: !o.AssumeCached, started: o.Clock.Now(), changed: make(map[Hash]*target), busy: make(map[Hash]*target), updateReady: make(chan struct{}, 1), waitsChanged: make(chan struct{}, 1), waiting: make(map[Hash]*target),
 	}
 }
 
@@ -260,6 +277,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	if r.Grant != nil {
+		replies = p.useGrant(r.Grant)
+	}
 	byTarget := p.applyReplies(replies, now)
 	s := p.services[r.Service]
 	if s == nil {
--- a/place/query.go
+++ b/place/query.go
@@ -141,9 +141,14 @@
 		return Reply{}, false
 	}
 	now := p.clock.Now()
+	return p.replyTo(t, q, now), true
+}
+
+// replyTo returns the state of a target.
+func (p *Placer) replyTo(t *target, q Query, now time.Time) Reply {
 	s := p.service(t.Service)
 	slow := t.slow.factor(now)
-	a = Reply{Target: q.Target, PendingTokens: s.backlog(t, slow, now), Requests: t.outstanding(), Slowness: slow}
+	a := Reply{Target: q.Target, PendingTokens: s.backlog(t, slow, now), Requests: t.outstanding(), Slowness: slow}
 	if s.engine != nil {
 		a.LatencyModel = s.latency.LatencyModel
 		pr := prompt{prefixParts: q.PrefixParts, partTokens: q.PartTokens, total: max(q.PromptTokens, 1)}
@@ -151,7 +156,7 @@
 		a.Wanted = t.cache.want(&pr, s.engine.CacheTokens)
 		a.Holder, a.HolderTokens = p.holderFor(t, &pr, a.PrefillTokens, now)
 	}
-	return a, true
+	return a
 }
 
 // repliesByTarget holds the replies to the queries for one request.
--- a/place/run.go
+++ b/place/run.go
@@ -84,6 +84,7 @@
 		r.learn(took, now)
 	}
 	r.prefillTokens = 0
+	p.signalWaits(r.state)
 	return (took - r.predicted).Abs(), true
 }
 
@@ -158,6 +159,7 @@
 	r.state.queue.drop(r.prefillTokens)
 	r.prefillTokens = 0
 	r.state.own.Requests--
+	p.signalWaits(r.state)
 	p.loadChanged(r.state)
 	now := p.clock.Now()
 	if result == Answered {
--- a/place/targets.go
+++ b/place/targets.go
@@ -67,17 +67,19 @@
 	repliedAt      time.Time
 	// awaitedPrefills are the queue positions of other routers' prefills without a first event.
 	awaitedPrefills map[prefillID]float64
+	// waits are the requests that wait for the target, nil if none ever did.
+	waits *targetWaits
 }
 
 func (t *target) assumesCached(now time.Time) bool { return now.Before(t.assumeCachedUntil) }
 
-func (t *target) outstanding() int { return t.own.Requests + t.others.Requests }
+func (t *target) outstanding() int { return t.own.Requests + t.others.Requests + t.waits.reserved() }
 
 // backlog returns the number of tokens that wait for prefill at a target, which takes longer than
 // others by the factor slow.
 func (s *service) backlog(t *target, slow float64, now time.Time) int {
 	t.queue.advance(now, s.latency.rate()/slow)
-	return int(t.queue.pending)
+	return int(t.queue.pending) + t.waits.reservedTokens()
 }
 
 // Load is the work of one router at one target.
@@ -176,6 +178,7 @@
 	if t.announced != nil {
 		t.announced.listedAt = p.clock.Now()
 	}
+	p.dropWaits(t)
 	p.unlist(t)
 }
 
--- a/place/update.go
+++ b/place/update.go
@@ -138,7 +138,9 @@
 		if t := p.byHash[reading.Target]; t != nil {
 			t.cache.touch(reading.PrefixParts, reading.Tokens+reading.CopiedTokens)
 			p.service(t.Service).backlog(t, t.slow.factor(now), now)
+			t.releaseReservation(reading.Tokens)
 			t.awaitFirstEvent(prefillID{router, reading.Number}, t.queue.add(reading.Tokens))
+			p.signalWaits(t)
 		}
 	}
 	for _, e := range n.FirstEvents {
@@ -157,6 +159,7 @@
 		t.queue.reached(place, s.latency.tokensDuringBase(), now)
 		delete(t.awaitedPrefills, id)
 	}
+	p.signalWaits(t)
 }
 
 // prefillID identifies a prefill among those of all routers.
@@ -181,6 +184,7 @@
 func (p *Placer) addOthersLoad(h Hash, requests int) {
 	if t := p.byHash[h]; t != nil {
 		t.others.Requests = max(t.others.Requests+requests, 0)
+		p.signalWaits(t)
 	}
 }
 
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -216,7 +216,7 @@
 		return unknown(view, fasthttp.StatusUnauthorized, reasonWrongKey)
 	}
 	if !f.route.Public {
-		f.customer = customer.Name
+		f.customer, f.priority = customer.Name, customer.Priority
 		f.regions = route.AllowedRegions(f.route, customer)
 	}
 	return nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,6 +36,12 @@
 		return nil, nil, r
 	}
 	d := f.nextDecision()
+	if d.Waiting != nil {
+		var r *refusal
+		if d, r = f.awaitPlace(d); r != nil {
+			return nil, nil, r
+		}
+	}
 	if d.Run == nil {
 		status := fasthttp.StatusTooManyRequests
 		if d.Reason != place.Overloaded {
@@ -70,6 +76,7 @@
 	return place.Request{
 		Service: f.service, Customer: f.customer, Objective: f.route.Objective, Call: &f.call, Tried: f.tried, Regions: f.regions, Versions: f.versions,
 		Resumed: f.resumed, Version: f.software, Repeatable: f.route.Retryable(),
+		Elapsed: f.server.options.Clock.Since(f.received), Left: f.left(), MayWait: f.mayWait(), CustomerPriority: f.priority, RoutePriority: f.route.Priority,
 	}
 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -51,6 +51,8 @@
 	// engine reports that the service runs model engines, which respond with streams.
 	engine   bool
 	customer string
+	// priority is that of the customer; 0 is the highest.
+	priority int
 	// regions are the regions in which the request may run; nil allows all.
 	regions []string
 	// versions restricts the versions of targets at which the request may run.
@@ -94,6 +96,12 @@
 	dispatching bool
 	// queryTime is how long the last placement waited for replies of other routers.
 	queryTime time.Duration
+	// waits is set while the request is counted among those that wait.
+	waits bool
+	// waited is how long the request has waited for a place, waitedLate whether it then could not meet
+	// its objective any more.
+	waited     time.Duration
+	waitedLate bool
 	// connectSpent is how long connecting to targets has taken so far.
 	connectSpent time.Duration
 	// next is the continuation that the next attempt sends, continues the one that the current
@@ -127,6 +135,8 @@
 	remote net.Conn
 	// grace is how much longer than its time limit the request may take here.
 	grace time.Duration
+	// wake is closed by interrupt while the request waits for a place, nil otherwise.
+	wake chan struct{}
 }
 
 // serve makes attempts until the request is complete. Streams end later, in their Close.
@@ -299,6 +309,7 @@
 		f.link.Close() //nolint:errcheck // the attempt ends with it
 	}
 	f.closeRemote()
+	f.endWait()
 	if c == causeCallerClosed {
 		f.server.options.Metrics.Inc(metric.CallersGone)
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -53,6 +53,21 @@
 		Dur("wait_ms", d.Wait).Dur("predicted_ms", d.Predicted).Float64("slowness", d.Slowness).Int("told", d.Replies).Dur("asked_ms", f.queryTime).Dur("reports_age_ms", d.ReportAge)
 }
 
+// withWait adds how long the request waited for a place, if it did.
+func (f *flight) withWait(e *zerolog.Event) *zerolog.Event {
+	if f.waited > 0 {
+		e = e.Dur("waited_ms", f.waited).Bool("waited_late", f.waitedLate)
+	}
+	return e
+}
+
+// logWaits logs that a request waits for a place.
+func (s *Server) logWaits(f *flight, w *place.Wait) {
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Bool("late", w.Late).Dur("in_time_ms", w.InTime).Dur("left_ms", w.Left).Dur("limit_ms", w.Limit).
+		Int("customer_priority", w.CustomerPriority).Int("route_priority", w.RoutePriority).Float64("served_share", w.Share)
+	f.withDecision(e).Msg("request waits")
+}
+
 // withNotice adds what the target reported about itself in its response, if it did.
 func (f *flight) withNotice(e *zerolog.Event) *zerolog.Event {
 	if f.notice.Draining {
@@ -76,7 +91,7 @@
 	if f.originSource != "" {
 		e = e.Str("resumes", f.call.ResumedID).Str("origin_from", f.originSource)
 	}
-	f.withBackup(f.withDecision(e)).Msg("request placed")
+	f.withWait(f.withBackup(f.withDecision(e))).Msg("request placed")
 }
 
 // logAttempt logs why an attempt failed.
@@ -162,7 +177,7 @@
 	}
 	switch r.reason {
 	case string(place.Overloaded):
-		e = f.withDecision(e)
+		e = f.withWait(f.withDecision(e))
 	case string(place.BackingOff):
 		e = e.Str("first", f.decision.FirstAvailable)
 	case reasonEndsTargets:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,7 @@
 	TargetsAge time.Duration
 }
 
-// Options configure a server. All but Query, Rollouts, Offload and Processor are required.
+// Options configure a server. All but Query, Rollouts, Offload, Waits and Processor are required.
 type Options struct {
 	Address netip.AddrPort
 	Clock   clockwork.Clock
@@ -89,6 +89,8 @@
 	OnVersionFailure func()
 	// Offload hands streams over to other routers while this one is at its limits.
 	Offload Offload
+	// Waits lets requests wait for places at targets.
+	Waits Waits
 	// Processor measures the processor time of this process; nil means that it is not known.
 	Processor *processor.Meter
 	Limits    Limits
@@ -125,6 +127,8 @@
 	// stopped is when the graceful shutdown began, nil before.
 	stopped atomic.Pointer[time.Time]
 	stop    chan struct{}
+	// stopping is closed when the graceful shutdown begins.
+	stopping chan struct{}
 	// started is when the server began to listen.
 	started time.Time
 	pace    pace
@@ -135,6 +139,7 @@
 	overload       overload
 	throttle       throttle
 	limitSummary   limitSummary
+	waiting        waiting
 	// handedOver is the number of requests that other routers serve now.
 	handedOver atomic.Int64
 	// handedOverAt is when a request was last handed over, in nanoseconds since the Unix epoch.
@@ -166,7 +171,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for callers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, started: o.Clock.Now(), stop: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: newConnectHistory(o.Clock), overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
+	s := &Server{options: o, listener: l, started: o.Clock.Now(), stop: make(chan struct{}), stopping: make(chan struct{}), flights: make(map[*flight]struct{}), lag: lag{clock: o.Clock}, connectHistory: newConnectHistory(o.Clock), overload: overload{clock: o.Clock}, large: newLargeBodies(o.Limits.Memory, o.Limits.BodyBytes)}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		Concurrency:                  maxConnections(o.Limits.Connections, o.Limits.Memory),
@@ -289,6 +294,7 @@
 	if !s.stopped.CompareAndSwap(nil, &now) {
 		return errs.Wrap(s.group.Wait(), "stop serving callers", "")
 	}
+	close(s.stopping)
 	s.drain(now)
 	close(s.stop)
 	s.cut()
