--- a/offload/batch_test.go
+++ b/offload/batch_test.go
@@ -43,20 +43,20 @@
 func TestBatchesAreBounded(t *testing.T) {
 	here, _ := net.Pipe()
 	b := newBatchConn(here, testClock)
-	ended := make(chan int)
-	go func() {
-		written := 0
+	written := 0
+	var group errgroup.Group
+	group.Go(func() error {
 		for {
 			n, err := b.Write(make([]byte, 1<<10))
 			written += n
 			if err != nil {
-				ended <- written
-				return
+				return err
 			}
 		}
-	}()
+	})
 	eventually(t, func() bool { return b.stuck(time.Now()) })
 	time.Sleep(5 * batchDelay)
 	assert.NilError(t, b.Close())
-	assert.Assert(t, <-ended <= 3*maxBatch)
+	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
+	assert.Assert(t, written <= 3*maxBatch)
 }
--- a/offload/fake_test.go
+++ b/offload/fake_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"zinccove.example/zinccove/errs"
@@ -46,7 +47,11 @@
 func closesSoon(t *testing.T, c io.Closer) error {
 	t.Helper()
 	done := make(chan error, 1)
-	go func() { done <- c.Close() }()
+	var group errgroup.Group
+	group.Go(func() error {
+		done <- c.Close()
+		return nil
+	})
 	select {
 	case err := <-done:
 		return err
@@ -76,16 +81,20 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		for {
 			c, err := l.Accept()
 			if err != nil {
-				return
+				return nil
 			}
 			t.Cleanup(func() { c.Close() })
-			go peer(c)
+			group.Go(func() error {
+				peer(c)
+				return nil
+			})
 		}
-	}()
+	})
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
