--- a/relay/listener_test.go
+++ b/accept/accept_test.go
@@ -1,4 +1,4 @@
-package relay
+package accept
 
 import (
 	"net"
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -27,18 +26,20 @@
 	return nil, err
 }
 
-// TestRouterWithoutDescriptorsAcceptsAgain has a router that is out of file descriptors for a
+// TestProcessWithoutDescriptorsAcceptsAgain has a process that is out of file descriptors for a
 // moment.
-func TestRouterWithoutDescriptorsAcceptsAgain(t *testing.T) {
+func TestProcessWithoutDescriptorsAcceptsAgain(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	full := &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
-	l := &persistentListener{Listener: &fullListener{inner, []error{full, full}}, clock: clockwork.NewRealClock(), log: zerolog.Nop()}
+	reported := 0
+	l := &Listener{Listener: &fullListener{inner, []error{full, full}}, Clock: clockwork.NewRealClock(), OnError: func(error) { reported++ }}
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
 	defer caller.Close()
 	c, err := l.Accept()
 	assert.NilError(t, err)
+	assert.Equal(t, reported, 1)
 	assert.NilError(t, c.Close())
 	assert.NilError(t, l.Close())
 	_, err = l.Accept()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,7 +263,7 @@
 		return err
 	}
 	if s.ListenReady.IsValid() {
-		if g.readiness, err = listenReady(s.ListenReady, g.ready); err != nil {
+		if g.readiness, err = listenReady(s.ListenReady, g.clock, g.ready); err != nil {
 			return err
 		}
 	}
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -4,9 +4,11 @@
 	"net"
 	"net/netip"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/accept"
 	"zinccove.example/zinccove/errs"
 )
 
@@ -16,7 +18,7 @@
 	group    errgroup.Group
 }
 
-func listenReady(addr netip.AddrPort, ready func() bool) (*readiness, error) {
+func listenReady(addr netip.AddrPort, clock clockwork.Clock, ready func() bool) (*readiness, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for readiness checks", addr.String())
@@ -27,7 +29,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	}}
-	r.group.Go(func() error { return server.Serve(l) })
+	r.group.Go(func() error { return server.Serve(&accept.Listener{Listener: l, Clock: clock}) })
 	return r, nil
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -45,6 +45,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/accept"
 	"zinccove.example/zinccove/claim"
 	"zinccove.example/zinccove/config"
 	"zinccove.example/zinccove/confsync"
@@ -199,7 +200,7 @@
 
 // serve accepts connections until the listener is closed.
 func (s *Server) serve() error {
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(&accept.Listener{Listener: s.listener, Clock: s.options.Clock})
 	if eris.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/offload/server.go
+++ b/offload/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"zinccove.example/zinccove/accept"
 	"zinccove.example/zinccove/errs"
 	zinccovev1 "zinccove.example/zinccove/gen/zinccove/v1"
 )
@@ -51,7 +52,10 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for routers", o.Address.String())
 	}
-	s := &Server{options: o, listener: l, sessions: make(map[*batchConn]bool)}
+	s := &Server{options: o, sessions: make(map[*batchConn]bool)}
+	s.listener = &accept.Listener{Listener: l, Clock: o.Clock, OnError: func(err error) {
+		o.Log.Warn().Err(err).Msg("connections of other routers not accepted for now")
+	}}
 	s.group.Go(s.accept)
 	return s, nil
 }
@@ -66,10 +70,7 @@
 			return nil
 		}
 		if err != nil {
-			// The process has no free descriptor, or the connection has ended already.
-			s.options.Log.Error().Err(err).Msg("connection of another router not accepted")
-			s.options.Clock.Sleep(acceptDelay)
-			continue
+			return errs.Wrap(err, "accept routers", s.options.Address.String())
 		}
 		s.group.Go(func() error {
 			if err := s.serveConn(c); err != nil {
@@ -80,9 +81,6 @@
 	}
 }
 
-// acceptDelay is the time until the next connection is accepted after an error.
-const acceptDelay = 100 * time.Millisecond
-
 // serveConn serves the streams of one connection.
 func (s *Server) serveConn(c net.Conn) error {
 	if err := verify(c, s.options.Key, time.Now().Add(handshakeTimeout)); err != nil {
--- a/relay/log.go
+++ b/relay/log.go
@@ -36,6 +36,11 @@
 	e.Msg(step)
 }
 
+// logNotAccepted logs that callers are not accepted for a moment.
+func (s *Server) logNotAccepted(err error) {
+	s.options.Log.Warn().Err(err).Msg("callers not accepted for now")
+}
+
 // withDecision adds the inputs of the last decision of the placer.
 func (f *flight) withDecision(e *zerolog.Event) *zerolog.Event {
 	d := &f.decision
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"zinccove.example/zinccove/accept"
 	"zinccove.example/zinccove/errs"
 	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/message"
@@ -200,7 +201,7 @@
 
 // serve accepts callers until the listener is closed.
 func (s *Server) serve() error {
-	err := s.http.Serve(&persistentListener{s.listener, s.options.Clock, s.options.Log})
+	err := s.http.Serve(&accept.Listener{Listener: s.listener, Clock: s.options.Clock, OnError: s.logNotAccepted})
 	if errs.Is(err, net.ErrClosed) {
 		return nil
 	}
