Deadlines of connections between routers follow the passed-in clock

Cause: four deadlines read the wall clock, past the clock interface that counts the time of a suspended host. No behaviour changes otherwise; a comment of the throttle says what it computes.

--- a/offload/client.go
+++ b/offload/client.go
@@ -104,7 +104,7 @@
 	s.waiting.Add(1)
 	opened := &Stream{Stream: stream, session: s, conn: conn}
 	opened.conn.add(stream)
-	if err := stream.SetWriteDeadline(time.Now().Add(openWait)); err != nil {
+	if err := stream.SetWriteDeadline(deadline(c.options.Clock, openWait)); err != nil {
 		opened.Close() //nolint:errcheck // the stream is of no use
 		return nil, errs.Wrap(err, "send request", to.String())
 	}
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, nil, errs.Wrap(err, "connect to router", to.String())
 	}
-	if err := prove(nc, c.options.Key, time.Now().Add(handshakeTimeout)); err != nil {
+	if err := prove(nc, c.options.Key, deadline(c.options.Clock, handshakeTimeout)); err != nil {
 		nc.Close() //nolint:errcheck // the connection is of no use
 		return nil, nil, err
 	}
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -28,6 +28,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/jonboulle/clockwork"
+
+	"zinccove.example/zinccove/bootclock"
 )
 
 // Router is a router that requests can be handed over to.
@@ -38,6 +41,11 @@
 	Peer netip.AddrPort
 }
 
+// deadline returns the deadline of a connection after a time.
+func deadline(clock clockwork.Clock, d time.Duration) time.Time {
+	return bootclock.ToMonotonic(clock, clock.Now().Add(d))
+}
+
 const (
 	// sessionTimeout is how long another router may take to accept a write or to reply to a probe
 	// before its connection counts as broken.
--- a/offload/server.go
+++ b/offload/server.go
@@ -83,7 +83,7 @@
 
 // serveConn serves the streams of one connection.
 func (s *Server) serveConn(c net.Conn) error {
-	if err := verify(c, s.options.Key, time.Now().Add(handshakeTimeout)); err != nil {
+	if err := verify(c, s.options.Key, deadline(s.options.Clock, handshakeTimeout)); err != nil {
 		c.Close() //nolint:errcheck // the connection is of no use
 		return err
 	}
@@ -153,7 +153,7 @@
 
 func (s *Server) readRequest(stream *yamux.Stream) (*Conn, error) {
 	peer := stream.RemoteAddr().String()
-	if err := stream.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+	if err := stream.SetReadDeadline(deadline(s.options.Clock, readTimeout)); err != nil {
 		return nil, errs.Wrap(err, "read request", peer)
 	}
 	r := bufio.NewReaderSize(stream, 64)
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -209,7 +209,7 @@
 }
 
 // backlog returns how long it takes at the current rate to admit as many streams as were refused
-// within the last second; 0 if the rate is not limited.
+// a second lately; 0 if the rate is not limited.
 func (t *throttle) backlog() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
