--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,6 +24,7 @@
 	"unframed": unframedCase,
 	"deadline": deadlineCase,
 	"moved":    movedCase,
+	"silent":   silentCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -31,14 +32,22 @@
 	server *http.Server
 	// address is that of the store, at which workers also report.
 	address string
+	// routersStore is the address at which routers reach the store; empty for address.
+	routersStore string
 
 	mu      sync.Mutex
-	events  []event
+	events  []timedEvent
 	procs   []*process
 	routers []*router
 	workers map[string]*workerProc
 }
 
+// timedEvent is an event and when it was reported, which a worker awaits before it begins a run.
+type timedEvent struct {
+	event
+	at time.Time
+}
+
 // process is a child process. done is closed when it has ended.
 type process struct {
 	name string
@@ -96,7 +105,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.events = append(s.events, e)
+	s.events = append(s.events, timedEvent{e, time.Now()})
 	s.mu.Unlock()
 	s.note("worker %s: run of %s %s %s", e.Worker, e.ID, e.What, e.Path)
 }
@@ -117,6 +126,19 @@
 	return began, ended
 }
 
+// begunAt returns the requests that began at a worker.
+func (s *site) begunAt(worker string) []timedEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []timedEvent
+	for _, e := range s.events {
+		if e.Worker == worker && e.What == runBegan {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // close ends all processes that the site started.
 func (s *site) close() {
 	for _, p := range s.procs {
@@ -199,7 +221,7 @@
 			"{{listen.front}}", fmt.Sprintf("%s:%d", ip(i), ports[0]), "{{listen.ready}}", fmt.Sprintf("%s:%d", ip(i), ports[1]),
 			"{{listen.control}}", fmt.Sprintf("%s:%d", ip(i), ports[2]), "{{ip}}:{{portRange.0}}", fmt.Sprintf("%s:%d", ip(i), ports[3]),
 			"{{#seeds}}{{.}}{{,}}{{/seeds}}", strings.Join(seeds, ","), "{{bootstrap}}", "true",
-			"{{platform.address}}", s.address, "{{limits.memoryMb}}", "284", "{{limits.cpuShare}}", "0.4",
+			"{{platform.address}}", cmp.Or(s.routersStore, s.address), "{{limits.memoryMb}}", "284", "{{limits.cpuShare}}", "0.4",
 			"{{#bounds.pass_ms}}{{bounds.pass_ms}}ms{{/bounds.pass_ms}}", "120ms", "{{bounds.graceS}}", "8",
 			"{{bounds.drainMs}}", "2000", "{{heartbeatMs}}", "1200",
 			"{{bounds.retryRatio}}", "0.2", "{{bounds.retrySlack}}", "58", "{{bounds.retryWindowS}}", "10", "{{bounds.exposeShare}}", "",
