--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"deadline": deadlineCase,
 	"moved":    movedCase,
 	"silent":   silentCase,
+	"poison":   poisonCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -46,6 +49,8 @@
 const (
 	runBegan = "began"
 	runEnded = "ended"
+	// runCrashed is that of a run that crashes its worker.
+	runCrashed = "crashed"
 )
 
 // runWorker serves requests until the process is killed. It behaves as the workers of PROTOCOL.md do.
@@ -113,6 +118,12 @@
 	case req.Header.Get("Kv-From") != "":
 		return write(c, shed) // this worker holds no copies
 	}
+	if crashes(req.Header.Get("Prompt-Prefix")) {
+		w.report(event{ID: id, What: runCrashed, Path: req.URL.RequestURI()})
+		text := piece(id, 1, w.o.Pieces)
+		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, w.o.ID, id, len(text), text))
+		os.Exit(1)
+	}
 	select {
 	case w.slots <- struct{}{}:
 	default:
@@ -127,6 +138,15 @@
 	return w.o.Framing != unframed
 }
 
+// crashingPart is a part of a prompt that crashes each worker which begins to write an answer on it.
+const crashingPart = "dead0001"
+
+// crashes reports whether a part of a prompt, but the last, crashes workers.
+func crashes(prefix string) bool {
+	parts := strings.Split(prefix, ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool { return strings.HasPrefix(p, crashingPart+":") })
+}
+
 const shed = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 func write(c net.Conn, text string) bool {
