--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -247,20 +247,6 @@
 	return nil
 }
 
-// restartRouter starts an ended router again, with bootstrap = false.
-func (s *site) restartRouter(r *router) error {
-	text, err := os.ReadFile(r.settings)
-	if err != nil {
-		return err
-	}
-	text = []byte(strings.Replace(string(text), "first-start = true", "first-start = false", 1))
-	if err := os.WriteFile(r.settings, text, 0o600); err != nil {
-		return err
-	}
-	r.process, err = s.start(r.name, r.log, []string{"ZINCCOVE_NODE_FILE=" + r.settings}, routerProgram)
-	return err
-}
-
 // awaitReady waits until all routers are ready.
 func (s *site) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
