--- a/relay/body.go
+++ b/relay/body.go
@@ -69,15 +69,13 @@
 		return true, nil
 	}
 	if f.notice.Draining || f.run.Unavailable() {
-		f.server.logUnconfirmed(f, errDeclined)
+		f.server.logUnframedEnd(f, errDeclined)
 		return false, nil
 	}
 	err = f.probe(delay)
-	switch {
-	case errs.Is(err, link.ErrEnded):
+	f.server.logUnframedEnd(f, err)
+	if errs.Is(err, link.ErrEnded) {
 		return false, errTargetEnded
-	case err != nil:
-		f.server.logUnconfirmed(f, err)
 	}
 	return err == nil, nil
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -167,9 +167,22 @@
 		Int("status", resp.header.StatusCode()).Dur("targets_age_ms", s.options.View().TargetsAge)
 }
 
-// logUnconfirmed logs why it is not known that a response without framing is complete.
-func (s *Server) logUnconfirmed(f *flight, err error) {
-	s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Err(err).Msg("end of response not confirmed")
+// logUnframedEnd logs how a response ended whose body ends with its connection, and what is known about
+// that end: err is why it is not known to be the end of the body, nil if it is.
+func (s *Server) logUnframedEnd(f *flight, err error) {
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
+		Bool("target_leaves", f.notice.Draining).Bool("target_unavailable", f.run.Unavailable())
+	if err != nil {
+		e.Err(err).Msg("end of response not confirmed")
+		return
+	}
+	e.Msg("end of response confirmed")
+}
+
+// logResumed logs which event a stream continues with that was resumed after last.
+func (s *Server) logResumed(f *flight, last, first string) {
+	s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
+		Str("last_event", last).Str("first_event", first).Msg("stream resumed")
 }
 
 // logRefused logs how a request ended that got no response of a target.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -35,6 +36,9 @@
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
 	began     bool
+	// resumedAfter is the last event that the caller has, until the current target sends one; empty
+	// if the target does not resume a stream.
+	resumedAfter string
 	// passed is set once events were passed on.
 	passed bool
 	// advanced is set once the current target has sent events for a while.
@@ -64,7 +68,10 @@
 )
 
 func newStream(f *flight, c *link.Conn, resp *response, b *body, sent *sendState) *stream {
-	return &stream{flight: f, link: c, resp: resp, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer)}
+	return &stream{
+		flight: f, link: c, resp: resp, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer),
+		resumedAfter: f.call.LastEventID,
+	}
 }
 
 // unknownSize makes fasthttp send a body in chunks.
@@ -186,6 +193,7 @@
 	end := endOfEvents(s.buffer)
 	if end > s.ready {
 		s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
+		s.logResumed(s.buffer[s.ready:end])
 		if id := lastID(s.buffer[s.ready:end]); id != "" {
 			s.lastEvent = id
 		}
@@ -193,6 +201,14 @@
 	}
 }
 
+// logResumed logs the first of the events that the current target sends if the stream was resumed there.
+func (s *stream) logResumed(events []byte) {
+	if s.resumedAfter != "" {
+		s.flight.server.logResumed(s.flight, s.resumedAfter, firstID(events))
+		s.resumedAfter = ""
+	}
+}
+
 // endOfEvents returns the end of the last complete event; an event ends with an empty line.
 func endOfEvents(b []byte) int {
 	end := 0
@@ -208,14 +224,31 @@
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	var id string
-	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
+	for next := range eventIDs(events) {
+		id = next
 	}
 	return id
 }
 
+// firstID returns the ID of the first event that has one.
+func firstID(events []byte) string {
+	for id := range eventIDs(events) {
+		return id
+	}
+	return ""
+}
+
+// eventIDs yields the IDs of the events that have one.
+func eventIDs(events []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for line := range bytes.Lines(events) {
+			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok && !yield(string(bytes.TrimSpace(value))) {
+				return
+			}
+		}
+	}
+}
+
 // complete ends a stream that the target ended without an error. Confirmed reports that it is known to
 // be complete.
 func (s *stream) complete(confirmed bool) {
@@ -275,6 +308,7 @@
 	s.link, s.resp, s.body, s.sent = resp.stream.link, resp, resp.stream.body, resp.stream.sent
 	s.buffer = s.buffer[:s.ready]
 	s.began, s.advanced, s.events = false, false, 0
+	s.resumedAfter = s.lastEvent
 }
 
 // disconnect closes the connection to the target.
