Failing proof: truncated responses of targets that end look complete

Callers got streams and calls without length or chunks that lacked their end and looked complete (ORDER, MIXED), when the target was draining, had said that it leaves, or another process listened at its address by then.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -119,6 +119,11 @@
 	return put(f.PlatformAddress, "/rows?table="+table+"&key="+key, value)
 }
 
+// RemoveRow removes a row of the platform's store.
+func (f *Fleet) RemoveRow(table, key string) error {
+	return do(http.MethodDelete, f.PlatformAddress, "/rows?table="+table+"&key="+key, nil)
+}
+
 // Target is an engine or a service.
 type Target struct {
 	*Process
@@ -170,7 +175,11 @@
 }
 
 func put(addr netip.AddrPort, path string, body []byte) error {
-	req, err := http.NewRequest(http.MethodPut, "http://"+addr.String()+path, bytes.NewReader(body))
+	return do(http.MethodPut, addr, path, body)
+}
+
+func do(method string, addr netip.AddrPort, path string, body []byte) error {
+	req, err := http.NewRequest(method, "http://"+addr.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -180,7 +189,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("PUT %s: status %d", path, resp.StatusCode)
+		return fmt.Errorf("%s %s: status %d", method, path, resp.StatusCode)
 	}
 	return nil
 }
--- a/standin/worker/raw.go
+++ b/standin/worker/raw.go
@@ -88,9 +88,13 @@
 // respondUnframed responds with neither length nor chunks. The end of the connection ends the body.
 func (w *Worker) respondUnframed(ctx *fasthttp.RequestCtx, id string, s *stream) {
 	plain := fmt.Appendf(nil, "%s %s %s", ctx.Method(), ctx.RequestURI(), id)
+	lines := ""
+	if len(ctx.Response.Header.Peek(headerLeaving)) > 0 {
+		lines = headerLeaving + ": 1\r\n"
+	}
 	respondRaw(ctx, func(c net.Conn) {
 		var b bytes.Buffer
-		b.WriteString(w.head(id, ""))
+		b.WriteString(w.head(id, lines))
 		if s == nil {
 			b.Write(plain)
 			_, err := b.WriteTo(c)
