Responses without framing are complete only if the process that began them still runs

Cause: such a body ends with its connection, and the system closes the connections of a process that ends in good order. The end was confirmed by a new connection to the address, which shows that something listens there now. It was not even tried for targets that are draining, and a probe that failed for any reason but a refused connection counted as no objection. The class: an end that nothing confirms is taken for a whole one.

Change: when such a response begins, the router opens a second connection to its target, and after the end it asks there for the page on which the target reports its state. Only a response on it confirms the end. Without that connection the health page has to name the same instance, unless later incarnations may have the same ID. What is not confirmed is broken: a stream that may be resumed goes on elsewhere, others are cut.

Responses with a length or chunks take no new step.

TestUnframedResponseOfLeavingTargetIsWhole is replaced: its target accepted no connection when the response began, so that nothing could tell it from one that had been killed. Now a target that stops accepting in the midst of the response and serves on gives a whole one, for calls too, and the same target that ends then gives a broken one.

--- a/link/link.go
+++ b/link/link.go
@@ -131,7 +131,7 @@
 		if c == nil {
 			break
 		}
-		if c.isIdle() {
+		if c.Idle() {
 			c.Reused = true
 			return c, nil
 		}
@@ -185,7 +185,7 @@
 	}
 	c := newConn(nc, target)
 	p.options.Clock.Sleep(probeLasts)
-	if !c.isIdle() {
+	if !c.Idle() {
 		c.Close() //nolint:errcheck // the connection is of no use
 		return errClosedAtOnce
 	}
@@ -221,8 +221,8 @@
 	return c
 }
 
-// isIdle reports whether no bytes arrived on an idle connection and the peer has not closed it.
-func (c *Conn) isIdle() bool {
+// Idle reports whether no bytes arrived on a connection that awaits none and the peer has not closed it.
+func (c *Conn) Idle() bool {
 	return c.Reader.Buffered() == 0 && (c.raw == nil || hangup.Peek(c.raw) == hangup.Idle)
 }
 
--- a/message/message.go
+++ b/message/message.go
@@ -102,6 +102,8 @@
 	Close bool
 	// Notice is what the target reports about itself.
 	Notice notice.Notice
+	// Instance is the ID of the target; empty if the response does not name it.
+	Instance string
 }
 
 // Codec translates headers. All fields are required.
@@ -111,6 +113,9 @@
 	// AppendRequest appends the header lines of a request to a target, without
 	// request line, framing and the end of the header.
 	AppendRequest func(dst []byte, h *fasthttp.RequestHeader, f Forward) []byte
+	// AppendPageRequest appends a request for a page on which the target with an ID and an address
+	// reports its own state.
+	AppendPageRequest func(dst []byte, path string, address netip.AddrPort, target string) []byte
 	// DecodeResponse decodes a target's response.
 	DecodeResponse func(*fasthttp.ResponseHeader) ResponseInfo
 	// CopyResponse copies the header lines of a response that concern the caller.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -175,6 +175,7 @@
 	resp, fail := f.receive(ctx, c, sending)
 	if fail != nil {
 		f.detach()
+		f.closeWitness()
 		c.Close() //nolint:errcheck // the failure is known already
 	}
 	return resp, fail
@@ -257,6 +258,7 @@
 		return nil, f.fail(target.Broken, status, errUnsigned, "read response")
 	}
 	body := newBody(c.Reader, &resp.header, ctx.IsHead())
+	f.openWitness(body)
 	if status == fasthttp.StatusOK && f.engine {
 		resp.stream = newStream(f, c, resp, body, sent)
 		return resp, nil
@@ -269,8 +271,7 @@
 		resp.stream = newLarge(f, c, resp, body, sent, resp.body)
 		return resp, nil
 	}
-	confirmed, err := f.confirmEnd(body, callProbe)
-	if err != nil {
+	if err := f.confirmEnd(body); err != nil {
 		return nil, f.fail(target.Broken, status, err, "read response")
 	}
 	if status >= fasthttp.StatusInternalServerError {
@@ -278,7 +279,7 @@
 	}
 	f.run.End(place.Answered)
 	f.recordOutcome(rollout.Outcome{Failed: status >= fasthttp.StatusInternalServerError, Duration: f.sinceSent(), Size: 1})
-	if confirmed && status < fasthttp.StatusInternalServerError {
+	if status < fasthttp.StatusInternalServerError {
 		f.clearContent()
 	}
 	f.releaseConn(c, resp, body, sent)
--- a/relay/body.go
+++ b/relay/body.go
@@ -4,13 +4,9 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-
-	"zinccove.example/zinccove/errs"
-	"zinccove.example/zinccove/link"
 )
 
 // maxBufferedResponse is the size in bytes from which on responses are passed on as they
@@ -51,40 +47,6 @@
 	return b
 }
 
-// errTargetEnded means that a body that ended with its connection may lack bytes.
-var errTargetEnded = eris.Wrap(io.ErrUnexpectedEOF, "target of a response without framing has ended")
-
-// callProbe and streamProbe are the delays after which a target is probed that sent a response without
-// framing. The events of a stream have been passed on by then, the caller of a call waits.
-const (
-	callProbe   = 5 * time.Millisecond
-	streamProbe = 25 * time.Millisecond
-)
-
-// confirmEnd reports whether a body was read to its end. One that ends with its connection looks
-// complete as well if its target has ended, which then accepts no connections: that is an error. A
-// target that is about to end, or to which connecting fails otherwise, confirms nothing.
-func (f *flight) confirmEnd(b *body, delay time.Duration) (confirmed bool, err error) {
-	if !b.untilClose {
-		return true, nil
-	}
-	if f.notice.Draining || f.run.Unavailable() {
-		f.server.logUnframedEnd(f, errDeclined)
-		return false, nil
-	}
-	err = f.probe(delay)
-	f.server.logUnframedEnd(f, err)
-	if errs.Is(err, link.ErrEnded) {
-		return false, errTargetEnded
-	}
-	return err == nil, nil
-}
-
-// probe checks whether the target of the current attempt runs; see link.Pool.Probe.
-func (f *flight) probe(delay time.Duration) error {
-	return f.server.options.Links.Probe(f.run.Incarnation(), f.run.Target.Address, min(f.left(), link.MaxDialTimeout), delay)
-}
-
 // ended reports whether the body has a length and all of it was read.
 func (b *body) ended() bool { return b.left != nil && b.left.N == 0 }
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -53,6 +54,42 @@
 	conns    []net.Conn
 	// closed counts connections that the router closed.
 	closed int
+	// instance is the ID that the target reports; empty reports the one that the router expects.
+	instance string
+	// full is set while new connections are reset.
+	full bool
+}
+
+// closeConns closes all connections, as the system does when a process ends.
+func (f *fakeTarget) closeConns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		c.Close()
+	}
+}
+
+// replace has a process that reports an instance take the place of the target: its connections are
+// closed, and new ones are accepted.
+func (f *fakeTarget) replace(instance string) {
+	f.closeConns()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instance = instance
+}
+
+// refuseConns resets new connections from now on.
+func (f *fakeTarget) refuseConns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = true
+}
+
+// page responds to a request for the page on which the target reports that it runs.
+func (f *fakeTarget) page(a *arrival, c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	respond(c, 200, "", "", "Instance-Id: "+cmp.Or(f.instance, string(a.header.Peek("Expect-Instance"))))
 }
 
 func newTarget(t testing.TB, id string, serve func(*arrival, net.Conn) bool) *fakeTarget {
@@ -68,7 +105,13 @@
 			}
 			f.mu.Lock()
 			f.conns = append(f.conns, c)
+			full := f.full
 			f.mu.Unlock()
+			if full {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				continue
+			}
 			f.group.Go(func() error { f.serveConn(c); return nil })
 		}
 	})
@@ -101,6 +144,10 @@
 				return
 			}
 		}
+		if string(a.header.RequestURI()) == healthPath {
+			f.page(a, c)
+			continue
+		}
 		f.mu.Lock()
 		f.arrivals = append(f.arrivals, a)
 		f.mu.Unlock()
@@ -205,6 +252,17 @@
 	s.options.Placer.SetTargets(list, s.view().Table)
 }
 
+// setStarted makes targets known that report when they started.
+func (s *testServer) setStarted(at time.Time) {
+	var list []*roster.Target
+	for _, known := range s.targets {
+		t := *known
+		t.Started = at
+		list = append(list, &t)
+	}
+	s.options.Placer.SetTargets(list, s.view().Table)
+}
+
 func (s *testServer) set(table *route.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,6 +275,9 @@
 	routeTimeout = 2 * time.Second
 )
 
+// healthPath is the page on which targets report that they run.
+const healthPath = "/health"
+
 // testSpec has a route of each kind; all but /model/ and /resume/ lead to plain.
 func testSpec() route.Spec {
 	r := func(prefix string, kind route.Kind, service string) *route.Route {
@@ -231,7 +292,7 @@
 	public.Public = true
 	return route.Spec{
 		Version:   1,
-		Services:  []route.Service{{Name: "plain"}, {Name: "model", Engine: &route.Engine{Slots: 8, CacheTokens: 10000}}},
+		Services:  []route.Service{{Name: "plain", HealthPath: healthPath}, {Name: "model", HealthPath: healthPath, Engine: &route.Engine{Slots: 8, CacheTokens: 10000}}},
 		Customers: []route.Customer{{Name: customerName, Keys: []string{customerKey}}},
 		Routes: []*route.Route{
 			r("/once/", route.Once, "plain"), r("/repeat/", route.Repeatable, "plain"), r("/model/", route.Stream, "model"), resume, public,
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -112,6 +112,9 @@
 	noRetry string
 	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
 	responseBegan time.Time
+	// witness is the connection that shows whether the target of the current attempt still runs; nil if
+	// there is none.
+	witness *link.Conn
 	// targetRuns is set if the target of the current attempt broke the connection and still runs.
 	targetRuns bool
 	// firstEvent is the time from receiving the request to the first event of its stream.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,7 +85,7 @@
 		s.size = n
 	}
 	if b.ended() {
-		s.complete(true)
+		s.complete()
 	}
 	return s
 }
@@ -129,7 +129,7 @@
 	}
 	switch {
 	case err == nil && s.large && s.body.ended():
-		s.complete(true) // fasthttp does not read beyond the length
+		s.complete() // fasthttp does not read beyond the length
 	case err == nil:
 	case err == io.EOF:
 		s.end()
@@ -141,15 +141,14 @@
 // end ends a stream whose body has ended.
 func (s *stream) end() {
 	err := s.missing()
-	confirmed := false
 	if err == nil {
-		confirmed, err = s.flight.confirmEnd(s.body, streamProbe)
+		err = s.flight.confirmEnd(s.body)
 	}
 	if err != nil {
 		s.recoverOrFail(err)
 		return
 	}
-	s.complete(confirmed)
+	s.complete()
 }
 
 // missing returns an error if the events show that some are missing at the end of the body.
@@ -249,16 +248,13 @@
 	}
 }
 
-// complete ends a stream that the target ended without an error. Confirmed reports that it is known to
-// be complete.
-func (s *stream) complete(confirmed bool) {
+// complete ends a stream that is known to be complete.
+func (s *stream) complete() {
 	s.err = io.EOF
 	s.flight.run.End(place.Answered)
 	s.flight.recordOutcome(rollout.Outcome{Duration: s.flight.sinceSent(), Size: float64(s.events + firstEventSize)})
-	if confirmed {
-		s.flight.clearContent()
-	}
-	if confirmed && !s.large {
+	s.flight.clearContent()
+	if !s.large {
 		s.flight.clearParts()
 	}
 	s.flight.releaseConn(s.link, s.resp, s.body, s.sent)
@@ -317,6 +313,7 @@
 		result = place.Cancelled
 	}
 	s.flight.detach()
+	s.flight.closeWitness()
 	s.link.Close() //nolint:errcheck // the stream is over
 	s.flight.run.End(result)
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"zinccove.example/zinccove/link"
 	"zinccove.example/zinccove/message"
 	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
@@ -61,6 +62,11 @@
 // lossProbe is the delay after which a target is probed that broke a connection.
 const lossProbe = 25 * time.Millisecond
 
+// probe checks whether the target of the current attempt runs; see link.Pool.Probe.
+func (f *flight) probe() error {
+	return f.server.options.Links.Probe(f.run.Incarnation(), f.run.Target.Address, min(f.left(), link.MaxDialTimeout), lossProbe)
+}
+
 // recordLoss counts a target that broke the connection while the request may have been running there;
 // partial reports that it had begun to respond.
 func (f *flight) recordLoss(fail *target.Failure, partial bool) {
@@ -70,7 +76,7 @@
 	list, content, progress := f.server.options.Quarantine, f.requestContent(), f.progress(partial)
 	record := list.RecordLoss
 	if progress != quarantine.Advanced && list.ConsidersParts(content) {
-		if f.targetRuns = f.probe(lossProbe) == nil; f.targetRuns {
+		if f.targetRuns = f.probe() == nil; f.targetRuns {
 			record = list.RecordBreak
 		}
 	}
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -65,12 +65,70 @@
 	}
 }
 
-// TestUnframedResponseOfLeavingTargetIsWhole has a target end right after its last response.
-func TestUnframedResponseOfLeavingTargetIsWhole(t *testing.T) {
+// newLeavingTarget returns a target that says that it leaves, accepts no connections from the middle of
+// its response on, and serves those that it has if it serves on.
+func newLeavingTarget(t *testing.T, servesOn bool) *fakeTarget {
 	var f *fakeTarget
 	f = newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\nServer-Leaving: 1\r\n\r\n", a.id(), seal)
+		time.Sleep(50 * time.Millisecond)
 		f.listener.Close()
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\nServer-Leaving: 1\r\n\r\n%s", a.id(), seal, wholeEvent)
+		fmt.Fprint(c, wholeEvent)
+		if !servesOn {
+			f.closeConns()
+		}
+		return false
+	})
+	return f
+}
+
+func TestUnframedResponseOfLeavingTargetIsWhole(t *testing.T) {
+	for _, path := range []string{"/model/", "/once/"} {
+		res := newTestServer(t, newLeavingTarget(t, true)).do(t, "POST", path, "r", "x")
+		assert.NilError(t, res.err)
+		assert.Equal(t, res.body, wholeEvent)
+	}
+}
+
+func TestUnframedResponseOfLeavingTargetThatEndedIsBroken(t *testing.T) {
+	for _, path := range []string{"/model/", "/once/"} {
+		res := newTestServer(t, newLeavingTarget(t, false)).do(t, "POST", path, "r", "x")
+		assert.Assert(t, res.err != nil || res.header.StatusCode() != 200, "%q looks complete", res.body)
+	}
+}
+
+// TestUnframedResponseIsBrokenIfAnotherProcessResponds has a process with another ID, or with a later
+// incarnation of the same one, take the place of the target.
+func TestUnframedResponseIsBrokenIfAnotherProcessResponds(t *testing.T) {
+	for name, instance := range map[string]string{"another": "other", "a later incarnation": ""} {
+		t.Run(name, func(t *testing.T) {
+			var f *fakeTarget
+			f = newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n\r\n", a.id(), seal)
+				time.Sleep(50 * time.Millisecond)
+				fmt.Fprint(c, wholeEvent)
+				f.replace(instance)
+				return false
+			})
+			s := newTestServer(t, f)
+			if instance == "" {
+				s.setStarted(time.Now())
+			}
+			res := s.do(t, "POST", "/model/", "r", "x")
+			assert.Assert(t, res.err != nil, "%q looks complete", res.body)
+		})
+	}
+}
+
+// TestUnframedResponseOfFullTargetIsWhole has a target that accepts no more connections after that for
+// the response and the one that shows that it runs.
+func TestUnframedResponseOfFullTargetIsWhole(t *testing.T) {
+	var f *fakeTarget
+	f = newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n\r\n", a.id(), seal)
+		time.Sleep(50 * time.Millisecond)
+		f.refuseConns()
+		fmt.Fprint(c, wholeEvent)
 		return false
 	})
 	res := newTestServer(t, f).do(t, "POST", "/model/", "r", "x")
--- a/route/route.go
+++ b/route/route.go
@@ -115,8 +115,11 @@
 
 // Service is a group of equivalent targets.
 type Service struct {
-	Name       string
+	Name string
+	// HealthPath is the page on which a target reports its ID and whether it is healthy, StatusPath the
+	// one on which it reports its state without taking a slot; empty if it has none.
 	HealthPath string
+	StatusPath string
 	// MaxConns is the number of connections that one target accepts from all
 	// routers together.
 	MaxConns int
--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -70,8 +70,8 @@
 	for i, key := range keys {
 		quoted[i] = fmt.Sprintf("%q", key)
 	}
-	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":%q,"maxConns":300,"engine":{"slots":16,"kvTokens":100000,"kvBytes":1000,"linkMbps":8000000,"backups":true}},`+
-		`{"name":%q,"maxConns":100}],"limits":{"maxBodyBytes":1000000,"tokens_per_s":100000},"tenants":[{"name":%q,"apiKeys":[%s]}]}`,
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":%q,"healthPath":"/health","maxConns":300,"engine":{"slots":16,"kvTokens":100000,"kvBytes":1000,"linkMbps":8000000,"backups":true}},`+
+		`{"name":%q,"healthPath":"/health","maxConns":100}],"limits":{"maxBodyBytes":1000000,"tokens_per_s":100000},"tenants":[{"name":%q,"apiKeys":[%s]}]}`,
 		version, strings.Join(routes, ","), Model, Plain, Customer, strings.Join(quoted, ","))
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -138,6 +138,8 @@
 		w.write(ctx, func() any { return w.arrivals })
 	case string(ctx.Path()) == "/health":
 		ctx.Response.Header.Set(headerInstance, w.options.ID)
+	case string(ctx.Path()) == "/-/report":
+		w.write(ctx, func() any { return map[string]int{"running": w.running} })
 	case strings.HasPrefix(string(ctx.Path()), copiesPath):
 		w.serveCopies(ctx)
 	default:
