Streams are cut when a target's events do not follow those that were passed on

Callers of resumable streams got events twice, or lacked some, when a target resumed a stream at another event than the one after the last, or repeated one (ORDER). When events had no ID, a stream that broke was requested anew and its events were passed on again.

Cause: nothing compared the events of a target with what had been passed on, and the place to go on from was the last ID, even if later events had none. The class: a resume is taken to continue where it was asked to.

Change: the IDs of a stream have to rise over all of its targets, and a target that resumes has to begin with the next one where IDs are consecutive. A target that does otherwise has failed; what it sent up to there is passed on. A stream whose events have no IDs is not resumed. "stream resumed" tells the event before and after.

Evidence: TestStreamWithEventsOutOfOrderIsCut (five of seven cases), TestStreamResumedByItsCallerDoesNotBeginAnew and TestStreamWithoutEventIDsIsNotResumed fail on the code before.

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -237,6 +237,8 @@
 	noRetryLimit     = "limit"
 	noRetryCancelled = "cancelled"
 	noRetryBudget    = "budget"
+	// noRetryPosition: no target can be told from where the stream has to go on.
+	noRetryPosition = "no_position"
 )
 
 // failureOfTarget is the name in logs of a response with status 500 and above.
--- a/relay/log.go
+++ b/relay/log.go
@@ -179,10 +179,15 @@
 	e.Msg("end of response confirmed")
 }
 
-// logResumed logs which event a stream continues with that was resumed after last.
-func (s *Server) logResumed(f *flight, last, first string) {
-	s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
-		Str("last_event", last).Str("first_event", first).Msg("stream resumed")
+// logResumed logs with which event a resumed stream continues, and why that is not passed on if err is
+// not nil.
+func (s *Server) logResumed(f *flight, r *resumption, err error) {
+	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
+		Str("last_event", r.last).Str("first_event", r.first)
+	if err != nil {
+		e = e.Err(err)
+	}
+	e.Msg("stream resumed")
 }
 
 // logRefused logs how a request ended that got no response of a target.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"iter"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -32,13 +31,9 @@
 
 	buffer []byte
 	// ready is the length of the complete events at the start of buffer.
-	ready int
-	// lastEvent is the ID of the last event that was passed on.
-	lastEvent string
-	began     bool
-	// resumedAfter is the last event that the caller has, until the current target sends one; empty
-	// if the target does not resume a stream.
-	resumedAfter string
+	ready    int
+	sequence sequence
+	began    bool
 	// passed is set once events were passed on.
 	passed bool
 	// advanced is set once the current target has sent events for a while.
@@ -68,10 +63,11 @@
 )
 
 func newStream(f *flight, c *link.Conn, resp *response, b *body, sent *sendState) *stream {
-	return &stream{
-		flight: f, link: c, resp: resp, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer),
-		resumedAfter: f.call.LastEventID,
+	s := &stream{flight: f, link: c, resp: resp, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer)}
+	if f.route.Resumable {
+		s.sequence.resumeAfter(f.call.LastEventID)
 	}
+	return s
 }
 
 // unknownSize makes fasthttp send a body in chunks.
@@ -125,7 +121,10 @@
 	n, err := s.body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	if n > 0 {
-		s.received()
+		if serr := s.received(); serr != nil {
+			s.recoverOrFail(serr)
+			return
+		}
 	}
 	switch {
 	case err == nil && s.large && s.body.ended():
@@ -153,7 +152,7 @@
 
 // missing returns an error if the events show that some are missing at the end of the body.
 func (s *stream) missing() error {
-	framed, resumes := s.body.framed(), s.lastEvent != "" || s.flight.call.LastEventID != ""
+	framed, resumes := s.body.framed(), s.sequence.last != "" || s.flight.call.LastEventID != ""
 	switch {
 	case len(s.buffer) > s.ready && framed:
 		return errPartialEvent
@@ -165,8 +164,9 @@
 	return nil
 }
 
-// received handles new bytes: it records the first event and marks complete events as ready.
-func (s *stream) received() {
+// received handles new bytes: it records the first event and marks complete events as ready. The error
+// is about an event that does not follow the ones before it.
+func (s *stream) received() error {
 	f := s.flight
 	f.run.RecordReceived()
 	if !s.began {
@@ -183,29 +183,23 @@
 	}
 	if s.large {
 		s.ready = len(s.buffer)
-		return
+		return nil
 	}
 	if !s.advanced && f.responding() >= quarantine.BeginPeriod {
 		s.advanced = true
 		f.clearParts()
 	}
 	end := endOfEvents(s.buffer)
-	if end > s.ready {
-		s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
-		s.logResumed(s.buffer[s.ready:end])
-		if id := lastID(s.buffer[s.ready:end]); id != "" {
-			s.lastEvent = id
-		}
-		s.ready = end
+	if end <= s.ready {
+		return nil
 	}
-}
-
-// logResumed logs the first of the events that the current target sends if the stream was resumed there.
-func (s *stream) logResumed(events []byte) {
-	if s.resumedAfter != "" {
-		s.flight.server.logResumed(s.flight, s.resumedAfter, firstID(events))
-		s.resumedAfter = ""
+	s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
+	n, err := s.sequence.add(s.buffer[s.ready:end])
+	s.ready += n
+	if r := s.sequence.takeResumed(); r != nil {
+		f.server.logResumed(f, r, err)
 	}
+	return err
 }
 
 // endOfEvents returns the end of the last complete event; an event ends with an empty line.
@@ -220,34 +214,6 @@
 	return end
 }
 
-// lastID returns the ID of the last event that has one.
-func lastID(events []byte) string {
-	var id string
-	for next := range eventIDs(events) {
-		id = next
-	}
-	return id
-}
-
-// firstID returns the ID of the first event that has one.
-func firstID(events []byte) string {
-	for id := range eventIDs(events) {
-		return id
-	}
-	return ""
-}
-
-// eventIDs yields the IDs of the events that have one.
-func eventIDs(events []byte) iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for line := range bytes.Lines(events) {
-			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok && !yield(string(bytes.TrimSpace(value))) {
-				return
-			}
-		}
-	}
-}
-
 // complete ends a stream that is known to be complete.
 func (s *stream) complete() {
 	s.err = io.EOF
@@ -268,8 +234,8 @@
 	fail := f.fail(target.Broken, 0, err, "read stream")
 	f.recordLoss(fail, s.began)
 	f.recordFailure(fail)
-	for !s.large && f.retryAfterFailure(fail) {
-		resp, nextFail, r := f.attempt(s.caller, s.lastEvent)
+	for s.resumable() && f.retryAfterFailure(fail) {
+		resp, nextFail, r := f.attempt(s.caller, s.sequence.last)
 		if r != nil {
 			f.noRetry = r.reason
 			f.lifecycle.GiveUp(false)
@@ -286,13 +252,19 @@
 		s.resume(resp)
 		return
 	}
+	if !s.resumable() {
+		f.noRetry = noRetryPosition
+		f.lifecycle.GiveUp(false)
+	}
 	s.err = fail
 }
 
-// keepBackup gives up the backup if events without an ID were received: nothing names the place from which
-// the run has to go on.
+// resumable reports whether another target can be told from where the stream has to go on.
+func (s *stream) resumable() bool { return !s.large && !s.sequence.nameless }
+
+// keepBackup gives up the backup if another target cannot be told from where the run has to go on.
 func (s *stream) keepBackup() {
-	if (s.passed || s.ready > 0) && s.lastEvent == "" {
+	if !s.resumable() {
 		s.flight.decision.Backup = place.BackupDecision{}
 	}
 }
@@ -304,7 +276,7 @@
 	s.link, s.resp, s.body, s.sent = resp.stream.link, resp, resp.stream.body, resp.stream.sent
 	s.buffer = s.buffer[:s.ready]
 	s.began, s.advanced, s.events = false, false, 0
-	s.resumedAfter = s.lastEvent
+	s.sequence.resumeAfter(s.sequence.last)
 }
 
 // disconnect closes the connection to the target.
