--- a/metric/names.go
+++ b/metric/names.go
@@ -63,6 +63,9 @@
 	BackupsAsked
 	StreamsContinued
 	BackupsMissing
+	EndsConfirmed
+	EndsUnconfirmed
+	EventsOutOfOrder
 	CacheEvents
 	CacheGaps
 	CacheLists
@@ -123,6 +126,9 @@
 	CopiedByHolding:      {"copied_by_holding", "Prompts whose shared parts were copied from a target that is no home of theirs."},
 	BackupsAsked:         {"backups_asked", "Attempts whose target was asked to copy the state of its run to another one."},
 	StreamsContinued:     {"streams_continued", "Streams that went on at the target with the copy of their state."},
+	EndsConfirmed:        {"ends_confirmed", "Responses with neither length nor chunks whose target still ran after their end."},
+	EndsUnconfirmed:      {"ends_unconfirmed", "Responses with neither length nor chunks that count as broken, as their target did not show that it still runs."},
+	EventsOutOfOrder:     {"events_out_of_order", "Streams in which a target sent an event that does not follow those that were passed on."},
 	BackupsMissing:       {"backups_missing", "Streams that could not go on from their backup, as the target had no copy or no room."},
 	CacheEvents:          {"cache_events", "Parts of prompts that targets reported as cached or evicted."},
 	CacheGaps:            {"cache_gaps", "Times that a target no longer had all its reports, so that its list was needed."},
--- a/relay/log.go
+++ b/relay/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"zinccove.example/zinccove/metric"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/target"
@@ -173,9 +174,11 @@
 	e := s.requestEvent(s.options.RequestLog.Info(), f).Str("target", f.run.Target.ID).Int("attempt", len(f.tried)).
 		Bool("target_leaves", f.notice.Draining).Bool("target_unavailable", f.run.Unavailable())
 	if err != nil {
+		s.options.Metrics.Inc(metric.EndsUnconfirmed)
 		e.Err(err).Msg("end of response not confirmed")
 		return
 	}
+	s.options.Metrics.Inc(metric.EndsConfirmed)
 	e.Msg("end of response confirmed")
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -196,6 +196,9 @@
 	s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
 	n, err := s.sequence.add(s.buffer[s.ready:end])
 	s.ready += n
+	if err != nil {
+		f.server.options.Metrics.Inc(metric.EventsOutOfOrder)
+	}
 	if r := s.sequence.takeResumed(); r != nil {
 		f.server.logResumed(f, r, err)
 	}
