Targets that send informational responses without end are given up

Callers waited for their deadline while the router read informational responses as fast as they came: 1.5 s of 1.5 s for a call that may not be repeated (504) and for a stream that may be resumed, 0.6 s of it before a repeatable call went elsewhere. Cause: readHead continued after each of them without a bound. At most 16 are read now; then the attempt is broken, as it may have run.

The table test has targets that send without end in other shapes as well; those bounded already are an endless line or lines of a head (4 KB), a head of empty lines, no head, late responses without framing, long chunk extensions and sizes, and an event that never ends (1 MB).

Before: informational_responses/once/ and /repeat/ and slow_informational_responses_to_a_stream/resume/ failed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -161,6 +161,7 @@
 	errMismatchedID   = eris.New("response has the ID of another request")
 	errReplaced       = eris.New("response comes from another incarnation of the target")
 	errNotRun         = eris.New("target did not run the request")
+	errInformational  = eris.New("too many informational responses")
 	errOutcomeUnknown = eris.New("response leaves open whether the request ran")
 )
 
@@ -315,15 +316,21 @@
 // connection.
 const maxMismatched = 2
 
+// maxInformational is the number of informational responses before a response; targets have use for one or two.
+const maxInformational = 16
+
 // readHead reads the head of the response to this request. Late responses to earlier requests
 // on the connection are discarded.
 func (f *flight) readHead(c *link.Conn, resp *response) *target.Failure {
-	for mismatched := 0; ; {
+	for mismatched, informational := 0, 0; ; {
 		if err := resp.header.Read(c.Reader); err != nil {
 			return f.fail(target.Broken, 0, err, "read response head")
 		}
 		f.run.RecordReceived()
 		if resp.header.StatusCode() < fasthttp.StatusOK {
+			if informational++; informational > maxInformational {
+				return f.fail(target.Broken, 0, errInformational, "read response head")
+			}
 			continue
 		}
 		resp.info = f.server.options.Codec.DecodeResponse(&resp.header)
--- /dev/null
+++ b/relay/endless_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// maxFlood is the number of bytes, with what the buffers of sockets hold, after which a router has to close
+// the connection to a target that sends without end.
+const maxFlood = 16 << 20
+
+// newEndlessTarget returns a target that sends a head and then a part again and again, without a pause if
+// that is 0, until the router closes the connection. It counts the bytes and the connections that are open.
+func newEndlessTarget(t *testing.T, id, head, part string, pause time.Duration) (f *fakeTarget, sent, open *atomic.Int64) {
+	sent, open = new(atomic.Int64), new(atomic.Int64)
+	if pause == 0 {
+		part = strings.Repeat(part, max(1, 4096/len(part)))
+	}
+	f = newTarget(t, id, func(a *arrival, c net.Conn) bool {
+		open.Add(1)
+		defer open.Add(-1)
+		next := strings.ReplaceAll(head, "ID", a.id())
+		for {
+			n, err := io.WriteString(c, next)
+			sent.Add(int64(n))
+			if err != nil {
+				return false
+			}
+			next = part
+			time.Sleep(pause)
+		}
+	})
+	return f, sent, open
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + seal + "\r\n"
+	lateHead    = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + seal + "\r\n"
+	chunkedHead = "Transfer-Encoding: chunked\r\n\r\n"
+	streamHead  = okHead + "Content-Type: text/event-stream\r\n"
+	slowly      = 5 * time.Millisecond
+)
+
+// endlessShapes are bytes that are no response, or never become a whole one.
+var endlessShapes = []struct {
+	name, head, part string
+	pause            time.Duration
+	// stream reports that the shape is one of a stream, warm that it comes on a connection that carried
+	// a request before.
+	stream, warm bool
+}{
+	{name: "line of a head", head: "HTTP/1.1 200 OK\r\nX: ", part: "x"},
+	{name: "lines of a head", head: okHead, part: "X: y\r\n"},
+	{name: "empty lines", part: "\r\n"},
+	{name: "no head", part: "\x00\xff"},
+	{name: "informational responses", part: "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+	{name: "slow informational responses", part: "HTTP/1.1 102 Processing\r\n\r\n", pause: slowly},
+	{name: "slow line of a head", head: "HTTP/1.1 200 OK\r\nX: ", part: "x", pause: slowly},
+	{name: "late response without framing", head: lateHead + "\r\n", part: "x", warm: true},
+	{name: "slow late response", head: lateHead + chunkedHead, part: "1\r\nx\r\n", pause: slowly, warm: true},
+	{name: "late responses", part: lateHead + "Content-Length: 1\r\n\r\nx", warm: true},
+	{name: "line of a trailer", head: okHead + chunkedHead + "1\r\nx\r\n0\r\nX: ", part: "x"},
+	{name: "slow trailer", head: okHead + chunkedHead + "1\r\nx\r\n0\r\n", part: "X: y\r\n", pause: slowly},
+	{name: "chunk extension", head: okHead + chunkedHead + "1;", part: "x"},
+	{name: "chunk extensions", head: okHead + chunkedHead, part: "1;" + strings.Repeat("x", 4000) + "\r\nx\r\n"},
+	{name: "chunk size", head: okHead + chunkedHead, part: "0"},
+	{name: "slow body in chunks", head: okHead + chunkedHead, part: "1\r\nx\r\n", pause: slowly},
+	{name: "slow body without framing", head: okHead + "\r\n", part: "x", pause: slowly},
+	{name: "event", head: streamHead + "\r\ndata: ", part: "x", stream: true},
+	{name: "slow informational responses to a stream", part: "HTTP/1.1 102 Processing\r\n\r\n", pause: slowly, stream: true},
+}
+
+// TestEndlessResponseIsGivenUp has a target send without end. The request goes on at another target if it
+// may, or ends; neither takes all the time that it has, unless the bytes come slowly.
+func TestEndlessResponseIsGivenUp(t *testing.T) {
+	for _, shape := range endlessShapes {
+		paths := []string{"/once/", "/repeat/"}
+		if shape.stream {
+			paths = []string{"/model/", "/resume/"}
+		}
+		for _, path := range paths {
+			t.Run(fmt.Sprint(shape.name, path), func(t *testing.T) {
+				t.Parallel()
+				bad, sent, open := newEndlessTarget(t, "t1", shape.head, shape.part, shape.pause)
+				endless := bad.serve
+				bad.serve = func(a *arrival, c net.Conn) bool {
+					if strings.HasPrefix(a.id(), "warm") {
+						return respondOK(a, c)
+					}
+					return endless(a, c)
+				}
+				targets := []*fakeTarget{bad}
+				repeatable := path == "/repeat/" || path == "/resume/"
+				if repeatable {
+					targets = append(targets, newTarget(t, "t2", func(a *arrival, c net.Conn) bool {
+						if !shape.stream {
+							return respondOK(a, c)
+						}
+						beginStream(a, c)
+						event(c, 2)
+						return endStream(c)
+					}))
+				}
+				s := newTestServer(t, targets...)
+				if shape.warm {
+					for i := 0; len(bad.received()) == 0 && i < 20; i++ {
+						assert.NilError(t, s.do(t, "POST", "/once/", fmt.Sprint("warm", i), fmt.Sprint("w", i)).err)
+					}
+				}
+				reached := len(bad.received())
+				for i := 0; len(bad.received()) == reached && i < 20; i++ {
+					began := time.Now()
+					res := s.do(t, "POST", path, fmt.Sprint("r", i), fmt.Sprint("x", i))
+					took := time.Since(began)
+					limit := time.Second // the objective of the routes
+					if shape.pause > 0 {
+						limit = routeTimeout
+					}
+					assert.Assert(t, took < limit, "%v %v", took, res.err)
+					if repeatable {
+						assert.NilError(t, res.err)
+						assert.Equal(t, res.header.StatusCode(), 200)
+						continue
+					}
+					status := res.header.StatusCode()
+					assert.Assert(t, res.err != nil || status == 502 || status == 504, "%d %q", status, res.body)
+				}
+				eventually(t, "connection closed", func() bool { return open.Load() == 0 })
+				assert.Assert(t, sent.Load() < maxFlood, "%d bytes", sent.Load())
+			})
+		}
+	}
+}
