Late responses without end are not read until the deadline

A late response to an earlier request on a kept connection was discarded to its end. At most 1 MB is discarded now, nothing if the length says more.

Before: late_response_in_chunks and late_response_with_a_length failed, both for /once/ and /repeat/.

--- a/relay/body.go
+++ b/relay/body.go
@@ -14,7 +14,14 @@
 // another target if the response breaks.
 const maxBufferedResponse = 32 << 10
 
-var errTruncated = eris.Wrap(io.ErrUnexpectedEOF, "response is truncated")
+// maxDiscarded is the size in bytes up to which the body of a response to another request is read, so
+// that the connection can be used on.
+const maxDiscarded = 1 << 20
+
+var (
+	errTruncated      = eris.Wrap(io.ErrUnexpectedEOF, "response is truncated")
+	errLargeDiscarded = eris.New("response to another request is too large to be discarded")
+)
 
 // body reads the body of a response in the framing that its head declares.
 type body struct {
@@ -89,6 +96,12 @@
 	if b.untilClose {
 		return errTruncated
 	}
-	_, err := io.Copy(io.Discard, b)
+	if b.left != nil && b.left.N > maxDiscarded {
+		return errLargeDiscarded
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(b, maxDiscarded+1))
+	if n > maxDiscarded {
+		return errLargeDiscarded
+	}
 	return err
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -75,6 +75,8 @@
 	{name: "slow body without framing", head: okHead + "\r\n", part: "x", pause: slowly},
 	{name: "event", head: streamHead + "\r\ndata: ", part: "x", stream: true},
 	{name: "slow informational responses to a stream", part: "HTTP/1.1 102 Processing\r\n\r\n", pause: slowly, stream: true},
+	{name: "late response in chunks", head: lateHead + chunkedHead, part: "1\r\nx\r\n", warm: true},
+	{name: "late response with a length", head: lateHead + "Content-Length: 1000000000000\r\n\r\n", part: "x", warm: true},
 }
 
 // TestEndlessResponseIsGivenUp has a target send without end. The request goes on at another target if it
