Trailers without end are not read until the deadline

The lines after the last chunk were read as long as they came: a call that may not be repeated got 504 after its 1.5 s, a stream that may be resumed was cut then, and a repeatable call went elsewhere at 0.6 of its objective after 158 MB. A trailer has 16 KB at most now. Beyond that, or with a line of more than 4 KB, the response is broken, but no longer counts as a connection that the target lost.

Before: trailer/once/, trailer/repeat/ and trailer_of_a_stream/ for both kinds of streams failed.

--- a/relay/body.go
+++ b/relay/body.go
@@ -18,7 +18,11 @@
 // that the connection can be used on.
 const maxDiscarded = 1 << 20
 
+// maxTrailer is the size of the largest trailer of a response in bytes.
+const maxTrailer = 16 << 10
+
 var (
+	errLargeTrailer   = eris.New("trailer exceeds the limit")
 	errTruncated      = eris.Wrap(io.ErrUnexpectedEOF, "response is truncated")
 	errLargeDiscarded = eris.New("response to another request is too large to be discarded")
 )
@@ -77,15 +81,20 @@
 
 // trailer reads the lines between the last chunk and the end of the response.
 func (b *body) trailer() error {
-	for {
+	for size := 0; size <= maxTrailer; {
 		line, err := b.raw.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			return errLargeTrailer
+		}
 		if err != nil {
 			return errTruncated
 		}
 		if len(line) <= len("\r\n") {
 			return io.EOF
 		}
+		size += len(line)
 	}
+	return errLargeTrailer
 }
 
 // readUpTo returns at most limit bytes of the body. Fewer bytes are the complete body.
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -77,6 +77,8 @@
 	{name: "slow informational responses to a stream", part: "HTTP/1.1 102 Processing\r\n\r\n", pause: slowly, stream: true},
 	{name: "late response in chunks", head: lateHead + chunkedHead, part: "1\r\nx\r\n", warm: true},
 	{name: "late response with a length", head: lateHead + "Content-Length: 1000000000000\r\n\r\n", part: "x", warm: true},
+	{name: "trailer", head: okHead + chunkedHead + "1\r\nx\r\n0\r\n", part: "X: y\r\n"},
+	{name: "trailer of a stream", head: streamHead + chunkedHead + "d\r\nid: 1\ndata: x\r\n2\r\n\n\n\r\n0\r\n", part: "X: y\r\n", stream: true},
 }
 
 // TestEndlessResponseIsGivenUp has a target send without end. The request goes on at another target if it
