Streams of comments or empty lines without end are given up

Such a stream was passed on until the deadline, 1.5 s, and cut then, also if it may be resumed elsewhere; the caller never got an event. With 64 KB of comments and empty lines since the last event, a stream counts as broken now: it goes on at another target, or is cut at once.

Before: empty_events and comments failed for both kinds of streams.

--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -79,6 +79,8 @@
 	{name: "late response with a length", head: lateHead + "Content-Length: 1000000000000\r\n\r\n", part: "x", warm: true},
 	{name: "trailer", head: okHead + chunkedHead + "1\r\nx\r\n0\r\n", part: "X: y\r\n"},
 	{name: "trailer of a stream", head: streamHead + chunkedHead + "d\r\nid: 1\ndata: x\r\n2\r\n\n\n\r\n0\r\n", part: "X: y\r\n", stream: true},
+	{name: "empty events", head: streamHead + "\r\n", part: "\n", stream: true},
+	{name: "comments", head: streamHead + chunkedHead, part: "3\r\n:\n\n\r\n", stream: true},
 }
 
 // TestEndlessResponseIsGivenUp has a target send without end. The request goes on at another target if it
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,6 +40,8 @@
 	advanced bool
 	// events is the number of events that the current target sent.
 	events int
+	// filler is the number of bytes that the current target sent since its last event with an ID or data.
+	filler int
 	// err is the end of the stream; io.EOF after a complete one.
 	err  error
 	done bool
@@ -50,10 +52,13 @@
 	eventBuffer = 1 << 10
 	// maxEvent is the largest event in bytes.
 	maxEvent = 1 << 20
+	// maxFiller is the number of bytes of comments and empty lines between two events.
+	maxFiller = 64 << 10
 )
 
 var (
 	errLargeEvent   = eris.New("event exceeds the limit")
+	errFiller       = eris.New("too many bytes without an event")
 	errPartialEvent = eris.New("stream ended inside an event")
 	// errBrokenEvent and errNoEvent are those of connections that ended instead of a framed body.
 	errBrokenEvent = eris.Wrap(io.ErrUnexpectedEOF, "connection ended inside an event")
@@ -194,6 +199,9 @@
 		return nil
 	}
 	s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
+	if err := s.countFiller(s.buffer[s.ready:end]); err != nil {
+		return err
+	}
 	n, err := s.sequence.add(s.buffer[s.ready:end])
 	s.ready += n
 	if err != nil {
@@ -205,6 +213,18 @@
 	return err
 }
 
+// countFiller counts comments and empty lines, and returns an error if there are too many.
+func (s *stream) countFiller(events []byte) error {
+	if bytes.Contains(events, []byte("data:")) || bytes.Contains(events, []byte("id:")) {
+		s.filler = 0
+		return nil
+	}
+	if s.filler += len(events); s.filler > maxFiller {
+		return errFiller
+	}
+	return nil
+}
+
 // endOfEvents returns the end of the last complete event; an event ends with an empty line.
 func endOfEvents(b []byte) int {
 	end := 0
@@ -278,7 +298,7 @@
 	s.flight.server.options.Metrics.Inc(metric.StreamsResumed)
 	s.link, s.resp, s.body, s.sent = resp.stream.link, resp, resp.stream.body, resp.stream.sent
 	s.buffer = s.buffer[:s.ready]
-	s.began, s.advanced, s.events = false, false, 0
+	s.began, s.advanced, s.events, s.filler = false, false, 0, 0
 	s.sequence.resumeAfter(s.sequence.last)
 }
 
