Bodies without end are bounded in bytes

A body without end was passed on as fast as the caller read it until the deadline: 130 to 325 MB in 1.5 s in the test, and a length of 1 TB was taken at its word. A response has 64 MB at most now, four times what services of the own protocol may send. A length beyond that is known with the head, so that a repeatable call goes elsewhere. Once more than 32 KB were passed on the caller's connection is cut as before, so that nothing looks complete.

Before: length_beyond_all_bodies, body_in_chunks and body_without_framing failed for /once/ and /repeat/.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -259,6 +259,9 @@
 		return nil, f.fail(target.Broken, status, errUnsigned, "read response")
 	}
 	body := newBody(c.Reader, &resp.header, ctx.IsHead())
+	if body.tooLarge() {
+		return nil, f.fail(target.Broken, status, errLargeResponse, "read response")
+	}
 	f.openWitness(body)
 	if status == fasthttp.StatusOK && f.engine {
 		resp.stream = newStream(f, c, resp, body, sent)
--- a/relay/body.go
+++ b/relay/body.go
@@ -14,6 +14,9 @@
 // another target if the response breaks.
 const maxBufferedResponse = 32 << 10
 
+// maxResponse is the size in bytes of the largest body of a response.
+const maxResponse = 64 << 20
+
 // maxDiscarded is the size in bytes up to which the body of a response to another request is read, so
 // that the connection can be used on.
 const maxDiscarded = 1 << 20
@@ -22,6 +25,7 @@
 const maxTrailer = 16 << 10
 
 var (
+	errLargeResponse  = eris.New("response exceeds the limit")
 	errLargeTrailer   = eris.New("trailer exceeds the limit")
 	errTruncated      = eris.Wrap(io.ErrUnexpectedEOF, "response is truncated")
 	errLargeDiscarded = eris.New("response to another request is too large to be discarded")
@@ -36,6 +40,8 @@
 	left *io.LimitedReader
 	// untilClose reports that the body ends with its connection.
 	untilClose bool
+	// read is the number of bytes that were read.
+	read int64
 }
 
 func newBody(raw *bufio.Reader, h *fasthttp.ResponseHeader, head bool) *body {
@@ -64,9 +70,16 @@
 // framed reports whether the connection can be used after the body.
 func (b *body) framed() bool { return !b.untilClose }
 
+// tooLarge reports whether the length of the body exceeds the limit.
+func (b *body) tooLarge() bool { return b.left != nil && b.left.N > maxResponse }
+
 // Read returns io.EOF only if the body is complete by its framing.
 func (b *body) Read(p []byte) (int, error) {
+	if b.read > maxResponse {
+		return 0, errLargeResponse
+	}
 	n, err := b.reader.Read(p)
+	b.read += int64(n)
 	if err != io.EOF {
 		return n, err
 	}
