Resumable streams leave targets that do not finish what they began to write

A target that sent parts of a head, of a late response, of an event or of a trailer without end, a byte at a time, kept a stream that may be resumed until its deadline of 1.5 s: 504, or a cut. Plain calls that may be repeated went elsewhere at 0.6 of their objective already. Now a request that may continue elsewhere and has attempts left does so once a part was incomplete for 1 s. The time in which the router waits for its caller does not count, nor does silence between parts.

Before: slow_event, slow_line_of_the_head_of_a_stream, slow_late_response_to_a_stream and slow_trailer_of_a_stream failed for /resume/.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -325,7 +325,12 @@
 // readHead reads the head of the response to this request. Late responses to earlier requests
 // on the connection are discarded.
 func (f *flight) readHead(c *link.Conn, resp *response) *target.Failure {
+	defer f.unfinished.clear()
 	for mismatched, informational := 0, 0; ; {
+		f.unfinished.clear()
+		if _, err := c.Reader.Peek(1); err == nil {
+			f.unfinished.begin(f.server.options.Clock.Now())
+		}
 		if err := resp.header.Read(c.Reader); err != nil {
 			return f.fail(target.Broken, 0, err, "read response head")
 		}
--- a/relay/body.go
+++ b/relay/body.go
@@ -40,6 +40,8 @@
 	left *io.LimitedReader
 	// untilClose reports that the body ends with its connection.
 	untilClose bool
+	// onTrailer is called before the trailer is read; nil ignores it.
+	onTrailer func()
 	// read is the number of bytes that were read.
 	read int64
 }
@@ -94,6 +96,9 @@
 
 // trailer reads the lines between the last chunk and the end of the response.
 func (b *body) trailer() error {
+	if b.onTrailer != nil {
+		b.onTrailer()
+	}
 	for size := 0; size <= maxTrailer; {
 		line, err := b.raw.ReadSlice('\n')
 		if err == bufio.ErrBufferFull {
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -86,6 +86,10 @@
 	{name: "length beyond all bodies", head: okHead + "Content-Length: 1000000000000\r\n\r\n", part: "x"},
 	{name: "body in chunks", head: okHead + chunkedHead, part: "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", passed: true},
 	{name: "body without framing", head: okHead + "\r\n", part: "x", passed: true},
+	{name: "slow event", head: streamHead + "\r\ndata: ", part: "x", pause: slowly, stream: true},
+	{name: "slow line of the head of a stream", head: "HTTP/1.1 200 OK\r\nX: ", part: "x", pause: slowly, stream: true},
+	{name: "slow late response to a stream", head: lateHead + chunkedHead, part: "1\r\nx\r\n", pause: slowly, stream: true, warm: true},
+	{name: "slow trailer of a stream", head: streamHead + chunkedHead + "d\r\nid: 1\ndata: x\r\n2\r\n\n\n\r\n0\r\n", part: "X: y\r\n", pause: slowly, stream: true},
 }
 
 // TestEndlessResponseIsGivenUp has a target send without end. The request goes on at another target if it
@@ -99,30 +103,31 @@
 		for _, path := range paths {
 			t.Run(fmt.Sprint(shape.name, path), func(t *testing.T) {
 				t.Parallel()
+				whole := respondOK
+				if shape.stream {
+					whole = func(a *arrival, c net.Conn) bool {
+						beginStream(a, c)
+						event(c, 2)
+						return endStream(c)
+					}
+				}
 				bad, sent, open := newEndlessTarget(t, "t1", shape.head, shape.part, shape.pause)
 				endless := bad.serve
 				bad.serve = func(a *arrival, c net.Conn) bool {
 					if strings.HasPrefix(a.id(), "warm") {
-						return respondOK(a, c)
+						return whole(a, c)
 					}
 					return endless(a, c)
 				}
 				targets := []*fakeTarget{bad}
 				repeatable := path == "/repeat/" || path == "/resume/"
 				if repeatable {
-					targets = append(targets, newTarget(t, "t2", func(a *arrival, c net.Conn) bool {
-						if !shape.stream {
-							return respondOK(a, c)
-						}
-						beginStream(a, c)
-						event(c, 2)
-						return endStream(c)
-					}))
+					targets = append(targets, newTarget(t, "t2", whole))
 				}
 				s := newTestServer(t, targets...)
 				if shape.warm {
 					for i := 0; len(bad.received()) == 0 && i < 20; i++ {
-						assert.NilError(t, s.do(t, "POST", "/once/", fmt.Sprint("warm", i), fmt.Sprint("w", i)).err)
+						assert.NilError(t, s.do(t, "POST", path, fmt.Sprint("warm", i), fmt.Sprint("w", i)).err)
 					}
 				}
 				reached := len(bad.received())
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -117,6 +117,8 @@
 	witness *link.Conn
 	// targetRuns is set if the target of the current attempt broke the connection and still runs.
 	targetRuns bool
+	// unfinished is the time since which a head, an event or a trailer of the response is incomplete.
+	unfinished stallTimer
 	// firstEvent is the time from receiving the request to the first event of its stream.
 	firstEvent time.Duration
 	// passedAt is when bytes were last passed on to the caller, in nanoseconds since the Unix epoch.
@@ -349,18 +351,23 @@
 // repeatable request is sent to another target.
 const maxSilenceShare = 0.6
 
+// maxUnfinished is how long a target may send parts of one head, event or trailer of a request that may
+// continue elsewhere. A target writes each of them at once; a lost packet is sent again within it.
+const maxUnfinished = time.Second
+
 // abandonLostTarget ends the attempt at a target that seems lost, so that the request is
 // repeated elsewhere before its caller gives up. A target seems lost if its data centre seems
-// to be cut off, or if it is a plain service that does not respond in time.
+// to be cut off, if it is a plain service that does not respond in time, or if it does not finish
+// what it began to write.
 func (f *flight) abandonLostTarget(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.link == nil {
 		return
 	}
-	late := !f.engine && f.attempts < f.route.MaxAttempts &&
-		now.Sub(f.sent) > time.Duration(maxSilenceShare*float64(f.route.Objective))
-	if late || f.linkRun.CutOff() {
+	silent := !f.engine && now.Sub(f.sent) > time.Duration(maxSilenceShare*float64(f.route.Objective))
+	late := silent || f.unfinished.exceeds(maxUnfinished, now)
+	if late && f.attempts < f.route.MaxAttempts || f.linkRun.CutOff() {
 		f.link.Close() //nolint:errcheck // the attempt ends with it
 	}
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -12,12 +12,15 @@
 // No more is read for it meanwhile, and its connection is closed after Limits.WriteTimeout, so that
 // callers that do not read cannot occupy all connections of a host permanently.
 
-// stallTimer measures how long bytes that were passed on have waited for the caller to read
-// them.
+// stallTimer measures how long bytes have waited: those that were passed on for the caller to read them,
+// or those of an incomplete event for the rest of it.
 type stallTimer struct{ since atomic.Int64 }
 
 func (u *stallTimer) begin(now time.Time) { u.since.Store(now.UnixNano()) }
 
+// beginOnce begins unless that was done already.
+func (u *stallTimer) beginOnce(now time.Time) { u.since.CompareAndSwap(0, now.UnixNano()) }
+
 func (u *stallTimer) clear() { u.since.Store(0) }
 
 // exceeds reports whether the bytes have waited for at least d.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -70,6 +70,7 @@
 func newStream(f *flight, c *link.Conn, resp *response, b *body, sent *sendState) *stream {
 	s := &stream{flight: f, link: c, resp: resp, body: b, sent: sent, size: unknownSize, buffer: make([]byte, 0, eventBuffer)}
 	if f.route.Resumable {
+		b.onTrailer = func() { f.unfinished.beginOnce(f.server.options.Clock.Now()) }
 		s.sequence.resumeAfter(f.call.LastEventID)
 	}
 	return s
@@ -106,6 +107,7 @@
 		s.fill()
 	}
 	s.passed = true
+	s.flight.unfinished.clear()
 	n := copy(p, s.buffer[:s.ready])
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[n:])]
 	s.ready -= n
@@ -123,6 +125,9 @@
 		}
 		s.buffer = append(make([]byte, 0, 2*cap(s.buffer)), s.buffer...)
 	}
+	if len(s.buffer) > s.ready {
+		s.flight.unfinished.beginOnce(s.flight.server.options.Clock.Now())
+	}
 	n, err := s.body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	if n > 0 {
@@ -308,6 +313,7 @@
 		result = place.Cancelled
 	}
 	s.flight.detach()
+	s.flight.unfinished.clear()
 	s.flight.closeWitness()
 	s.link.Close() //nolint:errcheck // the stream is over
 	s.flight.run.End(result)
