Empty lines without end do not count as a lost connection

fasthttp reports io.EOF for a head of 4 KB of empty lines, so that a request to a target that sends them was counted as one that ends targets: three of these bar its content for ten minutes. The error says now that the head exceeds the limit. The test also checks that no other shape counts against the content of a request.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"io"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -161,6 +162,7 @@
 	errMismatchedID   = eris.New("response has the ID of another request")
 	errReplaced       = eris.New("response comes from another incarnation of the target")
 	errNotRun         = eris.New("target did not run the request")
+	errLargeHead      = eris.New("response head exceeds the limit")
 	errInformational  = eris.New("too many informational responses")
 	errOutcomeUnknown = eris.New("response leaves open whether the request ran")
 )
@@ -332,6 +334,9 @@
 			f.unfinished.begin(f.server.options.Clock.Now())
 		}
 		if err := resp.header.Read(c.Reader); err != nil {
+			if err == io.EOF && c.Reader.Buffered() == c.Reader.Size() {
+				err = errLargeHead // fasthttp takes empty lines for the end of the connection
+			}
 			return f.fail(target.Broken, 0, err, "read response head")
 		}
 		f.run.RecordReceived()
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -158,6 +158,10 @@
 					limit += maxResponse
 				}
 				assert.Assert(t, sent.Load() < limit, "%d bytes", sent.Load())
+				if !repeatable {
+					suspected, _ := s.options.Quarantine.Counts()
+					assert.Equal(t, suspected, 0) // the router closed the connection
+				}
 			})
 		}
 	}
