A witness is opened before the request or while its response is open

Whole responses were cut where a page waited for a slot or idle connections were closed early, which counted as targets that end, and a host that had been suspended waited for the page beyond the deadline.

Cause: that the witness leads to the process of the response was concluded from its address once more.

Change: a witness counts if the connection of the response is still open after it was opened, or if it was opened before the request, for targets that sent such responses lately and whose incarnations may share an ID. It is opened beside the reading of the body, replaced if it is closed early, and closed by what interrupts the request. A status of 421 is another process; a page that comes late does not matter if the connection stays open and what was sent is acknowledged. Deadlines follow the passed-in clock. Only a refused connection or another process counts as an ended target.

IDs show a gap after a resume from eight consecutive ones on, as IDs that count tokens are consecutive for a while, too; an event without an ID matters until the next one that has one.

--- a/link/link.go
+++ b/link/link.go
@@ -226,6 +226,35 @@
 	return c.Reader.Buffered() == 0 && (c.raw == nil || hangup.Peek(c.raw) == hangup.Idle)
 }
 
+// HalfClosed reports whether the peer has closed its side, also while bytes that it sent before are
+// unread. It reports true if that is not known.
+func (c *Conn) HalfClosed() bool {
+	if c.raw == nil {
+		return true
+	}
+	closed := true
+	err := c.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		closed = err != nil || n != 0
+	})
+	return closed || err != nil
+}
+
+// Acknowledged reports whether the peer has acknowledged all bytes that were sent. It reports false if
+// that is not known.
+func (c *Conn) Acknowledged() bool {
+	if c.raw == nil {
+		return false
+	}
+	acknowledged := false
+	err := c.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		acknowledged = err == nil && info.Unacked == 0
+	})
+	return acknowledged && err == nil
+}
+
 // Put returns a connection to the pool after a complete response. Idle is how long the target
 // keeps it; 0 if the target sent no idle timeout.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -174,6 +174,7 @@
 	if fail != nil {
 		return nil, fail
 	}
+	f.openWitnessEarly()
 	sending := f.send(ctx, c, lastEvent)
 	resp, fail := f.receive(ctx, c, sending)
 	if fail != nil {
@@ -264,7 +265,7 @@
 	if body.tooLarge() {
 		return nil, f.fail(target.Broken, status, errLargeResponse, "read response")
 	}
-	f.openWitness(body)
+	f.openWitness(body, c)
 	if status == fasthttp.StatusOK && f.engine {
 		resp.stream = newStream(f, c, resp, body, sent)
 		return resp, nil
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -112,9 +112,6 @@
 	noRetry string
 	// responseBegan is when the first byte of the body arrived in the current attempt; zero before.
 	responseBegan time.Time
-	// witness is the connection that shows whether the target of the current attempt still runs; nil if
-	// there is none.
-	witness *link.Conn
 	// targetRuns is set if the target of the current attempt broke the connection and still runs.
 	targetRuns bool
 	// unfinished is the time since which a head, an event or a trailer of the response is incomplete.
@@ -136,6 +133,9 @@
 	sent     time.Time
 	attempts int
 	cause    cause
+	// witness shows whether the target of the current attempt still runs; nil if there is none. Only
+	// the goroutine of the request sets it.
+	witness *witness
 	// remote is the stream to the router that serves the request, nil if this one does.
 	remote net.Conn
 	// grace is how much longer than its time limit the request may take here.
@@ -315,6 +315,9 @@
 	if f.link != nil {
 		f.link.Close() //nolint:errcheck // the attempt ends with it
 	}
+	if f.witness != nil {
+		f.witness.close()
+	}
 	f.closeRemote()
 	f.endWait()
 	if c == causeCallerClosed {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -137,6 +137,7 @@
 	// connectHistory holds the latest new connections to targets.
 	connectHistory connectHistory
 	large          *largeBodies
+	unframed       unframedTargets
 	overload       overload
 	throttle       throttle
 	limitSummary   limitSummary
--- a/relay/sequence.go
+++ b/relay/sequence.go
@@ -12,8 +12,9 @@
 	errMissedEvent   = eris.New("target leaves out events after the last one that was passed on")
 )
 
-// minConsecutive is the number of events from which on consecutive IDs count events.
-const minConsecutive = 2
+// minConsecutive is the number of events from which on consecutive IDs count events. IDs that count
+// tokens are consecutive for a while, too, where each event holds one.
+const minConsecutive = 8
 
 // sequence checks that the events of a stream follow each other, over all targets that send parts of
 // it. The IDs of events rise; those that are no numbers are not compared. Most targets count events, so
@@ -27,7 +28,8 @@
 	// events is the number of events with an ID, gaps reports that their IDs were not consecutive.
 	events int
 	gaps   bool
-	// nameless is set once an event with data had no ID: no target can be told from where to go on.
+	// nameless is set while an event with data and without an ID is the last one: no target can be told
+	// from where to go on.
 	nameless bool
 	// resumption is the latest one, until it is taken; resuming is set until its first event.
 	resumption *resumption
@@ -91,7 +93,7 @@
 	}
 	s.set(id)
 	s.events++
-	s.resuming = false
+	s.resuming, s.nameless = false, false
 	return nil
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -203,6 +203,7 @@
 	if end <= s.ready {
 		return nil
 	}
+	f.refreshWitness(s.link)
 	s.events += bytes.Count(s.buffer[s.ready:end], []byte("\n\n"))
 	if err := s.countFiller(s.buffer[s.ready:end]); err != nil {
 		return err
