Responses of engines that are no streams are passed on whole

An operator moved a route of requests that may be repeated from a plain service to one of engines, which respond with JSON and a length.

The response is a stream if it has the type text/event-stream, or no type and a route of streams. Others are passed on like those of plain services: buffered up to 32 KB, repeated if the route allows it, never complete without their end. A stream that is resumed never goes on with such a response, small or large. Responses without a type no longer get one from fasthttp.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"cmp"
 	"io"
 	"strconv"
@@ -17,6 +18,7 @@
 	"zinccove.example/zinccove/notice"
 	"zinccove.example/zinccove/place"
 	"zinccove.example/zinccove/rollout"
+	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/target"
 )
 
@@ -168,7 +170,7 @@
 )
 
 // exchange sends the request and reads the response head, and the complete response unless it
-// is a stream.
+// is a stream or large.
 func (f *flight) exchange(ctx *fasthttp.RequestCtx, lastEvent string) (*response, *target.Failure) {
 	c, fail := f.connect()
 	if fail != nil {
@@ -266,7 +268,7 @@
 		return nil, f.fail(target.Broken, status, errLargeResponse, "read response")
 	}
 	f.openWitness(body, c)
-	if status == fasthttp.StatusOK && f.engine {
+	if f.isStream(&resp.header) {
 		resp.stream = newStream(f, c, resp, body, sent)
 		return resp, nil
 	}
@@ -289,10 +291,29 @@
 	if status < fasthttp.StatusInternalServerError {
 		f.clearContent()
 	}
+	if status == fasthttp.StatusOK && f.engine {
+		f.clearParts()
+	}
 	f.releaseConn(c, resp, body, sent)
 	return resp, nil
 }
 
+var eventStream = []byte("text/event-stream")
+
+// isStream reports whether the response of an engine is a stream of events. A response without a type is
+// one on a route of streams.
+func (f *flight) isStream(h *fasthttp.ResponseHeader) bool {
+	if h.StatusCode() != fasthttp.StatusOK || !f.engine {
+		return false
+	}
+	mediaType := h.ContentType()
+	if len(mediaType) == 0 {
+		return f.route.Kind == route.Stream
+	}
+	mediaType, _, _ = bytes.Cut(mediaType, []byte(";"))
+	return bytes.EqualFold(bytes.TrimSpace(mediaType), eventStream)
+}
+
 // notRunFailure returns the failure for a response which guarantees that the request did not
 // run, and nil for other responses. Status 421 guarantees it without the header: it comes from
 // another incarnation of the target, which the request was not meant for.
@@ -328,6 +349,7 @@
 // readHead reads the head of the response to this request. Late responses to earlier requests
 // on the connection are discarded.
 func (f *flight) readHead(c *link.Conn, resp *response) *target.Failure {
+	resp.header.SetNoDefaultContentType(true)
 	defer f.unfinished.clear()
 	for mismatched, informational := 0, 0; ; {
 		f.unfinished.clear()
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -286,7 +286,7 @@
 // healthPath is the page on which targets report that they run.
 const healthPath = "/health"
 
-// testSpec has a route of each kind; all but /model/ and /resume/ lead to plain.
+// testSpec has a route of each kind; all but /resume/ and those whose names begin with model lead to plain.
 func testSpec() route.Spec {
 	r := func(prefix string, kind route.Kind, service string) *route.Route {
 		return &route.Route{
@@ -304,6 +304,7 @@
 		Customers: []route.Customer{{Name: customerName, Keys: []string{customerKey}}},
 		Routes: []*route.Route{
 			r("/once/", route.Once, "plain"), r("/repeat/", route.Repeatable, "plain"), r("/model/", route.Stream, "model"), resume, public,
+			r("/model-once/", route.Once, "model"), r("/model-repeat/", route.Repeatable, "model"),
 		},
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -274,7 +274,8 @@
 			fail = nextFail
 			continue
 		}
-		if resp.stream == nil {
+		if resp.stream == nil || resp.stream.large {
+			resp.close()
 			fail = f.fail(target.Broken, resp.header.StatusCode(), errOutcomeUnknown, "resume stream")
 			continue
 		}
@@ -288,6 +289,13 @@
 	s.err = fail
 }
 
+// close ends a response of which nothing is passed on.
+func (r *response) close() {
+	if r.stream != nil && r.stream.err == nil {
+		r.stream.disconnect(place.Failed)
+	}
+}
+
 // resumable reports whether another target can be told from where the stream has to go on.
 func (s *stream) resumable() bool { return !s.large && !s.sequence.nameless }
 
