Chunk extensions without end of the store and of target pages are bounded

fasthttp bounds heads, informational responses, bodies and trailers, but it reads the extension of a chunk as long as it comes: a call of the store, of cache events or an order read 265 MB in a second in the test, and a feed would have done so for up to 32 s. Connections of these clients give up once a response exceeds twice the largest body and 64 KB of headers.

--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
 
@@ -24,8 +25,8 @@
 type Limits struct {
 	// Conns is the maximum number of concurrent connections.
 	Conns int
-	// Body is the maximum size of a response body in bytes; 0 means no limit. It does
-	// not apply to streamed responses.
+	// Body is the maximum size of a response body in bytes; 0 means no limit. It also bounds
+	// what frames the body. It does not apply to streamed responses.
 	Body int
 	// Stream makes the client return responses before their bodies are complete.
 	Stream bool
@@ -50,8 +51,14 @@
 		dial = fasthttp.DialTimeout
 	}
 	return &fasthttp.HostClient{
-		Addr:                          addr.String(),
-		Dial:                          func(a string) (net.Conn, error) { return dial(a, dialTimeout) },
+		Addr: addr.String(),
+		Dial: func(a string) (net.Conn, error) {
+			c, err := dial(a, dialTimeout)
+			if err != nil || l.Body == 0 || l.Stream {
+				return c, err
+			}
+			return &limitedConn{Conn: c, limit: framingFactor*l.Body + maxHeaders}, nil
+		},
 		MaxConns:                      l.Conns,
 		MaxResponseBodySize:           l.Body,
 		StreamResponseBody:            l.Stream,
@@ -63,6 +70,41 @@
 	}
 }
 
+const (
+	// framingFactor is the size of a body with its chunks in relation to the body. What frames a chunk is
+	// shorter than one of ten bytes.
+	framingFactor = 2
+	// maxHeaders is the size of the headers and the trailer of a response in bytes.
+	maxHeaders = 64 << 10
+)
+
+// errLargeResponse means that a response, with all that frames it, exceeds the limit.
+var errLargeResponse = eris.New("response exceeds the limit")
+
+// limitedConn bounds the bytes of each response on a connection. fasthttp bounds bodies, but reads
+// extensions of chunks as long as they come.
+type limitedConn struct {
+	net.Conn
+	// read is the number of bytes read since the last write.
+	limit, read int
+}
+
+// Write writes a part of a request; the next response begins after it.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	c.read = 0
+	return c.Conn.Write(p)
+}
+
+// Read returns an error once the response exceeds the limit.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.read > c.limit {
+		return 0, errLargeResponse
+	}
+	n, err := c.Conn.Read(p)
+	c.read += n
+	return n, err
+}
+
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // NotSent reports whether err proves that no byte of the request reached the
