Responses of other routers are bounded in bytes

Fetching the configuration of a router read whatever came within its 1 s into memory, from any process at the address of a router that is gone. A message has 8 MB at most now, as those of followed tables; those between routers of the own protocol 16 MB.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -304,9 +305,13 @@
 	return false
 }
 
+// maxPeerMessage bounds a response of another router in bytes.
+const maxPeerMessage = 16 << 20
+
 // peerClient returns a client for calls to the router at a control address.
 func (d *Daemon) peerClient(addr netip.AddrPort) zinccovev1connect.PeerServiceClient {
-	return zinccovev1connect.NewPeerServiceClient(d.peers, "http://"+addr.String(), control.Authorize("", d.settings.FleetKey))
+	return zinccovev1connect.NewPeerServiceClient(d.peers, "http://"+addr.String(), control.Authorize("", d.settings.FleetKey),
+		connect.WithReadMaxBytes(maxPeerMessage))
 }
 
 func (d *Daemon) fetchConfig(ctx context.Context, addr netip.AddrPort) ([]byte, string, error) {
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
 	"zinccove.example/zinccove/control"
@@ -173,7 +174,8 @@
 
 // fetchConfig fetches the configuration of the router at a control address.
 func (g *Gateway) fetchConfig(ctx context.Context, addr netip.AddrPort) ([]byte, error) {
-	client := zinccovev1connect.NewPeerServiceClient(g.peerClient, "http://"+addr.String(), control.Authorize("", g.settings.FleetKey))
+	client := zinccovev1connect.NewPeerServiceClient(g.peerClient, "http://"+addr.String(), control.Authorize("", g.settings.FleetKey),
+		connect.WithReadMaxBytes(maxTableMessage))
 	resp, err := client.FetchConfig(ctx, new(zinccovev1.FetchConfigRequest))
 	if err != nil {
 		return nil, err
