Failing proof: streams go on at another version at a router that was cut off for a moment

A version joins while one router is cut off from the store and the other routers, kept connections included, or is paused. Streams that began elsewhere are taken up there.

The test router's cut did not reach the connections of a router of the store's routes: gateway.Options.Dial is the seam for that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,7 @@
 	"zinccove.example/zinccove/settings"
 )
 
-// Options configure a gateway. All fields but Reachable are required.
+// Options configure a gateway. All fields but Reachable and Dial are required.
 type Options struct {
 	Settings *settings.Settings
 	Clock    clockwork.Clock
@@ -54,6 +54,9 @@
 	// Reachable reports whether datagrams reach another router. Tests use it to simulate a cut; nil
 	// means that all are sent.
 	Reachable func(netip.AddrPort) bool
+	// Dial connects to the store and to other routers; the default is link.DialTimeout. Tests use it
+	// to simulate a cut.
+	Dial func(addr string, timeout time.Duration) (net.Conn, error)
 }
 
 // Gateway is a running router.
@@ -192,6 +195,10 @@
 		return nil, err
 	}
 	s := o.Settings
+	if o.Dial == nil {
+		o.Dial = link.DialTimeout
+	}
+	dial := func(_ context.Context, _, addr string) (net.Conn, error) { return o.Dial(addr, link.MaxDialTimeout) }
 	l := newLogWriter(o.Out, o.Clock, metrics)
 	g := &Gateway{
 		settings: s, clock: o.Clock, logWriter: l, metrics: metrics,
@@ -200,12 +207,10 @@
 		links:  link.NewPool(link.Options{Clock: o.Clock}), quarantine: quarantine.New(o.Clock),
 		processor: processor.New(processor.Options{Clock: o.Clock, Share: s.Processor}), spares: offload.NewSpares(),
 		collector: collector.New(s.Memory()), rollouts: rollout.New(rollout.Options{Clock: o.Clock, ExposeShare: s.ExposeShare}),
-		peerClient: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle}},
-		streamClient: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: func(_ context.Context, _, addr string) (net.Conn, error) {
-			return link.DialTimeout(addr, link.MaxDialTimeout)
-		}}},
+		peerClient:   &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: dial}},
+		streamClient: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdle, DialContext: dial}},
 		store: platform.New(platform.Options{
-			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: link.DialTimeout,
+			Address: s.PlatformAddress, Clock: o.Clock, Timeout: s.PlatformTimeout, Dial: o.Dial,
 			Budget: platform.Budget{ReadsPerSecond: float64(s.ReadsPerSecond), WritesPerSecond: float64(s.WritesPerSecond)},
 		}),
 	}
--- a/standin/fleet/cut.go
+++ b/standin/fleet/cut.go
@@ -55,6 +55,22 @@
 // CutFrom cuts a test router off from the given addresses only.
 func (r *Router) CutFrom(addrs ...netip.AddrPort) error { return r.cut(addrs) }
 
+// Isolate cuts a router off from the platform and from all other routers, but not from targets. All
+// routers must be test routers.
+func (f *Fleet) Isolate(r *Router) error {
+	blocked := []netip.AddrPort{f.PlatformAddress}
+	for _, other := range f.Running() {
+		if other == r {
+			continue
+		}
+		blocked = append(blocked, other.Peer, other.Control)
+		if err := other.cut([]netip.AddrPort{r.Peer, r.Control}); err != nil {
+			return err
+		}
+	}
+	return r.cut(blocked)
+}
+
 func (r *Router) cut(addrs []netip.AddrPort) error {
 	body, err := json.Marshal(addrs)
 	if err != nil {
--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -46,9 +46,15 @@
 
 // newOneVersion lacks the engines of the new version.
 func newOneVersion(t *testing.T) *twoVersions {
+	t.Helper()
+	return newOneVersionOf(t, fleet.ShippedRouter)
+}
+
+func newOneVersionOf(t *testing.T, program string) *twoVersions {
 	t.Helper()
 	site, err := routesite.New(bin)
 	assert.NilError(t, err)
+	site.RouterProgram = program
 	t.Cleanup(site.Close)
 	site.Settings["retry"] = "ratio = 1" // so that the budget of retries ends few streams
 	s := &twoVersions{Site: site, t: t}
@@ -390,3 +396,75 @@
 	whole, began := s.count(streams)
 	assert.Equal(t, whole, began)
 }
+
+// TestVersionThatJoinsUnnoticedIsNotMixed has engines of a second version start while a router is out
+// of step. Streams begin at the other routers meanwhile and go on at that one.
+func TestVersionThatJoinsUnnoticedIsNotMixed(t *testing.T) {
+	nothing := func(*twoVersions, *fleet.Router) error { return nil }
+	isolate := func(s *twoVersions, r *fleet.Router) error { return s.Isolate(r) }
+	heal := func(s *twoVersions, _ *fleet.Router) error { return s.Heal() }
+	signal := func(sig syscall.Signal) func(*twoVersions, *fleet.Router) error {
+		return func(_ *twoVersions, r *fleet.Router) error { return r.Signal(sig) }
+	}
+	for _, c := range []struct {
+		name string
+		// lose puts the router out of step; regain ends that just before callers go on there.
+		lose, regain func(*twoVersions, *fleet.Router) error
+	}{
+		{"cut off", isolate, nothing},
+		{"cut that heals", isolate, heal},
+		{"paused", signal(syscall.SIGSTOP), signal(syscall.SIGCONT)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newOneVersionOf(t, fleet.TestRouter)
+			time.Sleep(streamLife)
+			r := s.router(0)
+			awaitListRead(t, r)
+			assert.NilError(t, c.lose(s, r))
+			s.addNew()
+			time.Sleep(joinKnown)
+			streams := s.beginAndResume(48, func(i int) *fleet.Router { return s.router(1 + i%5) },
+				func() { assert.NilError(t, c.regain(s, r)) }, func(int) *fleet.Router { return r })
+			assert.NilError(t, s.Heal())
+			var callers sync.WaitGroup
+			for i, st := range streams {
+				if len(st.Versions) > 0 && !st.Whole() {
+					callers.Go(func() { st.Try(s.router(1+i%5).Caller, nil) })
+					time.Sleep(spacing)
+				}
+			}
+			callers.Wait()
+			began := 0
+			for _, st := range streams {
+				if len(st.Versions) > 0 && st.Versions[0] == "v2" {
+					began++
+				}
+			}
+			whole, all := s.count(streams)
+			assert.Assert(t, began >= 4, "%d streams began at the new version", began)
+			assert.Assert(t, whole*4 >= all*3, "%d of %d streams were resumed", whole, all)
+		})
+	}
+}
+
+const (
+	// streamLife is longer than a stream may last, so that a service's only version may be trusted.
+	streamLife = 12 * time.Second
+	// joinKnown is the time in which routers use targets that joined.
+	joinKnown = 400 * time.Millisecond
+	// recently bounds the age of a list that was just read.
+	recently = 0.4
+)
+
+// awaitListRead waits until a router reads the list of targets.
+func awaitListRead(t *testing.T, r *fleet.Router) {
+	t.Helper()
+	for deadline := time.Now().Add(routeWait); ; time.Sleep(10 * time.Millisecond) {
+		values, err := r.MetricValues()
+		assert.NilError(t, err)
+		if age, ok := values["zinccove_targets_age_seconds"]; ok && age < recently {
+			return
+		}
+		assert.Assert(t, time.Now().Before(deadline), "%v", values["zinccove_targets_age_seconds"])
+	}
+}
--- a/standin/testrouter/testrouter.go
+++ b/standin/testrouter/testrouter.go
@@ -1,6 +1,7 @@
 // Package testrouter runs the router daemon with seams for proofs and
 // experiments: a network that can be cut, a host that can be suspended and a choice of
-// policies. Routers of a store's routes have no policies, and a cut concerns only their datagrams.
+// policies. Routers of a store's routes have no policies, and a cut concerns their datagrams and
+// their connections to the store and to other routers, also those that are open.
 //
 // # Usage
 //
@@ -110,7 +111,7 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	var router io.Closer
 	if s.RouteSource == settings.SourceStore {
-		router, err = gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: errOut, Reachable: n.reachable})
+		router, err = gateway.Start(gateway.Options{Settings: s, Clock: clock, Out: errOut, Reachable: n.reachable, Dial: n.dial})
 	} else {
 		router, err = daemon.Start(daemon.Options{
 			Settings: s, Clock: clock, Log: log, Dial: n.dial, Reachable: n.reachable,
