A service's only version is trusted once the store confirms it

Callers saw: streams that went on at another version of their engines' software (ORDER), at a router that was cut off from the others and the store for a moment while the version joined.

Cause: a stream without a record was taken for one of the only version in this router's list if that list was at most 3 s old. The age of a list tells nothing about what joined since.

Change: the only version counts if the store's table has no other since the revision of the list, by a read that begins after the request was received. Without confirmation the router refuses: nothing ran, and the caller goes on elsewhere.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"zinccove.example/zinccove/quarantine"
 	"zinccove.example/zinccove/relay"
 	"zinccove.example/zinccove/request"
+	"zinccove.example/zinccove/revision"
 	"zinccove.example/zinccove/rollout"
 	"zinccove.example/zinccove/route"
 	"zinccove.example/zinccove/settings"
@@ -99,8 +100,10 @@
 	owners  atomic.Pointer[owner.Table]
 	querier *querier
 	origins *origins
-	waits   *waits
-	loop    *loop
+	// confirmer confirms the list of targets for streams whose origin no router knows.
+	confirmer *confirmer
+	waits     *waits
+	loop      *loop
 
 	table atomic.Pointer[activeConfig]
 	// routesConfirmed, targetsConfirmed and routersConfirmed hold when the store last confirmed
@@ -109,7 +112,9 @@
 	targetsConfirmed confirmation
 	routersConfirmed confirmation
 	storeLost        atomic.Bool
-	stopping         atomic.Bool
+	// targetsApplied is the revision up to which the placer knows the table of targets, nil if none.
+	targetsApplied atomic.Pointer[revision.Revision]
+	stopping       atomic.Bool
 	// followers is the number of other routers that follow the store directly. followerRank is the
 	// number of those whose name sorts before the name of this one.
 	followers    atomic.Int64
@@ -220,6 +225,7 @@
 	g.querier = newQuerier(g)
 	g.caches = g.newCaches()
 	g.origins = newOrigins(g)
+	g.confirmer = newConfirmer(g)
 	g.waits = newWaits(g)
 	g.offloadPeers.Store(new([]offload.Router))
 	g.leaders.Store(new([]leader))
@@ -253,7 +259,7 @@
 	g.relay, err = relay.Listen(relay.Options{
 		Address: s.ListenCaller, Clock: g.clock, Log: g.log, RequestLog: g.logWriter.requestLogger(g.log, requestLines(s.Processor)), Metrics: g.metrics, Codec: platform.Codec,
 		View: g.view, Placer: g.placer, Links: g.links, Query: g.querier.query,
-		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find},
+		Origins: relay.Origins{Record: g.origins.record, Find: g.origins.find, Confirm: g.confirmer.confirm},
 		Retries: g.retries, Quarantine: g.quarantine, Rollouts: g.rollouts, OnVersionFailure: g.loop.requestRolloutReport,
 		Processor: g.processor, Offload: g.offload(), Waits: g.relayWaits(),
 		Limits: relay.Limits{
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -49,6 +49,7 @@
 	}
 	l.roster.MarkSynced()
 	l.publishTargets()
+	l.gateway.targetsApplied.Store(&b.Revision)
 }
 
 // decodeTarget returns the target of an entry. One that cannot be decoded is marked unreadable.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -66,6 +66,9 @@
 	return t
 }
 
+// Len returns the number of routers.
+func (t *Table) Len() int { return len(t.all) }
+
 // HasRouter reports whether a data centre has a router. The targets of a data centre without one
 // are owned by routers of any data centre.
 func (t *Table) HasRouter(dataCentre string) bool { return len(t.byDataCentre[dataCentre]) > 0 }
--- a/place/versions.go
+++ b/place/versions.go
@@ -23,6 +23,20 @@
 	}
 }
 
+// KnowsTargets reports whether targets of all the given ids are listed.
+func (p *Placer) KnowsTargets(ids []string) bool {
+	if len(ids) == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]bool, len(p.targets))
+	for _, t := range p.targets {
+		known[t.ID] = true
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return !known[id] })
+}
+
 // departureTTL is how long departed versions are remembered: longer than any stream lasts.
 const departureTTL = 10 * time.Minute
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -350,7 +350,7 @@
 	links := link.NewPool(link.Options{Clock: clock, Dial: dial})
 	s.Server, err = Listen(Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Clock: clock, Log: zerolog.Nop(), RequestLog: zerolog.Nop(), Metrics: metrics, Codec: platform.Codec,
-		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock), Offload: o,
+		View: s.view, Placer: placer, Links: links, Origins: Origins{Record: s.origins.Put, Find: s.origins.Get, Confirm: confirmed}, Retries: request.NewBudget(1, 100), Quarantine: quarantine.New(clock), Offload: o,
 		Processor: processor.New(processor.Options{Clock: clock, Share: 1, Used: s.processorTime}),
 		Limits:    Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 100, WriteTimeout: stallTime, PassWithin: 200 * time.Millisecond, QuietPeriod: 10 * time.Millisecond, StopTimeout: time.Second},
 	})
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -19,6 +19,10 @@
 	Record func(k origin.Key, o origin.Origin, ttl time.Duration)
 	// Find may wait for other routers for some ten milliseconds.
 	Find func(k origin.Key) (o origin.Origin, ok bool)
+	// Confirm reports whether the store's list of the targets of a service had no version but the
+	// given one since this router's list was read, up to a time after the call. It may wait for the
+	// store for some ten milliseconds. It is called only where no origin was found.
+	Confirm func(service, version string) bool
 }
 
 // originMargin is added to the time for which a stream may be resumed, for clocks and queues.
@@ -74,21 +78,31 @@
 const maxListAge = 3 * time.Second
 
 // findOrigin returns where a stream that a caller resumes began, and how that is known; the source
-// is empty if it is not. If there is no record, it is known as long as the route leads to one service,
-// which has had only one version for the lifetime of a stream.
+// is empty if it is not.
 func (f *flight) findOrigin() (o origin.Origin, source string) {
-	s := f.server
+	origins := &f.server.options.Origins
 	if f.call.ResumedID != "" {
-		if o, ok := s.options.Origins.Find(f.originKey(f.call.ResumedID)); ok {
+		if o, ok := origins.Find(f.originKey(f.call.ResumedID)); ok {
 			return o, sourceRecord
 		}
 	}
-	if len(f.route.Splits) > 1 || s.options.View().TargetsAge > maxListAge {
+	version, ok := f.onlyVersion()
+	if !ok || !origins.Confirm(f.service, version) {
 		return origin.Origin{}, ""
 	}
-	version, ok := s.options.Placer.OnlyVersion(f.service, f.streamLifetime())
-	if !ok {
+	// The list may have changed while the store was asked.
+	if current, ok := f.onlyVersion(); !ok || current != version {
 		return origin.Origin{}, ""
 	}
 	return origin.Origin{Service: f.service, Version: version}, sourceOnlyVersion
 }
+
+// onlyVersion returns the version of the service's targets as far as this router knows, if the route
+// leads to one service, which has had only one version for the lifetime of a stream.
+func (f *flight) onlyVersion() (version string, ok bool) {
+	s := f.server
+	if len(f.route.Splits) > 1 || s.options.View().TargetsAge > maxListAge {
+		return "", false
+	}
+	return s.options.Placer.OnlyVersion(f.service, f.streamLifetime())
+}
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -85,7 +85,7 @@
 	placer.SetTargets([]*roster.Target{{ID: "t", Service: "model", Version: "v1", Slots: 1}}, newTable(t, testSpec()))
 	clock.Advance(time.Minute)
 	age := time.Duration(0)
-	s := &Server{options: Options{Placer: placer, View: func() View { return View{TargetsAge: age} }}}
+	s := &Server{options: Options{Placer: placer, Origins: Origins{Confirm: confirmed}, View: func() View { return View{TargetsAge: age} }}}
 	find := func(services ...string) string {
 		r := &route.Route{Timeout: routeTimeout}
 		for _, name := range services {
@@ -101,6 +101,43 @@
 	assert.Equal(t, find("model"), "")
 }
 
+// confirmed stands for a store whose list of targets is the one that the router has.
+func confirmed(string, string) bool { return true }
+
+// TestOnlyVersionIsNotTrustedUnconfirmed has callers resume streams, with and without the name of the
+// attempt that began them, while a version may have joined that the router does not know.
+func TestOnlyVersionIsNotTrustedUnconfirmed(t *testing.T) {
+	s := newServerOfVersions(t, "v1")
+	clock := clockwork.NewFakeClock()
+	s.options.Placer = place.New(place.Options{Clock: clock})
+	s.options.Placer.SetTargets(s.targets, s.table)
+	clock.Advance(time.Minute)
+	joined := *s.targets[1]
+	joined.ID, joined.Version = "late", "v2"
+	for _, c := range []struct {
+		name    string
+		status  int
+		confirm func(service, version string) bool
+	}{
+		{"confirmed", 200, confirmed},
+		{"not confirmed", 503, func(string, string) bool { return false }},
+		{"list changes meanwhile", 503, func(string, string) bool {
+			s.options.Placer.ChangeTargets([]*roster.Target{&joined}, nil, s.table)
+			return true
+		}},
+	} {
+		s.options.Origins.Confirm = c.confirm
+		for _, began := range []string{"", "began before " + c.name} {
+			res := s.resume(t, c.name+began, began)
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.header.StatusCode(), c.status, c.name)
+			if c.status == 503 {
+				assert.Equal(t, res.body, reasonUnknownOrigin+"\n", c.name)
+			}
+		}
+	}
+}
+
 // TestOriginOfStreamIsRecordedBeforeItsFirstEvent has targets whose streams have not brought an
 // event yet.
 func TestOriginOfStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
