Versions that came and went unnoticed are not taken for none

Callers would see: a stream without a record that goes on at another version, after its own came and went while the router was cut off. Found by reading.

Cause: the history of a service's versions took two complete tables, and a batch of changes that names an entry as removed which was never known, as if nothing had happened between them.

Change: both begin the history anew, so that for the lifetime of a stream the only version is not trusted.

gateway TestVersionsMayHaveComeAndGoneUnnoticed failed before (the unknown removal) and passes.

--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -20,6 +20,9 @@
 	if !single {
 		l.gateway.log.Info().Int("entries", len(b.Changes)).Bool("whole", complete).Uint64("era", b.Revision.Era).Uint64("version", b.Revision.Count).Msg("target entries")
 	}
+	if complete && l.tableRead {
+		l.gateway.placer.RestartHistory() // what came and went between the two tables is not known
+	}
 	var entries []roster.Target
 	for _, c := range b.Changes {
 		if c.Removed {
@@ -78,8 +81,12 @@
 		Bool("draining", t.Draining).Uint64("era", t.Revision.Era).Uint64("version", t.Revision.Count).Msg("target entry")
 }
 
-// removeTarget records that an entry was removed.
+// removeTarget records that an entry was removed. One that was not known may have come and gone in
+// a single batch of changes.
 func (l *loop) removeTarget(c platform.Change) {
+	if l.roster.Get(c.Key) == nil {
+		l.gateway.placer.RestartHistory()
+	}
 	departed, left := l.roster.Remove(c.Key, c.Revision, c.Age)
 	l.gateway.log.Info().Str("target", c.Key).Uint64("era", c.Revision.Era).Uint64("version", c.Revision.Count).Bool("gone", left).Msg("target entry removed")
 	if left {
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -172,3 +172,34 @@
 		})
 	}
 }
+
+// TestVersionsMayHaveComeAndGoneUnnoticed covers what a router reads after which it does not know
+// which versions a service had.
+func TestVersionsMayHaveComeAndGoneUnnoticed(t *testing.T) {
+	const lifetime = 7 * time.Second
+	for _, c := range []struct {
+		name     string
+		changes  []platform.Change
+		complete bool
+		want     bool
+	}{
+		{"another target", []platform.Change{entry("b", 2, 0)}, false, true},
+		{"known target removed", []platform.Change{{Key: "a", Removed: true, Revision: revision.Revision{Count: 2}}}, false, true},
+		{"unknown target removed", []platform.Change{{Key: "x", Removed: true, Revision: revision.Revision{Count: 2}}}, false, false},
+		{"complete table", []platform.Change{entry("a", 1, 0), entry("b", 2, 0)}, true, false},
+	} {
+		l, clock := newTargetLoop(t)
+		l.gateway.placer = place.New(place.Options{Clock: clock})
+		only := func() bool {
+			_, ok := l.gateway.placer.OnlyVersion("m", lifetime)
+			return ok
+		}
+		l.applyTargets(platform.Batch{Revision: revision.Revision{Count: 1}, Changes: []platform.Change{entry("a", 1, 0), entry("c", 1, 0)}}, true)
+		clock.Advance(lifetime)
+		assert.Assert(t, only(), c.name)
+		l.applyTargets(platform.Batch{Revision: revision.Revision{Count: 2}, Changes: c.changes}, c.complete)
+		assert.Equal(t, only(), c.want, c.name)
+		clock.Advance(lifetime)
+		assert.Assert(t, only(), c.name)
+	}
+}
--- a/place/versions.go
+++ b/place/versions.go
@@ -23,6 +23,16 @@
 	}
 }
 
+// RestartHistory records that versions may have come and departed since the last list of targets
+// without this router having seen them.
+func (p *Placer) RestartHistory() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.targetsSince.IsZero() {
+		p.targetsSince = p.clock.Now()
+	}
+}
+
 // KnowsTargets reports whether targets of all the given ids are listed.
 func (p *Placer) KnowsTargets(ids []string) bool {
 	if len(ids) == 0 {
