Streams that a left-behind router began go on at no other version

Callers saw: a stream that was begun at a router cut off during a release, at a worker whose entry had gone and which served on, went on elsewhere at the new version (ORDER).

Cause: departed versions counted for the lifetime of a stream only. A router that is cut off does not know of the departure and begins streams there later.

Change: another version's departure counts for 5 minutes longer. A service that had no other version is not affected; what the version's targets and replicas of origins tell still holds.

--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -191,7 +191,7 @@
 		l, clock := newTargetLoop(t)
 		l.gateway.placer = place.New(place.Options{Clock: clock})
 		only := func() bool {
-			_, ok := l.gateway.placer.OnlyVersion("m", lifetime)
+			_, ok := l.gateway.placer.OnlyVersion("m", lifetime, 0)
 			return ok
 		}
 		l.applyTargets(platform.Batch{Revision: revision.Revision{Count: 1}, Changes: []platform.Change{entry("a", 1, 0), entry("c", 1, 0)}}, true)
--- a/place/versions.go
+++ b/place/versions.go
@@ -47,7 +47,8 @@
 	return !slices.ContainsFunc(ids, func(id string) bool { return !known[id] })
 }
 
-// departureTTL is how long departed versions are remembered: longer than any stream lasts.
+// departureTTL is how long departed versions are remembered: longer than any stream lasts, and than
+// targets serve on after they departed.
 const departureTTL = 10 * time.Minute
 
 // recordDeparture records that a target of a version was removed or changed its version.
@@ -57,9 +58,10 @@
 }
 
 // OnlyVersion returns the version of all targets that a service had within a time, however they
-// departed. It is not known if there were several, if no target is left, or if this router does not
-// know the targets for that long.
-func (p *Placer) OnlyVersion(service string, within time.Duration) (version string, ok bool) {
+// departed. Linger is how long targets serve on after they departed, for routers that do not know
+// it. The version is not known if there were several, if no target is left, or if this router does
+// not know the targets for that time.
+func (p *Placer) OnlyVersion(service string, within, linger time.Duration) (version string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -69,7 +71,7 @@
 	}
 	version = s.targets[0].Version
 	for v, at := range s.departedVersions {
-		if v != version && now.Sub(at) < within {
+		if v != version && now.Sub(at) < within+linger {
 			return "", false
 		}
 	}
--- a/place/versions_test.go
+++ b/place/versions_test.go
@@ -105,7 +105,7 @@
 	s := newCopyFixture(t, testCopyRate)
 	only := func(want string) {
 		t.Helper()
-		got, ok := s.OnlyVersion("model", within)
+		got, ok := s.OnlyVersion("model", within, 0)
 		assert.Equal(t, got, want)
 		assert.Equal(t, ok, want != "")
 	}
@@ -131,6 +131,12 @@
 	only("")
 	s.clock.Advance(1)
 	only("v2")
+	const linger = time.Minute
+	_, ok := s.OnlyVersion("model", within, linger)
+	assert.Assert(t, !ok, "another router may use targets that departed")
+	s.clock.Advance(linger)
+	got, ok := s.OnlyVersion("model", within, linger)
+	assert.Assert(t, ok && got == "v2")
 	setVersions(func(int) string { return "" })
 	s.clock.Advance(within)
 	only("")
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -77,6 +77,10 @@
 // maxListAge is the maximum age of the list of targets that shows which versions a service has.
 const maxListAge = 3 * time.Second
 
+// lingerTime is how long a target may serve on after its entry went. A router that is cut off from the
+// store and from the others goes on to begin streams there.
+const lingerTime = 5 * time.Minute
+
 // findOrigin returns where a stream that a caller resumes began, and how that is known; the source
 // is empty if it is not.
 func (f *flight) findOrigin() (o origin.Origin, source string) {
@@ -104,5 +108,5 @@
 	if len(f.route.Splits) > 1 || s.options.View().TargetsAge > maxListAge {
 		return "", false
 	}
-	return s.options.Placer.OnlyVersion(f.service, f.streamLifetime())
+	return s.options.Placer.OnlyVersion(f.service, f.streamLifetime(), lingerTime)
 }
--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -468,3 +468,27 @@
 		assert.Assert(t, time.Now().Before(deadline), "%v", values["zinccove_targets_age_seconds"])
 	}
 }
+
+// TestVersionThatALeftBehindRouterStillUsesIsNotMixed cuts a router off while a second version replaces
+// the first. Targets of the first serve on after their entries went, and that router still uses them.
+func TestVersionThatALeftBehindRouterStillUsesIsNotMixed(t *testing.T) {
+	s := newOneVersionOf(t, fleet.TestRouter)
+	r := s.router(0)
+	assert.NilError(t, s.Isolate(r))
+	s.addNew()
+	for _, w := range s.old {
+		assert.NilError(t, s.RemoveRow(wire.TableTargets, w.Name))
+	}
+	time.Sleep(streamLife)
+	streams := s.beginAndResume(24, func(int) *fleet.Router { return r }, func() {},
+		func(i int) *fleet.Router { return s.router(1 + i%5) })
+	assert.NilError(t, s.Heal())
+	for i, st := range streams {
+		if len(st.Versions) > 0 && !st.Whole() {
+			assert.Equal(t, st.Last().Status, http.StatusServiceUnavailable, "stream %d", i)
+			assert.Assert(t, st.Last().Took < quickly, "refused after %s", st.Last().Took)
+		}
+	}
+	_, began := s.count(streams)
+	assert.Assert(t, began > 0, "no stream began at the router that was left behind")
+}
