Sound parts that were barred with the one that ends engines are tried again

Cause: each of the parts had the same three losses, so all were barred, and nothing could acquit the sound ones any more.

Change: a request may be tried if another barred part, which it does not have, explains the losses of each of its barred parts but those of one moment. Its response clears them. Routers take turns of 2 s (order of the names of all known routers), one trial of a part in each turn, begun in its first second: no datagram or row is needed to agree, and at most two engines end under trials of the guilty part. A cleared part's row is written by the router that tried it.

Weighed: a longer memory of acquitted parts alone; it is lost when all routers start again.

--- a/contact/contact.go
+++ b/contact/contact.go
@@ -195,6 +195,7 @@
 // other routers and suspects. It returns the number of reachable routers.
 func (c *Contact) Publish(own *zinccovev1.RouterStatus) (reachable int) {
 	now := c.options.Clock.Now()
+	c.setTurn()
 	own.Host, own.DataCentre, own.Reachable = c.options.Host, c.options.DataCentre, true
 	all := []*zinccovev1.RouterStatus{own}
 	for _, h := range c.Members.Hosts() {
@@ -212,6 +213,22 @@
 	return reachable
 }
 
+// setTurn sets the place of this router among all that are known and stay. Unreachable ones count, so that
+// the two sides of a cut do not have the same turn.
+func (c *Contact) setTurn() {
+	position, routers := 0, 1
+	for _, h := range c.Members.Hosts() {
+		if h.Leaving {
+			continue
+		}
+		routers++
+		if h.Name < c.options.Host {
+			position++
+		}
+	}
+	c.options.Quarantine.SetTurn(position, routers)
+}
+
 // Statuses returns the statuses that were published last.
 func (c *Contact) Statuses() []*zinccovev1.RouterStatus {
 	if p := c.published.Load(); p != nil {
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -50,8 +50,13 @@
 
 	fingerprint *Fingerprint
 	attributes  []Attribute
+	// tried reports that the request is a trial of parts that are barred.
+	tried bool
 }
 
+// Trial reports whether the request may reach a target only to try parts that are barred.
+func (c *Content) Trial() bool { return c.tried }
+
 // maxParts bounds the parts of one prompt that are considered.
 const maxParts = 32
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,6 +19,10 @@
 // enough losses; for a part, losses only count of targets that do not run any more, while the response was
 // about to begin, and those that come together count once.
 //
+// Nobody may have sent the sound parts of a prompt lately; they are barred together with the one that ends
+// targets. So a request with some of the parts that were barred together, but not all, may be tried, in the
+// whole fleet by one router at a time.
+//
 // A List does no input or output; a Persister stores the barred attributes in the platform's
 // table.
 //
@@ -31,6 +35,7 @@
 //	l.RecordResponse(content)                                 // the complete response was received
 //	heartbeat := l.NextHeartbeat()                            // for other routers, with each heartbeat
 //	barred := l.Merge(suspects)                               // received from another router
+//	l.SetTurn(2, 9)                                           // this router is the third of nine
 //	<-l.Changed()                                             // a request was barred, notify others at once
 //
 //	p := quarantine.Persister{List: l, Table: client.Table(), Clock: clock, Log: log, Metrics: m}
@@ -82,6 +87,8 @@
 	// contents and parts are those with a response here lately.
 	contents recentSet[uint64]
 	parts    recentSet[Fingerprint]
+	// position and routers are the place of this router among those that take turns with trials.
+	position, routers int
 }
 
 // New returns an empty list.
@@ -115,12 +122,16 @@
 		}
 		l.markCleared(s, now)
 	}
-	for i := range parts {
-		if l.suspects[parts[i].Fingerprint].barsAt(customer, now) {
-			return &parts[i]
+	var barred []Attribute
+	for _, a := range parts {
+		if l.suspects[a.Fingerprint].barsAt(customer, now) {
+			barred = append(barred, a)
 		}
 	}
-	return nil
+	if len(barred) == 0 || l.mayTry(c, barred, now) {
+		return nil
+	}
+	return &barred[0]
 }
 
 // RecordLoss records that the connection to a target broke while the request may have run there, and that
@@ -149,6 +160,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	c.tried = false
 	loss := Loss{Target: target, Customer: HashCustomer(c.Customer), Partial: p != NotBegun, At: now}
 	if !l.contents.contains(local, now) && l.recordLoss(f, false, loss) {
 		barred = append(barred, Attribute{Fingerprint: f})
@@ -305,7 +317,7 @@
 	if !s.answered {
 		l.known.Add(-1)
 	}
-	if s.recordedHere && s.barred() {
+	if (s.recordedHere || !s.tried.IsZero()) && s.barred() {
 		l.persist(s, true)
 	}
 	s.answered, s.losses, s.changed, s.announcements, s.recordedHere = true, nil, now, announceCount, false
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -75,6 +75,8 @@
 	answered bool
 	// recordedHere reports that this router recorded one of the losses.
 	recordedHere bool
+	// tried is when this router last let a request with it reach a target for a trial.
+	tried time.Time
 	// announcements is the number of heartbeats that still have to announce it.
 	announcements int
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -39,6 +39,9 @@
 func (f *flight) refuseBarred() *refusal {
 	f.barred = f.server.options.Quarantine.Barred(f.requestContent())
 	if f.barred == nil {
+		if f.content.Trial() {
+			f.server.requestEvent(f.server.options.Log.Info(), f).Strs("parts", f.content.Parts).Msg("trial of parts that are barred")
+		}
 		return nil
 	}
 	f.server.options.Metrics.Inc(metric.RequestsBarred)
