First losses of a content are sent at once, and a retry waits for those of other routers

Cause: one router's loss is below the bar, and was told with the next heartbeat, up to 100 ms later; the retry leaves within 0.1 ms. For prompts the loss of the content was moreover recorded only after the probe of 25 ms.

Change: a content's loss is recorded before the probe (RecordBreak, then RecordEnd for the parts); the first loss of a content without a response is sent at once, at most every 50 ms, and not in fleets that exchange reports; a retry waits for the 25 ms that the probe takes elsewhere.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,13 +30,14 @@
 //
 //	l := quarantine.New(clock)
 //	if a := l.Barred(content); a != nil { ... }               // before each attempt
-//	barred := l.RecordLoss(content, target, quarantine.Begun) // the target ended; see also RecordBreak
+//	barred := l.RecordBreak(content, target, quarantine.Begun) // the connection to the target broke
+//	barred = l.RecordEnd(content, target, quarantine.Begun)   // and the target does not run any more
 //	l.RecordWritten(content)                                  // a response was written for a while
 //	l.RecordResponse(content)                                 // the complete response was received
 //	heartbeat := l.NextHeartbeat()                            // for other routers, with each heartbeat
 //	barred := l.Merge(suspects)                               // received from another router
 //	l.SetTurn(2, 9)                                           // this router is the third of nine
-//	<-l.Changed()                                             // a request was barred, notify others at once
+//	<-l.Changed()                                             // notify others at once
 //
 //	p := quarantine.Persister{List: l, Table: client.Table(), Clock: clock, Log: log, Metrics: m}
 //	err := p.Run(ctx)
@@ -62,6 +63,9 @@
 	// maxSuspects the suspects.
 	maxAnswered = 4096
 	maxSuspects = 4096
+	// noticeInterval is the least time between two notices at once of contents that are not barred. There are
+	// none in large fleets, where each would go to all routers.
+	noticeInterval = 50 * time.Millisecond
 	// maxUnsaved bounds the barred attributes that wait to be written.
 	maxUnsaved = 64
 )
@@ -89,6 +93,8 @@
 	parts    recentSet[Fingerprint]
 	// position and routers are the place of this router among those that take turns with trials.
 	position, routers int
+	// noticed is when other routers were last notified at once of a content that is not barred.
+	noticed time.Time
 }
 
 // New returns an empty list.
@@ -103,7 +109,8 @@
 // any reports whether there are suspects; while there are none, no fingerprint is needed.
 func (l *List) any() bool { return l.known.Load() > 0 }
 
-// Changed receives a value when an attribute was barred to which this router reported a loss.
+// Changed receives a value when an attribute was barred to which this router reported a loss, or a content
+// has a first one.
 func (l *List) Changed() <-chan struct{} { return l.changed }
 
 // Barred returns the attribute because of which a request must not reach any target, or nil. A
@@ -134,48 +141,64 @@
 	return &barred[0]
 }
 
-// RecordLoss records that the connection to a target broke while the request may have run there, and that
-// the target does not seem to run any more. It returns the attributes that are barred by this loss.
+// RecordLoss is RecordBreak and, after that, RecordEnd.
 func (l *List) RecordLoss(c *Content, target IncarnationHash, p Progress) (barred []Attribute) {
-	return l.record(c, target, p, p != Advanced)
+	return append(l.RecordBreak(c, target, p), l.RecordEnd(c, target, p)...)
 }
 
-// RecordBreak is RecordLoss for a target that still runs: it counts against the content only, as targets
-// also break connections to many different requests that share parts.
+// RecordBreak records that the connection to a target broke while the request may have run there. It counts
+// against the content only, as targets also break connections to many different requests that share parts.
+// It returns the content if that is barred by this loss.
 func (l *List) RecordBreak(c *Content, target IncarnationHash, p Progress) (barred []Attribute) {
-	return l.record(c, target, p, false)
-}
-
-// ConsidersParts reports whether a loss would count against a part of the request.
-func (l *List) ConsidersParts(c *Content) bool {
-	parts := c.parts()
+	f, local := c.Fingerprint(), c.localHash(l.seed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Now()
-	return slices.ContainsFunc(parts, func(a Attribute) bool { return !l.parts.contains(a.Fingerprint, now) })
+	loss := l.newLoss(c, target, p)
+	c.tried = false
+	if l.contents.contains(local, loss.At) {
+		return nil
+	}
+	if l.recordLoss(f, false, loss) {
+		return []Attribute{{Fingerprint: f}}
+	}
+	if !loss.Partial && !l.forwards && loss.At.Sub(l.noticed) >= noticeInterval {
+		l.noticed = loss.At
+		l.notify()
+	}
+	return nil
 }
 
-func (l *List) record(c *Content, target IncarnationHash, p Progress, withParts bool) (barred []Attribute) {
-	f, local, parts := c.Fingerprint(), c.localHash(l.seed), c.parts()
+// RecordEnd records that a target does not seem to run any more to which the connection broke while the request
+// may have run there. It counts against the parts. It returns those that are barred by this loss.
+func (l *List) RecordEnd(c *Content, target IncarnationHash, p Progress) (barred []Attribute) {
+	if p == Advanced {
+		return nil
+	}
+	parts := c.parts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Now()
-	c.tried = false
-	loss := Loss{Target: target, Customer: HashCustomer(c.Customer), Partial: p != NotBegun, At: now}
-	if !l.contents.contains(local, now) && l.recordLoss(f, false, loss) {
-		barred = append(barred, Attribute{Fingerprint: f})
-	}
-	if !withParts {
-		return barred
-	}
+	loss := l.newLoss(c, target, p)
 	for _, a := range parts {
-		if !l.parts.contains(a.Fingerprint, now) && l.recordLoss(a.Fingerprint, true, loss) {
+		if !l.parts.contains(a.Fingerprint, loss.At) && l.recordLoss(a.Fingerprint, true, loss) {
 			barred = append(barred, a)
 		}
 	}
 	return barred
 }
 
+func (l *List) newLoss(c *Content, target IncarnationHash, p Progress) Loss {
+	return Loss{Target: target, Customer: HashCustomer(c.Customer), Partial: p != NotBegun, At: l.clock.Now()}
+}
+
+// ConsidersParts reports whether a loss would count against a part of the request.
+func (l *List) ConsidersParts(c *Content) bool {
+	parts := c.parts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	return slices.ContainsFunc(parts, func(a Attribute) bool { return !l.parts.contains(a.Fingerprint, now) })
+}
+
 // recordLoss records a loss of this router and reports whether the attribute is barred by it.
 func (l *List) recordLoss(f Fingerprint, part bool, loss Loss) (barred bool) {
 	_, barred = l.addLosses(f, part, []Loss{loss}, loss.At)
@@ -192,11 +215,16 @@
 
 // notifyBarred has an attribute that was barred here sent to other routers at once, and written.
 func (l *List) notifyBarred(s *suspect) {
+	l.notify()
+	l.persist(s, false)
+}
+
+// notify has suspects sent to other routers at once.
+func (l *List) notify() {
 	select {
 	case l.changed <- struct{}{}:
 	default:
 	}
-	l.persist(s, false)
 }
 
 // persist has an attribute written as barred or as cleared. If too many wait to be written, only
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// TestFirstLossOfAContentIsSentAtOnce has the same request end a target of each router at one moment, and other
+// requests that lost a connection at the same time.
+func TestFirstLossOfAContentIsSentAtOnce(t *testing.T) {
+	lists, clock := newLists(5)
+	f := contentOf("ends")
+	for i, l := range lists {
+		loses(l, f, IncarnationHash(i))
+		<-l.Changed()
+		for n := range 100 {
+			loses(l, contentOf(fmt.Sprint("other", n)), IncarnationHash(i))
+		}
+		assert.Equal(t, len(l.Changed()), 0, "few notices, however many losses")
+	}
+	exchangeHeartbeats(lists...)
+	for _, l := range lists {
+		assert.Assert(t, bars(l, f))
+	}
+	clock.Advance(noticeInterval)
+	loses(lists[0], contentOf("later"), 9)
+	<-lists[0].Changed()
+}
+
 // TestStartingRouterReceivesBarredRequests has the router that recorded the losses fail before
 // another one starts.
 func TestStartingRouterReceivesBarredRequests(t *testing.T) {
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -62,7 +62,7 @@
 	return quarantine.NotBegun
 }
 
-// lossProbe is the delay after which a target is probed that broke a connection.
+// lossProbe is the delay after which a target is probed that broke a connection, or the request is repeated.
 const lossProbe = 25 * time.Millisecond
 
 // probe checks whether the target of the current attempt runs; see link.Pool.Probe.
@@ -77,13 +77,22 @@
 		return
 	}
 	list, content, progress := f.server.options.Quarantine, f.requestContent(), f.progress(partial)
-	record := list.RecordLoss
-	if progress != quarantine.Advanced && list.ConsidersParts(content) {
-		if f.targetRuns = f.probe() == nil; f.targetRuns {
-			record = list.RecordBreak
+	t := quarantine.IncarnationHash(place.HashOf(f.run.Incarnation()))
+	f.logBarred(list.RecordBreak(content, t, progress)) // before the probe: others are notified at once
+	switch {
+	case progress == quarantine.Advanced:
+	case list.ConsidersParts(content):
+		if f.targetRuns = f.probe() == nil; !f.targetRuns {
+			f.logBarred(list.RecordEnd(content, t, progress))
 		}
+	case f.route.Retryable():
+		// The same request may have ended targets of other routers at this moment.
+		f.server.options.Clock.Sleep(min(f.left(), lossProbe))
 	}
-	for _, a := range record(content, quarantine.IncarnationHash(place.HashOf(f.run.Incarnation())), progress) {
+}
+
+func (f *flight) logBarred(barred []quarantine.Attribute) {
+	for _, a := range barred {
 		withAttribute(f.server.requestEvent(f.server.options.Log.Warn(), f), &a).Str("target", f.run.Target.ID).
 			Msg("request barred: targets ended while they ran it")
 	}
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -61,6 +61,37 @@
 	}
 }
 
+// TestRetryWaitsForOtherLossesOfTheSameRequest has two requests for the same content end their targets, one
+// somewhat later, while others are free.
+func TestRetryWaitsForOtherLossesOfTheSameRequest(t *testing.T) {
+	var arrivals, ended atomic.Int32
+	both := make(chan struct{})
+	var targets []*fakeTarget
+	for i := range 6 {
+		targets = append(targets, newTarget(t, fmt.Sprint("t", i), func(a *arrival, c net.Conn) bool {
+			n := arrivals.Add(1)
+			if n == 2 {
+				close(both)
+			}
+			<-both
+			if n == 2 {
+				time.Sleep(lossProbe / 3)
+			}
+			ended.Add(1)
+			return false
+		}))
+	}
+	s := newTestServer(t, targets...)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.do(t, "POST", "/repeat/", "r1", "ends")
+	}()
+	s.do(t, "POST", "/repeat/", "r2", "ends")
+	<-done
+	assert.Equal(t, ended.Load(), int32(2))
+}
+
 // promptHeader returns the header with the parts of a prompt; the last one belongs to the request.
 func promptHeader(parts ...string) string {
 	return "Prompt-Prefix: " + strings.Join(parts, ":10,") + ":10"
