Requests that were barred while they waited or were placed are refused

A request was checked before it was placed only: one that waited for a place, or for replies of owners, while the same request ended targets elsewhere reached a target as soon as it had a place.

Checked again when there is a place; the run ends as not sent, 503 ends_targets. A trial is logged there, too.

TestWaitingRequestIsRefusedOnceItIsBarred: 200 before, 503 and nothing sent now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,6 +52,9 @@
 		}
 		return nil, nil, &refusal{status: status, reason: string(d.Reason), retryAfter: d.RetryAfter}
 	}
+	if r := f.refuseBarredSince(d.Run); r != nil {
+		return nil, nil, r
+	}
 	s.options.Metrics.Inc(metric.Attempts)
 	if len(f.tried) > 0 {
 		s.options.Metrics.Inc(metric.Retries)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -39,9 +39,6 @@
 func (f *flight) refuseBarred() *refusal {
 	f.barred = f.server.options.Quarantine.Barred(f.requestContent())
 	if f.barred == nil {
-		if f.content.Trial() {
-			f.server.requestEvent(f.server.options.Log.Info(), f).Strs("parts", f.content.Parts).Msg("trial of parts that are barred")
-		}
 		return nil
 	}
 	f.server.options.Metrics.Inc(metric.RequestsBarred)
@@ -51,6 +48,19 @@
 	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonEndsTargets}
 }
 
+// refuseBarredSince refuses a request that was barred while it was placed or waited, and ends its run.
+func (f *flight) refuseBarredSince(r *place.Run) *refusal {
+	refused := f.refuseBarred()
+	if refused != nil {
+		r.End(place.NotSent)
+		return refused
+	}
+	if f.content.Trial() {
+		f.server.requestEvent(f.server.options.Log.Info(), f).Strs("parts", f.content.Parts).Str("target", r.Target.ID).Msg("trial of parts that are barred")
+	}
+	return nil
+}
+
 // progress returns how far the target of the current attempt was with its response.
 func (f *flight) progress(partial bool) quarantine.Progress {
 	switch {
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"zinccove.example/zinccove/quarantine"
 )
 
 // newCrashingTarget returns a target that responds to all requests except those with a given
@@ -92,6 +94,24 @@
 	assert.Equal(t, ended.Load(), int32(2))
 }
 
+// TestWaitingRequestIsRefusedOnceItIsBarred has targets end under the same request elsewhere while it waits for a
+// place.
+func TestWaitingRequestIsRefusedOnceItIsBarred(t *testing.T) {
+	target := newTarget(t, "a", streamed)
+	s := newWaitServer(t, target)
+	c := s.waitFor(t)
+	content := &quarantine.Content{Customer: customerName, Method: []byte("POST"), Host: []byte("h"), URI: []byte("/model/"), Body: []byte("b")}
+	for n := range quarantine.IncarnationHash(2) {
+		s.options.Quarantine.RecordLoss(content, n, quarantine.NotBegun)
+	}
+	s.drainTargets()
+	s.grant(0)
+	res := c.read()
+	assert.Equal(t, res.header.StatusCode(), 503)
+	assert.Equal(t, res.body, reasonEndsTargets+"\n")
+	assert.Equal(t, len(target.received()), 0)
+}
+
 // promptHeader returns the header with the parts of a prompt; the last one belongs to the request.
 func promptHeader(parts ...string) string {
 	return "Prompt-Prefix: " + strings.Join(parts, ":10,") + ":10"
