Stand-ins tell the disorders of a stream apart, and break streams in more ways

Callers of the stand-in only knew that an event does not follow the one before it. They now tell lost, repeated and joined events and early ends that look complete, also of a response that ends properly inside an event, which counted as a broken connection before. Callers can keep connections; bytes after a response count as joined.

Targets send streams with a length (--length-every) or each event in two parts (--halves), and cut responses of every framing between or inside events, in good order or by a reset (modes cut, reset). fleet.LinesAbout returns the lines of all lives of the routers about a request.

--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -35,6 +35,8 @@
 	DropRequest Mode = "drop-request"
 	// Cut closes the connection in the middle of the answer.
 	Cut Mode = "cut"
+	// Reset is Cut, but resets the connection.
+	Reset Mode = "reset"
 	// Truncate ends the answer early but properly, without its end mark.
 	Truncate Mode = "truncate"
 	// Cross answers with the identity of another request.
@@ -58,6 +60,8 @@
 	Delay time.Duration `json:"delay,omitempty"`
 	// After is the number of parts of the answer that go out first.
 	After int `json:"after,omitempty"`
+	// Inside has the answer end inside the part that follows.
+	Inside bool `json:"inside,omitempty"`
 }
 
 // Switches is the set of faults in force. The zero value has none.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -224,6 +224,8 @@
 	faults netip.AddrPort
 	seeds  []netip.AddrPort
 	fleet  *Fleet
+	// lives are all processes of the router, the present one last.
+	lives []*Process
 }
 
 // StartRouter starts a router on free ports and puts it into the platform's
@@ -255,6 +257,7 @@
 		return err
 	}
 	r.Process = p
+	r.lives = append(r.lives, p)
 	if r.fleet.RouterProgram == TestRouter {
 		if err := r.awaitFaults(); err != nil {
 			return err
@@ -390,3 +393,18 @@
 
 // Forget drops the history of the platform's store.
 func (f *Fleet) Forget() error { return put(f.PlatformAddress, "/forget", nil) }
+
+// LinesAbout returns the lines of the routers' logs, also of those that ended, that contain a text.
+func (f *Fleet) LinesAbout(text string) string {
+	var b strings.Builder
+	for _, r := range f.Routers {
+		for _, p := range r.lives {
+			for line := range strings.Lines(p.Output()) {
+				if strings.Contains(line, text) {
+					b.WriteString(line)
+				}
+			}
+		}
+	}
+	return b.String()
+}
--- a/standin/routesite/routesite.go
+++ b/standin/routesite/routesite.go
@@ -45,6 +45,11 @@
 	return strings.HasPrefix(path, "/record/") || strings.HasPrefix(path, "/draft/")
 }
 
+// Streaming reports whether requests of a path get streams.
+func Streaming(path string) bool {
+	return strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/gloss/")
+}
+
 const (
 	host = "archive.example"
 	// Customer is the customer of all keys.
@@ -223,7 +228,7 @@
 	if !a.Complete() {
 		return false
 	}
-	if !strings.HasPrefix(path, "/draft/") && !strings.HasPrefix(path, "/gloss/") {
+	if !Streaming(path) {
 		return strings.HasSuffix(a.Body, path+" "+a.ID)
 	}
 	first, _, _ := strings.Cut(a.Body, "\n\n")
--- a/standin/routesite/routesite_test.go
+++ b/standin/routesite/routesite_test.go
@@ -1,6 +1,8 @@
 package routesite
 
 import (
+	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -25,3 +27,31 @@
 		assert.Equal(t, a.Whole("/gloss/"), want, "%q", body)
 	}
 }
+
+// TestDisordersAreToldApart has one body for each.
+func TestDisordersAreToldApart(t *testing.T) {
+	parts := make([]string, events)
+	for n := range parts {
+		parts[n] = worker.Event("r", "v1", n+1)
+	}
+	body := func(change func([]string) []string) string { return strings.Join(change(slices.Clone(parts)), "") }
+	for _, c := range []struct {
+		want Disorder
+		body string
+	}{
+		{InOrder, body(slices.Clip)},
+		{Lost, body(func(p []string) []string { return slices.Delete(p, 3, 4) })},
+		{Repeated, body(func(p []string) []string { return slices.Insert(p, 3, p[2]) })},
+		{Joined, body(func(p []string) []string { p[3] = worker.Event("r", "v2", 4); return p })},
+		{Joined, body(func(p []string) []string { p[3] = worker.Event("q", "v1", 4); return p })},
+		{Joined, body(func(p []string) []string { p[3] = p[3][:9] + p[3]; return p })},
+		{EarlyEnd, body(func(p []string) []string { return p[:events-1] })},
+		{EarlyEnd, body(func(p []string) []string { return p[:0] })},
+		{EarlyEnd, body(func(p []string) []string { p[events-1] = p[events-1][:9]; return p })},
+	} {
+		a := &Answer{ID: "r", Status: 200, Body: c.body}
+		assert.Equal(t, a.Disorder(), c.want, "%q", c.body)
+		a.Err = io.ErrUnexpectedEOF
+		assert.Equal(t, a.Disorder(), InOrder)
+	}
+}
--- a/standin/routesite/stream.go
+++ b/standin/routesite/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -22,6 +21,11 @@
 	Tries []Try
 	// Problem is an event that does not follow the one before it; empty if there is none.
 	Problem string
+	// disorder is that of the problem.
+	disorder Disorder
+
+	// Kept are connections for the attempts; nil has each open its own.
+	Kept *Kept
 
 	site *Site
 	key  string
@@ -65,11 +69,11 @@
 }
 
 func (s *Stream) try(t *Try, leave func(int) bool) error {
-	c, err := net.DialTimeout("tcp", t.Router.String(), time.Second)
+	c, err := s.Kept.take(t.Router)
 	if err != nil {
 		return err
 	}
-	defer c.Close() //nolint:errcheck // the events are known
+	defer func() { c.Close() }() //nolint:errcheck // the events are known
 	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
@@ -85,7 +89,7 @@
 	if err := req.Write(c); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	resp, err := http.ReadResponse(c.reader, req)
 	if err != nil {
 		return err
 	}
@@ -94,7 +98,15 @@
 	if t.Status != http.StatusOK {
 		return nil
 	}
-	return s.read(t.ID, bufio.NewReader(resp.Body), leave)
+	err = s.read(t.ID, bufio.NewReader(resp.Body), leave)
+	if err == nil && !resp.Close && s.Kept != nil {
+		if c.reader.Buffered() > 0 {
+			s.note(Joined, t.ID+": bytes follow the response")
+		}
+		s.Kept.keep(t.Router, c)
+		c = new(keptConn) // stays open
+	}
+	return err
 }
 
 // read reads events until the end of the response.
@@ -106,6 +118,9 @@
 			if err == io.EOF && line == "" && i == 0 {
 				return nil
 			}
+			if err == io.EOF {
+				s.note(EarlyEnd, fmt.Sprintf("%s: response ends inside event %d", id, len(s.Versions)+1))
+			}
 			if err != nil {
 				return err
 			}
@@ -121,10 +136,12 @@
 // take records an event.
 func (s *Stream) take(id, number, data string) {
 	n := len(s.Versions) + 1
-	want := fmt.Sprint("id: ", n)
-	text, version, ok := strings.Cut(data, fmt.Sprintf("%s %d ", id, n))
-	if number != want || text != "data: " || !ok {
-		s.Problem = fmt.Sprintf("%s: event %q %q, want %q of that request", id, number, data, want)
+	version, d := compareEvent(id, n, number, data)
+	if d == InOrder && n > 1 && version != s.Versions[0] {
+		d = Joined
+	}
+	if d != InOrder {
+		s.note(d, fmt.Sprintf("%s: event %q %q, want event %d of that request", id, number, data, n))
 	}
 	if s.began == "" {
 		s.began = id
@@ -132,6 +149,21 @@
 	s.Versions = append(s.Versions, version)
 }
 
+// note records the first problem.
+func (s *Stream) note(d Disorder, problem string) {
+	if s.Problem == "" {
+		s.disorder, s.Problem = d, problem
+	}
+}
+
+// Disorder returns how the events received so far are out of order.
+func (s *Stream) Disorder() Disorder {
+	if s.disorder == InOrder && s.Last().Complete() && len(s.Versions) < events {
+		return EarlyEnd
+	}
+	return s.disorder
+}
+
 // Mixed reports whether more than one version wrote the events.
 func (s *Stream) Mixed() bool {
 	for _, v := range s.Versions {
--- a/standin/run/run.go
+++ b/standin/run/run.go
@@ -78,6 +78,8 @@
 	Version    string        `long:"version" default:"v1" description:"version of its software"`
 	FailEvery  int           `long:"fail-every" description:"every so many requests run and fail with status 500; 0 for none"`
 	Unframed   int           `long:"unframed-every" description:"every so many responses come with neither length nor chunks; 0 for none"`
+	Length     int           `long:"length-every" description:"every so many streams come with a length; 0 for none"`
+	Halves     bool          `long:"halves" description:"send each event of a stream in two parts"`
 	CutEvery   int           `long:"cut-every" description:"every so many streams end inside an event; 0 for none"`
 	DrainTime  time.Duration `long:"drain-time" default:"0s" description:"time between announcing the end and the end"`
 }
@@ -95,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, CutEvery: c.CutEvery, DataCentre: c.DataCentre, Slots: c.Slots,
+	w := worker.New(worker.Options{ID: c.ID, Service: c.Service, Version: c.Version, FailEvery: c.FailEvery, UnframedEvery: c.Unframed, LengthEvery: c.Length, Halves: c.Halves, CutEvery: c.CutEvery, DataCentre: c.DataCentre, Slots: c.Slots,
 		Events: c.Events, EventTime: c.EventTime, CallTime: c.CallTime, End: func(cause string) {
 			fmt.Println(EndedBy + cause)
 			os.Exit(exitEnded)
--- a/standin/worker/raw.go
+++ b/standin/worker/raw.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -85,12 +85,12 @@
 	ctx.Hijack(func(c net.Conn) { write(c) })
 }
 
-// respondUnframed responds with neither length nor chunks. The end of the connection ends the body.
-func (w *Worker) respondUnframed(ctx *fasthttp.RequestCtx, id string, s *stream) {
+// respondUntilClose responds with further header lines and closes the connection, which ends the body if
+// these give no length.
+func (w *Worker) respondUntilClose(ctx *fasthttp.RequestCtx, id, lines string, s *stream) {
 	plain := fmt.Appendf(nil, "%s %s %s", ctx.Method(), ctx.RequestURI(), id)
-	lines := ""
 	if len(ctx.Response.Header.Peek(headerLeaving)) > 0 {
-		lines = headerLeaving + ": 1\r\n"
+		lines += headerLeaving + ": 1\r\n"
 	}
 	respondRaw(ctx, func(c net.Conn) {
 		var b bytes.Buffer
@@ -102,9 +102,8 @@
 			return
 		}
 		_, err := b.WriteTo(c)
-		for ; err == nil && s.next <= w.options.Events; s.next++ {
-			time.Sleep(w.options.EventTime)
-			_, err = c.Write([]byte(Event(id, w.options.Version, s.next)))
+		if err == nil {
+			_, err = io.Copy(c, s)
 		}
 		s.done = err == nil
 		s.Close() //nolint:errcheck // returns none
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -28,6 +28,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -71,6 +72,10 @@
 	CallTime time.Duration
 	// UnframedEvery has every so many responses come with neither length nor chunks; 0 has none.
 	UnframedEvery int
+	// LengthEvery has every so many streams come with a length, unless they are unframed; 0 has none.
+	LengthEvery int
+	// Halves has each event of a stream sent in two parts.
+	Halves bool
 	// CutEvery has every so many streams end inside an event, but none that goes on from a copy; 0 has
 	// none.
 	CutEvery int
@@ -212,9 +217,9 @@
 		w.end(id, true)
 		return
 	}
-	unframed := w.options.UnframedEvery > 0 && n%w.options.UnframedEvery == 0 && f.Mode == ""
+	unframed := w.options.UnframedEvery > 0 && n%w.options.UnframedEvery == 0
 	if w.options.Events == 0 && unframed {
-		w.respondUnframed(ctx, id, nil)
+		w.respondUntilClose(ctx, id, "", nil)
 		return
 	}
 	if w.options.Events == 0 {
@@ -225,26 +230,22 @@
 	if w.options.CutEvery > 0 && n%w.options.CutEvery == 0 {
 		f = fault.Fault{Mode: fault.Cut, After: w.options.Events / 2}
 	}
-	w.serveStream(ctx, id, f, unframed)
-}
-
-// serveStream answers with the events after the one that the caller has.
-func (w *Worker) serveStream(ctx *fasthttp.RequestCtx, id string, f fault.Fault, unframed bool) {
 	s := w.streamFrom(ctx, id)
-	if f.Mode == fault.Cut {
-		s.cutAfter = max(f.After, 1)
-	}
-	if unframed {
-		w.respondUnframed(ctx, id, s)
-		return
+	s.cutBy(f, unframed)
+	switch {
+	case unframed:
+		w.respondUntilClose(ctx, id, "", s)
+	case w.options.LengthEvery > 0 && n%w.options.LengthEvery == 0:
+		w.respondUntilClose(ctx, id, fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", s.size()), s)
+	default:
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStream(s, -1)
 	}
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStream(s, -1)
 }
 
 // streamFrom returns the stream of a run after the last event that the request names.
 func (w *Worker) streamFrom(ctx *fasthttp.RequestCtx, id string) *stream {
-	s := &stream{worker: w, id: id, next: 1, backup: string(ctx.Request.Header.Peek(headerBackup))}
+	s := &stream{worker: w, conn: ctx.Conn(), id: id, next: 1, backup: string(ctx.Request.Header.Peek(headerBackup))}
 	if last := ctx.Request.Header.Peek(headerLast); len(last) > 0 {
 		if n, err := fasthttp.ParseUint(last); err == nil {
 			s.next = n + 1
@@ -305,10 +306,15 @@
 
 // stream makes the events of one run as they are read.
 type stream struct {
-	worker   *Worker
-	id       string
-	next     int
+	worker *Worker
+	conn   net.Conn
+	id     string
+	next   int
+	// cutAfter is the last event before the stream is cut, 0 if it is not; inside has it cut inside the
+	// next one, reset has its connection reset.
 	cutAfter int
+	inside   bool
+	reset    bool
 	rest     []byte
 	done     bool
 	// backup is the address of the worker that holds the state of the run; empty if none does.
@@ -324,17 +330,53 @@
 			return 0, io.EOF
 		}
 		if s.cutAfter > 0 && s.next > s.cutAfter {
-			return 0, io.ErrUnexpectedEOF
+			return s.cut(p)
 		}
 		time.Sleep(o.EventTime)
 		s.rest = []byte(Event(s.id, o.Version, s.next))
 		s.next++
 	}
 	n := copy(p, s.rest)
+	if s.worker.options.Halves && len(s.rest) > 1 && s.rest[0] == 'i' {
+		n = copy(p, s.rest[:len(s.rest)/2])
+	}
 	s.rest = s.rest[n:]
 	return n, nil
 }
 
+// cutBy has the stream cut as a fault says. The end of an unframed one between two events would be a
+// proper one, unless its connection is reset.
+func (s *stream) cutBy(f fault.Fault, unframed bool) {
+	if f.Mode != fault.Cut && f.Mode != fault.Reset {
+		return
+	}
+	s.cutAfter = max(f.After, 1)
+	s.reset = f.Mode == fault.Reset
+	s.inside = f.Inside || unframed && !s.reset
+}
+
+// cut returns the last bytes of a stream that is cut.
+func (s *stream) cut(p []byte) (n int, err error) {
+	if s.inside {
+		s.inside = false
+		event := Event(s.id, s.worker.options.Version, s.next)
+		return copy(p, event[:len(event)/2]), nil
+	}
+	if c, ok := s.conn.(*net.TCPConn); ok && s.reset {
+		c.SetLinger(0) //nolint:errcheck // the stream is cut anyway
+	}
+	return 0, io.ErrUnexpectedEOF
+}
+
+// size returns the length of the events that are left.
+func (s *stream) size() int {
+	n := 0
+	for i := s.next; i <= s.worker.options.Events; i++ {
+		n += len(Event(s.id, s.worker.options.Version, i))
+	}
+	return n
+}
+
 // Close ends the run.
 func (s *stream) Close() error {
 	s.worker.end(s.id, s.done)
