Deadlines of callers' connections end with the response that set them

Callers that keep a connection got no answer of the router itself (404, 502, 504) once the stall time had passed since the last response of a target on it: the connection was closed, also for requests that had run. The write deadline of that response stayed on the connection. Now deadlines are set through fasthttp, which removes them after the response; refusals set one too. So nothing stays for what fasthttp writes itself (400, 100), either.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -31,8 +31,11 @@
 	return metric.RequestsNotRun
 }
 
-// write writes the refusal as the response.
-func (r *refusal) write(ctx *fasthttp.RequestCtx) { r.writeTo(&ctx.Response) }
+// writeRefusal writes a refusal as the response.
+func (f *flight) writeRefusal(ctx *fasthttp.RequestCtx, r *refusal) {
+	f.setWriteDeadline(ctx)
+	r.writeTo(&ctx.Response)
+}
 
 func (r *refusal) writeTo(resp *fasthttp.Response) {
 	resp.ResetBody()
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -292,7 +292,7 @@
 // end writes a refusal and ends the request.
 func (f *flight) end(ctx *fasthttp.RequestCtx, r *refusal) {
 	f.server.logRefused(f, r)
-	r.write(ctx)
+	f.writeRefusal(ctx, r)
 	f.server.unregister(f)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,7 +220,7 @@
 	f, r := s.admit(ctx)
 	if r != nil {
 		s.logRefused(f, r)
-		r.write(ctx)
+		f.writeRefusal(ctx, r)
 		return
 	}
 	s.register(f)
--- a/relay/response.go
+++ b/relay/response.go
@@ -10,7 +10,7 @@
 func (f *flight) writeResponse(ctx *fasthttp.RequestCtx, resp *response) {
 	f.copyHead(ctx, resp)
 	ctx.Response.SetBodyRaw(resp.body)
-	f.setWriteDeadline()
+	f.setWriteDeadline(ctx)
 	f.lifecycle.Answer()
 	f.server.options.Metrics.Inc(metric.RequestsAnswered)
 	f.server.logAnswered(f, resp.header.StatusCode())
@@ -22,7 +22,6 @@
 func (f *flight) writeStream(ctx *fasthttp.RequestCtx, resp *response) {
 	f.beginStream()
 	f.copyHead(ctx, resp)
-	f.clearWriteDeadline()
 	resp.stream.caller = ctx
 	ctx.Response.SetBodyStream(resp.stream, resp.stream.size)
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"zinccove.example/zinccove/bootclock"
 	"zinccove.example/zinccove/metric"
 )
@@ -37,24 +39,15 @@
 	f.server.options.Metrics.Inc(metric.CallersStalled)
 }
 
-// setWriteDeadline bounds the time in which a caller may read a buffered response.
-func (f *flight) setWriteDeadline() {
+// setWriteDeadline bounds the time in which a caller may read a buffered response. Fasthttp removes the
+// deadline after the response.
+func (f *flight) setWriteDeadline(ctx *fasthttp.RequestCtx) {
 	limit := f.server.options.Limits.WriteTimeout
 	if limit <= 0 {
 		return
 	}
 	clock := f.server.options.Clock
-	if err := f.conn.SetWriteDeadline(bootclock.ToMonotonic(clock, clock.Now().Add(limit))); err != nil {
-		f.conn.Close() //nolint:errcheck // it is closed already
-	}
-}
-
-// clearWriteDeadline removes the deadline that an earlier response on the connection left.
-func (f *flight) clearWriteDeadline() {
-	if f.server.options.Limits.WriteTimeout <= 0 {
-		return
-	}
-	if err := f.conn.SetWriteDeadline(time.Time{}); err != nil {
+	if err := ctx.SetWriteDeadline(bootclock.ToMonotonic(clock, clock.Now().Add(limit))); err != nil {
 		f.conn.Close() //nolint:errcheck // it is closed already
 	}
 }
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -143,6 +144,33 @@
 	assert.Assert(t, read+len(rest) >= largeBytes)
 }
 
+// TestDeadlineOfAResponseEndsWithIt has a caller that keeps its connection for longer than the stall time
+// after a response: what the router and fasthttp respond themselves arrives, as do streams.
+func TestDeadlineOfAResponseEndsWithIt(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		if strings.HasPrefix(string(a.header.RequestURI()), "/model/") {
+			beginStream(a, c)
+			event(c, 1)
+			return endStream(c)
+		}
+		return respondOK(a, c)
+	})
+	s := newTestServer(t, f)
+	for _, c := range []struct {
+		path, head string
+		status     int
+	}{{"/none/", "", 404}, {"/model/", "", 200}, {"/once/", "", 200}, {"/once/", "Content-Length: x\r\n", 400}, {"/once/", "Expect: 100-continue\r\n", 100}} {
+		caller := s.dial(t)
+		caller.send("POST", "/once/", "first", "b")
+		assert.Equal(t, caller.read().header.StatusCode(), 200)
+		time.Sleep(stallTime + 50*time.Millisecond)
+		fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\n%sContent-Length: 1\r\n\r\nb", c.path, customerKey, c.head)
+		var h fasthttp.ResponseHeader
+		assert.NilError(t, h.Read(caller.r), "%s %s", c.path, c.head)
+		assert.Equal(t, h.StatusCode(), c.status)
+	}
+}
+
 func heapBytes() int64 {
 	runtime.GC()
 	var m runtime.MemStats
