Stops pass on nothing late that may be cut and may not be repeated

In a planned stop, streams that came after the stop delay were passed on if the pace of earlier streams let them end in time, and cut without a complete answer if their target was slower. Requests admitted before the delay whose body ended late were passed on however little time was left. It is judged again when an attempt begins that is the first to be passed on. The rest gets 503, not run, come back at once.

The streams of TestStopAcceptsWhatEndsInTime that the pace accepts are resumable ones now; all its assertions stay, and others are added for those that are not.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -115,20 +115,37 @@
 // firstEventMargin is the time that a graceful shutdown allows for the first event of a stream.
 const firstEventMargin = time.Second
 
-// endsInTime reports whether a request that begins now is expected to end before a graceful
-// shutdown has to cut it. Callers still arrive while the balancer has not noticed the shutdown,
-// and when most routers of a data centre stop at once.
-func (s *Server) endsInTime(f *flight) bool {
+// deadlineMargin is how long before the end of a graceful shutdown the deadline of a request has to
+// be: requests are ended by the monitor, which notices a deadline after an interval and its lag.
+const deadlineMargin = 2 * checkInterval
+
+// endsInTime reports whether a request that is passed on at a given time ends before a graceful
+// shutdown has to cut it. Only its deadline makes that certain. The expected end is enough for
+// streams that their callers can resume elsewhere. Callers still arrive while the balancer has not
+// noticed the shutdown, and when most routers of a data centre stop at once.
+func (s *Server) endsInTime(f *flight, at time.Time) bool {
 	stopped := s.stopped.Load()
-	if stopped == nil || f.received.Sub(*stopped) < s.options.Limits.StopDelay {
+	if stopped == nil || at.Sub(*stopped) < s.options.Limits.StopDelay {
+		return true
+	}
+	end := stopped.Add(s.options.Limits.StopTimeout)
+	if f.received.Add(f.limit() + deadlineMargin).Before(end) {
 		return true
 	}
-	left := s.options.Limits.StopTimeout - f.received.Sub(*stopped)
-	if f.route.Kind != route.Stream {
-		return f.limit() < left
+	if f.route.Kind != route.Stream || !f.route.Resumable {
+		return false
 	}
 	bound, known := s.pace.bound(&f.call)
-	return known && bound+firstEventMargin < left || f.limit() < left
+	return known && at.Add(firstEventMargin+bound).Before(end)
+}
+
+// refuseStopping refuses a request that was passed on nowhere and may be cut by the end of a graceful
+// shutdown, because its body, its place or its target took long since it was admitted.
+func (f *flight) refuseStopping() *refusal {
+	if f.lifecycle.Outcome() != request.NotRun || f.server.endsInTime(f, f.server.options.Clock.Now()) {
+		return nil
+	}
+	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetry}
 }
 
 // limit returns the longest time that the request may take.
@@ -158,7 +175,7 @@
 		return f, unknown(view, fasthttp.StatusNotFound, reasonNoRoute)
 	}
 	f.regions = f.route.Regions
-	if !s.endsInTime(f) {
+	if !s.endsInTime(f, f.received) {
 		return f, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetry}
 	}
 	if len(view.Table.Customers) > 0 {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,6 +38,9 @@
 		f.dropContinuation()
 		return nil, nil, r
 	}
+	if r := f.refuseStopping(); r != nil {
+		return nil, nil, r
+	}
 	d := f.nextDecision()
 	if d.Waiting != nil {
 		var r *refusal
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -415,26 +415,35 @@
 func TestStopAcceptsWhatEndsInTime(t *testing.T) {
 	s := &Server{options: Options{Limits: Limits{StopDelay: 2 * time.Second, StopTimeout: 7 * time.Second}}}
 	began := time.Now()
+	ends := func(f *flight) bool { return s.endsInTime(f, f.received) }
 	flight := func(after time.Duration, kind route.Kind, tokens int) *flight {
 		return &flight{
-			server: s, received: began.Add(after), route: &route.Route{Kind: kind, Timeout: 12 * time.Second},
+			server: s, received: began.Add(after), route: &route.Route{Kind: kind, Timeout: 12 * time.Second, Resumable: true},
 			call: message.RequestInfo{Deadline: 10 * time.Second, MaxTokens: tokens},
 		}
 	}
-	assert.Assert(t, s.endsInTime(flight(0, route.Stream, 5000)), "no shutdown")
+	assert.Assert(t, ends(flight(0, route.Stream, 5000)), "no shutdown")
 	s.stopped.Store(&began)
 	s.pace.record(&message.RequestInfo{MaxTokens: 100}, 100*time.Millisecond)
-	assert.Assert(t, s.endsInTime(flight(time.Second, route.Stream, 5000)), "the balancer has not noticed the shutdown")
-	assert.Assert(t, s.endsInTime(flight(3*time.Second, route.Stream, 70)))
-	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Stream, 90)))
-	assert.Assert(t, !s.endsInTime(flight(5*time.Second, route.Stream, 70)))
-	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Stream, 0)), "the caller did not limit the tokens")
-	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Once, 0)))
+	assert.Assert(t, ends(flight(time.Second, route.Stream, 5000)), "the balancer has not noticed the shutdown")
+	assert.Assert(t, ends(flight(3*time.Second, route.Stream, 70)))
+	assert.Assert(t, !ends(flight(3*time.Second, route.Stream, 90)))
+	assert.Assert(t, !ends(flight(5*time.Second, route.Stream, 70)))
+	assert.Assert(t, !ends(flight(3*time.Second, route.Stream, 0)), "the caller did not limit the tokens")
+	assert.Assert(t, !ends(flight(3*time.Second, route.Once, 0)))
 	s.pace.record(&message.RequestInfo{MaxTokens: 100}, 5*time.Second)
-	assert.Assert(t, !s.endsInTime(flight(3*time.Second, route.Stream, 70)), "streams are slower than that")
+	assert.Assert(t, !ends(flight(3*time.Second, route.Stream, 70)), "streams are slower than that")
 	short := flight(3*time.Second, route.Once, 0)
 	short.call.Deadline = time.Second
-	assert.Assert(t, s.endsInTime(short))
+	assert.Assert(t, ends(short))
+	short.call.Deadline = 4 * time.Second
+	assert.Assert(t, !ends(short), "the answer at its deadline would be cut")
+	once := flight(3*time.Second, route.Stream, 1)
+	once.route.Resumable = false
+	assert.Assert(t, !ends(once), "nothing but its deadline bounds a stream that may not be repeated")
+	late := flight(time.Second, route.Once, 0)
+	assert.Assert(t, ends(late))
+	assert.Assert(t, !s.endsInTime(late, began.Add(3*time.Second)), "its body came late")
 }
 
 func TestSilentPlainTargetIsFollowedByAnother(t *testing.T) {
