Stops wait until the requests that they cut are answered

The end of a stop cut what still ran and waited 100 ms for the responses: those of requests that took longer to notice (connecting to a target, a busy host) were lost with the process. A request whose body did not end was not cut at all and held its connection until then, without an answer. Now up to 500 ms of the 700 before the limit are waited, and every cancellation ends the read of a body, so that its caller gets 503, not run, and the wait is short.

TestStopAwaitsResponsesOfRequestsThatItCuts (1 request still ran) and TestStopAnswersRequestsWhoseBodyDoesNotEnd (no answer in 10 s) failed before.

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -136,6 +136,8 @@
 	// witness shows whether the target of the current attempt still runs; nil if there is none. Only
 	// the goroutine of the request sets it.
 	witness *witness
+	// reading is set while the body is read.
+	reading bool
 	// remote is the stream to the router that serves the request, nil if this one does.
 	remote net.Conn
 	// grace is how much longer than its time limit the request may take here.
@@ -320,11 +322,28 @@
 	}
 	f.closeRemote()
 	f.endWait()
+	if f.reading {
+		f.conn.SetReadDeadline(time.Unix(0, 1).UTC()) //nolint:errcheck // the caller has left
+	}
 	if c == causeCallerClosed {
 		f.server.options.Metrics.Inc(metric.CallersGone)
 	}
 }
 
+// beginReading makes interrupt end the read of the body. It reports false if the request was cancelled.
+func (f *flight) beginReading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = f.cause == causeNone
+	return f.reading
+}
+
+func (f *flight) endReading() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = false
+}
+
 func (f *flight) interrupted() cause {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -91,6 +91,10 @@
 		f.body = ctx.PostBody()
 		return nil
 	}
+	if !f.beginReading() {
+		return errInterrupted
+	}
+	defer f.endReading()
 	n := ctx.Request.Header.ContentLength()
 	if n < 0 {
 		return f.readChunks(ctx.RequestBodyStream())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -301,9 +301,9 @@
 	close(s.stop)
 	s.cut()
 	err := s.listener.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), closeIdleTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	_ = s.http.ShutdownWithContext(ctx) // idle connections may outlast the timeout
+	_ = s.http.ShutdownWithContext(ctx) // connections without a request may outlast the timeout
 	s.awaitRequests(ctx)
 	if gerr := s.group.Wait(); err == nil {
 		err = gerr
@@ -319,8 +319,9 @@
 }
 
 const (
-	// closeIdleTimeout bounds closing the callers' idle connections.
-	closeIdleTimeout = 100 * time.Millisecond
+	// closeTimeout bounds writing the responses of the requests that were cut and closing the callers'
+	// connections.
+	closeTimeout = 500 * time.Millisecond
 	// drainCheckInterval is the time between checks for running requests during a shutdown.
 	drainCheckInterval = 20 * time.Millisecond
 )
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +66,31 @@
 	assertRefusedByStop(t, c.read(), f)
 	await()
 }
+
+// TestStopAwaitsResponsesOfRequestsThatItCuts has a request whose target is still being connected to.
+func TestStopAwaitsResponsesOfRequestsThatItCuts(t *testing.T) {
+	f := newTarget(t, "t", respondOK)
+	dialling := make(chan struct{}, 10)
+	s := newTestServerDialling(t, func(addr netip.AddrPort, _ time.Duration) (net.Conn, error) {
+		dialling <- struct{}{}
+		time.Sleep(600 * time.Millisecond)
+		return net.Dial("tcp", addr.String())
+	}, f)
+	c := s.dial(t)
+	c.send("POST", "/once/", "r", "b")
+	<-dialling
+	s.beginStop(t, 300*time.Millisecond)()
+	assert.Equal(t, s.Running(), 0)
+	assertRefusedByStop(t, c.read(), f)
+}
+
+// TestStopAnswersRequestsWhoseBodyDoesNotEnd has a caller that sends a part of a body.
+func TestStopAnswersRequestsWhoseBodyDoesNotEnd(t *testing.T) {
+	f := newTarget(t, "t", respondOK)
+	s := newTestServer(t, f)
+	c := s.dial(t)
+	fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Deadline: 1500\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", customerKey, 3*maxBufferedBody, strings.Repeat("x", 2*maxBufferedBody))
+	eventually(t, "the body is read", func() bool { return s.Running() == 1 })
+	s.beginStop(t, 200*time.Millisecond)()
+	assertRefusedByStop(t, c.read(), f)
+}
