The heartbeat socket is closed as soon as its event loop ends

gnet's Stop polls every 500 ms for the end of the engine, so each stop took half a second more than needed, of the 700 ms between the cut and the limit: of a limit of 3 s, 2.92 were used where responses had 100 ms, and with 500 ms the process outlived the limit (3.31 s). Close waits for the loop itself.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -226,9 +226,12 @@
 func (t *Transport) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	err := t.engine.Stop(ctx)
-	if werr := t.group.Wait(); err == nil {
-		err = werr
+	var stop errgroup.Group
+	stop.Go(func() error { return t.engine.Stop(ctx) })
+	err := t.group.Wait()
+	cancel() // Stop polls for the end that has come
+	if serr := stop.Wait(); err == nil && !errs.Is(serr, context.Canceled) {
+		err = serr
 	}
 	if cerr := t.socket.Close(); err == nil {
 		err = cerr
