Responses within a stop close their connections

A request that arrived before the stop was answered without Connection: close, and its caller sent the next request on the connection late in the stop. TestResponsesWithinStopCloseConnections failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -214,9 +214,7 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.stopped.Load() != nil {
-		ctx.SetConnectionClose()
-	}
+	defer s.closeWhileStopping(ctx)
 	f, r := s.admit(ctx)
 	if r != nil {
 		s.logRefused(f, r)
@@ -245,6 +243,13 @@
 	f.serve(ctx)
 }
 
+// closeWhileStopping asks the caller to send no further request on its connection.
+func (s *Server) closeWhileStopping(ctx *fasthttp.RequestCtx) {
+	if s.stopped.Load() != nil {
+		ctx.SetConnectionClose()
+	}
+}
+
 // register counts a request as running until unregister.
 func (s *Server) register(f *flight) {
 	s.options.Metrics.Inc(metric.RequestsReceived)
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -84,6 +84,25 @@
 	assertRefusedByStop(t, c.read(), f)
 }
 
+// TestResponsesWithinStopCloseConnections has a request that arrived before the stop.
+func TestResponsesWithinStopCloseConnections(t *testing.T) {
+	release := make(chan struct{})
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		<-release
+		return respondOK(a, c)
+	})
+	s := newTestServer(t, f)
+	c := s.dial(t)
+	c.send("POST", "/once/", "r", "b")
+	eventually(t, "the request runs", func() bool { return len(f.received()) == 1 })
+	await := s.beginStop(t, time.Second)
+	close(release)
+	res := c.read()
+	assert.Equal(t, res.body, "answer")
+	assert.Assert(t, res.header.ConnectionClose())
+	await()
+}
+
 // TestStopAnswersRequestsWhoseBodyDoesNotEnd has a caller that sends a part of a body.
 func TestStopAnswersRequestsWhoseBodyDoesNotEnd(t *testing.T) {
 	f := newTarget(t, "t", respondOK)
