--- a/standin/proof/versions_test.go
+++ b/standin/proof/versions_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -414,6 +415,9 @@
 		{"cut off", isolate, nothing},
 		{"cut that heals", isolate, heal},
 		{"paused", signal(syscall.SIGSTOP), signal(syscall.SIGCONT)},
+		{"cut off and paused", func(s *twoVersions, r *fleet.Router) error {
+			return errors.Join(s.Isolate(r), r.Signal(syscall.SIGSTOP))
+		}, signal(syscall.SIGCONT)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newOneVersionOf(t, fleet.TestRouter)
--- a/standin/routesite/stream.go
+++ b/standin/routesite/stream.go
@@ -42,12 +42,17 @@
 	Router     netip.AddrPort
 	Status     int
 	RetryAfter string
+	// Reason is the body of a refusal.
+	Reason string
 	// Events is the number of events that it brought.
 	Events int
 	Took   time.Duration
 	Err    error
 }
 
+// maxReason bounds what is kept of the body of a refusal, in bytes.
+const maxReason = 100
+
 // errLeft means that the caller closed the connection.
 var errLeft = errors.New("caller closed the connection")
 
@@ -96,7 +101,9 @@
 	// Closing the body would read the rest of the stream; closing the connection does not.
 	t.Status, t.RetryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 	if t.Status != http.StatusOK {
-		return nil
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReason))
+		t.Reason = strings.TrimSpace(string(body))
+		return err
 	}
 	err = s.read(t.ID, bufio.NewReader(resp.Body), leave)
 	if err == nil && !resp.Close && s.Kept != nil {
