Large responses are not cut for a pause while they are passed on

A response of more than 32 KB of a plain service, on a route whose requests may be repeated, was cut once 0.6 of the objective had passed since it was sent, as if its target were silent, although a part had been passed on and no other target could serve the rest. Its callers got a truncated response. Targets count as silent only until a part of their response was passed on.

Before: TestLargeResponsesArePassedOnSlowly failed (truncated).

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -114,6 +114,8 @@
 	responseBegan time.Time
 	// targetRuns is set if the target of the current attempt broke the connection and still runs.
 	targetRuns bool
+	// passing is set once a part of the response was passed on.
+	passing atomic.Bool
 	// unfinished is the time since which a head, an event or a trailer of the response is incomplete.
 	unfinished stallTimer
 	// firstEvent is the time from receiving the request to the first event of its stream.
@@ -387,7 +389,7 @@
 	if f.link == nil {
 		return
 	}
-	silent := !f.engine && now.Sub(f.sent) > time.Duration(maxSilenceShare*float64(f.route.Objective))
+	silent := !f.engine && !f.passing.Load() && now.Sub(f.sent) > time.Duration(maxSilenceShare*float64(f.route.Objective))
 	late := silent || f.unfinished.exceeds(maxUnfinished, now)
 	if late && f.attempts < f.route.MaxAttempts || f.linkRun.CutOff() {
 		f.link.Close() //nolint:errcheck // the attempt ends with it
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// TestLargeResponsesArePassedOnSlowly has a target pause in a response of which a part was passed on, for
+// longer than it may be silent before a request is repeated.
+func TestLargeResponsesArePassedOnSlowly(t *testing.T) {
+	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		whole := text(200, a.id(), strings.Repeat("x", 2*maxBufferedResponse), seal)
+		fmt.Fprint(c, whole[:len(whole)-10])
+		time.Sleep(900 * time.Millisecond)
+		fmt.Fprint(c, whole[len(whole)-10:])
+		return true
+	})
+	res := newTestServer(t, f).do(t, "POST", "/repeat/", "r", "x")
+	assert.NilError(t, res.err)
+	assert.Equal(t, len(res.body), 2*maxBufferedResponse)
+}
+
 // TestBrokenLargeResponsesDoNotLookComplete has a target close its connection in the middle.
 func TestBrokenLargeResponsesDoNotLookComplete(t *testing.T) {
 	f := newTarget(t, "t", func(a *arrival, c net.Conn) bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -106,7 +106,10 @@
 		s.collect()
 		s.fill()
 	}
-	s.passed = true
+	if !s.passed {
+		s.passed = true
+		s.flight.passing.Store(true)
+	}
 	s.flight.unfinished.clear()
 	n := copy(p, s.buffer[:s.ready])
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[n:])]
