Streams of plain services are passed on as they come

A response of a plain service on a route of streams was buffered until it ended or had 32 KB, so that callers got the first event with the last. The type of the response and the kind of the route decide now.

Before: TestStreamsOfPlainServicesArePassedOnAsTheyCome failed (no head within 1 s).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -306,15 +306,16 @@
 
 var eventStream = []byte("text/event-stream")
 
-// isStream reports whether the response of an engine is a stream of events. A response without a type is
-// one on a route of streams.
+// isStream reports whether a response is a stream of events. That of an engine without a type is one on a
+// route of streams.
 func (f *flight) isStream(h *fasthttp.ResponseHeader) bool {
-	if h.StatusCode() != fasthttp.StatusOK || !f.engine {
+	streaming := f.route.Kind == route.Stream
+	if h.StatusCode() != fasthttp.StatusOK || !f.engine && !streaming {
 		return false
 	}
 	mediaType := h.ContentType()
 	if len(mediaType) == 0 {
-		return f.route.Kind == route.Stream
+		return f.engine && streaming
 	}
 	mediaType, _, _ = bytes.Cut(mediaType, []byte(";"))
 	return bytes.EqualFold(bytes.TrimSpace(mediaType), eventStream)
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -310,6 +310,7 @@
 		Customers: []route.Customer{{Name: customerName, Keys: []string{customerKey}}},
 		Routes: []*route.Route{
 			r("/once/", route.Once, "plain"), r("/repeat/", route.Repeatable, "plain"), r("/model/", route.Stream, "model"), resume, public,
+			r("/stream/", route.Stream, "plain"),
 			r("/model-once/", route.Once, "model"), r("/model-repeat/", route.Repeatable, "model"),
 		},
 	}
--- a/relay/json_test.go
+++ b/relay/json_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"testing"
+	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -90,3 +93,27 @@
 		assert.Equal(t, res.body, "id: 1\ndata: piece 1\n\n")
 	}
 }
+
+// TestStreamsOfPlainServicesArePassedOnAsTheyCome has a target wait after its first event.
+func TestStreamsOfPlainServicesArePassedOnAsTheyCome(t *testing.T) {
+	received := make(chan struct{})
+	s := newTestServer(t, newTarget(t, "t", func(a *arrival, c net.Conn) bool {
+		beginStream(a, c)
+		event(c, 1)
+		select {
+		case <-received:
+			event(c, 2)
+			return endStream(c)
+		case <-time.After(time.Second):
+			return false
+		}
+	}))
+	c := s.dial(t)
+	c.send("POST", "/stream/", "r", "x")
+	var h fasthttp.ResponseHeader
+	assert.NilError(t, h.Read(c.r))
+	close(received)
+	body, err := io.ReadAll(newBody(c.r, &h, false))
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+}
