Streams that break before their first event are answered

A stream that could not go on after its head and before its first event closed the connection of its caller, which may be a kept one, without an answer: fasthttp holds the head back until the first bytes of the body. The head is given to it with the first event now, at no cost in time, and callers get 502, or 504 at the time limit, and can use their connection on.

Tests: TestStreamWithoutEventIsAnswered failed before (EOF). TestStreamResumedByItsCallerDoesNotBeginAnew wanted an empty body and any end; it wants the 502 and its text now. The target of TestRequestUnderWhichTargetsEndedIsRefused responded with a text without a type where a stream is due, of which the test read the head only; it is a response of JSON now, which has to be whole.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -512,3 +512,39 @@
 	assert.Equal(t, c.read().header.StatusCode(), 503)
 	assert.Equal(t, len(f.received()), 0)
 }
+
+// TestStreamWithoutEventIsAnswered has a target break the connection after the head of a stream, or be silent
+// then. The caller has got nothing, and its connection can be used on.
+func TestStreamWithoutEventIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent bool
+		status int
+	}{
+		{"broken", false, 502},
+		{"silent", true, 504},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestServer(t, newTarget(t, "t", func(a *arrival, conn net.Conn) bool {
+				if a.id() == "whole" {
+					beginStream(a, conn)
+					event(conn, 1)
+					return endStream(conn)
+				}
+				beginStream(a, conn)
+				return c.silent
+			}))
+			caller := s.dial(t)
+			caller.send("POST", "/model/", "r", "x")
+			res := caller.read()
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.header.StatusCode(), c.status)
+			assert.Equal(t, len(res.header.Peek("Response-Seal")), 0)
+			caller.send("POST", "/model/", "whole", "y")
+			res = caller.read()
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.header.StatusCode(), 200)
+			eventually(t, "nothing runs any more", func() bool { return s.Running() == 0 })
+		})
+	}
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -4,6 +4,7 @@
 	"github.com/valyala/fasthttp"
 
 	"zinccove.example/zinccove/metric"
+	"zinccove.example/zinccove/target"
 )
 
 // writeResponse hands a complete response to fasthttp, which sends it to the caller.
@@ -18,11 +19,17 @@
 }
 
 // writeStream passes the events of a stream on as they arrive. Fasthttp reads the stream after
-// the handler returned, and closes it.
+// the handler returned, and closes it. It sends the head with the first event, so that a stream that
+// breaks before that can still be refused.
 func (f *flight) writeStream(ctx *fasthttp.RequestCtx, resp *response) {
 	f.beginStream()
-	f.copyHead(ctx, resp)
 	resp.stream.caller = ctx
+	resp.stream.await()
+	if fail, ok := resp.stream.err.(*target.Failure); ok && resp.stream.ready == 0 {
+		f.giveUp(ctx, fail)
+		return
+	}
+	f.copyHead(ctx, resp)
 	ctx.Response.SetBodyStream(resp.stream, resp.stream.size)
 }
 
--- a/relay/sequence_test.go
+++ b/relay/sequence_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"zinccove.example/zinccove/origin"
+	"zinccove.example/zinccove/target"
 )
 
 // serveEvents returns a function that sends one list of events after the other, one a request, and
@@ -69,8 +70,9 @@
 	s := newTestServer(t, newTarget(t, "t1", serve), newTarget(t, "t2", serve))
 	s.origins.Put(origin.KeyOf(customerName, "/resume/", "first"), origin.Origin{Service: "model", Version: "v1"}, routeTimeout)
 	res := s.do(t, "POST", "/resume/", "r", "x", "Last-Event-Id: 2", "Resumes: first")
-	assert.Equal(t, res.body, "")
-	assert.Assert(t, res.err != nil || res.header.StatusCode() != 200)
+	assert.NilError(t, res.err)
+	assert.Equal(t, res.header.StatusCode(), 502)
+	assert.Equal(t, res.body, failureNames[target.Broken]+"\n")
 }
 
 // TestStreamWithoutEventIDsIsNotResumed has events after which no target can be told from where to go on.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -99,12 +99,9 @@
 	if s.passed {
 		s.flight.passedAt.Store(s.flight.server.options.Clock.Now().UnixNano())
 	}
-	for s.ready == 0 {
-		if s.err != nil {
-			return 0, s.err
-		}
-		s.collect()
-		s.fill()
+	s.await()
+	if s.ready == 0 {
+		return 0, s.err
 	}
 	if !s.passed {
 		s.passed = true
@@ -118,6 +115,14 @@
 	return n, nil
 }
 
+// await waits until there is something to pass on or the stream has ended.
+func (s *stream) await() {
+	for s.ready == 0 && s.err == nil {
+		s.collect()
+		s.fill()
+	}
+}
+
 // fill reads more of the target's response, and resumes the stream at another target if this
 // one breaks and the route allows it.
 func (s *stream) fill() {
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -22,7 +22,7 @@
 			f.listener.Close()
 			return false
 		}
-		return respondOK(a, c)
+		return respond(c, 200, a.id(), "answer", seal, jsonType)
 	})
 	return f
 }
@@ -57,7 +57,9 @@
 				assert.Equal(t, len(res.header.Peek("Retry-After")), 0)
 			}
 			assert.Equal(t, reached(), 2)
-			assert.Equal(t, s.do(t, "POST", path, "other", "fine").header.StatusCode(), 200)
+			res := s.do(t, "POST", path, "other", "fine")
+			assert.NilError(t, res.err)
+			assert.Equal(t, res.header.StatusCode(), 200)
 			assert.Equal(t, s.do(t, "POST", path+"x", "elsewhere", "ends").header.StatusCode(), 502, "another path is another request")
 		})
 	}
