Runs that go on at their backup do not clear the request

A request that ends each target which begins it was never barred where backups finish what they hold of its runs: the backup's complete response cleared its content (and parts) at all routers for 10 s, so the next one reached a target again.

A backup does not begin the request, so its response is no evidence. It clears nothing now.

--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -108,13 +108,20 @@
 	}
 }
 
-// clearContent clears the content of a request that a target ran to its end.
+// clearContent clears the content of a request that a target ran to its end. A backup that goes on with a run
+// of another target does not begin the request, and targets may end as they do; so it clears nothing.
 func (f *flight) clearContent() {
+	if f.continues != nil {
+		return
+	}
 	f.server.options.Quarantine.RecordResponse(f.requestContent())
 }
 
 // clearParts clears the parts of a prompt on which a target wrote a response for a while, or to its
-// end.
+// end, unless it went on with a run of another target.
 func (f *flight) clearParts() {
+	if f.continues != nil {
+		return
+	}
 	f.server.options.Quarantine.RecordWritten(f.requestContent())
 }
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -114,6 +114,33 @@
 	assert.Equal(t, len(target.received()), 0)
 }
 
+// TestRunThatGoesOnAtItsBackupClearsNothing has a request end each target that begins it, while backups finish what
+// they hold of it.
+func TestRunThatGoesOnAtItsBackupClearsNothing(t *testing.T) {
+	var began, continued atomic.Int32
+	var targets []*fakeTarget
+	for i := range 8 {
+		var f *fakeTarget
+		f = newTarget(t, fmt.Sprint("t", i), func(a *arrival, c net.Conn) bool {
+			if len(a.header.Peek("Kv-From")) > 0 {
+				continued.Add(1)
+				return goOn(a, c)
+			}
+			began.Add(1)
+			f.listener.Close()
+			return false
+		})
+		targets = append(targets, f)
+	}
+	s := newTestServer(t, targets...)
+	s.withBackups(t)
+	for i := range 6 {
+		s.do(t, "POST", "/model/", fmt.Sprint("r", i), "ends", backupHeaders...)
+	}
+	assert.Assert(t, continued.Load() > 0)
+	assert.Equal(t, began.Load(), int32(2))
+}
+
 // promptHeader returns the header with the parts of a prompt; the last one belongs to the request.
 func promptHeader(parts ...string) string {
 	return "Prompt-Prefix: " + strings.Join(parts, ":10,") + ":10"
