Test of waves looks at waits again when that is signalled

Two targets grant a place to the same request in one look; the one that is not used is returned, which signals another look (EndWait, WaitsChanged). The control loop of a router looks again at once (gateway, WaitsChanged); the test's loop asserted first. So it was the test: it now looks until nothing is signalled, at most 100 times, and asserts the same then. Requests of its three phases also had the same numbers, so that waits of two could be one.

--- a/place/wait_test.go
+++ b/place/wait_test.go
@@ -28,8 +28,10 @@
 // their deadline allows.
 type wave struct {
 	*fleet
-	t       *testing.T
-	waits   bool
+	t     *testing.T
+	waits bool
+	// number is that of the last request.
+	number  uint64
 	all     []*waveRequest
 	retries map[*waveRequest]time.Time
 	waiting map[uint64]*waveRequest
@@ -65,7 +67,8 @@
 			if n := w.random.IntN(20); n < 4 {
 				customer = fmt.Sprint("small", n)
 			}
-			r := &waveRequest{request: promptRequest(call(fmt.Sprint(w.random.IntN(40)), 0, 200+w.random.IntN(3000)), customer), arrived: w.clock.Now(), number: uint64(len(w.all) + 1)}
+			w.number++
+			r := &waveRequest{request: promptRequest(call(fmt.Sprint(w.random.IntN(40)), 0, 200+w.random.IntN(3000)), customer), arrived: w.clock.Now(), number: w.number}
 			w.all = append(w.all, r)
 			w.try(r, nil)
 		}
@@ -128,7 +131,23 @@
 	}
 }
 
+// checkWaits looks at waits until nothing signals another look, as the control loop does: a grant that is not
+// used frees a place.
 func (w *wave) checkWaits() {
+	const maxLooks = 100
+	for signalled, looks := true, 0; signalled; looks++ {
+		assert.Assert(w.t, looks < maxLooks, "looks at waits never end")
+		w.checkOnce()
+		select {
+		case <-w.placer.WaitsChanged():
+		default:
+			signalled = false
+		}
+	}
+	w.assertNoneIdle()
+}
+
+func (w *wave) checkOnce() {
 	grants, ended, _ := w.placer.CheckWaits()
 	for _, e := range ended {
 		n := e.Key.Number
@@ -153,7 +172,6 @@
 		}
 		w.try(r, &g)
 	}
-	w.assertNoneIdle()
 }
 
 // assertNoneIdle asserts that no target is idle beside a request that it may run. A look at the target
