Calls of own services whose response has neither length nor chunks are broken

Callers of a plain service of an own configuration got the part of a response that its process had sent before it ended as a whole one, and with an Idempotency-Key every later call got it again from the claim.

Change: bodies are read by the client itself, which fails where nothing frames them; the outcome is unknown. Services of own configurations have to state a length or use chunks.

--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -26,7 +26,7 @@
 	// Conns is the maximum number of concurrent connections.
 	Conns int
 	// Body is the maximum size of a response body in bytes; 0 means no limit. It also bounds
-	// what frames the body. It does not apply to streamed responses.
+	// what frames the body. Readers of a streamed body compare its size themselves.
 	Body int
 	// Stream makes the client return responses before their bodies are complete.
 	Stream bool
@@ -54,7 +54,7 @@
 		Addr: addr.String(),
 		Dial: func(a string) (net.Conn, error) {
 			c, err := dial(a, dialTimeout)
-			if err != nil || l.Body == 0 || l.Stream {
+			if err != nil || l.Body == 0 {
 				return c, err
 			}
 			return &limitedConn{Conn: c, limit: framingFactor*l.Body + maxHeaders}, nil
--- a/target/target.go
+++ b/target/target.go
@@ -38,6 +38,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"zinccove.example/zinccove/errs"
@@ -155,7 +156,7 @@
 	if c == nil {
 		c = &Client{
 			peer:      addr.String(),
-			buffered:  httpc.New(addr, httpc.Limits{Conns: maxConns, Body: maxResponseSize, Idle: idleTimeout, Dial: cs.dial}),
+			buffered:  httpc.New(addr, httpc.Limits{Conns: maxConns, Body: maxResponseSize, Stream: true, Idle: idleTimeout, Dial: cs.dial}),
 			streaming: httpc.New(addr, httpc.Limits{Conns: maxConns, Stream: true, Idle: idleTimeout, Dial: cs.dial}),
 		}
 		cs.clients[addr] = c
@@ -176,8 +177,8 @@
 // Client sends attempts to one target. It is safe for concurrent use.
 type Client struct {
 	peer string
-	// buffered reads complete responses before it returns them; streaming returns
-	// them when their header was read.
+	// buffered is for responses that are read completely before they are returned, streaming for those
+	// that are returned when their header was read.
 	buffered  *fasthttp.HostClient
 	streaming *fasthttp.HostClient
 }
@@ -225,8 +226,44 @@
 // Call sends an attempt to a service and reads the complete response into resp. The
 // method, path, headers and body of req must be set.
 func (c *Client) Call(req *fasthttp.Request, resp *fasthttp.Response, a Attempt) *Failure {
+	const step = "call service"
 	c.prepare(req, a)
-	return c.send(c.buffered, req, resp, a, "call service")
+	f := c.send(c.buffered, req, resp, a, step)
+	defer resp.CloseBodyStream() //nolint:errcheck // the response is complete, or the call has failed
+	if f != nil {
+		return f
+	}
+	body, err := readBody(resp)
+	if err != nil {
+		resp.SetConnectionClose()
+		return c.fail(Broken, resp.StatusCode(), err, step)
+	}
+	resp.SetBody(body)
+	return nil
+}
+
+var (
+	errUnframed      = eris.Wrap(io.ErrUnexpectedEOF, "response has neither length nor chunks, so that its end is not known")
+	errLargeResponse = eris.New("response exceeds the limit")
+)
+
+// unframedLength is the length that fasthttp reports for a body that ends with its connection.
+const unframedLength = -2
+
+// readBody reads the complete body of a response. One that ends with its connection also ends if the
+// service does.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
+	if resp.BodyStream() == nil {
+		return nil, nil
+	}
+	if resp.Header.ContentLength() == unframedLength {
+		return nil, errUnframed
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxResponseSize+1))
+	if err == nil && len(body) > maxResponseSize {
+		err = errLargeResponse
+	}
+	return body, err
 }
 
 // Cancel requests that an engine cancels an attempt. The engine also detects the closed
