--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -199,14 +199,17 @@
 // TestBytesAfterResponseBelongToNone has a target send without end after a complete response. The response
 // is passed on, and the connection is closed by the time at which idle ones are.
 func TestBytesAfterResponseBelongToNone(t *testing.T) {
+	const response = okHead + "Content-Length: 6\r\n\r\nanswer"
 	for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
-		f, sent, open := newEndlessTarget(t, "t", okHead+"Content-Length: 6\r\n\r\nanswer", "x", pause)
+		f, sent, open := newEndlessTarget(t, "t", response, "x", pause)
 		s := newTestServer(t, f)
 		for i := range 3 {
-			res := s.do(t, "POST", "/once/", fmt.Sprint("r", i), "x")
+			id, before := fmt.Sprint("r", i), sent.Load()
+			res := s.do(t, "POST", "/once/", id, "x")
 			assert.NilError(t, res.err)
 			assert.Equal(t, res.body, "answer")
-			time.Sleep(2 * pause)
+			whole := int64(len(strings.ReplaceAll(response, "ID", id)))
+			eventually(t, "bytes after the response", func() bool { return sent.Load() > before+whole })
 		}
 		s.options.Links.Close()
 		eventually(t, "connection closed", func() bool { return open.Load() == 0 })
--- a/relay/offload_test.go
+++ b/relay/offload_test.go
@@ -179,7 +179,7 @@
 	time.Sleep(20 * time.Millisecond)
 	for i := range 5 {
 		res := p.full.do(t, "POST", "/model/", fmt.Sprint("r", i), "b")
-		assert.Equal(t, res.header.StatusCode(), 200, "served here")
+		assert.Equal(t, res.header.StatusCode(), 200, "served here: %s", res.body)
 		assert.Equal(t, res.body, threePieces)
 	}
 	assert.Equal(t, len(far.received()), 0)
