--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,9 @@
 //	send, read the response head  attempt (attempt.go)
 //	another target, if allowed    retryAfterFailure, retryAfterErrorResponse (flight.go)
 //	response or events            writeResponse, writeStream (response.go, stream.go)
+//	order of events               sequence (sequence.go)
+//	end of a response without     confirmEnd (unframed.go), witness (witness.go)
+//	length or chunks
 //	caller closed, timeout        monitor (monitor.go), which ends the attempt and
 //	                              measures the lag
 //	one log line for each step    log.go
