--- a/link/link.go
+++ b/link/link.go
@@ -144,10 +144,10 @@
 	return newConn(nc, target), nil
 }
 
-// ErrEnded means that nothing listens at the address of a target.
-var ErrEnded = eris.New("target accepts no connections")
-
-var errClosedAtOnce = eris.New("target closed a new connection")
+var (
+	errEnded        = eris.New("target accepts no connections")
+	errClosedAtOnce = eris.New("target closed a new connection")
+)
 
 const (
 	// maxProbes bounds the connections by which a target is probed: while it ends, some are lost or
@@ -161,14 +161,13 @@
 
 // Probe checks after a delay whether a target runs, by a new connection, which becomes an idle one. The
 // delay lets the system close all sockets of a process that is ending, which still accepts connections
-// until then. The error is ErrEnded if nothing listens at the address; others, as of a target that is
-// full, show nothing.
+// until then. What responds at the address may be another process than the one that was connected before.
 func (p *Pool) Probe(target string, addr netip.AddrPort, timeout, delay time.Duration) error {
 	var err error
 	for range maxProbes {
 		p.options.Clock.Sleep(delay)
 		err = p.probe(target, addr, min(timeout, maxProbeTimeout))
-		if err == nil || errs.Is(err, ErrEnded) || errs.Is(err, errClosedAtOnce) {
+		if err == nil || errs.Is(err, errEnded) || errs.Is(err, errClosedAtOnce) {
 			break
 		}
 	}
@@ -178,7 +177,7 @@
 func (p *Pool) probe(target string, addr netip.AddrPort, timeout time.Duration) error {
 	nc, err := p.options.Dial(addr, timeout)
 	if errs.Is(err, syscall.ECONNREFUSED) {
-		return ErrEnded
+		return errEnded
 	}
 	if err != nil {
 		return err
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -110,5 +110,5 @@
 	assert.Assert(t, c.Reused, "the connection of the probe is kept")
 	assert.NilError(t, c.Close())
 	assert.NilError(t, l.Close())
-	assert.ErrorIs(t, p.Probe("t", to, MaxDialTimeout, time.Millisecond), ErrEnded)
+	assert.ErrorIs(t, p.Probe("t", to, MaxDialTimeout, time.Millisecond), errEnded)
 }
