Review: a router runs requests with a dropped key too late (CONFIG)

A router that follows the store through a cut-off one asks only the first router by name for a newer configuration.

--- /dev/null
+++ b/review/rig-2/proxy.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// proxy passes connections on, until it is silent: then it takes all that is sent and passes nothing on.
+type proxy struct {
+	addr   string
+	silent atomic.Bool
+}
+
+func newProxy(to string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(c, to)
+		}
+	}()
+	return p, nil
+}
+
+func (p *proxy) pass(c net.Conn, to string) {
+	defer c.Close() //nolint:errcheck // it may be closed
+	t, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		return
+	}
+	defer t.Close() //nolint:errcheck // it may be closed
+	go p.copy(t, c)
+	p.copy(c, t)
+}
+
+// copy passes bytes on. Bytes that a cut held up are lost.
+func (p *proxy) copy(to, from net.Conn) {
+	buf := make([]byte, 64<<10)
+	lost := false
+	for {
+		n, err := from.Read(buf)
+		lost = lost || p.silent.Load()
+		if !lost {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err != nil {
+			if err != io.EOF || !lost {
+				break
+			}
+			return
+		}
+	}
+	to.Close()   //nolint:errcheck // it may be closed
+	from.Close() //nolint:errcheck // it may be closed
+}
