Review: cold workers get more than they bear when no others are left (FAILBACK)

A worker that is cold gets the whole traffic once the others have crashed or drain: coldPerS is not used as a rate.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(*fleet) (broken bool, err error){
 	"stale":  stale,
 	"limits": limits,
+	"cold":   cold,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -7,8 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// modelService is the service of model workers.
+const modelService = "llm"
+
 // worker is a stand-in for a worker: it keeps itself in the store and serves requests.
 type worker struct {
 	id, service, zone, addr string
@@ -17,9 +21,14 @@
 	// serve answers a request on its connection. It reports whether the connection can be used further.
 	serve func(w *worker, c net.Conn, r *http.Request, body []byte) bool
 
-	mu   sync.Mutex
-	seq  int
-	runs map[string]int
+	// coldUntil is when the worker stops being cold.
+	coldUntil time.Time
+
+	mu    sync.Mutex
+	seq   int
+	runs  map[string]int
+	ended bool
+	conns map[net.Conn]bool
 }
 
 // startWorker starts a worker of a service.
@@ -28,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, service: service, zone: zone, addr: l.Addr().String(), fleet: f, listener: l, serve: serve, runs: make(map[string]int)}
+	w := &worker{id: id, service: service, zone: zone, addr: l.Addr().String(), fleet: f, listener: l, serve: serve, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
 	f.workers = append(f.workers, w)
 	go w.accept()
 	w.beat("ready")
@@ -39,8 +48,12 @@
 // writes between them are left out.
 func (w *worker) beat(state string) {
 	w.seq++
+	slots := 6
+	if w.service == modelService {
+		slots = 32
+	}
 	w.fleet.store.put("servers", w.id, map[string]any{
-		"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "seq": w.seq,
+		"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": slots, "state": state, "coldLeftMs": max(time.Until(w.coldUntil).Milliseconds(), 0), "seq": w.seq,
 	})
 }
 
@@ -54,8 +67,38 @@
 	}
 }
 
+// end closes the listener and resets all connections, as the end of a process does.
+func (w *worker) end() {
+	w.listener.Close() //nolint:errcheck // it is of no use
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	for c := range w.conns {
+		c.(*net.TCPConn).SetLinger(0) //nolint:errcheck // it may be closed
+		c.Close()                     //nolint:errcheck // it may be closed
+	}
+}
+
+// keep notes an open connection. It reports false if the worker has ended.
+func (w *worker) keep(c net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conns[c] = true
+	return !w.ended
+}
+
+func (w *worker) forget(c net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.conns, c)
+}
+
 func (w *worker) handle(c net.Conn) {
 	defer c.Close() //nolint:errcheck // it may be closed
+	if !w.keep(c) {
+		return
+	}
+	defer w.forget(c)
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
