Review: a worker that left gets requests after silent connections (DRAIN)

The routers' connections to the store go silent as an entry goes; they send to the worker until 4.3 s after it, and lose requests with it.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -41,6 +41,7 @@
 	"stale":  stale,
 	"limits": limits,
 	"cold":   cold,
+	"silent": silent,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig-2/proxy.go
+++ b/review/rig-2/proxy.go
@@ -7,10 +7,13 @@
 	"time"
 )
 
-// proxy passes connections on, until it is silent: then it takes all that is sent and passes nothing on.
+// proxy passes connections on, until they are cut or go silent: then it takes all that is sent and passes
+// nothing on.
 type proxy struct {
-	addr   string
-	silent atomic.Bool
+	addr string
+	// cut has all connections silent, muted those that were opened before it grew.
+	cut   atomic.Bool
+	muted atomic.Int64
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -38,27 +41,28 @@
 		return
 	}
 	defer t.Close() //nolint:errcheck // it may be closed
-	go p.copy(t, c)
-	p.copy(c, t)
+	opened := p.muted.Load()
+	go p.copy(t, c, opened)
+	p.copy(c, t, opened)
 }
 
-// copy passes bytes on. Bytes that a cut held up are lost.
-func (p *proxy) copy(to, from net.Conn) {
+// copy passes bytes on. Bytes that were sent while the connection was silent are lost.
+func (p *proxy) copy(to, from net.Conn, opened int64) {
 	buf := make([]byte, 64<<10)
 	lost := false
 	for {
 		n, err := from.Read(buf)
-		lost = lost || p.silent.Load()
+		lost = lost || p.cut.Load() || p.muted.Load() > opened
+		if lost && err == io.EOF {
+			return
+		}
 		if !lost {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				break
 			}
 		}
 		if err != nil {
-			if err != io.EOF || !lost {
-				break
-			}
-			return
+			break
 		}
 	}
 	to.Close()   //nolint:errcheck // it may be closed
--- a/review/rig-2/stale.go
+++ b/review/rig-2/stale.go
@@ -70,7 +70,7 @@
 	f.record.add("version 2 is acknowledged")
 	time.Sleep(400 * time.Millisecond)
 	if trouble() {
-		cut.silent.Store(true)
+		cut.cut.Store(true)
 		f.record.add("router front-hall-c-1 is cut off from the store")
 	}
 	time.Sleep(200 * time.Millisecond)
